Add the workspace, tool settings, and the runtime package

The runtime package holds the clock, random source, life-cycle manager, event log, metrics and state dump that all other packages use.

--- /dev/null
+++ b/packages/agreement/src/index.ts
@@ -0,0 +1,4 @@
+/**
+ * Embeddable agreement core: election, replication, snapshots, membership change.
+ */
+export {};
--- /dev/null
+++ b/packages/bench/src/index.ts
@@ -0,0 +1,4 @@
+/**
+ * Experiments and their targets.
+ */
+export {};
--- /dev/null
+++ b/packages/claims/src/index.ts
@@ -0,0 +1,4 @@
+/**
+ * At-most-once execution of non-idempotent calls.
+ */
+export {};
--- /dev/null
+++ b/packages/cli/src/index.ts
@@ -0,0 +1,4 @@
+/**
+ * Commands of the binary and the module that wires the parts.
+ */
+export {};
--- /dev/null
+++ b/packages/configuration/src/index.ts
@@ -0,0 +1,4 @@
+/**
+ * Replicated configuration, its distribution, send permits, duties and fencing numbers.
+ */
+export {};
--- /dev/null
+++ b/packages/control/src/index.ts
@@ -0,0 +1,4 @@
+/**
+ * The control process: agreement voter and claim replica.
+ */
+export {};
--- /dev/null
+++ b/packages/demo/src/index.ts
@@ -0,0 +1,4 @@
+/**
+ * The demo: processes of one deployment with stand-ins.
+ */
+export {};
--- /dev/null
+++ b/packages/entry/src/index.ts
@@ -0,0 +1,4 @@
+/**
+ * The entry process: address lookup, admission, relay.
+ */
+export {};
--- /dev/null
+++ b/packages/journal/src/index.ts
@@ -0,0 +1,4 @@
+/**
+ * Checksummed files under the data folder.
+ */
+export {};
--- /dev/null
+++ b/packages/limits/src/index.ts
@@ -0,0 +1,4 @@
+/**
+ * Admission, fair shares, queues and concurrency limits.
+ */
+export {};
--- /dev/null
+++ b/packages/membership/src/index.ts
@@ -0,0 +1,4 @@
+/**
+ * Failure detection among entry instances.
+ */
+export {};
--- /dev/null
+++ b/packages/model-check/src/index.ts
@@ -0,0 +1,4 @@
+/**
+ * Explicit-state model checker and the protocol specification.
+ */
+export {};
--- /dev/null
+++ b/packages/placement/src/index.ts
@@ -0,0 +1,4 @@
+/**
+ * Which instances to hold and what to load on them.
+ */
+export {};
--- /dev/null
+++ b/packages/protocol/src/index.ts
@@ -0,0 +1,4 @@
+/**
+ * Messages and transport between the processes of the system.
+ */
+export {};
--- /dev/null
+++ b/packages/questionnaire/src/index.ts
@@ -0,0 +1,4 @@
+/**
+ * Questionnaire schema, contradictions and configuration generation.
+ */
+export {};
--- /dev/null
+++ b/packages/retries/src/index.ts
@@ -0,0 +1,4 @@
+/**
+ * Retry budgets, back-off and hedging.
+ */
+export {};
--- /dev/null
+++ b/packages/routing/src/index.ts
@@ -0,0 +1,4 @@
+/**
+ * Endpoint selection policies.
+ */
+export {};
--- /dev/null
+++ b/packages/runtime/src/event-log.ts
@@ -0,0 +1,67 @@
+import log from "loglevel";
+
+/** Values that can stand in a log line. */
+export type EventValue = string | number | boolean | undefined;
+export type EventFields = Readonly<Record<string, EventValue>>;
+export type EventLevel = "debug" | "info" | "warn" | "error";
+
+const needsQuotes = /[\s"=]/;
+
+function formatValue(value: EventValue): string {
+    const text = String(value);
+    return text === "" || needsQuotes.test(text) ? JSON.stringify(text) : text;
+}
+
+/** Formats one event as a line of key=value pairs; undefined fields are left out. */
+export function formatEvent(at: number, level: EventLevel, name: string, fields: EventFields): string {
+    const pairs = Object.entries(fields)
+        .filter(([, value]) => value !== undefined)
+        .map(([key, value]) => `${key}=${formatValue(value)}`);
+    return [`time=${new Date(at).toISOString()}`, `level=${level}`, `event=${name}`, ...pairs].join(" ");
+}
+
+/** Writes structured events. Event names are stable; docs/operations/logs.md lists them. */
+export abstract class EventLog {
+    abstract write(level: EventLevel, name: string, fields: EventFields): void;
+
+    debug(name: string, fields: EventFields = {}): void {
+        this.write("debug", name, fields);
+    }
+
+    info(name: string, fields: EventFields = {}): void {
+        this.write("info", name, fields);
+    }
+
+    warn(name: string, fields: EventFields = {}): void {
+        this.write("warn", name, fields);
+    }
+
+    error(name: string, fields: EventFields = {}): void {
+        this.write("error", name, fields);
+    }
+}
+
+/** Log of a process; writes to standard error so that standard output stays free for command results. */
+export class ProcessEventLog extends EventLog {
+    private readonly logger;
+
+    constructor(private readonly now: () => number, private readonly common: EventFields, level: EventLevel) {
+        super();
+        this.logger = log.getLogger(`lentilramp-${String(common.process ?? "")}`);
+        this.logger.methodFactory = () => (...parts: unknown[]) => void process.stderr.write(`${parts.join(" ")}\n`);
+        this.logger.setLevel(level, false);
+    }
+
+    override write(level: EventLevel, name: string, fields: EventFields): void {
+        this.logger[level](formatEvent(this.now(), level, name, { ...this.common, ...fields }));
+    }
+}
+
+/** Keeps events in memory for tests. */
+export class MemoryEventLog extends EventLog {
+    readonly events: { level: EventLevel; name: string; fields: EventFields; }[] = [];
+
+    override write(level: EventLevel, name: string, fields: EventFields): void {
+        this.events.push({ level, name, fields });
+    }
+}
--- /dev/null
+++ b/packages/runtime/src/index.ts
@@ -0,0 +1,7 @@
+/** Clock, random source, life-cycle manager, event log, metrics and state dump. */
+export * from "./clock.ts";
+export * from "./event-log.ts";
+export * from "./lifecycle.ts";
+export * from "./metrics.ts";
+export * from "./random-source.ts";
+export * from "./state-dump.ts";
--- /dev/null
+++ b/packages/settings/src/index.ts
@@ -0,0 +1,4 @@
+/**
+ * Settings schema of a process.
+ */
+export {};
--- /dev/null
+++ b/packages/stand-ins/src/index.ts
@@ -0,0 +1,4 @@
+/**
+ * Small fakes of engines, services, weight store, cloud API and instance list.
+ */
+export {};
--- /dev/null
+++ b/packages/streams/src/index.ts
@@ -0,0 +1,4 @@
+/**
+ * Stream assembly, resumption and reclaim planning.
+ */
+export {};
