--- a/packages/bench/src/index.ts
+++ b/packages/bench/src/index.ts
@@ -1,4 +1,3 @@
-/**
- * Experiments and their targets.
- */
-export {};
+/** Experiments and their targets. */
+export * from "./experiment.ts";
+export * from "./registry.ts";
