Add the settings schema and the JSON-RPC transport between processes

JSON.parse of Node.js 20 gives no position for most syntax errors, so jsonc-parser finds line and column. The transport tells a refused connection (nothing sent) from a timeout (outcome unknown).

--- /dev/null
+++ b/packages/protocol/src/http-server.ts
@@ -0,0 +1,202 @@
+import { Component, type EventLog } from "@lentilramp/runtime";
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import type { AddressInfo } from "node:net";
+import { BodyCutError, BodyTooLargeError } from "./read-body.ts";
+
+/** Handles one request; resolves when the response has been ended. */
+export type HttpHandler = (req: IncomingMessage, res: ServerResponse, params: RouteParams) => Promise<void>;
+
+/** Path parameters by name, decoded. */
+export type RouteParams = Readonly<Record<string, string>>;
+
+interface Route {
+    method: string;
+    segments: readonly string[];
+    handler: HttpHandler;
+}
+
+export interface HttpServerOptions {
+    host: string;
+    port: number;
+    /** Largest total size of the request headers, in bytes. */
+    maxHeaderBytes: number;
+    /** Time in which a caller must have sent the request headers, in milliseconds. */
+    headersTimeoutMs: number;
+    /** Time in which a caller must have sent the whole request, in milliseconds. */
+    requestTimeoutMs: number;
+}
+
+export const defaultHttpServerOptions = {
+    maxHeaderBytes: 16_384,
+    headersTimeoutMs: 10_000,
+    requestTimeoutMs: 30_000,
+} as const;
+
+/** Writes a JSON response and ends it. */
+export function sendJson(
+    res: ServerResponse,
+    status: number,
+    body: unknown,
+    headers: Readonly<Record<string, string>> = {},
+): void {
+    if (res.headersSent || res.destroyed) {
+        return;
+    }
+    const text = JSON.stringify(body);
+    res.writeHead(status, {
+        "content-type": "application/json",
+        "content-length": Buffer.byteLength(text),
+        ...headers,
+    });
+    res.end(text);
+}
+
+function matchRoute(route: Route, method: string, segments: readonly string[]): RouteParams | undefined {
+    if (route.method !== method || route.segments.length !== segments.length) {
+        return undefined;
+    }
+    const params: Record<string, string> = {};
+    for (const [i, expected] of route.segments.entries()) {
+        const actual = segments[i] ?? "";
+        if (expected.startsWith(":")) {
+            params[expected.slice(1)] = actual;
+        }
+        else if (expected !== actual) {
+            return undefined;
+        }
+    }
+    return params;
+}
+
+function splitPath(path: string): string[] | undefined {
+    try {
+        return path.split("/").slice(1).map(decodeURIComponent);
+    }
+    catch {
+        return undefined;
+    }
+}
+
+/** HTTP server of a process with a small route table. Errors thrown by handlers become a 500 without details. */
+export class HttpServer extends Component {
+    readonly name = "http-server";
+    private readonly routes: Route[] = [];
+    private readonly server: Server;
+    private inFlight = 0;
+    private onIdle: (() => void) | undefined;
+
+    constructor(private readonly options: HttpServerOptions, private readonly log: EventLog) {
+        super();
+        this.server = createServer(
+            {
+                maxHeaderSize: options.maxHeaderBytes,
+                headersTimeout: options.headersTimeoutMs,
+                requestTimeout: options.requestTimeoutMs,
+                noDelay: true,
+            },
+            (req, res) => void this.handle(req, res),
+        );
+        this.server.on("clientError", (err: NodeJS.ErrnoException, socket) => {
+            if (socket.writable) {
+                const status = err.code === "HPE_HEADER_OVERFLOW"
+                    ? "431 Request Header Fields Too Large"
+                    : "400 Bad Request";
+                const type = err.code === "HPE_HEADER_OVERFLOW" ? "headers-too-large" : "malformed-request";
+                const body = JSON.stringify({
+                    error: { type, message: "the request could not be parsed", run: "not-run" },
+                });
+                socket.end(
+                    `HTTP/1.1 ${status}\r\ncontent-type: application/json\r\ncontent-length: ${
+                        Buffer.byteLength(body)
+                    }\r\nconnection: close\r\n\r\n${body}`,
+                );
+            }
+        });
+    }
+
+    /** Adds a route; segments that start with ":" are parameters. */
+    route(method: string, path: string, handler: HttpHandler): void {
+        this.routes.push({ method, segments: path.split("/").slice(1), handler });
+    }
+
+    get address(): { host: string; port: number; } {
+        const address = this.server.address() as AddressInfo;
+        return { host: address.address, port: address.port };
+    }
+
+    get requestsInFlight(): number {
+        return this.inFlight;
+    }
+
+    override async start(): Promise<void> {
+        await new Promise<void>((resolve, reject) => {
+            this.server.once("error", reject);
+            this.server.listen(this.options.port, this.options.host, () => {
+                this.server.off("error", reject);
+                resolve();
+            });
+        });
+        this.log.info("http.listening", { ...this.address });
+    }
+
+    /** Waits until no request is in flight. New requests are still answered, so that callers get a truthful refusal. */
+    override async drain(): Promise<void> {
+        if (this.inFlight > 0) {
+            await new Promise<void>(resolve => this.onIdle = resolve);
+        }
+    }
+
+    override async close(): Promise<void> {
+        await new Promise<void>(resolve => {
+            this.server.close(() => resolve());
+            this.server.closeAllConnections();
+        });
+    }
+
+    private async handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
+        this.inFlight++;
+        try {
+            await this.dispatch(req, res);
+        }
+        catch (err) {
+            if (err instanceof BodyTooLargeError) {
+                sendJson(res, 413, { error: { type: "body-too-large", message: err.message, run: "not-run" } }, {
+                    connection: "close",
+                });
+                return;
+            }
+            if (err instanceof BodyCutError) {
+                res.destroy();
+                return;
+            }
+            this.log.error("http.handler-failed", { url: req.url, error: String(err) });
+            sendJson(res, 500, { error: { type: "internal", message: "internal error", run: "unknown" } });
+            if (!res.writableEnded) {
+                res.destroy();
+            }
+        }
+        finally {
+            this.inFlight--;
+            if (this.inFlight === 0) {
+                this.onIdle?.();
+            }
+        }
+    }
+
+    private async dispatch(req: IncomingMessage, res: ServerResponse): Promise<void> {
+        const segments = splitPath((req.url ?? "/").split("?")[0] ?? "/");
+        if (segments !== undefined) {
+            for (const route of this.routes) {
+                const params = matchRoute(route, req.method ?? "GET", segments);
+                if (params !== undefined) {
+                    await route.handler(req, res, params);
+                    return;
+                }
+            }
+        }
+        req.resume();
+        sendJson(res, 404, {
+            error: { type: "unknown-route", message: `no route for ${req.method} ${req.url}`, run: "not-run" },
+        });
+    }
+}
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -1,4 +1,7 @@
-/**
- * Messages and transport between the processes of the system.
- */
-export {};
+/** Messages and transport between the processes of the system. */
+export * from "./http-server.ts";
+export * from "./process-key.ts";
+export * from "./protocol-error.ts";
+export * from "./read-body.ts";
+export * from "./rpc-client.ts";
+export * from "./rpc-server.ts";
--- /dev/null
+++ b/packages/protocol/src/process-key.ts
@@ -0,0 +1,60 @@
+import { createHash, createHmac, timingSafeEqual } from "node:crypto";
+import { readFileSync } from "node:fs";
+
+const minKeyLength = 16;
+
+/** The key file cannot be read or holds no usable key. The key itself is never part of the message. */
+export class ProcessKeyError extends Error {
+    constructor(message: string) {
+        super(message);
+        this.name = "ProcessKeyError";
+    }
+}
+
+/** Key that operators and the processes of the system present. It is never logged or dumped. */
+export class ProcessKey {
+    readonly #secret: string;
+    readonly #digest: Buffer;
+
+    constructor(secret: string) {
+        this.#secret = secret;
+        this.#digest = createHash("sha256").update(secret).digest();
+    }
+
+    /** Reads the key from a file; surrounding white space is ignored. */
+    static read(file: string): ProcessKey {
+        let secret: string;
+        try {
+            secret = readFileSync(file, "utf8").trim();
+        }
+        catch (err) {
+            throw new ProcessKeyError(
+                `key file ${file} cannot be read: ${(err as NodeJS.ErrnoException).code ?? "error"}`,
+            );
+        }
+        if (secret.length < minKeyLength) {
+            throw new ProcessKeyError(`key file ${file} must hold at least ${minKeyLength} characters`);
+        }
+        return new ProcessKey(secret);
+    }
+
+    /** Value of the authorization header for an outgoing call. */
+    authorization(): string {
+        return `Bearer ${this.#secret}`;
+    }
+
+    /** Compares the header of an incoming call in constant time. */
+    matches(authorization: string | undefined): boolean {
+        const presented = /^Bearer (.+)$/.exec(authorization ?? "")?.[1] ?? "";
+        return timingSafeEqual(createHash("sha256").update(presented).digest(), this.#digest);
+    }
+
+    /** Derives a key for another purpose, so that a datagram tag does not expose the secret itself. */
+    derive(purpose: string): Buffer {
+        return createHmac("sha256", this.#secret).update(purpose).digest();
+    }
+
+    toJSON(): string {
+        return "[redacted]";
+    }
+}
--- /dev/null
+++ b/packages/protocol/src/rpc-client.ts
@@ -0,0 +1,105 @@
+import { type Clock, Component } from "@lentilramp/runtime";
+import { Agent, request } from "node:http";
+import type { z } from "zod";
+import type { ProcessKey } from "./process-key.ts";
+import { RpcError, rpcErrorCodes } from "./protocol-error.ts";
+import { readBody } from "./read-body.ts";
+
+const answerLimitBytes = 16 * 1_048_576;
+
+export interface PeerAddress {
+    host: string;
+    port: number;
+}
+
+interface RpcAnswer {
+    result?: unknown;
+    error?: { code: number; message: string; data?: unknown; };
+}
+
+/**
+ * Calls JSON-RPC 2.0 methods of other processes over persistent connections. A connection on which a call timed
+ * out is closed, so that later calls do not wait on a connection that has gone silent.
+ */
+export class RpcClient extends Component {
+    readonly name = "rpc-client";
+    private readonly agent = new Agent({ keepAlive: true, maxSockets: 8, scheduling: "lifo" });
+    private nextId = 1;
+
+    constructor(private readonly key: ProcessKey, private readonly clock: Clock) {
+        super();
+    }
+
+    /**
+     * Calls `method` of `peer` and checks the result against `result`.
+     * Throws an RpcError; for `timeout` and `broken` the peer may have executed the call.
+     */
+    async call<R extends z.ZodType>(
+        peer: PeerAddress,
+        method: string,
+        params: unknown,
+        result: R,
+        deadline: number,
+    ): Promise<z.infer<R>> {
+        const body = JSON.stringify({ jsonrpc: "2.0", id: this.nextId++, method, params });
+        const answer = await this.exchange(peer, body, deadline);
+        if (answer.error !== undefined) {
+            throw new RpcError("rejected", answer.error.message, answer.error.code, answer.error.data);
+        }
+        const parsed = result.safeParse(answer.result);
+        if (!parsed.success) {
+            throw new RpcError("broken", `unexpected result of ${method} from ${peer.host}:${peer.port}`);
+        }
+        return parsed.data;
+    }
+
+    override async close(): Promise<void> {
+        this.agent.destroy();
+    }
+
+    private exchange(peer: PeerAddress, body: string, deadline: number): Promise<RpcAnswer> {
+        return new Promise((resolve, reject) => {
+            const req = request({
+                host: peer.host,
+                port: peer.port,
+                path: "/rpc",
+                method: "POST",
+                agent: this.agent,
+                headers: {
+                    "content-type": "application/json",
+                    "content-length": Buffer.byteLength(body),
+                    authorization: this.key.authorization(),
+                },
+            });
+            const timer = this.clock.schedule(deadline, () => {
+                reject(new RpcError("timeout", `no answer from ${peer.host}:${peer.port} before the deadline`));
+                req.destroy();
+            });
+            req.on("error", (err: NodeJS.ErrnoException) => {
+                timer.cancel();
+                const failure = err.code === "ECONNREFUSED" ? "refused" : "broken";
+                reject(new RpcError(failure, `${peer.host}:${peer.port}: ${err.code ?? err.message}`));
+            });
+            req.on("response", res => {
+                readBody(res, answerLimitBytes).then(text => {
+                    timer.cancel();
+                    resolve(parseAnswer(res.statusCode ?? 0, text.toString("utf8")));
+                }).catch((err: unknown) => {
+                    timer.cancel();
+                    reject(err instanceof RpcError ? err : new RpcError("broken", String(err)));
+                });
+            });
+            req.end(body);
+        });
+    }
+}
+
+function parseAnswer(status: number, text: string): RpcAnswer {
+    if (status === 401) {
+        throw new RpcError("unauthorized", "the peer refused the process key");
+    }
+    if (status !== 200) {
+        throw new RpcError("broken", `unexpected status ${status}`, rpcErrorCodes.unavailable);
+    }
+    return JSON.parse(text) as RpcAnswer;
+}
--- a/packages/settings/src/index.ts
+++ b/packages/settings/src/index.ts
@@ -1,4 +1,5 @@
-/**
- * Settings schema of a process.
- */
-export {};
+/** Settings schema of a process and the reading of checked JSON documents. */
+export { formatPath } from "./describe-issues.ts";
+export * from "./json-document.ts";
+export * from "./process-settings.ts";
+export * from "./settings-error.ts";
--- /dev/null
+++ b/packages/settings/src/json-document.ts
@@ -0,0 +1,55 @@
+import { parse, type ParseError, printParseErrorCode } from "jsonc-parser";
+import { readFileSync } from "node:fs";
+import { Err, Ok, type Result } from "ts-results-es";
+import type { z } from "zod";
+import { describeIssues } from "./describe-issues.ts";
+import { SettingsError } from "./settings-error.ts";
+
+/**
+ * Names the first syntax error with its line and column. JSON.parse of Node.js 20 gives no position for most
+ * errors, so the text is parsed again by jsonc-parser.
+ */
+function describeSyntaxError(text: string): string {
+    const errors: ParseError[] = [];
+    parse(text, errors, { allowEmptyContent: false, disallowComments: true });
+    const first = errors[0];
+    if (first === undefined) {
+        return "unknown syntax error";
+    }
+    const before = text.slice(0, first.offset).split("\n");
+    return `${printParseErrorCode(first.error)} at line ${before.length} column ${(before.at(-1)?.length ?? 0) + 1}`;
+}
+
+/** Checks a parsed JSON value against `schema`; `file` is named in the errors. */
+export function checkDocument<T extends z.ZodType>(
+    file: string,
+    value: unknown,
+    schema: T,
+): Result<z.infer<T>, SettingsError> {
+    const parsed = schema.safeParse(value);
+    if (!parsed.success) {
+        return Err(new SettingsError(file, describeIssues(schema, value, parsed.error.issues)));
+    }
+    return Ok(parsed.data);
+}
+
+/** Reads a JSON file and checks it against `schema`. The error names the file, the path, what was found and expected. */
+export function readDocument<T extends z.ZodType>(file: string, schema: T): Result<z.infer<T>, SettingsError> {
+    let text: string;
+    try {
+        text = readFileSync(file, "utf8");
+    }
+    catch (err) {
+        return Err(new SettingsError(file, [`cannot be read: ${err instanceof Error ? err.message : String(err)}`]));
+    }
+    try {
+        return checkDocument(file, JSON.parse(text), schema);
+    }
+    catch {
+        return Err(
+            new SettingsError(file, [
+                `is not valid JSON: ${describeSyntaxError(text)}. Correct the file and start again.`,
+            ]),
+        );
+    }
+}
--- /dev/null
+++ b/packages/settings/src/process-settings.ts
@@ -0,0 +1,52 @@
+import { z } from "zod";
+
+const port = z.int().min(0).max(65_535);
+
+/** Address of a process by IP number. */
+export const addressSchema = z.strictObject({
+    host: z.union([z.ipv4(), z.ipv6()]).describe("IP number"),
+    port: port.describe("port; 0 lets the system choose one"),
+});
+
+const common = {
+    name: z.string().min(1).describe("name of the process, unique in the deployment"),
+    region: z.string().min(1).describe("region of the instance"),
+    failureDomain: z.string().min(1).describe("failure domain of the instance"),
+    listen: addressSchema.describe("address for callers, operators and other processes"),
+    keyFile: z.string().min(1).describe("file that holds the key for calls by operators and processes"),
+    statsd: addressSchema.optional().describe("StatsD server for metrics; none when left out"),
+    logLevel: z.enum(["debug", "info", "warn", "error"]).default("info").describe("least level of events written"),
+    drainMs: z.int().min(0).default(600_000).describe("longest time of a graceful shutdown, in milliseconds"),
+};
+
+const member = addressSchema.extend({
+    name: z.string().min(1).describe("name of the control process"),
+    failureDomain: z.string().min(1).describe("failure domain of the control process"),
+});
+
+export const entrySettingsSchema = z.strictObject({
+    role: z.literal("entry"),
+    ...common,
+    control: z.array(member).min(1).describe("control processes of the region"),
+    membership: addressSchema.optional().describe("UDP address for membership; off when left out"),
+    membershipSeeds: z.array(addressSchema).default([]).describe("UDP addresses of other entries to join through"),
+    instanceListUrl: z.url().optional().describe("platform's list of live and leaving instances"),
+    bodyLimitBytes: z.int().min(1_024).default(1_048_576).describe("largest request body, in bytes"),
+});
+
+export const controlSettingsSchema = z.strictObject({
+    role: z.literal("control"),
+    ...common,
+    members: z.array(member).min(1).max(5).describe("first voters of the control group, this process included"),
+    dataFolder: z.string().min(1).describe("folder for the durable state; one process only"),
+    cloudUrl: z.url().optional().describe("cloud API; no placement when left out"),
+    weightStoreUrl: z.url().optional().describe("weight store"),
+});
+
+/** Settings of one process, chosen by its role. */
+export const processSettingsSchema = z.discriminatedUnion("role", [entrySettingsSchema, controlSettingsSchema]);
+
+export type ProcessAddress = z.infer<typeof addressSchema>;
+export type EntrySettings = z.infer<typeof entrySettingsSchema>;
+export type ControlSettings = z.infer<typeof controlSettingsSchema>;
+export type ProcessSettings = z.infer<typeof processSettingsSchema>;
--- /dev/null
+++ b/scripts/build.mjs
@@ -0,0 +1,35 @@
+/**
+ * Builds dist/lentilramp, a single executable: esbuild bundles the command line into one CommonJS file, which
+ * Node's single-executable support embeds into a copy of the node binary.
+ */
+import { build } from "esbuild";
+import { execFileSync } from "node:child_process";
+import { chmodSync, copyFileSync, mkdirSync, readFileSync, writeFileSync } from "node:fs";
+import { inject } from "postject";
+
+const { version } = JSON.parse(readFileSync("package.json", "utf8"));
+const common = {
+    bundle: true,
+    platform: "node",
+    target: "node20",
+    format: "cjs",
+    // Optional native add-on of hot-shots for Unix datagram sockets; UDP needs none.
+    external: ["unix-dgram"],
+    define: { "process.env.LENTILRAMP_VERSION": JSON.stringify(version) },
+    logLevel: "warning",
+};
+
+mkdirSync("dist", { recursive: true });
+await build({ ...common, entryPoints: ["packages/cli/src/main.ts"], outfile: "dist/lentilramp.cjs" });
+await build({ ...common, entryPoints: ["packages/stand-ins/src/main.ts"], outfile: "dist/stand-ins.cjs" });
+writeFileSync(
+    "dist/sea-config.json",
+    JSON.stringify({ main: "dist/lentilramp.cjs", output: "dist/sea.blob", disableExperimentalSEAWarning: true }),
+);
+execFileSync(process.execPath, ["--experimental-sea-config", "dist/sea-config.json"], { stdio: "pipe" });
+copyFileSync(process.execPath, "dist/lentilramp");
+chmodSync("dist/lentilramp", 0o755);
+await inject("dist/lentilramp", "NODE_SEA_BLOB", readFileSync("dist/sea.blob"), {
+    sentinelFuse: "NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2",
+});
+console.log("built dist/lentilramp and dist/stand-ins.cjs");
