Add the configuration schema and the replicated ConfigurationStore

Cause: entries, control and the questionnaire need one definition of the configuration and of the commands that change it. State time grows only with the instants of one leader, because the clocks of two leaders share no time of day; leases therefore end late, not early. Lifecycle states change only by drain and hand-over commands, so that a generated configuration cannot end a drain in progress.

--- a/packages/configuration/src/index.ts
+++ b/packages/configuration/src/index.ts
@@ -1,4 +1,16 @@
 /**
  * Replicated configuration, its distribution, send permits, duties and fencing numbers.
  */
-export {};
+export * from "./change/apply-change.ts";
+export * from "./change/change.ts";
+export * from "./change/diff.ts";
+export * from "./permits/permit-bounds.ts";
+export * from "./rules/check-claim-generations.ts";
+export * from "./rules/check-references.ts";
+export * from "./rules/clock-rate.ts";
+export * from "./rules/rule-switches.ts";
+export * from "./schema/index.ts";
+export * from "./store/command-result.ts";
+export * from "./store/command.ts";
+export * from "./store/configuration-store.ts";
+export * from "./store/state.ts";
--- /dev/null
+++ b/packages/configuration/src/store/apply-hand-over.ts
@@ -0,0 +1,75 @@
+import type { Change } from "../change/change.ts";
+import { drainInForceMs } from "../permits/permit-bounds.ts";
+import { findItem, lifecycleChange, transferChange } from "../rules/listed-items.ts";
+import type { RuleSwitches } from "../rules/rule-switches.ts";
+import type { Configuration } from "../schema/index.ts";
+import { type CommandResult, refused } from "./command-result.ts";
+import type { HandOverCommand } from "./command.ts";
+import type { HandOverState } from "./state.ts";
+
+export type HandOverStep =
+    /** `next` is undefined when the hand-over has ended. */
+    | { accepted: true; change: Change | undefined; next: HandOverState | undefined; }
+    | { accepted: false; result: CommandResult; };
+
+/** The step that must have been reached before each step. */
+const requiredStep = {
+    planned: undefined,
+    draining: "planned",
+    released: "draining",
+    transferred: "released",
+} as const;
+
+export interface HandOverContext {
+    configuration: Configuration;
+    open: HandOverState | undefined;
+    /** State time since the item was set to `draining`; undefined when it was not. */
+    drainingMs: number | undefined;
+    switches: RuleSwitches;
+}
+
+/** Returns what still prevents the step `released`, or undefined. */
+function releaseRefusal(command: HandOverCommand, context: HandOverContext): CommandResult | undefined {
+    const { version } = context.configuration;
+    // Both figures must reach the bound: the leader's own observation counts from the commit, the replicated one guards
+    // against a leader that observed another drain.
+    const waitedMs = Math.min(command.sinceAppliedMs ?? 0, context.drainingMs ?? 0);
+    if (context.switches.fencingWait && waitedMs < drainInForceMs) {
+        return refused("not-yet", version, "send permits older than the drain may still be valid", {
+            retryAfterMs: drainInForceMs - waitedMs,
+        });
+    }
+    if (command.inFlight !== 0) {
+        const count = command.inFlight === undefined ? "an unknown number of" : command.inFlight;
+        return refused("not-yet", version, `${count} requests are in flight`);
+    }
+    return undefined;
+}
+
+/** Checks the precondition of a hand-over step and returns its change, or a refusal. */
+export function applyHandOver(command: HandOverCommand, context: HandOverContext): HandOverStep {
+    const { kind, id, step } = command;
+    const { configuration, open } = context;
+    const item = findItem(configuration, kind, id);
+    if (item === undefined) {
+        const result = refused("not-found", configuration.version, `${kind} "${id}" is not in the configuration`);
+        return { accepted: false, result };
+    }
+    if (open?.step !== requiredStep[step]) {
+        const message = `${kind} "${id}" is at step ${open?.step ?? "none"}; ${step} needs ${
+            requiredStep[step] ?? "none"
+        }`;
+        return { accepted: false, result: refused("wrong-step", configuration.version, message) };
+    }
+    const refusal = step === "released" ? releaseRefusal(command, context) : undefined;
+    if (refusal !== undefined) {
+        return { accepted: false, result: refusal };
+    }
+    if (step === "transferred") {
+        return { accepted: true, change: transferChange(configuration, kind, id), next: undefined };
+    }
+    // An item that was drained before its hand-over stays `draining`, since a lifecycle state never goes back.
+    const keeps = item.lifecycle === step || (step === "planned" && item.lifecycle === "draining");
+    const change = keeps ? undefined : lifecycleChange(configuration, kind, id, step);
+    return { accepted: true, change, next: { kind, id, step } };
+}
