--- /dev/null
+++ b/packages/control/src/member-directory.ts
@@ -0,0 +1,27 @@
+import type { Member, Membership, NodeId } from "@lentilramp/agreement";
+import { z } from "zod";
+
+/** Where a member of the control group is reached; stored as the opaque address of an agreement member. */
+export const memberAddressSchema = z.strictObject({
+    name: z.string(),
+    host: z.string(),
+    port: z.int(),
+    failureDomain: z.string(),
+});
+
+export type MemberAddress = z.infer<typeof memberAddressSchema>;
+
+export function encodeMemberAddress(address: MemberAddress): string {
+    const { name, host, port, failureDomain } = address;
+    return JSON.stringify({ name, host, port, failureDomain });
+}
+
+export function decodeMemberAddress(member: Member): MemberAddress {
+    return memberAddressSchema.parse(JSON.parse(member.address));
+}
+
+/** Finds the address of a member by its identity. */
+export function addressOf(membership: Membership, id: NodeId | undefined): MemberAddress | undefined {
+    const member = membership.members.find(other => other.id === id);
+    return member === undefined ? undefined : decodeMemberAddress(member);
+}
