--- /dev/null
+++ b/packages/journal/src/atomic-file.ts
@@ -0,0 +1,58 @@
+import { dirname } from "node:path";
+import { DiskFullError, RestartRequiredError } from "./errors.ts";
+import type { FileAccess } from "./file-access.ts";
+import { isDiskFull, writeFully } from "./file-access.ts";
+
+export const TEMPORARY_SUFFIX = ".tmp";
+
+/** Writes and syncs a temporary file beside `path` and returns its name. */
+export async function writeTemporary(files: FileAccess, path: string, data: Uint8Array): Promise<string> {
+    const temporary = path + TEMPORARY_SUFFIX;
+    await files.remove(temporary);
+    const file = await files.open(temporary);
+    try {
+        await writeFully(file, data, 0);
+    }
+    catch (err) {
+        await file.close().catch(() => undefined);
+        await files.remove(temporary).catch(() => undefined);
+        throw isDiskFull(err) ? new DiskFullError(path, err) : new RestartRequiredError(path, err);
+    }
+    try {
+        await file.sync();
+    }
+    catch (err) {
+        throw new RestartRequiredError(path, err);
+    }
+    finally {
+        await file.close().catch(() => undefined);
+    }
+    return temporary;
+}
+
+/** Puts a synced temporary file in the place of `path`. */
+export async function publishTemporary(files: FileAccess, temporary: string, path: string): Promise<void> {
+    try {
+        await files.rename(temporary, path);
+        await files.syncFolder(dirname(path));
+    }
+    catch (err) {
+        throw new RestartRequiredError(path, err);
+    }
+}
+
+/** Replaces a whole file: after a crash it has either the old or the new content. */
+export async function replaceFile(files: FileAccess, path: string, data: Uint8Array): Promise<void> {
+    try {
+        await publishTemporary(files, await writeTemporary(files, path, data), path);
+    }
+    catch (err) {
+        throw isDiskFull(err) ? new DiskFullError(path, err) : err;
+    }
+}
+
+/** Makes a folder and its name durable. */
+export async function makeDurableFolder(files: FileAccess, path: string): Promise<void> {
+    await files.makeFolder(path);
+    await files.syncFolder(dirname(path));
+}
--- /dev/null
+++ b/packages/journal/src/journal-files.ts
@@ -0,0 +1,45 @@
+import { join } from "node:path";
+import { decodeChecked, encodeChecked } from "./checked-file.ts";
+
+const digits = 16;
+const snapshotMagic = "LRSN";
+const segmentName = /^segment-(\d+)$/;
+const snapshotName = /^snapshot-(\d+)$/;
+
+export interface NumberedFile {
+    path: string;
+    index: number;
+}
+
+/** A segment is named by the index of its first record. */
+export function segmentPath(folder: string, firstIndex: number): string {
+    return join(folder, `segment-${String(firstIndex).padStart(digits, "0")}`);
+}
+
+/** A snapshot is named by the index of the last record that it includes. */
+export function snapshotPath(folder: string, index: number): string {
+    return join(folder, `snapshot-${String(index).padStart(digits, "0")}`);
+}
+
+function numbered(folder: string, names: readonly string[], pattern: RegExp): NumberedFile[] {
+    return names.flatMap(name => {
+        const index = pattern.exec(name)?.[1];
+        return index === undefined ? [] : [{ path: join(folder, name), index: Number(index) }];
+    }).sort((a, b) => a.index - b.index);
+}
+
+export function segmentFiles(folder: string, names: readonly string[]): NumberedFile[] {
+    return numbered(folder, names, segmentName);
+}
+
+export function snapshotFiles(folder: string, names: readonly string[]): NumberedFile[] {
+    return numbered(folder, names, snapshotName);
+}
+
+export function encodeSnapshot(payload: Uint8Array): Buffer {
+    return encodeChecked(snapshotMagic, payload);
+}
+
+export function decodeSnapshot(file: string, content: Uint8Array): Uint8Array {
+    return decodeChecked(file, snapshotMagic, content);
+}
--- /dev/null
+++ b/packages/journal/src/journal.ts
@@ -0,0 +1,329 @@
+import { randomBytes } from "node:crypto";
+import PQueue from "p-queue";
+import { publishTemporary, writeTemporary } from "./atomic-file.ts";
+import { ClosedError, DiskFullError, RecordTooLargeError, RestartRequiredError } from "./errors.ts";
+import type { FileAccess, OpenFile } from "./file-access.ts";
+import { isDiskFull, writeFully } from "./file-access.ts";
+import type { NumberedFile } from "./journal-files.ts";
+import { encodeSnapshot, segmentFiles, segmentPath, snapshotFiles, snapshotPath } from "./journal-files.ts";
+import type { JournalContents, RecoveredJournal } from "./journal-recovery.ts";
+import { recoverJournal } from "./journal-recovery.ts";
+import { encodeBatch, encodeSegmentHeader, MAX_RECORD_BYTES, SEGMENT_HEADER_BYTES } from "./record-format.ts";
+import { readSegment } from "./segment-scan.ts";
+
+export interface JournalOptions {
+    /** Size in bytes after which a new segment is started. */
+    segmentBytes: number;
+    /** Payload bytes that one write and sync takes at most; a larger record is written alone. */
+    batchBytes: number;
+}
+
+export const defaultJournalOptions: JournalOptions = { segmentBytes: 8 * 1024 * 1024, batchBytes: 1024 * 1024 };
+
+export interface OpenedJournal {
+    journal: Journal;
+    contents: JournalContents;
+}
+
+interface WaitingAppend {
+    payload: Uint8Array;
+    resolve: (index: number) => void;
+    reject: (err: unknown) => void;
+}
+
+interface CurrentSegment {
+    path: string;
+    file: OpenFile;
+    firstIndex: number;
+    salt: number;
+    size: number;
+}
+
+/**
+ * Append-only journal with group commit: appends that wait while a sync runs are written and synced together.
+ * Operations on the files run one at a time.
+ */
+export class Journal {
+    private readonly work = new PQueue({ concurrency: 1 });
+    private waiting: WaitingAppend[] = [];
+    private failure: RestartRequiredError | ClosedError | undefined;
+    private syncCount = 0;
+
+    private constructor(
+        private readonly files: FileAccess,
+        private readonly folder: string,
+        private readonly options: JournalOptions,
+        private segment: CurrentSegment,
+        private last: number,
+        private snapshotIndex: number,
+    ) {}
+
+    /** Recovers the folder, which must exist and be locked by this process. */
+    static async open(
+        files: FileAccess,
+        folder: string,
+        options: Partial<JournalOptions> = {},
+    ): Promise<OpenedJournal> {
+        const recovered = await recoverJournal(files, folder);
+        const { contents, lastIndex } = recovered;
+        const segment = await openTail(files, folder, recovered);
+        const all = { ...defaultJournalOptions, ...options };
+        const journal = new Journal(files, folder, all, segment, lastIndex, contents.snapshot?.index ?? 0);
+        return { journal, contents };
+    }
+
+    /** Index of the last synced record; the first record has index 1. */
+    get lastIndex(): number {
+        return this.last;
+    }
+
+    /** The error that stopped the journal, if any. */
+    get stopped(): Error | undefined {
+        return this.failure;
+    }
+
+    /** Number of syncs of appended records since the journal was opened. */
+    get syncs(): number {
+        return this.syncCount;
+    }
+
+    /**
+     * Appends a record and resolves with its index when it is synced. Rejects with `DiskFullError` (nothing was
+     * accepted, later appends are tried again) or `RestartRequiredError`. A rejected record may still be found after a
+     * crash, so a refusal does not prove that it is absent. The payload must not be changed meanwhile.
+     */
+    append(payload: Uint8Array): Promise<number> {
+        if (payload.length > MAX_RECORD_BYTES) {
+            return Promise.reject(new RecordTooLargeError(payload.length, MAX_RECORD_BYTES));
+        }
+        return new Promise((resolve, reject) => {
+            this.waiting.push({ payload, resolve, reject });
+            if (this.waiting.length === 1) {
+                this.scheduleCommit();
+            }
+        });
+    }
+
+    /**
+     * Writes a snapshot of the state after record `throughIndex`, then removes the segments and snapshots that it
+     * replaces. Appends continue while the snapshot file is written.
+     */
+    async saveSnapshot(payload: Uint8Array, throughIndex: number): Promise<void> {
+        if (throughIndex > this.last || throughIndex < this.snapshotIndex) {
+            throw new RangeError(`snapshot at ${throughIndex} outside ${this.snapshotIndex} to ${this.last}`);
+        }
+        if (this.failure !== undefined) {
+            throw this.failure;
+        }
+        // A new segment makes the records before it removable as soon as the snapshot is durable.
+        await this.exclusive(() => this.startSegmentUnlessFull());
+        const path = snapshotPath(this.folder, throughIndex);
+        // A failed write of the temporary file does not touch the journal, so it only fails this snapshot.
+        const temporary = await writeTemporary(this.files, path, encodeSnapshot(payload));
+        await this.exclusive(async () => {
+            await this.stopOnFailure(() => publishTemporary(this.files, temporary, path));
+            this.snapshotIndex = throughIndex;
+            await this.stopOnFailure(() => this.removeReplaced());
+        });
+    }
+
+    /** Removes the records from `index` on, which must be behind the snapshot. */
+    async truncateFrom(index: number): Promise<void> {
+        await this.exclusive(async () => {
+            if (index <= this.snapshotIndex || index > this.last + 1) {
+                throw new RangeError(`truncation at ${index} outside ${this.snapshotIndex + 1} to ${this.last + 1}`);
+            }
+            await this.stopOnFailure(async () => {
+                await this.removeSegmentsAfter(index);
+                const { path, header, offsets } = await readSegment(this.files, this.segment.path);
+                const size = offsets[index - header.firstIndex] as number;
+                await this.segment.file.truncate(size);
+                await this.segment.file.sync();
+                this.segment = { path, file: this.segment.file, ...header, size };
+            });
+            this.last = index - 1;
+        });
+    }
+
+    /** Waits for the appends accepted so far and closes the files. */
+    async close(): Promise<void> {
+        await this.work.onIdle();
+        this.failure ??= new ClosedError(this.folder);
+        await this.segment.file.close();
+    }
+
+    private scheduleCommit(): void {
+        void this.work.add(() => this.commitWaiting());
+    }
+
+    private async exclusive(run: () => Promise<void>): Promise<void> {
+        await this.work.add(async () => {
+            if (this.failure !== undefined) {
+                throw this.failure;
+            }
+            await run();
+        });
+    }
+
+    private takeBatch(): WaitingAppend[] {
+        let bytes = 0;
+        let count = 0;
+        while (count < this.waiting.length) {
+            bytes += (this.waiting[count] as WaitingAppend).payload.length;
+            if (count > 0 && bytes > this.options.batchBytes) {
+                break;
+            }
+            count++;
+        }
+        return this.waiting.splice(0, count);
+    }
+
+    private async commitWaiting(): Promise<void> {
+        const batch = this.takeBatch();
+        try {
+            if (this.failure !== undefined) {
+                throw this.failure;
+            }
+            if (this.segment.size >= this.options.segmentBytes) {
+                await this.startSegment();
+            }
+            await this.writeBatch(batch.map(append => append.payload));
+            const first = this.last + 1;
+            this.last += batch.length;
+            batch.forEach((append, i) => append.resolve(first + i));
+        }
+        catch (err) {
+            batch.forEach(append => append.reject(err));
+        }
+        if (this.waiting.length > 0) {
+            this.scheduleCommit();
+        }
+    }
+
+    private async writeBatch(payloads: readonly Uint8Array[]): Promise<void> {
+        const { file, size, salt, path } = this.segment;
+        const data = encodeBatch(payloads, size, salt);
+        try {
+            await writeFully(file, data, size);
+        }
+        catch (err) {
+            if (!isDiskFull(err)) {
+                throw this.stop(err);
+            }
+            // Without this, records of the failed write could follow a later, shorter write and be read as valid.
+            await this.stopOnFailure(() => file.truncate(size));
+            throw new DiskFullError(path, err);
+        }
+        await this.stopOnFailure(() => file.sync());
+        this.syncCount++;
+        this.segment.size += data.length;
+    }
+
+    private async startSegment(): Promise<void> {
+        const firstIndex = this.last + 1;
+        let next: CurrentSegment;
+        try {
+            next = await createSegment(this.files, this.folder, firstIndex);
+        }
+        catch (err) {
+            if (!isDiskFull(err)) {
+                throw this.stop(err);
+            }
+            // The removal is synced, so that the file cannot come back beside records that the old segment takes.
+            await this.stopOnFailure(async () => {
+                await this.files.remove(segmentPath(this.folder, firstIndex));
+                await this.files.syncFolder(this.folder);
+            });
+            throw new DiskFullError(segmentPath(this.folder, firstIndex), err);
+        }
+        const old = this.segment;
+        this.segment = next;
+        await old.file.close();
+    }
+
+    /** On a full disk the old segment stays in use; it is removed after a later snapshot. */
+    private async startSegmentUnlessFull(): Promise<void> {
+        if (this.segment.size === SEGMENT_HEADER_BYTES) {
+            return;
+        }
+        try {
+            await this.startSegment();
+        }
+        catch (err) {
+            if (!(err instanceof DiskFullError)) {
+                throw err;
+            }
+        }
+    }
+
+    private async removeReplaced(): Promise<void> {
+        const names = await this.files.list(this.folder);
+        const segments = segmentFiles(this.folder, names);
+        for (const [i, segment] of segments.entries()) {
+            if ((segments[i + 1]?.index ?? Infinity) <= this.snapshotIndex + 1) {
+                await this.files.remove(segment.path);
+            }
+        }
+        for (const snapshot of snapshotFiles(this.folder, names)) {
+            if (snapshot.index < this.snapshotIndex) {
+                await this.files.remove(snapshot.path);
+            }
+        }
+    }
+
+    /**
+     * Makes the segment that holds `index` the last one. Whole segments are removed from the last one backwards, so
+     * that a crash in between leaves no gap.
+     */
+    private async removeSegmentsAfter(index: number): Promise<void> {
+        if (this.segment.firstIndex <= index) {
+            return;
+        }
+        await this.segment.file.close();
+        const segments = segmentFiles(this.folder, await this.files.list(this.folder));
+        while (segments.length > 1 && (segments.at(-1) as NumberedFile).index > index) {
+            await this.files.remove((segments.pop() as NumberedFile).path);
+            await this.files.syncFolder(this.folder);
+        }
+        const path = (segments.at(-1) as NumberedFile).path;
+        this.segment = { ...this.segment, path, file: await this.files.open(path) };
+    }
+
+    private async stopOnFailure(run: () => Promise<void>): Promise<void> {
+        try {
+            await run();
+        }
+        catch (err) {
+            throw this.stop(err);
+        }
+    }
+
+    private stop(err: unknown): Error {
+        this.failure ??= err instanceof RestartRequiredError ? err : new RestartRequiredError(this.segment.path, err);
+        return this.failure;
+    }
+}
+
+async function createSegment(files: FileAccess, folder: string, firstIndex: number): Promise<CurrentSegment> {
+    const path = segmentPath(folder, firstIndex);
+    const salt = randomBytes(4).readUInt32BE();
+    const file = await files.open(path);
+    try {
+        await writeFully(file, encodeSegmentHeader({ firstIndex, salt }), 0);
+        await file.sync();
+        await files.syncFolder(folder);
+    }
+    catch (err) {
+        await file.close().catch(() => undefined);
+        throw err;
+    }
+    return { path, file, firstIndex, salt, size: SEGMENT_HEADER_BYTES };
+}
+
+async function openTail(files: FileAccess, folder: string, recovered: RecoveredJournal): Promise<CurrentSegment> {
+    const { tail, lastIndex } = recovered;
+    if (tail === undefined) {
+        return createSegment(files, folder, lastIndex + 1);
+    }
+    return { path: tail.path, file: await files.open(tail.path), ...tail.header, size: tail.size };
+}
--- /dev/null
+++ b/packages/journal/src/process-probe.ts
@@ -0,0 +1,47 @@
+import { readFileSync } from "node:fs";
+
+/** Identifies one process of one boot of an instance; process ids alone are reused. */
+export interface ProcessIdentity {
+    pid: number;
+    /** Start time in clock ticks since boot. */
+    startTime: string;
+    bootId: string;
+}
+
+/** Tells whether a process runs. */
+export abstract class ProcessProbe {
+    abstract self(): ProcessIdentity;
+    abstract isAlive(identity: ProcessIdentity): boolean;
+}
+
+const startTimeField = 19;
+
+/** Reads process states from /proc of Linux. */
+export class LinuxProcessProbe extends ProcessProbe {
+    override self(): ProcessIdentity {
+        return { pid: process.pid, startTime: this.read(process.pid)?.startTime ?? "", bootId: this.bootId() };
+    }
+
+    override isAlive(identity: ProcessIdentity): boolean {
+        const found = this.read(identity.pid);
+        return identity.bootId === this.bootId() && found !== undefined && found.startTime === identity.startTime
+            && found.state !== "Z" && found.state !== "X";
+    }
+
+    private bootId(): string {
+        return readFileSync("/proc/sys/kernel/random/boot_id", "utf8").trim();
+    }
+
+    private read(pid: number): { state: string; startTime: string; } | undefined {
+        let text: string;
+        try {
+            text = readFileSync(`/proc/${pid}/stat`, "utf8");
+        }
+        catch {
+            return undefined;
+        }
+        // The second field is the command in parentheses and can hold spaces.
+        const fields = text.slice(text.lastIndexOf(")") + 2).split(" ");
+        return { state: fields[0] ?? "", startTime: fields[startTimeField] ?? "" };
+    }
+}
--- /dev/null
+++ b/packages/journal/tests/faulty-files.ts
@@ -0,0 +1,173 @@
+import { FileAccess, OpenFile } from "@lentilramp/journal";
+import { dirname } from "node:path";
+
+const sectorBytes = 16;
+
+interface Change {
+    position: number;
+    data: Buffer | undefined;
+}
+
+class Inode {
+    current: Buffer = Buffer.alloc(0);
+    durable: Buffer = Buffer.alloc(0);
+    unsynced: Change[] = [];
+}
+
+function applied(content: Buffer, change: Change): Buffer {
+    const { position, data } = change;
+    if (data === undefined) {
+        return Buffer.from(content.subarray(0, position));
+    }
+    const result = Buffer.alloc(Math.max(content.length, position + data.length));
+    content.copy(result);
+    data.copy(result, position);
+    return result;
+}
+
+function survivor(inode: Inode, keep: () => boolean): Inode {
+    const copy = new Inode();
+    copy.durable = Buffer.from(inode.durable);
+    for (const change of inode.unsynced) {
+        const { position, data } = change;
+        for (let at = 0; at < (data?.length ?? 1); at += sectorBytes) {
+            if (keep()) {
+                const sector = data?.subarray(at, at + sectorBytes);
+                copy.durable = applied(copy.durable, { position: position + at, data: sector });
+            }
+        }
+    }
+    copy.current = Buffer.from(copy.durable);
+    return copy;
+}
+
+export interface DiskFaults {
+    /** Free bytes; a write beyond it is short or fails with ENOSPC. */
+    room: number;
+    failNextSync: boolean;
+    /** The next write returns after this number of bytes. */
+    shortWrite: number | undefined;
+}
+
+/** Files in memory with injected faults; `crash` keeps synced data and a random part of the rest. */
+export class FaultyFiles extends FileAccess {
+    readonly faults: DiskFaults = { room: Infinity, failNextSync: false, shortWrite: undefined };
+    names = new Map<string, Inode>();
+    private durableNames = new Map<string, Inode>();
+
+    override async open(path: string): Promise<OpenFile> {
+        const inode = this.names.get(path) ?? new Inode();
+        this.names.set(path, inode);
+        return new FaultyOpenFile(inode, this.faults);
+    }
+
+    override async readFile(path: string): Promise<Uint8Array | undefined> {
+        return this.names.get(path)?.current;
+    }
+
+    override async list(folder: string): Promise<string[]> {
+        return [...this.names.keys()].filter(path => dirname(path) === folder).map(path =>
+            path.slice(folder.length + 1)
+        );
+    }
+
+    override async makeFolder(): Promise<void> {
+        // Folders exist by their files.
+    }
+
+    override async rename(from: string, to: string): Promise<void> {
+        this.names.set(to, this.names.get(from) as Inode);
+        this.names.delete(from);
+    }
+
+    override async remove(path: string): Promise<void> {
+        this.names.delete(path);
+    }
+
+    override async link(from: string, to: string): Promise<boolean> {
+        if (this.names.has(to)) {
+            return false;
+        }
+        this.names.set(to, this.names.get(from) as Inode);
+        return true;
+    }
+
+    override async syncFolder(folder: string): Promise<void> {
+        const inFolder = ([path]: [string, Inode]) => dirname(path) === folder;
+        const others = [...this.durableNames].filter(entry => !inFolder(entry));
+        this.durableNames = new Map([...others, ...[...this.names].filter(inFolder)]);
+    }
+
+    /**
+     * Returns the disk after a power loss: unsynced names and sectors of unsynced writes survive when `keep` says so.
+     * It is a copy, so late writes of the old process do not reach it.
+     */
+    crash(keep: () => boolean): FaultyFiles {
+        const names = new Map(this.durableNames);
+        for (const path of new Set([...this.names.keys(), ...names.keys()])) {
+            const inode = keep() ? this.names.get(path) : names.get(path);
+            if (inode === undefined) {
+                names.delete(path);
+            }
+            else {
+                names.set(path, inode);
+            }
+        }
+        const copies = new Map([...new Set(names.values())].map(inode => [inode, survivor(inode, keep)]));
+        const result = new FaultyFiles();
+        for (const [path, inode] of names) {
+            result.names.set(path, copies.get(inode) as Inode);
+        }
+        result.durableNames = new Map(result.names);
+        return result;
+    }
+
+    /** Changes one byte, as decay of the medium does. */
+    flipByte(path: string, offset: number): void {
+        const inode = this.names.get(path) as Inode;
+        for (const content of [inode.current, inode.durable]) {
+            content[offset] = (content[offset] as number) ^ 0x40;
+        }
+    }
+}
+
+class FaultyOpenFile extends OpenFile {
+    constructor(private readonly inode: Inode, private readonly faults: DiskFaults) {
+        super();
+    }
+
+    override async write(data: Uint8Array, position: number): Promise<number> {
+        const allowed = Math.min(data.length, this.faults.shortWrite ?? Infinity, this.faults.room);
+        this.faults.shortWrite = undefined;
+        if (allowed === 0) {
+            throw Object.assign(new Error("no space left on device"), { code: "ENOSPC" });
+        }
+        this.faults.room -= allowed;
+        this.change({ position, data: Buffer.from(data.subarray(0, allowed)) });
+        return allowed;
+    }
+
+    override async sync(): Promise<void> {
+        if (this.faults.failNextSync) {
+            this.faults.failNextSync = false;
+            // As on Linux, the pages stay readable but are marked clean, so a later sync does not write them.
+            this.inode.unsynced = [];
+            throw Object.assign(new Error("input/output error"), { code: "EIO" });
+        }
+        this.inode.unsynced.forEach(change => this.inode.durable = applied(this.inode.durable, change));
+        this.inode.unsynced = [];
+    }
+
+    override async truncate(length: number): Promise<void> {
+        this.change({ position: length, data: undefined });
+    }
+
+    override async close(): Promise<void> {
+        // Nothing is held open.
+    }
+
+    private change(change: Change): void {
+        this.inode.current = applied(this.inode.current, change);
+        this.inode.unsynced.push(change);
+    }
+}
--- /dev/null
+++ b/packages/journal/tests/journal.test.ts
@@ -0,0 +1,144 @@
+import { CorruptionError, DiskFullError, Journal, RestartRequiredError } from "@lentilramp/journal";
+import { expect } from "chai";
+import { FaultyFiles } from "./faulty-files.ts";
+
+const folder = "/data/log";
+const bytes = (text: string) => Buffer.from(text);
+const texts = (records: readonly { payload: Uint8Array; }[]) => records.map(r => Buffer.from(r.payload).toString());
+const errorOf = (promise: Promise<unknown>): Promise<unknown> => promise.then(() => undefined, (err: unknown) => err);
+const segments = (files: FaultyFiles) => [...files.names.keys()].filter(name => name.includes("segment-")).sort();
+
+async function appendAll(journal: Journal, count: number, prefix = "r"): Promise<void> {
+    for (let i = 0; i < count; i++) {
+        await journal.append(bytes(`${prefix}${i}`));
+    }
+}
+
+describe("Journal", () => {
+    // Guards against a sync for each record, which would bound claims/s by the sync time of the disk.
+    it("syncs waiting appends together and returns their order", async () => {
+        const { journal } = await Journal.open(new FaultyFiles(), folder);
+        const indices = await Promise.all([..."abcdef"].map(text => journal.append(bytes(text))));
+        expect(indices).to.deep.equal([1, 2, 3, 4, 5, 6]);
+        expect(journal.syncs).to.be.at.most(2);
+    });
+
+    // Guards against a short write that leaves an incomplete record behind an acknowledgement.
+    it("continues a short write", async () => {
+        const files = new FaultyFiles();
+        const { journal } = await Journal.open(files, folder);
+        files.faults.shortWrite = 5;
+        await journal.append(bytes("complete"));
+        const restarted = files.crash(() => false);
+        expect(texts((await Journal.open(restarted, folder)).contents.records)).to.deep.equal(["complete"]);
+    });
+
+    // Guards against refused records that come back after a restart, and against staying refused with room again.
+    it("refuses writes on a full disk, keeps the state and accepts writes again", async () => {
+        const files = new FaultyFiles();
+        const { journal } = await Journal.open(files, folder);
+        await journal.append(bytes("kept"));
+        files.faults.room = 60;
+        // The first two are written whole and have the size of the later one: without truncation the second revives.
+        const appends = ["refused-1", "refused-2", "refused-3"].map(text => errorOf(journal.append(bytes(text))));
+        const refused = await Promise.all(appends);
+        refused.forEach(err => expect(err).to.be.instanceOf(DiskFullError));
+        expect(await errorOf(journal.saveSnapshot(Buffer.alloc(100), 1))).to.be.instanceOf(DiskFullError);
+        files.faults.room = Infinity;
+        expect(await journal.append(bytes("accepted!"))).to.equal(2);
+        const restarted = files.crash(() => true);
+        expect(texts((await Journal.open(restarted, folder)).contents.records)).to.deep.equal(["kept", "accepted!"]);
+    });
+
+    // Guards against trusting a file after a failed sync: the kernel drops the error and reports later syncs as good.
+    it("refuses writes after a failed sync and makes what it read durable at the restart", async () => {
+        const files = new FaultyFiles();
+        const { journal } = await Journal.open(files, folder);
+        files.faults.failNextSync = true;
+        expect(await errorOf(journal.append(bytes("doubtful")))).to.be.instanceOf(RestartRequiredError);
+        const second = await errorOf(journal.append(bytes("later")));
+        expect(second).to.be.instanceOf(RestartRequiredError);
+        expect(String(second)).to.contain("restart the process");
+        const reopened = await Journal.open(files, folder);
+        expect(texts(reopened.contents.records)).to.deep.equal(["doubtful"]);
+        const restarted = files.crash(() => false);
+        expect(texts((await Journal.open(restarted, folder)).contents.records)).to.deep.equal(["doubtful"]);
+    });
+
+    // Guards against a torn tail that stops the start, and against one that is cut without a report.
+    it("truncates and reports a torn tail", async () => {
+        const files = new FaultyFiles();
+        const { journal } = await Journal.open(files, folder);
+        await journal.append(bytes("first"));
+        const end = (await files.readFile(segments(files)[0]!))!.length;
+        await journal.append(bytes("a record that is longer than one sector of the disk"));
+        const file = await files.open(segments(files)[0]!);
+        await file.truncate(end + 20);
+        const { contents } = await Journal.open(files, folder);
+        expect(texts(contents.records)).to.deep.equal(["first"]);
+        expect(contents.tornTail).to.include({ offset: end, bytes: 20, reason: "incomplete record payload" });
+        expect((await Journal.open(files, folder)).contents.tornTail).to.equal(undefined);
+    });
+
+    // Guards against truncating acknowledged records, which would let a second claim or vote succeed.
+    it("refuses a damaged record that had been synced, wherever the byte is", async () => {
+        for (let offset = 24; offset < 24 + 18; offset++) {
+            const files = new FaultyFiles();
+            const { journal } = await Journal.open(files, folder);
+            await appendAll(journal, 3);
+            files.flipByte(segments(files)[0]!, offset);
+            const err = await errorOf(Journal.open(files, folder));
+            expect(err, `offset ${offset}`).to.be.instanceOf(CorruptionError);
+            expect(String(err)).to.match(/segment-0+1 is corrupt at offset 24: .*remove the data folder and restart/);
+        }
+    });
+
+    // Guards against a lost segment or a damaged end of an older segment that passes for a torn tail.
+    it("refuses a missing segment and damage at the end of an older segment", async () => {
+        const build = async () => {
+            const files = new FaultyFiles();
+            const { journal } = await Journal.open(files, folder, { segmentBytes: 60 });
+            await appendAll(journal, 8);
+            return files;
+        };
+        const missing = await build();
+        await missing.remove(segments(missing)[1]!);
+        expect(String(await errorOf(Journal.open(missing, folder)))).to.match(/records \d+ to \d+ are missing/);
+        const damaged = await build();
+        const path = segments(damaged)[0]!;
+        damaged.flipByte(path, (await damaged.readFile(path))!.length - 1);
+        expect(await errorOf(Journal.open(damaged, folder))).to.be.instanceOf(CorruptionError);
+    });
+
+    // Guards against a restart that reads all records ever written.
+    it("reads the snapshot and the records after it, and removes what the snapshot replaces", async () => {
+        const files = new FaultyFiles();
+        const { journal } = await Journal.open(files, folder, { segmentBytes: 100 });
+        await appendAll(journal, 20);
+        await journal.saveSnapshot(bytes("state of 20"), 20);
+        await appendAll(journal, 2, "after");
+        expect(segments(files)).to.have.length(1);
+        const restarted = files.crash(() => false);
+        const { contents, journal: reopened } = await Journal.open(restarted, folder);
+        expect(contents.snapshot?.index).to.equal(20);
+        expect(Buffer.from(contents.snapshot!.payload).toString()).to.equal("state of 20");
+        expect(texts(contents.records)).to.deep.equal(["after0", "after1"]);
+        expect(await reopened.append(bytes("next"))).to.equal(23);
+    });
+
+    // Guards against conflicting log entries that come back after they were removed.
+    it("truncates records across segments durably", async () => {
+        const files = new FaultyFiles();
+        const { journal } = await Journal.open(files, folder, { segmentBytes: 60 });
+        await appendAll(journal, 9);
+        await journal.truncateFrom(4);
+        expect(await journal.append(bytes("new"))).to.equal(4);
+        const restarted = files.crash(() => false);
+        expect(texts((await Journal.open(restarted, folder)).contents.records)).to.deep.equal([
+            "r0",
+            "r1",
+            "r2",
+            "new",
+        ]);
+    });
+});
