--- a/packages/configuration/src/store/increment-history.ts
+++ b/packages/configuration/src/store/increment-history.ts
@@ -9,7 +9,11 @@
 
     constructor(private readonly limit = maxHistory) {}
 
+    /** Adds an increment; one that does not follow the last makes the history start anew. */
     add(increment: Increment): void {
+        if (this.increments.length > 0 && this.increments.at(-1)?.to !== increment.from) {
+            this.clear();
+        }
         this.increments.push(increment);
         if (this.increments.length > 2 * this.limit) {
             // Trimming in blocks avoids moving the whole array for each change.
@@ -30,6 +34,7 @@
         if (wanted < 0 || wanted > Math.min(this.limit, this.increments.length)) {
             return undefined;
         }
-        return this.increments.slice(-wanted);
+        const since = this.increments.slice(-wanted);
+        return since[0]?.from === version ? since : undefined;
     }
 }
