Add endpoint choice by predicted time to the first token

The score uses the entry's own work, load reports discounted by age, the link delay and cost, and the prompt tokens not known to be cached.

--- /dev/null
+++ b/packages/routing/src/endpoint-table.ts
@@ -0,0 +1,95 @@
+import type { CacheEventBatch, CacheMapOptions, CacheSnapshot } from "./cache-map.ts";
+import { CacheMap, cacheMapDefaults } from "./cache-map.ts";
+import type { EndpointView } from "./endpoint-view.ts";
+import type { Endpoint, EngineRequest } from "./endpoint.ts";
+import { InFlightTable } from "./in-flight-table.ts";
+import type { Link, LinkTable } from "./link-table.ts";
+import type { LoadReport } from "./load-report.ts";
+import { LoadReportTable } from "./load-report.ts";
+
+export interface EndpointTableOptions extends CacheMapOptions {
+    /** Bound on the blocks kept for all endpoints together; a block takes about 50 bytes. */
+    maxTotalBlocks: number;
+    /** Shortest time between two requests for a snapshot of one endpoint's cache. */
+    resynchronisationIntervalMs: number;
+}
+
+export const endpointTableDefaults: EndpointTableOptions = {
+    ...cacheMapDefaults,
+    maxTotalBlocks: 65_536,
+    resynchronisationIntervalMs: 2_000,
+};
+
+/** Knowledge of one entry about its endpoints, kept in memory only. */
+export class EndpointTable implements EndpointView {
+    readonly inFlight = new InFlightTable();
+    endpoints: readonly Endpoint[] = [];
+    private readonly reports = new LoadReportTable();
+    private readonly caches = new Map<string, CacheMap>();
+    private readonly snapshotRequestedAt = new Map<string, number>();
+
+    constructor(private readonly links: LinkTable, private readonly options = endpointTableDefaults) {}
+
+    /** Replaces the set of endpoints and drops what is known about those that left. */
+    setEndpoints(endpoints: readonly Endpoint[]): void {
+        this.endpoints = endpoints;
+        const ids = new Set(endpoints.map(endpoint => endpoint.id));
+        for (const id of [...this.caches.keys()].filter(known => !ids.has(known))) {
+            this.caches.delete(id);
+            this.reports.delete(id);
+            this.snapshotRequestedAt.delete(id);
+        }
+        const share = Math.floor(this.options.maxTotalBlocks / Math.max(1, ids.size));
+        const maxBlocks = Math.min(this.options.maxBlocks, share);
+        for (const id of ids) {
+            const known = this.caches.get(id);
+            known?.resize(maxBlocks);
+            this.caches.set(id, known ?? new CacheMap({ ...this.options, maxBlocks }));
+        }
+    }
+
+    /** Records a dispatch in the in-flight counts and in the cache map. */
+    recordDispatch(attempt: string, endpoint: string, req: EngineRequest, uncachedTokens: number, now: number): void {
+        this.inFlight.dispatched(attempt, endpoint, req.priority, uncachedTokens, now);
+        this.caches.get(endpoint)?.recordDispatch(req.prefix, now);
+    }
+
+    acceptReport(endpoint: string, report: LoadReport): void {
+        if (this.caches.has(endpoint)) {
+            this.reports.accept(endpoint, report);
+        }
+    }
+
+    acceptCacheBatch(endpoint: string, batch: CacheEventBatch, now: number): void {
+        this.caches.get(endpoint)?.acceptBatch(batch, now);
+    }
+
+    acceptCacheSnapshot(endpoint: string, snapshot: CacheSnapshot, now: number): void {
+        this.caches.get(endpoint)?.acceptSnapshot(snapshot, now);
+    }
+
+    /** Endpoints whose cache snapshot the caller should request now; each is named once an interval. */
+    takeSnapshotRequests(now: number): string[] {
+        const due: string[] = [];
+        for (const [id, cache] of this.caches) {
+            const requestedAt = this.snapshotRequestedAt.get(id) ?? -Infinity;
+            if (cache.stale && now - requestedAt >= this.options.resynchronisationIntervalMs) {
+                this.snapshotRequestedAt.set(id, now);
+                due.push(id);
+            }
+        }
+        return due;
+    }
+
+    report(endpoint: string): LoadReport | undefined {
+        return this.reports.get(endpoint);
+    }
+
+    matchedBlocks(endpoint: string, prefix: readonly number[], now: number): number {
+        return this.caches.get(endpoint)?.matched(prefix, now) ?? 0;
+    }
+
+    link(failureDomain: string): Link {
+        return this.links.to(failureDomain);
+    }
+}
--- /dev/null
+++ b/packages/routing/src/endpoint-view.ts
@@ -0,0 +1,15 @@
+import type { Endpoint } from "./endpoint.ts";
+import type { InFlightTable } from "./in-flight-table.ts";
+import type { Link } from "./link-table.ts";
+import type { LoadReport } from "./load-report.ts";
+
+/** What a policy may read about the endpoints of one entry. */
+export interface EndpointView {
+    readonly endpoints: readonly Endpoint[];
+    readonly inFlight: Pick<InFlightTable, "requests" | "requestsSentBefore" | "promptTokens">;
+    report(endpoint: string): LoadReport | undefined;
+    /** Number of leading blocks of `prefix` presumed cached at the endpoint. */
+    matchedBlocks(endpoint: string, prefix: readonly number[], now: number): number;
+    /** Link from this entry to a failure domain. */
+    link(failureDomain: string): Link;
+}
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -1,4 +1,15 @@
 /**
  * Endpoint selection policies.
  */
-export {};
+export * from "./block-hash.ts";
+export * from "./cache-map.ts";
+export * from "./endpoint-table.ts";
+export * from "./endpoint-view.ts";
+export * from "./endpoint.ts";
+export * from "./in-flight-table.ts";
+export * from "./link-table.ts";
+export * from "./load-estimate.ts";
+export * from "./load-report.ts";
+export * from "./predicted-first-token-policy.ts";
+export * from "./prefix-map.ts";
+export * from "./routing-policy.ts";
--- /dev/null
+++ b/packages/routing/src/predicted-first-token-policy.ts
@@ -0,0 +1,115 @@
+import type { RandomSource } from "@lentilramp/runtime";
+import type { Result } from "ts-results-es";
+import { Err, Ok } from "ts-results-es";
+import type { EndpointView } from "./endpoint-view.ts";
+import type { Endpoint, EngineRequest } from "./endpoint.ts";
+import { serves } from "./endpoint.ts";
+import type { LoadEstimate, LoadEstimateOptions } from "./load-estimate.ts";
+import { estimateLoads } from "./load-estimate.ts";
+import type { RouteChoice, RouteError } from "./routing-policy.ts";
+import { RoutingPolicy } from "./routing-policy.ts";
+
+export interface PredictedFirstTokenOptions extends LoadEstimateOptions {
+    /** Tokens covered by one block hash. */
+    blockTokens: number;
+    /** Random candidates considered beside the endpoint with the longest known prefix. */
+    sampleSize: number;
+    /** The endpoint with the longest prefix is no candidate when its wait exceeds the mean by more than this. */
+    affinityBoundMs: number;
+    /** Milliseconds that each request at the endpoint adds to a step of the engine. */
+    perRequestMs: number;
+    /** Milliseconds of first-token time that one unit of link cost is worth. */
+    linkCostMs: number;
+}
+
+export const predictedFirstTokenDefaults: PredictedFirstTokenOptions = {
+    blockTokens: 64,
+    sampleSize: 3,
+    affinityBoundMs: 1_000,
+    perRequestMs: 0.25,
+    linkCostMs: 2,
+    queueHalfLifeMs: 500,
+    requestsHalfLifeMs: 3_000,
+    defaultPrefillTokensPerMs: 10,
+};
+
+interface Candidate extends RouteChoice {
+    score: number;
+}
+
+/**
+ * Sends a request to the candidate with the shortest predicted time to the first token. Candidates are a few
+ * random endpoints, so that entries with equal knowledge choose differently, and the endpoint with the longest
+ * known prefix, unless that one is far busier than the mean.
+ */
+export class PredictedFirstTokenPolicy extends RoutingPolicy<EngineRequest> {
+    constructor(
+        private readonly random: RandomSource,
+        private readonly options: PredictedFirstTokenOptions = predictedFirstTokenDefaults,
+    ) {
+        super();
+    }
+
+    override choose(req: EngineRequest, view: EndpointView, now: number): Result<RouteChoice, RouteError> {
+        const eligible = view.endpoints.filter(endpoint => serves(endpoint, req) && !req.excluded?.has(endpoint.id));
+        if (eligible.length === 0) {
+            return Err({ kind: "no-endpoint" });
+        }
+        const loads = estimateLoads(eligible, req.priority, view, now, this.options);
+        const score = (endpoint: Endpoint) =>
+            this.score(endpoint, req, loads.get(endpoint.id) as LoadEstimate, view, now);
+        const best = lowest(this.candidates(eligible, req, loads, view, now).map(score));
+        if (now + best.predictedMs <= req.deadline) {
+            return Ok(best);
+        }
+        // The sample may have missed the only endpoint that is fast enough.
+        const fastest = lowest(eligible.map(score).map(choice => ({ ...choice, score: choice.predictedMs })));
+        const lateMs = now + fastest.predictedMs - req.deadline;
+        return lateMs <= 0 ? Ok(fastest) : Err({ kind: "deadline-unreachable", lateMs });
+    }
+
+    private candidates(
+        eligible: readonly Endpoint[],
+        req: EngineRequest,
+        loads: ReadonlyMap<string, LoadEstimate>,
+        view: EndpointView,
+        now: number,
+    ): Endpoint[] {
+        const sample = this.random.sample(eligible, this.options.sampleSize);
+        const waits = new Map(
+            [...loads].map(([id, load]) => [id, load.tokensAhead / load.prefillTokensPerMs]),
+        );
+        const meanWait = [...waits.values()].reduce((sum, wait) => sum + wait, 0) / waits.size;
+        let longest = 0;
+        let affine: Endpoint | undefined;
+        for (const endpoint of eligible) {
+            const matched = view.matchedBlocks(endpoint.id, req.prefix, now);
+            const wait = waits.get(endpoint.id) ?? 0;
+            if (matched > longest && wait <= meanWait + this.options.affinityBoundMs) {
+                longest = matched;
+                affine = endpoint;
+            }
+        }
+        return affine === undefined || sample.includes(affine) ? sample : [...sample, affine];
+    }
+
+    private score(
+        endpoint: Endpoint,
+        req: EngineRequest,
+        load: LoadEstimate,
+        view: EndpointView,
+        now: number,
+    ): Candidate {
+        const matched = view.matchedBlocks(endpoint.id, req.prefix, now) * this.options.blockTokens;
+        const cachedTokens = Math.min(matched, req.promptTokens);
+        const link = view.link(endpoint.failureDomain);
+        const tokens = load.tokensAhead + req.promptTokens - cachedTokens;
+        const predictedMs = 2 * link.delayMs + tokens / load.prefillTokensPerMs
+            + load.requests * this.options.perRequestMs;
+        return { endpoint, predictedMs, cachedTokens, score: predictedMs + link.cost * this.options.linkCostMs };
+    }
+}
+
+function lowest(candidates: readonly Candidate[]): Candidate {
+    return candidates.reduce((best, candidate) => candidate.score < best.score ? candidate : best);
+}
