--- /dev/null
+++ b/packages/cli/src/main.ts
@@ -0,0 +1,106 @@
+import { cac } from "cac";
+import { approve } from "./commands/approve.ts";
+import { check } from "./commands/check.ts";
+import { drain, type DrainOptions, handOver, type HandOverOptions } from "./commands/drain.ts";
+import { dump } from "./commands/dump.ts";
+import { generate, type GenerateOptions } from "./commands/generate.ts";
+import { lookup } from "./commands/lookup.ts";
+import { serve } from "./commands/serve.ts";
+import { status } from "./commands/status.ts";
+import { CommandError, type ExitCode, exitCodes } from "./exit-codes.ts";
+import type { ConnectionOptions } from "./operator-client.ts";
+import { Output } from "./output.ts";
+
+const version = process.env.LENTILRAMP_VERSION ?? "development";
+
+interface CommonOptions {
+    json?: boolean;
+}
+
+async function run(action: () => Promise<ExitCode> | ExitCode): Promise<void> {
+    try {
+        process.exitCode = await action();
+    }
+    catch (err) {
+        if (!(err instanceof Error)) {
+            throw err;
+        }
+        console.error(`error: ${err.message}`);
+        process.exitCode = err instanceof CommandError ? err.exitCode : exitCodes.failed;
+    }
+}
+
+const cli = cac("lentilramp");
+cli.option("--deployment <dir>", "Folder with the questionnaire that names the control processes");
+cli.option("--control <addresses>", "Control processes as HOST:PORT,HOST:PORT, instead of --deployment");
+cli.option("--key <file>", "File with the process key (default: process.key)");
+cli.option("--json", "Print the result as one JSON document");
+
+cli.command("serve", "Run one process")
+    .option("--settings <file>", "Settings of the process")
+    .action((options: { settings?: string }) =>
+        run(() => {
+            if (options.settings === undefined) {
+                throw new CommandError(exitCodes.usage, "give --settings FILE");
+            }
+            return serve(options.settings);
+        })
+    );
+cli.command("check [...files]", "Check settings and questionnaires without any effect")
+    .action((files: string[], options: CommonOptions) =>
+        run(() => {
+            if (files.length === 0) {
+                throw new CommandError(exitCodes.usage, "name at least one file or deployment folder");
+            }
+            return check(files, new Output(options.json === true));
+        })
+    );
+cli.command("generate <questionnaire>", "Generate the configuration and show what would change")
+    .option("--out <file>", "Write the proposal for approve")
+    .action((file: string, options: GenerateOptions & CommonOptions) =>
+        run(() => generate(file, options, new Output(options.json === true)))
+    );
+cli.command("approve <proposal>", "Approve a proposal and wait until it is in force")
+    .action((file: string, options: ConnectionOptions & CommonOptions) =>
+        run(() => approve(file, options, new Output(options.json === true)))
+    );
+cli.command("status", "Show the state of a deployment")
+    .action((options: ConnectionOptions & CommonOptions) => run(() => status(options, new Output(options.json === true))));
+cli.command("dump <address>", "Print the state of one process (HOST:PORT)")
+    .action((address: string, options: ConnectionOptions) => run(() => dump(address, options.key ?? "process.key")));
+cli.command("drain <endpoint>", "Stop new work to an endpoint")
+    .option("--operation-id <id>", "Repeat an earlier operation")
+    .option("--wait <seconds>", "Wait until the requests in flight have ended")
+    .action((endpoint: string, options: DrainOptions & CommonOptions) =>
+        run(() => drain(endpoint, options, new Output(options.json === true)))
+    );
+cli.command("hand-over <kind> <id> <step>", "Take one step of a hand-over: planned, draining, released, transferred")
+    .option("--operation-id <id>", "Repeat an earlier operation")
+    .action((kind: string, id: string, step: string, options: HandOverOptions & CommonOptions) =>
+        run(() => handOver(kind, id, step, options, new Output(options.json === true)))
+    );
+cli.command("lookup <address>", "Ask an entry which addresses callers should use (HOST:PORT)")
+    .action((address: string, options: CommonOptions) => run(() => lookup(address, new Output(options.json === true))));
+cli.help();
+cli.version(version);
+
+/** Parses the arguments; unknown commands and options end with the usage exit code. */
+async function main(): Promise<void> {
+    try {
+        cli.parse(process.argv, { run: false });
+        if (cli.matchedCommand === undefined && cli.options.help !== true && cli.options.version !== true) {
+            const named = cli.args[0];
+            console.error(named === undefined ? "error: name a command" : `error: unknown command ${named}`);
+            cli.outputHelp();
+            process.exitCode = exitCodes.usage;
+            return;
+        }
+        await cli.runMatchedCommand();
+    }
+    catch (err) {
+        console.error(`error: ${err instanceof Error ? err.message : String(err)}`);
+        process.exitCode = exitCodes.usage;
+    }
+}
+
+void main();
--- /dev/null
+++ b/packages/cli/src/wire-control.ts
@@ -0,0 +1,102 @@
+import {
+    AgreementDriver,
+    AgreementStorage,
+    ClaimGenerationKeeper,
+    ClaimService,
+    CommandProposer,
+    ControlMethods,
+    controlStatus,
+    GroupFounding,
+    GroupJoining,
+    InFlightSurvey,
+    MembershipRepair,
+    ReplicatedConfiguration,
+    RpcTransport,
+} from "@lentilramp/control";
+import { DataFolder, NodeFileAccess } from "@lentilramp/journal";
+import type { RpcClient, RpcServer } from "@lentilramp/protocol";
+import { Component, LifecycleManager } from "@lentilramp/runtime";
+import type { ControlSettings } from "@lentilramp/settings";
+import type { ProcessBase } from "./wire.ts";
+
+/**
+ * The parts of a control process that need the data folder. They are built when the process starts, because the
+ * identity and the group are known only then.
+ */
+class ControlCore extends Component {
+    readonly name = "control-core";
+    private readonly inner: LifecycleManager;
+    private folder: DataFolder | undefined;
+
+    constructor(
+        private readonly settings: ControlSettings,
+        private readonly base: ProcessBase,
+        private readonly client: RpcClient,
+        private readonly server: RpcServer,
+    ) {
+        super();
+        this.inner = new LifecycleManager(base.clock, base.log);
+    }
+
+    override async start(): Promise<void> {
+        const { settings, base, client, server } = this;
+        const { clock, log, random, dump } = base;
+        const folder = await DataFolder.open(new NodeFileAccess(), settings.dataFolder);
+        this.folder = folder;
+        const claims = await ClaimService.open(folder, clock, log);
+        claims.attach(server);
+        const founding = new GroupFounding(folder.identity, settings, await folder.openMetadata("founding"), client, clock, log);
+        const methods = new ControlMethods(server, founding);
+        const storage = await AgreementStorage.open(folder, await founding.initialState());
+        const replicated = new ReplicatedConfiguration(clock, log);
+        const driver = new AgreementDriver(
+            folder.identity,
+            storage,
+            replicated,
+            new RpcTransport(client, clock),
+            clock,
+            random,
+            log,
+        );
+        const proposer = new CommandProposer(driver, replicated, clock);
+        const names = new Set(settings.members.map(member => member.name));
+        const repair = new MembershipRepair(driver, names, clock, log);
+        const parts = { driver, replicated, proposer, repair, survey: new InFlightSurvey(client, clock) };
+        methods.attach(parts);
+        dump.add("control", () => controlStatus(parts));
+        dump.add("configuration", () => replicated.store.snapshot());
+        dump.add("claims", () => claims.status);
+        this.inner.register(claims);
+        this.inner.register(driver);
+        this.inner.register(repair);
+        this.inner.register(
+            new GroupJoining(
+                driver,
+                { name: settings.name, ...settings.listen, failureDomain: settings.failureDomain },
+                settings.members,
+                client,
+                clock,
+            ),
+        );
+        this.inner.register(new ClaimGenerationKeeper(driver, replicated, proposer, clock, log));
+        await this.inner.start();
+    }
+
+    override async drain(): Promise<void> {
+        await this.inner.stop();
+    }
+
+    override async close(): Promise<void> {
+        await this.inner.stop();
+        await this.folder?.close();
+    }
+}
+
+/** Wires a control process. */
+export function wireControl(settings: ControlSettings, base: ProcessBase): void {
+    const { lifecycle, http, client, server } = base;
+    server.attach(http);
+    lifecycle.register(client);
+    lifecycle.register(http);
+    lifecycle.register(new ControlCore(settings, base, client, server));
+}
--- a/packages/control/src/agreement-driver.ts
+++ b/packages/control/src/agreement-driver.ts
@@ -116,6 +116,9 @@
     }
 
     private request(input: (id: string) => Input): Promise<unknown> {
+        if (this.closed) {
+            return Promise.reject(new ControlError("not-leader", "the process is closing"));
+        }
         return new Promise((resolve, reject) => {
             const id = String(this.nextRequestId++);
             this.requested.set(id, { resolve, reject });
--- /dev/null
+++ b/packages/control/src/claim-service.ts
@@ -0,0 +1,87 @@
+import { type ClaimMessage, ClaimReplica, type ClaimReply, ClaimStorage, DurableClaimReplica, snapshotDue } from "@lentilramp/claims";
+import type { DataFolder, Journal } from "@lentilramp/journal";
+import { claimMessageSchema, encodeClaimValue, type RpcServer } from "@lentilramp/protocol";
+import { type Clock, Component, type EventLog, type Timer } from "@lentilramp/runtime";
+
+
+const maintenanceMs = 1_000;
+
+class JournalClaimStorage extends ClaimStorage {
+    constructor(private readonly journal: Journal) {
+        super();
+    }
+
+    override append(record: Uint8Array): Promise<number> {
+        return this.journal.append(record);
+    }
+}
+
+/** The claim replica of a control process: journal, expiry, snapshots, and its methods. */
+export class ClaimService extends Component {
+    readonly name = "claims";
+    private timer: Timer | undefined;
+    private recordsAtSnapshot: number;
+
+    private constructor(
+        private readonly replica: DurableClaimReplica,
+        private readonly journal: Journal,
+        private readonly clock: Clock,
+        private readonly log: EventLog,
+        recordsSinceSnapshot: number,
+    ) {
+        super();
+        this.recordsAtSnapshot = journal.lastIndex - recordsSinceSnapshot;
+    }
+
+    static async open(folder: DataFolder, clock: Clock, log: EventLog): Promise<ClaimService> {
+        const { journal, contents } = await folder.openJournal("claims");
+        const table = new ClaimReplica(folder.identity);
+        table.restore(contents.snapshot?.payload, contents.records.map(record => record.payload));
+        const replica = new DurableClaimReplica(table, new JournalClaimStorage(journal), clock, journal.lastIndex);
+        if (contents.tornTail !== undefined) {
+            log.warn("journal.torn-tail", { journal: "claims" });
+        }
+        return new ClaimService(replica, journal, clock, log, contents.records.length);
+    }
+
+    get status(): ClaimReplica["status"] {
+        return this.replica.replica.status;
+    }
+
+    /** Adds the methods `claim.write`, `claim.outcome`, `claim.seal` and `claim.read`. */
+    attach(server: RpcServer): void {
+        for (const kind of ["write", "outcome", "seal", "read"] as const) {
+            server.method(`claim.${kind}`, claimMessageSchema, async message => encodeClaimValue(await this.handle(message)));
+        }
+    }
+
+    override async start(): Promise<void> {
+        this.schedule();
+    }
+
+    override async close(): Promise<void> {
+        this.timer?.cancel();
+        await this.journal.close();
+    }
+
+    private async handle(message: ClaimMessage): Promise<ClaimReply> {
+        return await this.replica.handle(message);
+    }
+
+    private schedule(): void {
+        this.timer = this.clock.schedule(this.clock.now() + maintenanceMs, () => {
+            void this.maintain()
+                .catch((err: unknown) => this.log.error("claims.snapshot-failed", { error: String(err) }))
+                .finally(() => this.schedule());
+        });
+    }
+
+    private async maintain(): Promise<void> {
+        this.replica.replica.expire(this.clock.now());
+        const index = this.replica.appliedIndex;
+        if (snapshotDue(index - this.recordsAtSnapshot, this.status.records)) {
+            await this.journal.saveSnapshot(this.replica.replica.snapshot(), index);
+            this.recordsAtSnapshot = index;
+        }
+    }
+}
--- /dev/null
+++ b/packages/control/src/in-flight-survey.ts
@@ -0,0 +1,26 @@
+import type { Configuration, HandOverKind } from "@lentilramp/configuration";
+import type { RpcClient } from "@lentilramp/protocol";
+import type { Clock } from "@lentilramp/runtime";
+import { z } from "zod";
+
+const callMs = 500;
+export const inFlightAnswerSchema = z.object({ inFlight: z.int().min(0) });
+
+/** Asks all entries how many requests they have in flight for an item. */
+export class InFlightSurvey {
+    constructor(private readonly client: RpcClient, private readonly clock: Clock) {}
+
+    /** Returns the sum, or undefined when an entry does not answer. */
+    async count(configuration: Configuration, kind: HandOverKind, id: string): Promise<number | undefined> {
+        const deadline = this.clock.now() + callMs;
+        const counts = await Promise.all(configuration.entries.map(entry =>
+            this.client.call(entry, "entry.inFlight", { kind, id }, inFlightAnswerSchema, deadline)
+                .then(answer => answer.inFlight)
+                .catch(() => undefined)
+        ));
+        return counts.reduce<number | undefined>(
+            (sum, count) => sum === undefined || count === undefined ? undefined : sum + count,
+            0,
+        );
+    }
+}
--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -1,4 +1,15 @@
-/**
- * The control process: agreement voter and claim replica.
- */
-export {};
+/** The control process: agreement voter and claim replica. */
+export * from "./agreement-driver.ts";
+export * from "./agreement-storage.ts";
+export * from "./claim-generation-keeper.ts";
+export * from "./claim-service.ts";
+export * from "./command-proposer.ts";
+export * from "./control-error.ts";
+export * from "./control-methods.ts";
+export * from "./group-founding.ts";
+export * from "./group-joining.ts";
+export * from "./in-flight-survey.ts";
+export * from "./member-directory.ts";
+export * from "./membership-repair.ts";
+export * from "./replicated-configuration.ts";
+export * from "./rpc-transport.ts";
--- a/packages/control/src/replicated-configuration.ts
+++ b/packages/control/src/replicated-configuration.ts
@@ -35,6 +35,10 @@
         return this.permits.mayGrant(this.clock.now()) ? this.leaderTerm : undefined;
     }
 
+    now(): number {
+        return this.clock.now();
+    }
+
     apply(text: string, index: number): CommandResult {
         const command = commandSchema.parse(JSON.parse(text));
         const before = this.store.version;
--- /dev/null
+++ b/packages/entry/src/admission.ts
@@ -0,0 +1,18 @@
+import type { RequestContext } from "./request-context.ts";
+
+/** Work that a request brings, in the unit of its class. */
+export interface AdmissionCost {
+    kind: "engine" | "service";
+    /** Prompt tokens and expected answer tokens; 1 for a plain call. */
+    tokens: number;
+}
+
+/** Ends the admission of a request. */
+export type Release = (ok: boolean) => void;
+
+/** Decides which requests are served now, which wait, and which are refused. */
+export abstract class Admission {
+    /** Resolves when the request may start; rejects with a CallerError when it is refused. */
+    abstract enter(context: RequestContext, cost: AdmissionCost): Promise<Release>;
+    abstract get status(): unknown;
+}
--- a/packages/entry/src/caller-error.ts
+++ b/packages/entry/src/caller-error.ts
@@ -2,7 +2,7 @@
 import type { ServerResponse } from "node:http";
 
 /** What the caller may conclude about the execution of its request; docs/design.md defines the values. */
-export type RunState = "not-run" | "undecided" | "unknown" | "partial" | "in-progress";
+export type RunState = "not-run" | "undecided" | "unknown" | "partial" | "in-progress" | "completed";
 
 /** Kinds of errors that callers see. They are stable; docs/callers.md lists them. */
 export type CallerErrorType =
@@ -28,6 +28,7 @@
     | "in-progress"
     | "not-run"
     | "stream-cut"
+    | "answer-not-kept"
     | "resume-mismatch";
 
 /** An error with its final answer to the caller. */
--- /dev/null
+++ b/packages/entry/src/chat-body.ts
@@ -0,0 +1,40 @@
+import { z } from "zod";
+import { CallerError } from "./caller-error.ts";
+
+/** Body of `POST /v1/chat/completions`; unknown fields are passed on to the engine. */
+const chatBodySchema = z.looseObject({
+    model: z.string().min(1),
+    messages: z.array(z.looseObject({ role: z.string(), content: z.string() })).min(1),
+    stream: z.boolean().default(false),
+    max_tokens: z.int().positive().max(100_000).optional(),
+    /** Text that the caller has received already, with the header `last-event-id`. */
+    resume_text: z.string().optional(),
+});
+
+export type ChatBody = z.infer<typeof chatBodySchema>;
+
+export function parseChatBody(value: unknown): ChatBody {
+    const parsed = chatBodySchema.safeParse(value);
+    if (!parsed.success) {
+        const details = parsed.error.issues.map(issue => `${issue.path.join(".") || "body"}: ${issue.message}`).join("; ");
+        throw new CallerError(400, "malformed-request", details, "not-run");
+    }
+    return parsed.data;
+}
+
+/** Reads `last-event-id`: the number of tokens that the caller has received. */
+export function parseReceivedCount(header: string | string[] | undefined, body: ChatBody): number {
+    if (header === undefined) {
+        return 0;
+    }
+    const count = Number(header);
+    if (!Number.isSafeInteger(count) || count < 0 || (count > 0 && body.resume_text === undefined)) {
+        throw new CallerError(
+            400,
+            "malformed-request",
+            "last-event-id must be a token count and needs resume_text in the body",
+            "not-run",
+        );
+    }
+    return count;
+}
--- /dev/null
+++ b/packages/entry/src/chat-handler.ts
@@ -0,0 +1,92 @@
+import { readBody } from "@lentilramp/protocol";
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { v7 as newId } from "uuid";
+import type { Admission, Release } from "./admission.ts";
+import { CallerError, sendCallerError } from "./caller-error.ts";
+import { type ChatBody, parseChatBody, parseReceivedCount } from "./chat-body.ts";
+import { ChatStream, type ChatStreamParts } from "./chat-stream.ts";
+import { countPromptTokens, hashPromptBlocks } from "./prompt-blocks.ts";
+import { parseJson, type RequestContext } from "./request-context.ts";
+import type { RequestGate } from "./request-gate.ts";
+import type { StreamTable } from "./stream-table.ts";
+import { CollectingSink, EventStreamSink, type TokenSink } from "./token-sink.ts";
+
+const defaultDeadlineMs = 120_000;
+const defaultAnswerTokens = 256;
+
+/** Handles `POST /v1/chat/completions`. */
+export class ChatHandler {
+    constructor(
+        private readonly gate: RequestGate,
+        private readonly admission: Admission,
+        private readonly streams: StreamTable,
+        private readonly parts: ChatStreamParts,
+        private readonly bodyLimitBytes: number,
+    ) {}
+
+    async handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
+        let sink: TokenSink | undefined;
+        let release: Release | undefined;
+        try {
+            const { configuration, context } = this.gate.open(req, defaultDeadlineMs);
+            const body = parseChatBody(parseJson(await readBody(req, this.bodyLimitBytes)));
+            if (!configuration.models.some(model => model.name === body.model)) {
+                throw new CallerError(404, "unknown-model", `model ${body.model} is not served here`, "not-run");
+            }
+            const stream = this.createStream(req, body, context, sink = body.stream ? new EventStreamSink(res) : new CollectingSink(res));
+            const tokens = stream.engineRequest.promptTokens + (body.max_tokens ?? defaultAnswerTokens);
+            release = await this.admission.enter(context, { kind: "engine", tokens });
+            this.gate.count(true);
+            await this.run(stream, res);
+            release(true);
+        }
+        catch (err) {
+            release?.(false);
+            if (!(err instanceof CallerError)) {
+                throw err;
+            }
+            this.gate.count(false);
+            this.parts.log.info("request.failed", { kind: "chat", type: err.type, run: err.run, message: err.message });
+            if (res.headersSent && sink !== undefined) {
+                sink.fail(err);
+            }
+            else {
+                req.resume();
+                sendCallerError(res, err);
+            }
+        }
+    }
+
+    private createStream(req: IncomingMessage, body: ChatBody, context: RequestContext, sink: TokenSink): ChatStream {
+        const hint = req.headers["x-endpoint"];
+        return new ChatStream(
+            newId(),
+            body,
+            context,
+            {
+                model: body.model,
+                priority: context.priority,
+                deadline: context.deadline,
+                promptTokens: countPromptTokens(body.messages),
+                prefix: hashPromptBlocks(body.model, body.messages),
+            },
+            parseReceivedCount(req.headers["last-event-id"], body),
+            typeof hint === "string" ? hint : undefined,
+            sink,
+            this.parts,
+        );
+    }
+
+    private async run(stream: ChatStream, res: ServerResponse): Promise<void> {
+        const onClose = (): void => stream.cancel();
+        res.on("close", onClose);
+        this.streams.add(stream);
+        try {
+            await stream.run();
+        }
+        finally {
+            this.streams.remove(stream);
+            res.off("close", onClose);
+        }
+    }
+}
--- /dev/null
+++ b/packages/entry/src/endpoint-observer.ts
@@ -0,0 +1,178 @@
+import type { Configuration, Endpoint } from "@lentilramp/configuration";
+import { readBody } from "@lentilramp/protocol";
+import { type Endpoint as RoutedEndpoint, EndpointTable, LinkTable } from "@lentilramp/routing";
+import { type Clock, Component, type EventLog, type RandomSource } from "@lentilramp/runtime";
+import { z } from "zod";
+import type { UpstreamClient } from "./upstream.ts";
+
+const pollIntervalMs = 250;
+const pollDeadlineMs = 1_000;
+const answerLimitBytes = 4 * 1_048_576;
+/** Prompt tokens that an engine computes in a millisecond, assumed because load reports do not state it. */
+const assumedPrefillTokensPerMs = 10;
+
+const loadSchema = z.object({
+    at: z.number(),
+    running: z.number(),
+    queued: z.number(),
+    queuedPrefillTokens: z.number(),
+});
+const eventsSchema = z.object({
+    events: z.array(z.object({ sequence: z.int(), kind: z.enum(["stored", "evicted"]), blocks: z.array(z.string()) })),
+});
+const listingSchema = z.object({ sequence: z.int(), blocks: z.array(z.string()) });
+
+function parseBlock(text: string): number {
+    return Number.parseInt(text, 16);
+}
+
+/** Builds the table of links from the failure domain of this entry. */
+export function linksFrom(configuration: Configuration, failureDomain: string): LinkTable {
+    return new LinkTable(Object.fromEntries(
+        configuration.links
+            .filter(link => link.from === failureDomain)
+            .map(link => [link.to, { delayMs: link.oneWayDelayMs, cost: link.from === link.to ? 0 : link.relativeCost }]),
+    ));
+}
+
+function toRouted(endpoint: Endpoint): RoutedEndpoint {
+    return {
+        id: endpoint.id,
+        failureDomain: endpoint.failureDomain,
+        models: endpoint.models.map(model => ({
+            model,
+            version: "1",
+            adapters: endpoint.adapters.map(adapter => adapter.name),
+        })),
+    };
+}
+
+/** Polls load reports and cache events of the endpoints and keeps them for routing. */
+export class EndpointObserver extends Component {
+    readonly name = "endpoint-observer";
+    private current: EndpointTable = new EndpointTable(new LinkTable({}));
+    private endpoints: readonly Endpoint[] = [];
+    private readonly lastSequence = new Map<string, number>();
+    private readonly leaving = new Set<string>();
+    private running = false;
+    private loops: Promise<void> | undefined;
+
+    constructor(
+        private readonly ownDomain: string,
+        private readonly upstream: UpstreamClient,
+        private readonly clock: Clock,
+        private readonly random: RandomSource,
+        private readonly log: EventLog,
+    ) {
+        super();
+    }
+
+    get table(): EndpointTable {
+        return this.current;
+    }
+
+    /** Takes a new configuration; the table is replaced only when the links change. */
+    setConfiguration(configuration: Configuration): void {
+        if (this.endpoints.length === 0) {
+            this.current = new EndpointTable(linksFrom(configuration, this.ownDomain));
+        }
+        this.endpoints = configuration.endpoints;
+        this.refresh();
+        this.upstream.keepOnly(new Set(this.endpoints.map(endpoint => endpoint.id)));
+    }
+
+    /** Marks the endpoints that the platform's list names as leaving; they get no new work. */
+    setLeaving(ids: ReadonlySet<string>): void {
+        const changed = ids.size !== this.leaving.size || [...ids].some(id => !this.leaving.has(id));
+        if (changed) {
+            this.leaving.clear();
+            ids.forEach(id => this.leaving.add(id));
+            this.log.info("endpoints.leaving", { endpoints: [...ids].join(",") });
+            this.refresh();
+        }
+    }
+
+    find(id: string): Endpoint | undefined {
+        return this.endpoints.find(endpoint => endpoint.id === id);
+    }
+
+    override async start(): Promise<void> {
+        this.running = true;
+        this.loops = this.run();
+    }
+
+    override async close(): Promise<void> {
+        this.running = false;
+        await this.loops;
+    }
+
+    private refresh(): void {
+        const usable = this.endpoints.filter(endpoint =>
+            (endpoint.lifecycle === "active" || endpoint.lifecycle === "planned") && !this.leaving.has(endpoint.id)
+        );
+        this.current.setEndpoints(usable.map(toRouted));
+    }
+
+    private async run(): Promise<void> {
+        while (this.running) {
+            await Promise.all(this.endpoints.map(endpoint => this.observe(endpoint).catch(() => undefined)));
+            // The random part keeps entries from polling the same endpoint at the same instant.
+            await this.clock.sleepUntil(this.clock.now() + pollIntervalMs * (0.75 + 0.5 * this.random.next()));
+        }
+    }
+
+    private async observe(endpoint: Endpoint): Promise<void> {
+        const load = await this.get(endpoint, "/v1/load", loadSchema);
+        const now = this.clock.now();
+        this.current.acceptReport(endpoint.id, {
+            measuredAt: Math.min(load.at, now),
+            waitingTokens: { high: 0, normal: load.queuedPrefillTokens, low: 0 },
+            requests: load.running + load.queued,
+            prefillTokensPerMs: assumedPrefillTokensPerMs,
+        });
+        if (endpoint.kind === "engine") {
+            await this.observeCache(endpoint);
+        }
+    }
+
+    private async observeCache(endpoint: Endpoint): Promise<void> {
+        const after = this.lastSequence.get(endpoint.id) ?? 0;
+        const { events } = await this.get(endpoint, `/v1/cache/events?after=${after}`, eventsSchema);
+        for (const event of events) {
+            const blocks = event.blocks.map(parseBlock);
+            this.current.acceptCacheBatch(endpoint.id, {
+                generation: 1,
+                sequence: event.sequence,
+                stored: event.kind === "stored" ? blocks : [],
+                removed: event.kind === "evicted" ? blocks : [],
+            }, this.clock.now());
+            this.lastSequence.set(endpoint.id, event.sequence);
+        }
+        if (this.current.takeSnapshotRequests(this.clock.now(), [endpoint.id]).length > 0) {
+            const listing = await this.get(endpoint, "/v1/cache", listingSchema);
+            const snapshot = { generation: 1, sequence: listing.sequence, blocks: listing.blocks.map(parseBlock) };
+            this.current.acceptCacheSnapshot(endpoint.id, snapshot, this.clock.now());
+            this.lastSequence.set(endpoint.id, listing.sequence);
+        }
+    }
+
+    private async get<T extends z.ZodType>(endpoint: Endpoint, path: string, schema: T): Promise<z.infer<T>> {
+        const deadline = this.clock.now() + pollDeadlineMs;
+        const abort = new AbortController();
+        const timer = this.clock.schedule(deadline, () => abort.abort());
+        try {
+            const res = await this.upstream.send({
+                endpoint,
+                method: "GET",
+                path,
+                headers: {},
+                deadline,
+                signal: abort.signal,
+            });
+            return schema.parse(JSON.parse((await readBody(res, answerLimitBytes)).toString("utf8")));
+        }
+        finally {
+            timer.cancel();
+        }
+    }
+}
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -1,4 +1,24 @@
-/**
- * The entry process: address lookup, admission, relay.
- */
-export {};
+/** The entry process: address lookup, admission, relay. */
+export * from "./address-handler.ts";
+export * from "./address-lookup.ts";
+export * from "./admission.ts";
+export * from "./bounded-admission.ts";
+export * from "./caller-error.ts";
+export * from "./chat-handler.ts";
+export * from "./chat-stream.ts";
+export * from "./configuration-subscriber.ts";
+export * from "./drain-gate.ts";
+export * from "./endpoint-observer.ts";
+export * from "./engine-selector.ts";
+export * from "./entry-methods.ts";
+export * from "./idempotent-call.ts";
+export * from "./leaving-list.ts";
+export * from "./once-call.ts";
+export * from "./request-gate.ts";
+export * from "./rpc-claim-transport.ts";
+export * from "./service-calls.ts";
+export * from "./service-dispatcher.ts";
+export * from "./service-handler.ts";
+export * from "./silence-monitor.ts";
+export * from "./stream-table.ts";
+export * from "./upstream.ts";
--- /dev/null
+++ b/packages/entry/src/service-handler.ts
@@ -0,0 +1,135 @@
+import type { ClaimCoordinator } from "@lentilramp/claims";
+import type { Configuration, Operation } from "@lentilramp/configuration";
+import { readBody, type RouteParams, sendJson } from "@lentilramp/protocol";
+import type { Clock, EventLog } from "@lentilramp/runtime";
+import type { IncomingMessage, ServerResponse } from "node:http";
+import type { Admission, Release } from "./admission.ts";
+import { CallerError, sendCallerError } from "./caller-error.ts";
+import type { ConfigurationSubscriber } from "./configuration-subscriber.ts";
+import type { IdempotentCaller } from "./idempotent-call.ts";
+import { describeCallState, type OnceCaller, replayOutcome } from "./once-call.ts";
+import { parseJson, type RequestContext } from "./request-context.ts";
+import type { RequestGate } from "./request-gate.ts";
+import type { ServiceAnswer, ServiceCall } from "./service-dispatcher.ts";
+
+const defaultDeadlineMs = 10_000;
+const queryMs = 1_000;
+const clockRetryMs = 5_000;
+
+export interface ServiceHandlerParts {
+    gate: RequestGate;
+    admission: Admission;
+    idempotent: IdempotentCaller;
+    once: OnceCaller;
+    coordinator: ClaimCoordinator;
+    subscriber: ConfigurationSubscriber;
+    clock: Clock;
+    log: EventLog;
+    bodyLimitBytes: number;
+}
+
+function findOperation(configuration: Configuration, params: RouteParams): Operation {
+    const service = configuration.services.find(other => other.name === params.service);
+    if (service === undefined || service.lifecycle === "draining" || service.lifecycle === "released") {
+        throw new CallerError(404, "unknown-service", `service ${params.service} is not served here`, "not-run");
+    }
+    const operation = service.operations.find(other => other.name === params.operation);
+    if (operation === undefined) {
+        throw new CallerError(404, "unknown-operation", `service ${service.name} has no operation ${params.operation}`, "not-run");
+    }
+    return operation;
+}
+
+function sendAnswer(res: ServerResponse, answer: ServiceAnswer): void {
+    res.writeHead(answer.status, {
+        "content-type": answer.contentType,
+        "content-length": answer.body.length,
+        "x-endpoint": answer.endpoint,
+    });
+    res.end(answer.body);
+}
+
+/** Handles plain service calls and questions about the outcome of a key. */
+export class ServiceHandler {
+    constructor(private readonly parts: ServiceHandlerParts) {}
+
+    async handle(req: IncomingMessage, res: ServerResponse, params: RouteParams): Promise<void> {
+        const { gate, admission, log } = this.parts;
+        const key = req.headers["idempotency-key"];
+        let release: Release | undefined;
+        try {
+            const { configuration, context } = gate.open(req, defaultDeadlineMs);
+            const operation = findOperation(configuration, params);
+            const body = await readBody(req, this.parts.bodyLimitBytes);
+            parseJson(body);
+            this.checkKey(operation, context);
+            release = await admission.enter(context, { kind: "service", tokens: 1 });
+            gate.count(true);
+            const call = { service: params.service ?? "", operation: operation.name, body, context };
+            sendAnswer(res, await this.execute(configuration, operation, call));
+            release(true);
+        }
+        catch (err) {
+            if (!(err instanceof CallerError)) {
+                release?.(false);
+                throw err;
+            }
+            // A refusal before the claim leaves a key open, so nothing final can be said about it.
+            const refusedBeforeClaim = release === undefined && key !== undefined && err.run === "not-run";
+            release?.(false);
+            gate.count(false);
+            log.info("request.failed", { kind: "service", type: err.type, run: err.run, message: err.message });
+            req.resume();
+            sendCallerError(res, refusedBeforeClaim ? err.withRun("undecided") : err);
+        }
+    }
+
+    /** Answers `GET /v1/requests/{key}`; with `seal`, a call that no claimant has won is sealed as not run. */
+    async handleQuery(res: ServerResponse, params: RouteParams, seal: boolean): Promise<void> {
+        const { coordinator, clock } = this.parts;
+        const deadline = clock.now() + queryMs;
+        const key = params.key ?? "";
+        const state = seal ? await coordinator.seal(key, deadline) : await coordinator.query(key, deadline);
+        try {
+            if (state.kind !== "completed") {
+                throw describeCallState(state);
+            }
+            sendAnswer(res, replayOutcome(state.outcome));
+        }
+        catch (err) {
+            if (!(err instanceof CallerError)) {
+                throw err;
+            }
+            sendJson(res, 200, { state: err.run, ...err.body });
+        }
+    }
+
+    private checkKey(operation: Operation, context: RequestContext): void {
+        if (operation.idempotent) {
+            return;
+        }
+        if (context.key === undefined) {
+            throw new CallerError(
+                400,
+                "key-required",
+                `operation ${operation.name} is non-idempotent and needs idempotency-key, a UUIDv7`,
+                "not-run",
+            );
+        }
+        if (!this.parts.subscriber.clockAgrees) {
+            throw new CallerError(503, "no-permit", "the clock of this entry is wrong; use another address", "undecided", clockRetryMs);
+        }
+    }
+
+    private async execute(configuration: Configuration, operation: Operation, call: ServiceCall): Promise<ServiceAnswer> {
+        const { context } = call;
+        if (!operation.idempotent && context.key !== undefined) {
+            return await this.parts.once.call(configuration, call, context.key);
+        }
+        const route = configuration.routes.find(other =>
+            other.target.kind === "service" && other.target.service === call.service
+            && other.target.operation === operation.name
+        );
+        return await this.parts.idempotent.call(configuration, route, call);
+    }
+}
--- /dev/null
+++ b/packages/entry/src/stream-table.ts
@@ -0,0 +1,38 @@
+import type { ChatStream } from "./chat-stream.ts";
+
+/** Streams in progress at this entry. */
+export class StreamTable {
+    private readonly streams = new Set<ChatStream>();
+
+    get size(): number {
+        return this.streams.size;
+    }
+
+    add(stream: ChatStream): void {
+        this.streams.add(stream);
+    }
+
+    remove(stream: ChatStream): void {
+        this.streams.delete(stream);
+    }
+
+    /** Streams whose current attempt is at the endpoint. */
+    at(endpointId: string): ChatStream[] {
+        return [...this.streams].filter(stream => stream.endpoint?.id === endpointId);
+    }
+
+    /** Streams of a workspace. */
+    of(workspace: string): ChatStream[] {
+        return [...this.streams].filter(stream => stream.context.workspace === workspace);
+    }
+
+    /** Number of streams at each endpoint, for the dump. */
+    countByEndpoint(): Record<string, number> {
+        const counts: Record<string, number> = {};
+        for (const stream of this.streams) {
+            const id = stream.endpoint?.id ?? "none";
+            counts[id] = (counts[id] ?? 0) + 1;
+        }
+        return counts;
+    }
+}
--- a/scripts/package-layers.mjs
+++ b/scripts/package-layers.mjs
@@ -21,7 +21,7 @@
     protocol: ["runtime"],
     entry: ["runtime", "settings", "protocol", ...decisions],
     control: ["runtime", "settings", "protocol", "agreement", "journal", "claims", "configuration", "placement"],
-    cli: ["runtime", "settings", "protocol", "questionnaire", "entry", "control", "configuration"],
+    cli: ["runtime", "settings", "protocol", "questionnaire", "entry", "control", "journal", ...decisions],
     "stand-ins": ["runtime"],
     "model-check": ["runtime", "agreement", ...decisions],
     bench: ["runtime", "agreement", "journal", "protocol", "entry", "stand-ins", ...decisions],
