--- a/packages/stand-ins/src/engine/model-engine.ts
+++ b/packages/stand-ins/src/engine/model-engine.ts
@@ -145,7 +145,7 @@
         const order = await exchange.json(engineOrder);
         this.orders.accept(order, this.clock.now());
         exchange.reply(202, { accepted: true, fencingNumber: order.fencingNumber });
-        await this.carryOut(order);
+        await this.carryOut(order).catch(() => this.orders.failed.push(order));
     }
 
     private async carryOut(order: EngineOrder): Promise<void> {
--- a/packages/stand-ins/src/engine/order-book.ts
+++ b/packages/stand-ins/src/engine/order-book.ts
@@ -19,6 +19,8 @@
     readonly adapters = new Set<string>();
     readonly models: Set<string>;
     readonly accepted: EngineOrder[] = [];
+    /** Accepted orders that could not be carried out, for example because the weight store refused the transfer. */
+    readonly failed: EngineOrder[] = [];
 
     constructor(models: readonly string[], private readonly checkFencing: boolean) {
         this.models = new Set(models);
@@ -68,6 +70,7 @@
             highestFencingNumber: this.highestFencingNumber,
             checksFencing: this.checkFencing,
             accepted: this.accepted,
+            failed: this.failed,
         };
     }
 }
--- a/packages/stand-ins/tests/model-engine.test.ts
+++ b/packages/stand-ins/tests/model-engine.test.ts
@@ -1,5 +1,12 @@
 import type { Address } from "@lentilramp/stand-ins";
-import { expectedTokens, ModelEngine, promptBlocks, promptTokens, requestJson } from "@lentilramp/stand-ins";
+import {
+    expectedTokens,
+    ModelEngine,
+    promptBlocks,
+    promptTokens,
+    requestJson,
+    WeightStore,
+} from "@lentilramp/stand-ins";
 import { expect } from "chai";
 import { readStream, textOf } from "./engine-client.ts";
 
@@ -184,6 +191,28 @@
         expect(await statuses(await start({ checkFencing: false }))).to.deep.equal([202, 202, 202, 410]);
     });
 
+    // Guards against an order that is lost when the weight store refuses, and against one that skips the store.
+    it("loads a model from the weight store and records an order that fails", async () => {
+        const store = new WeightStore({ weights: { small: 10 } });
+        const address = await start({ models: ["first"], weightStore: await store.start() });
+        const order = (target: string) => ({
+            kind: "load-model",
+            target,
+            fencingNumber: 1,
+            expiresAt: Date.now() + 60_000,
+        });
+        await requestJson(address, "POST", "/v1/orders", order("small"));
+        await requestJson(address, "POST", "/v1/orders", order("missing"));
+        let state: { models: string[]; failed: unknown[]; };
+        do {
+            state = (await requestJson(address, "GET", "/v1/orders")).body as typeof state;
+        }
+        while (state.models.length < 2 || state.failed.length < 1);
+        expect(state.models).to.deep.equal(["first", "small"]);
+        await store.close();
+        expect((await readStream(address, { ...body, model: "missing" })).status).to.equal(404);
+    });
+
     // Guards against tests that take a frozen engine for a dead one: a frozen engine continues after the freeze.
     it("produces nothing while frozen and continues after the thaw", async () => {
         const address = await start();
