--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -1,6 +1,7 @@
 /**
  * Small fakes of engines, services, weight store, cloud API and instance list; docs/protocols.md gives their routes.
  */
+export { BatchScheduler, type Sequence, type StepPlan } from "./engine/batch-scheduler.ts";
 export { chatBody, chatFingerprint, type ChatInput, expectedTokens } from "./engine/chat-body.ts";
 export { promptBlocks, promptTokens, tokensPerBlock } from "./engine/chat-body.ts";
 export { engineOptions } from "./engine/engine-options.ts";
