Add failure detection among entry instances

Change: SWIM with suspicion, incarnation numbers and indirect probes, Lifeguard's local health multiplier and nacks, bounded piggybacking, a msgpack codec with HMAC under 1,200 bytes, paged join, candidates and leaving marks from the platform's list, graceful leave and rejoin. A node that gets no direct answer repeats its ping along with the indirect probes; a join continues after a lost page with any other node.

--- a/packages/membership/src/index.ts
+++ b/packages/membership/src/index.ts
@@ -1,4 +1,8 @@
 /**
  * Failure detection among entry instances.
  */
-export {};
+export * from "./codec.ts";
+export * from "./member.ts";
+export * from "./membership-node.ts";
+export * from "./message.ts";
+export * from "./options.ts";
