--- a/packages/cli/src/commands/approve.ts
+++ b/packages/cli/src/commands/approve.ts
@@ -28,7 +28,11 @@
 }
 
 /** Waits until all reachable entries hold the version, and reports progress. */
-async function waitInForce(client: OperatorClient, version: number, output: Output): Promise<{ spread: Spread[]; tookMs: number }> {
+async function waitInForce(
+    client: OperatorClient,
+    version: number,
+    output: Output,
+): Promise<{ spread: Spread[]; tookMs: number; }> {
     const start = client.now();
     let shown = "";
     for (;;) {
--- a/packages/cli/src/commands/drain.ts
+++ b/packages/cli/src/commands/drain.ts
@@ -15,9 +15,13 @@
 }
 
 async function countInFlight(client: OperatorClient, id: string): Promise<number> {
-    const counts = await Promise.all(client.entries.map(entry =>
-        client.call(entry, "entry.inFlight", { kind: "endpoint", id }, inFlightSchema).then(answer => answer.inFlight).catch(() => 0)
-    ));
+    const counts = await Promise.all(
+        client.entries.map(entry =>
+            client.call(entry, "entry.inFlight", { kind: "endpoint", id }, inFlightSchema).then(answer =>
+                answer.inFlight
+            ).catch(() => 0)
+        ),
+    );
     return counts.reduce((sum, count) => sum + count, 0);
 }
 
@@ -62,7 +66,11 @@
     }
     return await withClient(options, async client => {
         const operationId = options.operationId ?? `hand-over-${kind}-${id}-${step}-${randomUUID()}`;
-        const result = await client.callLeader("endpoint.handOver", { operationId, kind, id, step }, commandResultSchema);
+        const result = await client.callLeader(
+            "endpoint.handOver",
+            { operationId, kind, id, step },
+            commandResultSchema,
+        );
         if (!result.ok) {
             throw new CommandError(exitCodes.failed, `refused (${result.error}): ${result.message}`);
         }
--- a/packages/cli/src/commands/generate.ts
+++ b/packages/cli/src/commands/generate.ts
@@ -41,9 +41,13 @@
         writeFileSync(options.out, `${JSON.stringify(proposal, undefined, 4)}\n`);
     }
     output.result(options.out === undefined ? proposal : { ...proposal, configuration: undefined, file: options.out }, [
-        `version in force ${inForce.version}, ${difference.length === 0 ? "no change" : `${difference.length} changes`}`,
+        `version in force ${inForce.version}, ${
+            difference.length === 0 ? "no change" : `${difference.length} changes`
+        }`,
         ...difference.map(line => `  ${line}`),
-        ...(options.out === undefined ? [] : [`proposal written to ${options.out}; approve it with: lentilramp approve ${options.out}`]),
+        ...(options.out === undefined
+            ? []
+            : [`proposal written to ${options.out}; approve it with: lentilramp approve ${options.out}`]),
     ]);
     return exitCodes.ok;
 }
--- a/packages/cli/src/commands/lookup.ts
+++ b/packages/cli/src/commands/lookup.ts
@@ -5,13 +5,20 @@
 const timeoutMs = 2_000;
 
 /** Performs a GET request and returns the body of a 200 answer. */
-export function httpGet(address: string, path: string, headers: Readonly<Record<string, string>> = {}): Promise<string> {
+export function httpGet(
+    address: string,
+    path: string,
+    headers: Readonly<Record<string, string>> = {},
+): Promise<string> {
     return new Promise((resolve, reject) => {
         const req = request(`http://${address}${path}`, { headers, timeout: timeoutMs }, res => {
             let body = "";
             res.setEncoding("utf8");
             res.on("data", (part: string) => body += part);
-            res.on("end", () => res.statusCode === 200 ? resolve(body) : reject(new Error(`status ${res.statusCode}: ${body}`)));
+            res.on(
+                "end",
+                () => res.statusCode === 200 ? resolve(body) : reject(new Error(`status ${res.statusCode}: ${body}`)),
+            );
         });
         req.on("timeout", () => req.destroy(new Error(`no answer within ${timeoutMs} ms`)));
         req.on("error", reject);
@@ -20,7 +27,7 @@
 }
 
 interface LookupResult {
-    addresses: { host: string; port: number; failureDomain: string }[];
+    addresses: { host: string; port: number; failureDomain: string; }[];
     validUntil: number;
 }
 
--- a/packages/cli/src/commands/serve.ts
+++ b/packages/cli/src/commands/serve.ts
@@ -38,7 +38,10 @@
         await lifecycle.start();
     }
     catch (err) {
-        throw new CommandError(exitCodes.failed, `${settings.value.name} did not start: ${err instanceof Error ? err.message : String(err)}`);
+        throw new CommandError(
+            exitCodes.failed,
+            `${settings.value.name} did not start: ${err instanceof Error ? err.message : String(err)}`,
+        );
     }
     await stopped;
     return exitCodes.ok;
--- a/packages/cli/src/commands/status.ts
+++ b/packages/cli/src/commands/status.ts
@@ -21,7 +21,11 @@
 
 function cell(status: Status | undefined, key: string): string {
     const value = status?.[key];
-    return value === undefined ? "-" : typeof value === "object" ? JSON.stringify(value) : String(value as string | number | boolean);
+    return value === undefined
+        ? "-"
+        : typeof value === "object"
+        ? JSON.stringify(value)
+        : String(value as string | number | boolean);
 }
 
 function tableOf(readings: readonly Reading[], columns: readonly string[]): string[] {
@@ -43,7 +47,9 @@
         const endpoints = current?.configuration.endpoints ?? [];
         const versions = [...new Set(entries.flatMap(entry => entry.status?.version as number | undefined ?? []))];
         const lines = [
-            `version ${current?.configuration.version ?? "unknown"}; in force at entries: ${versions.sort((a, b) => a - b).join(", ") || "none"}`,
+            `version ${current?.configuration.version ?? "unknown"}; in force at entries: ${
+                versions.sort((a, b) => a - b).join(", ") || "none"
+            }`,
             "",
             ...tableOf(control, ["role", "term", "version", "commitIndex", "subscriptions"]),
             "",
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -38,7 +38,7 @@
 
 cli.command("serve", "Run one process")
     .option("--settings <file>", "Settings of the process")
-    .action((options: { settings?: string }) =>
+    .action((options: { settings?: string; }) =>
         run(() => {
             if (options.settings === undefined) {
                 throw new CommandError(exitCodes.usage, "give --settings FILE");
@@ -65,7 +65,9 @@
         run(() => approve(file, options, new Output(options.json === true)))
     );
 cli.command("status", "Show the state of a deployment")
-    .action((options: ConnectionOptions & CommonOptions) => run(() => status(options, new Output(options.json === true))));
+    .action((options: ConnectionOptions & CommonOptions) =>
+        run(() => status(options, new Output(options.json === true)))
+    );
 cli.command("dump <address>", "Print the state of one process (HOST:PORT)")
     .action((address: string, options: ConnectionOptions) => run(() => dump(address, options.key ?? "process.key")));
 cli.command("drain <endpoint>", "Stop new work to an endpoint")
--- a/packages/cli/src/operator-client.ts
+++ b/packages/cli/src/operator-client.ts
@@ -52,7 +52,7 @@
         const answers = options.deployment === undefined
             ? undefined
             : readQuestionnaire(join(options.deployment, "questionnaire.json"));
-        const named = (list: readonly { id: string; host: string; port: number }[] = []) =>
+        const named = (list: readonly { id: string; host: string; port: number; }[] = []) =>
             list.map(({ id, host, port }) => ({ name: id, host, port }));
         const control = options.control?.split(",").map(parseAddress) ?? named(answers?.control);
         if (control.length === 0) {
@@ -72,7 +72,12 @@
     }
 
     /** Calls one process; throws an RpcError. */
-    async call<R extends z.ZodType>(peer: PeerAddress, method: string, params: unknown, result: R): Promise<z.infer<R>> {
+    async call<R extends z.ZodType>(
+        peer: PeerAddress,
+        method: string,
+        params: unknown,
+        result: R,
+    ): Promise<z.infer<R>> {
         return await this.client.call(peer, method, params, result, this.clock.now() + callMs);
     }
 
@@ -123,7 +128,10 @@
 }
 
 /** Runs `action` with a client that is closed afterwards. */
-export async function withClient<T>(options: ConnectionOptions, action: (client: OperatorClient) => Promise<T>): Promise<T> {
+export async function withClient<T>(
+    options: ConnectionOptions,
+    action: (client: OperatorClient) => Promise<T>,
+): Promise<T> {
     const client = OperatorClient.open(options);
     try {
         return await action(client);
--- a/packages/cli/src/wire-control.ts
+++ b/packages/cli/src/wire-control.ts
@@ -45,7 +45,14 @@
         this.folder = folder;
         const claims = await ClaimService.open(folder, clock, log);
         claims.attach(server);
-        const founding = new GroupFounding(folder.identity, settings, await folder.openMetadata("founding"), client, clock, log);
+        const founding = new GroupFounding(
+            folder.identity,
+            settings,
+            await folder.openMetadata("founding"),
+            client,
+            clock,
+            log,
+        );
         const methods = new ControlMethods(server, founding);
         const storage = await AgreementStorage.open(folder, await founding.initialState());
         const replicated = new ReplicatedConfiguration(clock, log);
--- a/packages/cli/src/wire.ts
+++ b/packages/cli/src/wire.ts
@@ -65,7 +65,9 @@
     }));
     http.route("GET", "/dump", async (req, res) => {
         if (!key.matches(req.headers.authorization)) {
-            sendJson(res, 401, { error: { type: "unauthorized", message: "the process key is required", run: "not-run" } });
+            sendJson(res, 401, {
+                error: { type: "unauthorized", message: "the process key is required", run: "not-run" },
+            });
             return;
         }
         sendJson(res, 200, dump.collect());
--- a/packages/control/src/agreement-driver.ts
+++ b/packages/control/src/agreement-driver.ts
@@ -204,7 +204,9 @@
                 proposal.resolve(result);
             }
             else {
-                proposal?.reject(new ControlError("not-leader", "another leader replaced the command before it was committed"));
+                proposal?.reject(
+                    new ControlError("not-leader", "another leader replaced the command before it was committed"),
+                );
             }
         }
     }
@@ -216,7 +218,12 @@
         for (const [index, proposal] of this.waiting) {
             if (index <= snapshot.index) {
                 this.waiting.delete(index);
-                proposal.reject(new ControlError("unknown", "the outcome was replaced by a snapshot; ask again with the operation id"));
+                proposal.reject(
+                    new ControlError(
+                        "unknown",
+                        "the outcome was replaced by a snapshot; ask again with the operation id",
+                    ),
+                );
             }
         }
     }
--- a/packages/control/src/claim-generation-keeper.ts
+++ b/packages/control/src/claim-generation-keeper.ts
@@ -56,7 +56,8 @@
             })
             .sort((a, b) => a.identity < b.identity ? -1 : 1);
         const newest = configuration.claimGenerations.at(-1);
-        const same = newest?.replicas.map(replica => replica.identity).join() === replicas.map(replica => replica.identity).join();
+        const same = newest?.replicas.map(replica => replica.identity).join()
+            === replicas.map(replica => replica.identity).join();
         // A group of voters that is being repaired is smaller for a moment; a generation would outlive that.
         if (same || (newest !== undefined && replicas.length < newest.replicas.length)) {
             return;
@@ -65,7 +66,9 @@
         const fromIssueTime = newest === undefined ? 0 : this.clock.now() + claimGenerationLeadMs + leadMarginMs;
         const result = await this.proposer.propose({
             type: "propose",
-            operationId: `claim-generation-${generation}-${replicas.map(replica => replica.identity.slice(0, 8)).join("-")}-${configuration.version}`,
+            operationId: `claim-generation-${generation}-${
+                replicas.map(replica => replica.identity.slice(0, 8)).join("-")
+            }-${configuration.version}`,
             baseVersion: configuration.version,
             change: { upserts: { claimGenerations: [{ generation, fromIssueTime, replicas }] } },
         });
--- a/packages/control/src/claim-service.ts
+++ b/packages/control/src/claim-service.ts
@@ -1,9 +1,15 @@
-import { type ClaimMessage, ClaimReplica, type ClaimReply, ClaimStorage, DurableClaimReplica, snapshotDue } from "@lentilramp/claims";
+import {
+    type ClaimMessage,
+    ClaimReplica,
+    type ClaimReply,
+    ClaimStorage,
+    DurableClaimReplica,
+    snapshotDue,
+} from "@lentilramp/claims";
 import type { DataFolder, Journal } from "@lentilramp/journal";
 import { claimMessageSchema, encodeClaimValue, type RpcServer } from "@lentilramp/protocol";
 import { type Clock, Component, type EventLog, type Timer } from "@lentilramp/runtime";
 
-
 const maintenanceMs = 1_000;
 
 class JournalClaimStorage extends ClaimStorage {
@@ -51,7 +57,11 @@
     /** Adds the methods `claim.write`, `claim.outcome`, `claim.seal` and `claim.read`. */
     attach(server: RpcServer): void {
         for (const kind of ["write", "outcome", "seal", "read"] as const) {
-            server.method(`claim.${kind}`, claimMessageSchema, async message => encodeClaimValue(await this.handle(message)));
+            server.method(
+                `claim.${kind}`,
+                claimMessageSchema,
+                async message => encodeClaimValue(await this.handle(message)),
+            );
         }
     }
 
--- a/packages/control/src/control-methods.ts
+++ b/packages/control/src/control-methods.ts
@@ -40,7 +40,11 @@
 
     constructor(private readonly server: RpcServer, private readonly founding: GroupFounding) {
         server.method("control.identity", z.object({}), async () => this.founding.answer());
-        server.method("status", z.object({}), async () => this.parts === undefined ? { state: "waiting" } : controlStatus(this.parts));
+        server.method(
+            "status",
+            z.object({}),
+            async () => this.parts === undefined ? { state: "waiting" } : controlStatus(this.parts),
+        );
     }
 
     /** Adds the methods that need the agreement member. */
@@ -63,9 +67,13 @@
                 await driver.read();
                 return { configuration: replicated.store.configuration };
             }));
-        this.server.method("control.join", z.object({ identity: z.string(), address: memberAddressSchema }), async join => {
-            return { accepted: repair.request(join) };
-        });
+        this.server.method(
+            "control.join",
+            z.object({ identity: z.string(), address: memberAddressSchema }),
+            async join => {
+                return { accepted: repair.request(join) };
+            },
+        );
         this.attachCommands(parts);
     }
 
--- a/packages/control/src/group-founding.ts
+++ b/packages/control/src/group-founding.ts
@@ -1,8 +1,8 @@
 import { foundingState, joiningState, type Membership, type StoredState } from "@lentilramp/agreement";
 import type { MetadataFile } from "@lentilramp/journal";
 import { type PeerAddress, type RpcClient } from "@lentilramp/protocol";
-import type { ControlSettings } from "@lentilramp/settings";
 import { type Clock, type EventLog } from "@lentilramp/runtime";
+import type { ControlSettings } from "@lentilramp/settings";
 import { decode, encode } from "@msgpack/msgpack";
 import { z } from "zod";
 import { encodeMemberAddress, type MemberAddress } from "./member-directory.ts";
@@ -89,7 +89,7 @@
         return membership.members.length === 0 ? joiningState() : foundingState(membership.members);
     }
 
-    private async askAll(): Promise<{ member: MemberAddress; answer: IdentityAnswer | undefined }[]> {
+    private async askAll(): Promise<{ member: MemberAddress; answer: IdentityAnswer | undefined; }[]> {
         return await Promise.all(this.settings.members.map(async member => ({
             member,
             answer: member.name === this.settings.name ? this.answer() : await this.ask(member),
@@ -98,7 +98,13 @@
 
     private async ask(peer: PeerAddress): Promise<IdentityAnswer | undefined> {
         try {
-            return await this.client.call(peer, "control.identity", {}, identityAnswerSchema, this.clock.now() + callMs);
+            return await this.client.call(
+                peer,
+                "control.identity",
+                {},
+                identityAnswerSchema,
+                this.clock.now() + callMs,
+            );
         }
         catch {
             return undefined;
--- a/packages/control/src/in-flight-survey.ts
+++ b/packages/control/src/in-flight-survey.ts
@@ -13,11 +13,13 @@
     /** Returns the sum, or undefined when an entry does not answer. */
     async count(configuration: Configuration, kind: HandOverKind, id: string): Promise<number | undefined> {
         const deadline = this.clock.now() + callMs;
-        const counts = await Promise.all(configuration.entries.map(entry =>
-            this.client.call(entry, "entry.inFlight", { kind, id }, inFlightAnswerSchema, deadline)
-                .then(answer => answer.inFlight)
-                .catch(() => undefined)
-        ));
+        const counts = await Promise.all(
+            configuration.entries.map(entry =>
+                this.client.call(entry, "entry.inFlight", { kind, id }, inFlightAnswerSchema, deadline)
+                    .then(answer => answer.inFlight)
+                    .catch(() => undefined)
+            ),
+        );
         return counts.reduce<number | undefined>(
             (sum, count) => sum === undefined || count === undefined ? undefined : sum + count,
             0,
--- a/packages/control/src/membership-repair.ts
+++ b/packages/control/src/membership-repair.ts
@@ -90,7 +90,11 @@
             await this.driver.changeMembership({ kind: "remove", id: old.id });
             this.log.warn("control.member-removed", { name: address.name, identity: old.id, reason: "disk lost" });
         }
-        await this.driver.changeMembership({ kind: "add-learner", id: identity, address: encodeMemberAddress(address) });
+        await this.driver.changeMembership({
+            kind: "add-learner",
+            id: identity,
+            address: encodeMemberAddress(address),
+        });
         this.log.info("control.member-added", { name: address.name, identity });
     }
 
--- /dev/null
+++ b/packages/demo/src/child-process.ts
@@ -0,0 +1,60 @@
+import { type ChildProcess, spawn } from "node:child_process";
+import { once } from "node:events";
+import { createWriteStream } from "node:fs";
+
+const startLimitMs = 30_000;
+
+/** A process of the demo, with its log in a file. */
+export class DemoProcess {
+    private constructor(readonly name: string, private readonly child: ChildProcess) {}
+
+    /** Starts a process; resolves when `isReady` accepts a line of its output. */
+    static async start(
+        name: string,
+        command: readonly string[],
+        folder: string,
+        isReady: (line: string) => boolean,
+    ): Promise<DemoProcess> {
+        const [file = "", ...args] = command;
+        const child = spawn(file, args, { cwd: folder, stdio: ["ignore", "pipe", "pipe"] });
+        const log = createWriteStream(`${folder}/${name}.log`, { flags: "a" });
+        const started = new DemoProcess(name, child);
+        await new Promise<void>((resolve, reject) => {
+            const timer = setTimeout(
+                () => reject(new Error(`${name} was not ready after ${startLimitMs} ms`)),
+                startLimitMs,
+            );
+            let rest = "";
+            const onOutput = (part: Buffer): void => {
+                log.write(part);
+                const lines = (rest + part.toString("utf8")).split("\n");
+                rest = lines.pop() ?? "";
+                if (lines.some(isReady)) {
+                    clearTimeout(timer);
+                    resolve();
+                }
+            };
+            child.stdout?.on("data", onOutput);
+            child.stderr?.on("data", onOutput);
+            child.on("error", reject);
+            child.on("exit", status => {
+                clearTimeout(timer);
+                reject(new Error(`${name} ended with status ${status}; see ${folder}/${name}.log`));
+            });
+        });
+        return started;
+    }
+
+    get isRunning(): boolean {
+        return this.child.exitCode === null && this.child.signalCode === null; // eslint-disable-line no-restricted-syntax
+    }
+
+    /** Sends a signal and waits for the end of the process. */
+    async stop(signal: NodeJS.Signals): Promise<void> {
+        if (this.isRunning) {
+            const ended = once(this.child, "exit");
+            this.child.kill(signal);
+            await ended;
+        }
+    }
+}
--- /dev/null
+++ b/packages/demo/src/main.ts
@@ -0,0 +1,76 @@
+import { cac } from "cac";
+import { existsSync } from "node:fs";
+import { Scenario } from "./scenario.ts";
+
+const deployments = ["fjordlys", "kokosinjac"];
+const usageError = 2;
+
+interface Options {
+    deployment?: string;
+    seed: number;
+    json?: boolean;
+}
+
+interface Row {
+    deployment: string;
+    name: string;
+    tried: number;
+    held: number;
+}
+
+async function runAll(
+    names: readonly string[],
+    options: Options,
+): Promise<{ rows: Row[]; problems: string[]; held: boolean; }> {
+    const rows: Row[] = [];
+    const problems: string[] = [];
+    let held = true;
+    for (const name of names) {
+        const start = Date.now();
+        const progress = (line: string): void =>
+            console.error(`[${name} ${((Date.now() - start) / 1_000).toFixed(1)} s] ${line}`);
+        const scenario = new Scenario(name, options.seed, progress);
+        await scenario.run();
+        progress("ended");
+        rows.push(...scenario.ledger.promises.map(promise => ({ deployment: name, ...promise })));
+        problems.push(...scenario.ledger.problems.map(problem => `${name}: ${problem}`));
+        held &&= scenario.ledger.allHeld;
+    }
+    return { rows, problems, held };
+}
+
+function printTable(rows: readonly Row[], problems: readonly string[]): void {
+    for (const { deployment, name, tried, held } of rows) {
+        const verdict = tried === 0 ? "NOT TRIED" : tried === held ? "held" : "BROKEN";
+        console.log(
+            `${deployment.padEnd(11)} ${verdict.padEnd(9)} ${String(held).padStart(5)} of ${
+                String(tried).padEnd(5)
+            } ${name}`,
+        );
+    }
+    problems.slice(0, 20).forEach(problem => console.log(`  ${problem}`));
+}
+
+const cli = cac("npm run demo --");
+cli.command("", "Run the deployments on loopback through failures and count which promises held")
+    .option("--deployment <name>", `One of ${deployments.join(", ")}; all in turn when left out`)
+    .option("--seed <n>", "Seed of the workload", { default: 1 })
+    .option("--json", "Print one JSON document")
+    .action(async (options: Options) => {
+        const names = options.deployment === undefined ? deployments : [options.deployment];
+        if (names.some(name => !deployments.includes(name)) || !existsSync("dist/lentilramp")) {
+            console.error(`name one of ${deployments.join(", ")}, after npm run build`);
+            process.exitCode = usageError;
+            return;
+        }
+        const { rows, problems, held } = await runAll(names, options);
+        if (options.json === true) {
+            console.log(JSON.stringify({ promises: rows, problems, held }, undefined, 4));
+        }
+        else {
+            printTable(rows, problems);
+        }
+        process.exitCode = held ? 0 : 1;
+    });
+cli.help();
+cli.parse();
--- a/packages/entry/src/address-handler.ts
+++ b/packages/entry/src/address-handler.ts
@@ -22,9 +22,16 @@
     handle(res: ServerResponse): void {
         const { configuration } = this.subscriber.view;
         if (configuration === undefined) {
-            sendCallerError(res, new CallerError(503, "no-permit", "this entry has no configuration yet", "not-run", retryMs));
+            sendCallerError(
+                res,
+                new CallerError(503, "no-permit", "this entry has no configuration yet", "not-run", retryMs),
+            );
             return;
         }
-        sendJson(res, 200, lookUpAddresses(configuration.entries, this.usable, this.ownDomain, this.rotation++, this.clock.now()));
+        sendJson(
+            res,
+            200,
+            lookUpAddresses(configuration.entries, this.usable, this.ownDomain, this.rotation++, this.clock.now()),
+        );
     }
 }
--- a/packages/entry/src/address-lookup.ts
+++ b/packages/entry/src/address-lookup.ts
@@ -5,7 +5,7 @@
 const maxAddresses = 4;
 
 export interface LookupAnswer {
-    addresses: { host: string; port: number; failureDomain: string }[];
+    addresses: { host: string; port: number; failureDomain: string; }[];
     /** Instant until which the answer may be kept, in milliseconds since the epoch. */
     validUntil: number;
 }
@@ -33,7 +33,11 @@
     const [second, ...restOthers] = others;
     const ordered = [first, second, ...restOwn, ...restOthers].filter(entry => entry !== undefined);
     return {
-        addresses: ordered.slice(0, maxAddresses).map(({ host, port, failureDomain }) => ({ host, port, failureDomain })),
+        addresses: ordered.slice(0, maxAddresses).map(({ host, port, failureDomain }) => ({
+            host,
+            port,
+            failureDomain,
+        })),
         validUntil: now + addressValidityMs,
     };
 }
--- a/packages/entry/src/caller-error.ts
+++ b/packages/entry/src/caller-error.ts
@@ -45,7 +45,7 @@
         this.name = "CallerError";
     }
 
-    get body(): { error: Record<string, unknown> } {
+    get body(): { error: Record<string, unknown>; } {
         return {
             error: { type: this.type, message: this.message, run: this.run, retryAfterMs: this.retryAfterMs },
         };
--- a/packages/entry/src/chat-body.ts
+++ b/packages/entry/src/chat-body.ts
@@ -16,7 +16,9 @@
 export function parseChatBody(value: unknown): ChatBody {
     const parsed = chatBodySchema.safeParse(value);
     if (!parsed.success) {
-        const details = parsed.error.issues.map(issue => `${issue.path.join(".") || "body"}: ${issue.message}`).join("; ");
+        const details = parsed.error.issues.map(issue => `${issue.path.join(".") || "body"}: ${issue.message}`).join(
+            "; ",
+        );
         throw new CallerError(400, "malformed-request", details, "not-run");
     }
     return parsed.data;
--- a/packages/entry/src/chat-handler.ts
+++ b/packages/entry/src/chat-handler.ts
@@ -33,7 +33,12 @@
             if (!configuration.models.some(model => model.name === body.model)) {
                 throw new CallerError(404, "unknown-model", `model ${body.model} is not served here`, "not-run");
             }
-            const stream = this.createStream(req, body, context, sink = body.stream ? new EventStreamSink(res) : new CollectingSink(res));
+            const stream = this.createStream(
+                req,
+                body,
+                context,
+                sink = body.stream ? new EventStreamSink(res) : new CollectingSink(res),
+            );
             const tokens = stream.engineRequest.promptTokens + (body.max_tokens ?? defaultAnswerTokens);
             release = await this.admission.enter(context, { kind: "engine", tokens });
             this.gate.count(true);
--- a/packages/entry/src/chat-stream.ts
+++ b/packages/entry/src/chat-stream.ts
@@ -33,7 +33,7 @@
 }
 
 /** How an attempt ended. `fault` excludes the endpoint from the next attempt. */
-type AttemptEnd = { kind: "done" } | { kind: "lost"; reason: string; fault: boolean };
+type AttemptEnd = { kind: "done"; } | { kind: "lost"; reason: string; fault: boolean; };
 
 interface Attempt {
     number: number;
@@ -126,7 +126,7 @@
         }
     }
 
-    private async prepareNext(end: AttemptEnd & { kind: "lost" }): Promise<void> {
+    private async prepareNext(end: AttemptEnd & { kind: "lost"; }): Promise<void> {
         const { clock, log, metrics } = this.parts;
         if (end.fault && this.current !== undefined) {
             this.excluded.add(this.current.endpoint.id);
@@ -145,7 +145,7 @@
         }
     }
 
-    private choose(): { endpoint: Endpoint; kvId: string | undefined; importedTokens: number } {
+    private choose(): { endpoint: Endpoint; kvId: string | undefined; importedTokens: number; } {
         const moved = this.target;
         this.target = undefined;
         if (moved !== undefined) {
@@ -217,7 +217,11 @@
             }
             const fault = !attempt.abort.signal.aborted;
             this.sent ||= !(err instanceof UpstreamError && err.failure === "refused");
-            return { kind: "lost", reason: fault && err instanceof UpstreamError ? err.message : attempt.reason, fault };
+            return {
+                kind: "lost",
+                reason: fault && err instanceof UpstreamError ? err.message : attempt.reason,
+                fault,
+            };
         }
         finally {
             expiry.cancel();
@@ -229,7 +233,9 @@
     private async relay(attempt: Attempt, kvId: string | undefined): Promise<AttemptEnd> {
         const { upstream, silence } = this.parts;
         const received = this.assembler.received();
-        const resumed = received.offset > 0 ? { resume_offset: received.offset, resume_text: received.text } : { resume_text: undefined };
+        const resumed = received.offset > 0
+            ? { resume_offset: received.offset, resume_text: received.text }
+            : { resume_text: undefined };
         const res = await upstream.send({
             endpoint: attempt.endpoint,
             method: "POST",
@@ -253,7 +259,9 @@
         const first = Number(res.headers["x-resume-offset"] ?? received.offset);
         for await (const event of readEngineEvents(res, first)) {
             if (event.kind === "done") {
-                return this.assembler.finish(attempt.number) ? { kind: "done" } : { kind: "lost", reason: "replaced", fault: false };
+                return this.assembler.finish(attempt.number)
+                    ? { kind: "done" }
+                    : { kind: "lost", reason: "replaced", fault: false };
             }
             const accepted = this.assembler.accept(attempt.number, event.offset, event.text);
             silence.onBytes(attempt.requestId, event.offset + 1);
@@ -286,10 +294,20 @@
     /** Statuses of an engine: 409 refuses the received text, other 4xx refuse the request for good. */
     private rejected(status: number): AttemptEnd {
         if (status === 409) {
-            throw new CallerError(409, "resume-mismatch", "the received text does not belong to this answer", this.runState);
+            throw new CallerError(
+                409,
+                "resume-mismatch",
+                "the received text does not belong to this answer",
+                this.runState,
+            );
         }
         if (status >= 400 && status < 500 && status !== 404 && status !== 429) {
-            throw new CallerError(502, "endpoint-rejected", `the engine refused the request with status ${status}`, this.runState);
+            throw new CallerError(
+                502,
+                "endpoint-rejected",
+                `the engine refused the request with status ${status}`,
+                this.runState,
+            );
         }
         return { kind: "lost", reason: `engine status ${status}`, fault: true };
     }
@@ -297,7 +315,13 @@
     private failure(message: string, type: "no-endpoint" | "stream-cut" = "stream-cut"): CallerError {
         return this.begun
             ? new CallerError(502, "stream-cut", message, "partial", noEndpointRetryMs)
-            : new CallerError(503, type === "stream-cut" ? "endpoint-failed" : type, message, this.runState, noEndpointRetryMs);
+            : new CallerError(
+                503,
+                type === "stream-cut" ? "endpoint-failed" : type,
+                message,
+                this.runState,
+                noEndpointRetryMs,
+            );
     }
 
     /** An attempt that was sent may have run at the engine, also when no token has arrived. */
--- a/packages/entry/src/configuration-subscriber.ts
+++ b/packages/entry/src/configuration-subscriber.ts
@@ -84,7 +84,10 @@
         this.difference = answer.controlTime - this.clock.now();
         const accepted = this.view.accept(answer);
         if (accepted.isErr()) {
-            this.log.warn("configuration.answer-refused", { reason: accepted.error.kind, message: accepted.error.message });
+            this.log.warn("configuration.answer-refused", {
+                reason: accepted.error.kind,
+                message: accepted.error.message,
+            });
             await this.clock.sleepUntil(this.clock.now() + retryMs);
             return;
         }
@@ -99,7 +102,9 @@
 
     /** Follows the leader that a refusal names, else tries the next member. */
     private redirect(err: unknown): void {
-        const data = err instanceof RpcError && err.code === rpcErrorCodes.notLeader ? redirectSchema.safeParse(err.data) : undefined;
+        const data = err instanceof RpcError && err.code === rpcErrorCodes.notLeader
+            ? redirectSchema.safeParse(err.data)
+            : undefined;
         if (data?.success === true) {
             this.target = data.data.leader;
             return;
@@ -113,7 +118,9 @@
         const valid = this.permit.isValid(this.clock.now());
         if (valid !== this.hadPermit) {
             this.hadPermit = valid;
-            this.log.write(valid ? "info" : "warn", valid ? "permit.granted" : "permit.expired", { version: this.view.version });
+            this.log.write(valid ? "info" : "warn", valid ? "permit.granted" : "permit.expired", {
+                version: this.view.version,
+            });
         }
     }
 }
--- a/packages/entry/src/endpoint-observer.ts
+++ b/packages/entry/src/endpoint-observer.ts
@@ -31,7 +31,9 @@
     return new LinkTable(Object.fromEntries(
         configuration.links
             .filter(link => link.from === failureDomain)
-            .map(link => [link.to, { delayMs: link.oneWayDelayMs, cost: link.from === link.to ? 0 : link.relativeCost }]),
+            .map(
+                link => [link.to, { delayMs: link.oneWayDelayMs, cost: link.from === link.to ? 0 : link.relativeCost }],
+            ),
     ));
 }
 
--- a/packages/entry/src/engine-events.ts
+++ b/packages/entry/src/engine-events.ts
@@ -3,12 +3,12 @@
 
 /** One event of an engine's stream. */
 export type EngineEvent =
-    | { kind: "token"; offset: number; text: string; chunk: string }
-    | { kind: "done" };
+    | { kind: "token"; offset: number; text: string; chunk: string; }
+    | { kind: "done"; };
 
 interface Chunk {
     token_offset?: number;
-    choices?: { delta?: { content?: string } }[];
+    choices?: { delta?: { content?: string; }; }[];
 }
 
 /** An engine sent something that is not an event of the chat interface. */
--- a/packages/entry/src/engine-selector.ts
+++ b/packages/entry/src/engine-selector.ts
@@ -16,7 +16,10 @@
     private readonly policy: RoutingPolicy<EngineRequest>;
 
     constructor(private readonly observer: EndpointObserver, random: RandomSource) {
-        this.policy = new PredictedFirstTokenPolicy(random, { ...predictedFirstTokenDefaults, blockTokens: tokensPerBlock });
+        this.policy = new PredictedFirstTokenPolicy(random, {
+            ...predictedFirstTokenDefaults,
+            blockTokens: tokensPerBlock,
+        });
     }
 
     get table(): EndpointTable {
--- a/packages/entry/src/idempotent-call.ts
+++ b/packages/entry/src/idempotent-call.ts
@@ -21,7 +21,13 @@
         for (let attempt = 1;; attempt++) {
             const endpoint = this.dispatcher.choose(configuration, call.service, excluded);
             if (endpoint === undefined) {
-                throw new CallerError(503, "no-endpoint", `no endpoint serves ${call.service} now`, sent ? "unknown" : "not-run", noEndpointRetryMs);
+                throw new CallerError(
+                    503,
+                    "no-endpoint",
+                    `no endpoint serves ${call.service} now`,
+                    sent ? "unknown" : "not-run",
+                    noEndpointRetryMs,
+                );
             }
             try {
                 return await this.dispatcher.send(endpoint, call);
@@ -32,7 +38,12 @@
                 }
                 sent ||= err.failure !== "refused";
                 excluded.add(endpoint.id);
-                this.log.info("call.attempt-failed", { service: call.service, endpoint: endpoint.id, attempt, reason: err.failure });
+                this.log.info("call.attempt-failed", {
+                    service: call.service,
+                    endpoint: endpoint.id,
+                    attempt,
+                    reason: err.failure,
+                });
                 if (attempt >= maxAttempts || this.clock.now() >= call.context.deadline) {
                     throw new CallerError(
                         504,
--- a/packages/entry/src/once-call.ts
+++ b/packages/entry/src/once-call.ts
@@ -3,8 +3,8 @@
     type Claim,
     type ClaimCoordinator,
     type ClaimResult,
-    completedOutcome,
     type CompletedOutcome,
+    completedOutcome,
     requestDigest,
 } from "@lentilramp/claims";
 import type { Configuration } from "@lentilramp/configuration";
@@ -27,11 +27,16 @@
             "completed",
         );
     }
-    return { endpoint: "stored", status: outcome.status, contentType: outcome.contentType, body: Buffer.from(outcome.body) };
+    return {
+        endpoint: "stored",
+        status: outcome.status,
+        contentType: outcome.contentType,
+        body: Buffer.from(outcome.body),
+    };
 }
 
 /** The final answer for a state in which no stored answer exists. */
-export function describeCallState(state: Exclude<CallState, { kind: "completed" }>): CallerError {
+export function describeCallState(state: Exclude<CallState, { kind: "completed"; }>): CallerError {
     switch (state.kind) {
         case "not-run":
             return new CallerError(409, "not-run", "the call was not run and never will be; use a new key", "not-run");
@@ -75,7 +80,7 @@
         return this.answerWithoutClaim(result);
     }
 
-    private answerWithoutClaim(result: Exclude<ClaimResult, { kind: "claimed" }>): ServiceAnswer {
+    private answerWithoutClaim(result: Exclude<ClaimResult, { kind: "claimed"; }>): ServiceAnswer {
         switch (result.kind) {
             case "completed":
                 return replayOutcome(result.outcome);
@@ -94,7 +99,12 @@
             case "key-reused":
                 throw new CallerError(unprocessable, "key-reused", "the key was used with another body", "not-run");
             case "refused":
-                throw new CallerError(400, "invalid-key", `idempotency-key must be a current UUIDv7 (${result.reason})`, "undecided");
+                throw new CallerError(
+                    400,
+                    "invalid-key",
+                    `idempotency-key must be a current UUIDv7 (${result.reason})`,
+                    "undecided",
+                );
         }
     }
 
@@ -118,7 +128,11 @@
             }
             catch (err) {
                 if (!(err instanceof UpstreamError) || err.failure !== "refused") {
-                    this.log.warn("call.outcome-unknown", { service: call.service, endpoint: endpoint.id, error: String(err) });
+                    this.log.warn("call.outcome-unknown", {
+                        service: call.service,
+                        endpoint: endpoint.id,
+                        error: String(err),
+                    });
                     throw describeCallState({ kind: "unknown", open: false });
                 }
                 excluded.add(endpoint.id);
--- a/packages/entry/src/request-context.ts
+++ b/packages/entry/src/request-context.ts
@@ -28,7 +28,12 @@
         return now + defaultMs;
     }
     if (!epochMillisecondsPattern.test(text)) {
-        throw new CallerError(400, "malformed-request", "x-request-deadline must be in milliseconds since the epoch", "not-run");
+        throw new CallerError(
+            400,
+            "malformed-request",
+            "x-request-deadline must be in milliseconds since the epoch",
+            "not-run",
+        );
     }
     const deadline = Number(text);
     if (deadline <= now) {
@@ -54,7 +59,12 @@
     }
     const priority = header(req, "x-priority") ?? "normal";
     if (!priorities.includes(priority as Priority)) {
-        throw new CallerError(400, "malformed-request", `x-priority must be one of ${priorities.join(", ")}`, "not-run");
+        throw new CallerError(
+            400,
+            "malformed-request",
+            `x-priority must be one of ${priorities.join(", ")}`,
+            "not-run",
+        );
     }
     return {
         workspace,
--- a/packages/entry/src/request-gate.ts
+++ b/packages/entry/src/request-gate.ts
@@ -24,7 +24,7 @@
     }
 
     /** Returns the configuration in force and the request's context; throws a CallerError when it is refused. */
-    open(req: IncomingMessage, defaultMs: number): { configuration: Configuration; context: RequestContext } {
+    open(req: IncomingMessage, defaultMs: number): { configuration: Configuration; context: RequestContext; } {
         const now = this.clock.now();
         if (this.draining) {
             throw new CallerError(503, "draining", "this entry is stopping; use another address", "not-run", 0);
--- a/packages/entry/src/service-dispatcher.ts
+++ b/packages/entry/src/service-dispatcher.ts
@@ -72,7 +72,9 @@
                 return { endpoint: endpoint.id, status: res.statusCode ?? 502, contentType, body };
             }
             catch (err) {
-                throw err instanceof BodyCutError ? new UpstreamError("broken", endpoint.id, "the answer was cut") : err;
+                throw err instanceof BodyCutError
+                    ? new UpstreamError("broken", endpoint.id, "the answer was cut")
+                    : err;
             }
             finally {
                 timer.cancel();
--- a/packages/entry/src/service-handler.ts
+++ b/packages/entry/src/service-handler.ts
@@ -35,7 +35,12 @@
     }
     const operation = service.operations.find(other => other.name === params.operation);
     if (operation === undefined) {
-        throw new CallerError(404, "unknown-operation", `service ${service.name} has no operation ${params.operation}`, "not-run");
+        throw new CallerError(
+            404,
+            "unknown-operation",
+            `service ${service.name} has no operation ${params.operation}`,
+            "not-run",
+        );
     }
     return operation;
 }
@@ -117,11 +122,21 @@
             );
         }
         if (!this.parts.subscriber.clockAgrees) {
-            throw new CallerError(503, "no-permit", "the clock of this entry is wrong; use another address", "undecided", clockRetryMs);
+            throw new CallerError(
+                503,
+                "no-permit",
+                "the clock of this entry is wrong; use another address",
+                "undecided",
+                clockRetryMs,
+            );
         }
     }
 
-    private async execute(configuration: Configuration, operation: Operation, call: ServiceCall): Promise<ServiceAnswer> {
+    private async execute(
+        configuration: Configuration,
+        operation: Operation,
+        call: ServiceCall,
+    ): Promise<ServiceAnswer> {
         const { context } = call;
         if (!operation.idempotent && context.key !== undefined) {
             return await this.parts.once.call(configuration, call, context.key);
--- a/packages/entry/src/upstream.ts
+++ b/packages/entry/src/upstream.ts
@@ -113,7 +113,12 @@
     private pool(endpointId: string): Agent {
         let pool = this.pools.get(endpointId);
         if (pool === undefined) {
-            pool = new Agent({ keepAlive: true, maxSockets: maxSocketsPerEndpoint, timeout: idleSocketMs, scheduling: "lifo" });
+            pool = new Agent({
+                keepAlive: true,
+                maxSockets: maxSocketsPerEndpoint,
+                timeout: idleSocketMs,
+                scheduling: "lifo",
+            });
             this.pools.set(endpointId, pool);
         }
         return pool;
