Move streams off reclaimed engines by KV export, and spread the demo's callers

The demo sent all callers to the four entries of one lookup answer, so a stopped entry had no stream in progress and the promise was not tried.

--- a/packages/cli/src/operator-client.ts
+++ b/packages/cli/src/operator-client.ts
@@ -22,11 +22,11 @@
 }
 
 function parseAddress(text: string): NamedAddress {
-    const match = /^(.+):(\d+)$/.exec(text.trim());
-    if (match === null) {
+    const [, host, port] = /^(.+):(\d+)$/.exec(text.trim()) ?? [];
+    if (host === undefined || port === undefined) {
         throw new CommandError(exitCodes.usage, `"${text}" is not HOST:PORT`);
     }
-    return { name: text.trim(), host: match[1] ?? "", port: Number(match[2]) };
+    return { name: text.trim(), host, port: Number(port) };
 }
 
 /** Reads and checks the questionnaire of a file; throws a CommandError. */
--- a/packages/cli/src/wire-entry.ts
+++ b/packages/cli/src/wire-entry.ts
@@ -11,6 +11,7 @@
     IdempotentCaller,
     LeavingList,
     OnceCaller,
+    ReclaimMover,
     RequestGate,
     RpcClaimTransport,
     ServiceCalls,
@@ -40,6 +41,16 @@
     const calls = new ServiceCalls();
     const silence = new SilenceMonitor(upstream, clock, log, metrics);
     const selector = new EngineSelector(observer, random);
+    const mover = new ReclaimMover(
+        streams,
+        selector,
+        upstream,
+        () => subscriber.view.configuration?.entries.length ?? 1,
+        clock,
+        log,
+        metrics,
+    );
+    observer.onLeaving(endpoint => void mover.onNotice(endpoint));
     const gate = new RequestGate(subscriber, clock);
     const admission = new BoundedAdmission();
     const coordinator = new ClaimCoordinator({
--- a/packages/demo/src/address-book.ts
+++ b/packages/demo/src/address-book.ts
@@ -13,9 +13,8 @@
 /** What callers know of the entries: kept answers of lookups, until their validity ends. */
 export class AddressBook {
     private kept: LookupAnswer = { addresses: [], validUntil: 0 };
-    private next = 0;
-
-    constructor(private readonly known: readonly Address[]) {}
+    /** `next` is the known entry that is asked first. */
+    constructor(private readonly known: readonly Address[], private next = 0) {}
 
     /** Returns an address to use, other than those in `avoid` when there is another one. */
     async pick(avoid: readonly Address[] = []): Promise<Address> {
--- a/packages/demo/src/scenario.ts
+++ b/packages/demo/src/scenario.ts
@@ -11,7 +11,7 @@
 const noticeMs = 5_000;
 const drainBoundMs = 3_000;
 const inForceBoundMs = 5_000;
-const chatters = 24;
+const chatters = 48;
 const bookers = 8;
 
 export type Progress = (line: string) => void;
@@ -38,7 +38,12 @@
     constructor(name: string, seed: number, private readonly progress: Progress) {
         this.deployment = new Deployment(name);
         this.watch = new VersionWatch(this.deployment);
-        this.workload = new Workload(this.deployment.answers, new AddressBook(this.deployment.answers.entries), seed);
+        const { answers } = this.deployment;
+        const books = answers.entries.map((unused, i) => {
+            void unused;
+            return new AddressBook(answers.entries, i);
+        });
+        this.workload = new Workload(answers, books, seed);
     }
 
     async run(): Promise<void> {
@@ -162,8 +167,7 @@
 
     private async startedAt(engine: NamedEndpoint): Promise<number> {
         const answer = await httpCall({ ...engine, path: "/v1/counters" });
-        const counters = JSON.parse(answer.body) as Record<string, number>;
-        return counters.started ?? counters.requests ?? Number.NaN;
+        return (JSON.parse(answer.body) as { started: number; }).started;
     }
 
     /** Two operators approve different changes of one base at once; one must win. The winner resends. */
--- a/packages/demo/src/workload.ts
+++ b/packages/demo/src/workload.ts
@@ -17,7 +17,7 @@
     const uses = answers.teams.flatMap(team => team.models).flatMap(model => model.uses);
     return uses.map((use, i) => ({
         use,
-        maxTokens: i === uses.length - 1 ? 40 : 160,
+        maxTokens: i === uses.length - 1 ? 40 : 240,
         priority: i === uses.length - 1 ? "high" : "normal",
     }));
 }
@@ -32,7 +32,7 @@
     private stopped = false;
     private sent = 0;
 
-    constructor(private readonly answers: Questionnaire, private readonly book: AddressBook, seed: number) {
+    constructor(private readonly answers: Questionnaire, private readonly books: readonly AddressBook[], seed: number) {
         this.random = new SeededRandom(seed);
         this.shapes = shapesOf(answers);
     }
@@ -40,10 +40,12 @@
     /** Starts `chatters` callers of the model and `bookers` callers of the plain service. */
     start(chatters: number, bookers: number): void {
         for (let i = 0; i < chatters; i++) {
-            this.running.push(this.repeat(async () => void this.chats.push(await runChat(this.nextJob(), this.book))));
+            this.running.push(
+                this.repeat(async () => void this.chats.push(await runChat(this.nextJob(), this.book(i)))),
+            );
         }
         for (let i = 0; i < bookers; i++) {
-            this.running.push(this.repeat(async () => void this.calls.push(await this.nextCall())));
+            this.running.push(this.repeat(async () => void this.calls.push(await this.nextCall(this.book(i)))));
         }
     }
 
@@ -53,6 +55,10 @@
         await Promise.all(this.running);
     }
 
+    private book(caller: number): AddressBook {
+        return this.books[caller % this.books.length] as AddressBook;
+    }
+
     private async repeat(run: () => Promise<void>): Promise<void> {
         while (!this.stopped) {
             await run();
@@ -80,7 +86,7 @@
         return workspaces[index]?.id ?? "";
     }
 
-    private async nextCall(): Promise<OnceResult> {
+    private async nextCall(book: AddressBook): Promise<OnceResult> {
         const services = this.answers.teams.flatMap(team => team.services);
         const service = services[this.random.nextInt(services.length)];
         const operations = service?.operations.filter(operation => !operation.idempotent) ?? [];
@@ -90,7 +96,7 @@
         }
         const workspace = this.pickWorkspace();
         return this.random.next() < 0.2
-            ? await runSealRace(this.book, service.name, operation.name, workspace)
-            : await runOnce(this.book, service.name, operation.name, workspace, this.random.next() < 0.3 ? 2 : 1);
+            ? await runSealRace(book, service.name, operation.name, workspace)
+            : await runOnce(book, service.name, operation.name, workspace, this.random.next() < 0.3 ? 2 : 1);
     }
 }
--- a/packages/entry/src/chat-stream.ts
+++ b/packages/entry/src/chat-stream.ts
@@ -13,6 +13,8 @@
 
 const retryPauseMs = 50;
 const noEndpointRetryMs = 1_000;
+/** The latency target between tokens, used until a stream has shown its own interval. */
+const assumedTokenIntervalMs = 71;
 
 /** What a stream uses of its entry. */
 export interface ChatStreamParts {
@@ -41,6 +43,9 @@
     endpoint: Endpoint;
     abort: AbortController;
     reason: string;
+    /** Offset of its first token. */
+    firstOffset: number;
+    firstTokenAt: number | undefined;
 }
 
 /** One answer of a model, made of one or more attempts at engines. */
@@ -83,6 +88,15 @@
         return Math.max(0, (this.body.max_tokens ?? 0) - this.assembler.nextOffset);
     }
 
+    /** Time between two tokens of the attempt in progress; an assumption before there are two. */
+    tokenIntervalMs(now: number): number {
+        const attempt = this.current;
+        const tokens = this.assembler.nextOffset - (attempt?.firstOffset ?? 0);
+        return attempt?.firstTokenAt === undefined || tokens < 2
+            ? assumedTokenIntervalMs
+            : (now - attempt.firstTokenAt) / tokens;
+    }
+
     /** Stops the stream because the caller has gone. */
     cancel(): void {
         this.cancelled = true;
@@ -186,6 +200,8 @@
             endpoint,
             abort: new AbortController(),
             reason: "connection lost",
+            firstOffset: this.assembler.nextOffset,
+            firstTokenAt: undefined,
         };
         this.current = attempt;
         const { silence, selector, clock } = this.parts;
@@ -266,7 +282,8 @@
             const accepted = this.assembler.accept(attempt.number, event.offset, event.text);
             silence.onBytes(attempt.requestId, event.offset + 1);
             if (accepted.kind === "released") {
-                if (accepted.offset === received.offset) {
+                if (attempt.firstTokenAt === undefined) {
+                    attempt.firstTokenAt = this.parts.clock.now();
                     this.parts.selector.table.inFlight.firstToken(attempt.requestId);
                 }
                 await this.sink.write(event);
--- a/packages/entry/src/endpoint-observer.ts
+++ b/packages/entry/src/endpoint-observer.ts
@@ -56,6 +56,7 @@
     private endpoints: readonly Endpoint[] = [];
     private readonly lastSequence = new Map<string, number>();
     private readonly leaving = new Set<string>();
+    private readonly leavingListeners: ((endpoint: Endpoint) => void)[] = [];
     private running = false;
     private loops: Promise<void> | undefined;
 
@@ -83,14 +84,21 @@
         this.upstream.keepOnly(new Set(this.endpoints.map(endpoint => endpoint.id)));
     }
 
+    /** Runs `listener` when an endpoint is first named as leaving. */
+    onLeaving(listener: (endpoint: Endpoint) => void): void {
+        this.leavingListeners.push(listener);
+    }
+
     /** Marks the endpoints that the platform's list names as leaving; they get no new work. */
     setLeaving(ids: ReadonlySet<string>): void {
         const changed = ids.size !== this.leaving.size || [...ids].some(id => !this.leaving.has(id));
         if (changed) {
+            const added = this.endpoints.filter(endpoint => ids.has(endpoint.id) && !this.leaving.has(endpoint.id));
             this.leaving.clear();
             ids.forEach(id => this.leaving.add(id));
             this.log.info("endpoints.leaving", { endpoints: [...ids].join(",") });
             this.refresh();
+            added.forEach(endpoint => this.leavingListeners.forEach(listener => listener(endpoint)));
         }
     }
 
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -14,6 +14,7 @@
 export * from "./idempotent-call.ts";
 export * from "./leaving-list.ts";
 export * from "./once-call.ts";
+export * from "./reclaim-mover.ts";
 export * from "./request-gate.ts";
 export * from "./rpc-claim-transport.ts";
 export * from "./service-calls.ts";
--- a/packages/stand-ins/src/engine/generator.ts
+++ b/packages/stand-ins/src/engine/generator.ts
@@ -12,6 +12,8 @@
 
 /** Tokens counted since the start. */
 export interface GeneratorCounters {
+    /** Requests started. */
+    started: number;
     generated: number;
     /** Prompt tokens prefilled, without those found in the prefix cache or in an imported KV cache. */
     prefilled: number;
@@ -31,7 +33,7 @@
 
 /** Runs the steps of the engine on an injected clock; it does no I/O. */
 export class Generator {
-    readonly counters: GeneratorCounters = { generated: 0, prefilled: 0, recomputed: 0 };
+    readonly counters: GeneratorCounters = { started: 0, generated: 0, prefilled: 0, recomputed: 0 };
     readonly cache: PrefixCache;
     readonly cacheEvents: CacheEventLog;
     readonly load: LoadReporter;
@@ -67,6 +69,7 @@
         const covered = Math.max(cached, start.importedTokens);
         const promptLeft = Math.max(0, prompt - covered);
         const prefixLeft = Math.max(0, start.offset - Math.max(0, covered - prompt));
+        this.counters.started++;
         this.counters.prefilled += promptLeft;
         this.counters.recomputed += prefixLeft;
         const tokens = expectedTokens(body);
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -5,7 +5,6 @@
 import { build } from "esbuild";
 import { execFileSync } from "node:child_process";
 import { chmodSync, copyFileSync, mkdirSync, readFileSync, writeFileSync } from "node:fs";
-import { inject } from "postject";
 
 const { version } = JSON.parse(readFileSync("package.json", "utf8"));
 const common = {
@@ -16,6 +15,8 @@
     // Optional native add-on of hot-shots for Unix datagram sockets; UDP needs none.
     external: ["unix-dgram"],
     define: { "process.env.LENTILRAMP_VERSION": JSON.stringify(version) },
+    // The UMD builds in "main" of some packages load their files by names that a bundler cannot follow.
+    mainFields: ["module", "main"],
     logLevel: "warning",
 };
 
@@ -29,7 +30,18 @@
 execFileSync(process.execPath, ["--experimental-sea-config", "dist/sea-config.json"], { stdio: "pipe" });
 copyFileSync(process.execPath, "dist/lentilramp");
 chmodSync("dist/lentilramp", 0o755);
-await inject("dist/lentilramp", "NODE_SEA_BLOB", readFileSync("dist/sea.blob"), {
-    sentinelFuse: "NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2",
-});
+// The command is run as a process so that its harmless warnings about section names can be left out.
+execFileSync(
+    "npx",
+    [
+        "--no-install",
+        "postject",
+        "dist/lentilramp",
+        "NODE_SEA_BLOB",
+        "dist/sea.blob",
+        "--sentinel-fuse",
+        "NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2",
+    ],
+    { stdio: "pipe" },
+);
 console.log("built dist/lentilramp and dist/stand-ins.cjs");
