--- /dev/null
+++ b/packages/claims/src/claim-replica.ts
@@ -0,0 +1,167 @@
+import type { Result } from "ts-results-es";
+import { Err, Ok } from "ts-results-es";
+import type { ClaimRules } from "./claim-rules.ts";
+import { allClaimRules } from "./claim-rules.ts";
+import { ClaimTable, RECORD_MEMORY_BYTES } from "./claim-table.ts";
+import type { ClaimEffect } from "./effect-codec.ts";
+import { decodeEffect, decodeSnapshot, encodeSnapshot } from "./effect-codec.ts";
+import { CLOCK_TOLERANCE_MS, OUTCOME_BODY_BYTES } from "./figures.ts";
+import type { ClaimMessage, ClaimOperation, ClaimRefusal, ClaimReply, Register } from "./messages.ts";
+import { boundedOutcome } from "./outcome.ts";
+import type { RequestKey } from "./request-key.ts";
+import { checkKeyWindow, parseRequestKey } from "./request-key.ts";
+
+export interface ClaimReplicaOptions {
+    /** Bound on the counted memory in bytes. */
+    memoryBytes: number;
+    rules: ClaimRules;
+}
+
+export const defaultClaimReplicaOptions: ClaimReplicaOptions = {
+    memoryBytes: 512 * 1024 * 1024,
+    rules: allClaimRules,
+};
+
+/** A reply, and the effect that must be synced and applied before the reply is sent. */
+export interface ClaimDecision {
+    reply: ClaimReply;
+    effect: ClaimEffect | undefined;
+}
+
+export interface ClaimReplicaStatus {
+    identity: string;
+    records: number;
+    memoryBytes: number;
+    memoryLimitBytes: number;
+    droppedThrough: number;
+}
+
+/**
+ * Record table of one claim replica. A register keeps the first record that it gets; later only its outcome is added.
+ * `decide` does not change the state: the caller syncs the effect, applies it, then sends the reply, and decides no
+ * other message for the same key in between.
+ */
+export class ClaimReplica {
+    private readonly table = new ClaimTable();
+    private readonly options: ClaimReplicaOptions;
+
+    constructor(readonly identity: string, options: Partial<ClaimReplicaOptions> = {}) {
+        this.options = { ...defaultClaimReplicaOptions, ...options };
+    }
+
+    get status(): ClaimReplicaStatus {
+        const { records, memoryBytes, droppedThrough } = this.table;
+        return {
+            identity: this.identity,
+            records,
+            memoryBytes,
+            memoryLimitBytes: this.options.memoryBytes,
+            droppedThrough,
+        };
+    }
+
+    decide(message: ClaimMessage, now: number): ClaimDecision {
+        if (this.options.rules.identityCheck && message.replica !== this.identity) {
+            return this.refused("wrong-identity");
+        }
+        const key = parseRequestKey(message.key).andThen(parsed => this.checkWindow(parsed, now));
+        if (key.isErr()) {
+            return this.refused(key.error);
+        }
+        const current = this.table.get(key.value);
+        const next = this.transition(current, message.operation);
+        if (next.isErr()) {
+            return this.refused(next.error);
+        }
+        const register = next.value;
+        return {
+            reply: { kind: "register", replica: message.replica, register },
+            effect: register === current ? undefined : { key: key.value.text, register },
+        };
+    }
+
+    /** Applies a synced effect. */
+    apply(effect: ClaimEffect): void {
+        this.table.put(parseRequestKey(effect.key).unwrap(), effect.register);
+    }
+
+    /** Drops expired records and returns their number. */
+    expire(now: number): number {
+        return this.table.expire(now);
+    }
+
+    snapshot(): Uint8Array {
+        const effects = [...this.table.entries()].map(([key, register]) => ({ key, register }));
+        return encodeSnapshot({ droppedThrough: this.table.droppedThrough, effects });
+    }
+
+    /** Restores the state from a snapshot and the journal records after it. */
+    restore(snapshot: Uint8Array | undefined, records: readonly Uint8Array[]): void {
+        if (snapshot !== undefined) {
+            const { droppedThrough, effects } = decodeSnapshot(snapshot);
+            this.table.raiseDroppedThrough(droppedThrough);
+            effects.forEach(effect => this.apply(effect));
+        }
+        records.forEach(record => this.apply(decodeEffect(record)));
+    }
+
+    private checkWindow(key: RequestKey, now: number): Result<RequestKey, ClaimRefusal> {
+        if (!this.options.rules.expiryCheck) {
+            return Ok(key);
+        }
+        // The bound of dropped records also holds when the clock is set back between two starts.
+        if (key.issuedAt < this.table.droppedThrough) {
+            return Err("expired");
+        }
+        return checkKeyWindow(key, now, 2 * CLOCK_TOLERANCE_MS).map(() => key);
+    }
+
+    private transition(current: Register, operation: ClaimOperation): Result<Register, ClaimRefusal> {
+        switch (operation.kind) {
+            case "read":
+                return Ok(current);
+            case "seal":
+                return this.writeOnce(current, { kind: "sealed" });
+            case "write":
+                return this.writeOnce(current, { ...operation.record, kind: "claimed", outcome: undefined });
+            case "outcome":
+                return this.addOutcome(current, operation);
+        }
+    }
+
+    private writeOnce(current: Register, record: Register): Result<Register, ClaimRefusal> {
+        if (current.kind !== "empty") {
+            return Ok(current);
+        }
+        return this.room >= RECORD_MEMORY_BYTES ? Ok(record) : Err("full");
+    }
+
+    /** A claimant may add its outcome to an empty register, since its record there would mean the same. */
+    private addOutcome(
+        current: Register,
+        operation: ClaimOperation & { kind: "outcome"; },
+    ): Result<Register, ClaimRefusal> {
+        const { claimant } = operation.record;
+        if (current.kind === "sealed") {
+            return Ok(current);
+        }
+        if (current.kind === "claimed" && (current.claimant !== claimant || current.outcome !== undefined)) {
+            return Ok(current);
+        }
+        const needed = current.kind === "empty" ? RECORD_MEMORY_BYTES : 0;
+        if (this.room < needed) {
+            return Err("full");
+        }
+        // Without room for the body, digest and status are kept, so that the call is still known as completed.
+        const outcome = boundedOutcome(operation.outcome, Math.min(OUTCOME_BODY_BYTES, this.room - needed));
+        return Ok({ ...operation.record, kind: "claimed", outcome });
+    }
+
+    private get room(): number {
+        return Math.max(0, this.options.memoryBytes - this.table.memoryBytes);
+    }
+
+    private refused(reason: ClaimRefusal): ClaimDecision {
+        return { reply: { kind: "refused", replica: this.identity, reason }, effect: undefined };
+    }
+}
--- /dev/null
+++ b/packages/claims/src/claim-table.ts
@@ -0,0 +1,90 @@
+import { RETENTION_MS } from "./figures.ts";
+import type { Register } from "./messages.ts";
+import type { RequestKey } from "./request-key.ts";
+
+/** Width of a bucket of issue times; records are dropped by whole buckets, so they stay at most this much longer. */
+const BUCKET_MS = 10 * 60 * 1_000;
+/**
+ * Memory that is counted for a record without the body of its outcome. The experiment `claim-cost` measures the heap
+ * for each record.
+ */
+export const RECORD_MEMORY_BYTES = 512;
+
+const emptyRegister: Register = { kind: "empty" };
+
+function bodyBytes(register: Register | undefined): number {
+    return register?.kind === "claimed" && register.outcome?.kind === "completed"
+        ? register.outcome.body?.length ?? 0
+        : 0;
+}
+
+/** Records by key, in buckets by issue time so that expiry needs no search. */
+export class ClaimTable {
+    private readonly buckets = new Map<number, Map<string, Register>>();
+    private recordCount = 0;
+    private memory = 0;
+    private dropped = 0;
+
+    get records(): number {
+        return this.recordCount;
+    }
+
+    /** Counted memory in bytes. */
+    get memoryBytes(): number {
+        return this.memory;
+    }
+
+    /** Records of keys issued before this instant have been dropped. */
+    get droppedThrough(): number {
+        return this.dropped;
+    }
+
+    get(key: RequestKey): Register {
+        return this.buckets.get(this.bucketOf(key))?.get(key.text) ?? emptyRegister;
+    }
+
+    put(key: RequestKey, register: Register): void {
+        const bucket = this.buckets.get(this.bucketOf(key)) ?? new Map<string, Register>();
+        this.buckets.set(this.bucketOf(key), bucket);
+        const old = bucket.get(key.text);
+        if (old === undefined) {
+            this.recordCount++;
+            this.memory += RECORD_MEMORY_BYTES;
+        }
+        this.memory += bodyBytes(register) - bodyBytes(old);
+        bucket.set(key.text, register);
+    }
+
+    /** Drops the buckets whose keys have all expired and returns the number of records dropped. */
+    expire(now: number): number {
+        let count = 0;
+        for (const [bucket, records] of this.buckets) {
+            const end = (bucket + 1) * BUCKET_MS;
+            if (end + RETENTION_MS > now) {
+                continue;
+            }
+            for (const register of records.values()) {
+                this.memory -= RECORD_MEMORY_BYTES + bodyBytes(register);
+            }
+            count += records.size;
+            this.buckets.delete(bucket);
+            this.raiseDroppedThrough(end);
+        }
+        this.recordCount -= count;
+        return count;
+    }
+
+    raiseDroppedThrough(issueTime: number): void {
+        this.dropped = Math.max(this.dropped, issueTime);
+    }
+
+    *entries(): IterableIterator<[string, Register]> {
+        for (const records of this.buckets.values()) {
+            yield* records;
+        }
+    }
+
+    private bucketOf(key: RequestKey): number {
+        return Math.floor(key.issuedAt / BUCKET_MS);
+    }
+}
--- /dev/null
+++ b/packages/claims/src/durable-claim-replica.ts
@@ -0,0 +1,68 @@
+import type { Clock } from "@lentilramp/runtime";
+import type { ClaimReplica } from "./claim-replica.ts";
+import type { ClaimEffect } from "./effect-codec.ts";
+import { encodeEffect } from "./effect-codec.ts";
+import type { ClaimMessage, ClaimReply } from "./messages.ts";
+
+/** Durable storage of effects, for example a journal. */
+export abstract class ClaimStorage {
+    /** Resolves with the index of the record when it is synced; indices grow in the order of the calls. */
+    abstract append(record: Uint8Array): Promise<number>;
+}
+
+/**
+ * Claim replica with storage: a reply is sent after the effects on which it rests are synced. Messages for a key with
+ * an unsynced effect wait, so that a failed append needs no undo and no reply shows a record that can be lost.
+ */
+export class DurableClaimReplica {
+    private readonly pending = new Map<string, Promise<unknown>>();
+    private applied: number;
+
+    constructor(
+        readonly replica: ClaimReplica,
+        private readonly storage: ClaimStorage,
+        private readonly clock: Clock,
+        lastIndex = 0,
+    ) {
+        this.applied = lastIndex;
+    }
+
+    /** Index of the last storage record that the table includes; a snapshot taken now covers it. */
+    get appliedIndex(): number {
+        return this.applied;
+    }
+
+    async handle(message: ClaimMessage): Promise<ClaimReply> {
+        const key = message.key.toLowerCase();
+        for (let wait = this.pending.get(key); wait !== undefined; wait = this.pending.get(key)) {
+            await wait;
+        }
+        const { reply, effect } = this.replica.decide(message, this.clock.now());
+        if (effect === undefined) {
+            return reply;
+        }
+        const stored = this.store(effect).finally(() => this.pending.delete(key));
+        this.pending.set(key, stored);
+        return await stored ? reply : { kind: "refused", replica: reply.replica, reason: "storage" };
+    }
+
+    private async store(effect: ClaimEffect): Promise<boolean> {
+        try {
+            this.applied = await this.storage.append(encodeEffect(effect));
+            this.replica.apply(effect);
+            return true;
+        }
+        catch {
+            // The storage reports its own error; here only the reply changes.
+            return false;
+        }
+    }
+}
+
+/**
+ * Says whether a snapshot is due. The interval grows with the table, so that the cost of snapshots for each record
+ * stays constant and a restart reads at most twice the table.
+ */
+export function snapshotDue(recordsSinceSnapshot: number, tableRecords: number, interval = 1_000): boolean {
+    return recordsSinceSnapshot >= Math.max(interval, tableRecords);
+}
--- /dev/null
+++ b/packages/claims/src/effect-codec.ts
@@ -0,0 +1,87 @@
+import { decode, encode } from "@msgpack/msgpack";
+import { parse, stringify } from "uuid";
+import type { Register } from "./messages.ts";
+import type { Outcome } from "./outcome.ts";
+
+/** The whole new register of a key; appended to the journal before the reply. */
+export interface ClaimEffect {
+    key: string;
+    register: Register;
+}
+
+type OutcomeTuple = [] | [number, string, string, number, Uint8Array | undefined];
+type EffectTuple = [Uint8Array] | [Uint8Array, string, string, number, OutcomeTuple?];
+
+function outcomeTuple(outcome: Outcome): OutcomeTuple {
+    return outcome.kind === "not-run"
+        ? []
+        : [outcome.status, outcome.contentType, outcome.bodyDigest, outcome.bodyBytes, outcome.body];
+}
+
+function outcomeOf(tuple: OutcomeTuple): Outcome {
+    if (tuple.length === 0) {
+        return { kind: "not-run" };
+    }
+    const [status, contentType, bodyDigest, bodyBytes, body] = tuple;
+    // A copy, because the decoded bytes are a view that would keep the whole input in memory.
+    return {
+        kind: "completed",
+        status,
+        contentType,
+        bodyDigest,
+        bodyBytes,
+        body: body instanceof Uint8Array ? Uint8Array.from(body) : undefined,
+    };
+}
+
+function toTuple({ key, register }: ClaimEffect): EffectTuple {
+    const id = parse(key);
+    if (register.kind !== "claimed") {
+        return [id];
+    }
+    const { claimant, digest, dispatchDeadline, outcome } = register;
+    return outcome === undefined
+        ? [id, claimant, digest, dispatchDeadline]
+        : [id, claimant, digest, dispatchDeadline, outcomeTuple(outcome)];
+}
+
+function fromTuple(tuple: EffectTuple): ClaimEffect {
+    const key = stringify(tuple[0]);
+    if (tuple.length === 1) {
+        return { key, register: { kind: "sealed" } };
+    }
+    const [, claimant, digest, dispatchDeadline, outcome] = tuple;
+    return {
+        key,
+        register: {
+            kind: "claimed",
+            claimant,
+            digest,
+            dispatchDeadline,
+            outcome: outcome === undefined ? undefined : outcomeOf(outcome),
+        },
+    };
+}
+
+export function encodeEffect(effect: ClaimEffect): Uint8Array {
+    return encode(toTuple(effect));
+}
+
+export function decodeEffect(data: Uint8Array): ClaimEffect {
+    return fromTuple(decode(data) as EffectTuple);
+}
+
+/** State of a replica: all records, and the issue time up to which records have been dropped. */
+export interface ClaimSnapshot {
+    droppedThrough: number;
+    effects: ClaimEffect[];
+}
+
+export function encodeSnapshot(snapshot: ClaimSnapshot): Uint8Array {
+    return encode([snapshot.droppedThrough, snapshot.effects.map(toTuple)]);
+}
+
+export function decodeSnapshot(data: Uint8Array): ClaimSnapshot {
+    const [droppedThrough, effects] = decode(data) as [number, EffectTuple[]];
+    return { droppedThrough, effects: effects.map(fromTuple) };
+}
--- a/packages/claims/src/index.ts
+++ b/packages/claims/src/index.ts
@@ -1,4 +1,18 @@
 /**
  * At-most-once execution of non-idempotent calls.
  */
-export {};
+export * from "./claim-coordinator.ts";
+export * from "./claim-replica.ts";
+export * from "./claim-rules.ts";
+export * from "./claim-transport.ts";
+export * from "./claim.ts";
+export * from "./coordinator-options.ts";
+export * from "./durable-claim-replica.ts";
+export * from "./effect-codec.ts";
+export * from "./figures.ts";
+export * from "./generations.ts";
+export * from "./messages.ts";
+export * from "./outcome.ts";
+export * from "./request-digest.ts";
+export * from "./request-key.ts";
+export * from "./verdict.ts";
