--- /dev/null
+++ b/packages/entry/tests/chat.test.ts
@@ -0,0 +1,264 @@
+import type { ClaimCoordinator } from "@lentilramp/claims";
+import { expectedTokens, ModelEngine } from "@lentilramp/stand-ins";
+import { expect } from "chai";
+import { connect } from "node:net";
+import { bodyLimitBytes, send, startAll, testConfiguration, TestEntry } from "./entry-harness.ts";
+
+const path = "/v1/chat/completions";
+const noClaims = {} as ClaimCoordinator;
+
+function job(maxTokens: number, more: object = {}) {
+    return {
+        model: "desk-model",
+        messages: [{ role: "user", content: "Draft a quote for a crew of nine." }],
+        max_tokens: maxTokens,
+        stream: true,
+        ...more,
+    };
+}
+
+function textOf(events: string): string {
+    return [...events.matchAll(/^data: (\{.*\})$/gm)]
+        .map(match =>
+            (JSON.parse(match[1] ?? "{}") as { choices?: { delta: { content: string; }; }[]; }).choices?.[0]?.delta
+                .content ?? ""
+        )
+        .join("");
+}
+
+async function adminFault(address: { host: string; port: number; }, fault: object): Promise<void> {
+    await fetch(`http://${address.host}:${address.port}/admin/faults`, { method: "POST", body: JSON.stringify(fault) });
+}
+
+describe("chat requests", () => {
+    let engines: ModelEngine[];
+    let addresses: { host: string; port: number; }[];
+    let entry: TestEntry;
+
+    async function start(options: object = {}): Promise<void> {
+        engines = [new ModelEngine({ stepMs: 2, ...options }), new ModelEngine({ stepMs: 2, ...options })];
+        addresses = await startAll(engines);
+        entry = new TestEntry(testConfiguration(addresses, []), noClaims);
+        await entry.start();
+    }
+
+    afterEach(async () => {
+        await entry.close();
+        await Promise.all(engines.map(engine => engine.close()));
+    });
+
+    it("relays the whole answer in order, with the number of tokens sent as event ids", async () => {
+        await start();
+        const answer = await send(entry, path, JSON.stringify(job(30)));
+        expect(answer.status).to.equal(200);
+        expect(textOf(answer.body)).to.equal(expectedTokens(job(30)).join(""));
+        expect([...answer.body.matchAll(/^id: (\d+)$/gm)].map(match => Number(match[1]))).to.deep.equal(
+            Array.from(Array(30).keys(), i => i + 1),
+        );
+        expect(answer.body.endsWith("data: [DONE]\n\n")).to.equal(true);
+    });
+
+    it("answers without streaming as one document", async () => {
+        await start();
+        const answer = await send(entry, path, JSON.stringify(job(5, { stream: false })));
+        const body = JSON.parse(answer.body) as { choices: { message: { content: string; }; }[]; };
+        expect(body.choices[0]?.message.content).to.equal(expectedTokens(job(5)).join(""));
+    });
+
+    // Guards against an answer that ends early when the engine's connection is cut in the middle.
+    it("continues on another engine when an answer is cut in the middle", async () => {
+        await start();
+        let cut = false;
+        const answer = await send(entry, path, JSON.stringify(job(200)), undefined, () => {
+            if (!cut) {
+                cut = true;
+                for (const address of addresses) {
+                    void adminFault(address, { kind: "cut-streams" });
+                }
+            }
+        });
+        expect(textOf(answer.body)).to.equal(expectedTokens(job(200)).join(""));
+        expect(entry.metrics.values.get("streams.resumed")).to.be.greaterThan(0);
+    });
+
+    // Guards against repeated or lost tokens when an engine resumes at another offset than asked.
+    for (const resumeShift of [-7, 5]) {
+        it(`yields each token once when engines resume ${resumeShift} tokens off`, async () => {
+            await start();
+            let cut = false;
+            const answer = await send(entry, path, JSON.stringify(job(200)), undefined, () => {
+                if (!cut) {
+                    cut = true;
+                    const [first, second] = addresses as [
+                        { host: string; port: number; },
+                        { host: string; port: number; },
+                    ];
+                    const at = entry.streams.at("engine-1").length > 0 ? [first, second] : [second, first];
+                    // Only the other engine shifts, so that an attempt with a gap can be replaced by the first one.
+                    void adminFault(at[1] as { host: string; port: number; }, {
+                        kind: "resume-shift",
+                        tokens: resumeShift,
+                    })
+                        .then(() => adminFault(at[0] as { host: string; port: number; }, { kind: "cut-streams" }));
+                }
+            });
+            expect(textOf(answer.body)).to.equal(expectedTokens(job(200)).join(""));
+        });
+    }
+
+    // Guards against a caller that cannot continue elsewhere after its entry was lost.
+    it("continues from the caller's received prefix", async () => {
+        await start();
+        const tokens = expectedTokens(job(40));
+        const answer = await send(
+            entry,
+            path,
+            JSON.stringify(job(40, { resume_text: tokens.slice(0, 15).join("") })),
+            { "x-workspace": "hire-desk", "last-event-id": "15" },
+        );
+        expect(textOf(answer.body)).to.equal(tokens.slice(15).join(""));
+        expect(/^id: (\d+)$/m.exec(answer.body)?.[1]).to.equal("16");
+    });
+
+    it("refuses a received prefix that does not belong to the answer", async () => {
+        await start();
+        const answer = await send(
+            entry,
+            path,
+            JSON.stringify(job(40, { resume_text: "something else" })),
+            { "x-workspace": "hire-desk", "last-event-id": "3" },
+        );
+        expect(answer.status).to.equal(409);
+        expect(answer.body).to.contain("resume-mismatch");
+    });
+
+    // Guards against streams that go on at the engine after their caller has gone.
+    it("cancels the engine's work when the caller disconnects", async () => {
+        await start();
+        const body = JSON.stringify(job(5_000));
+        const { host, port } = entry.http.address;
+        const socket = connect(port, host);
+        socket.write(
+            `POST ${path} HTTP/1.1\r\nhost: x\r\nx-workspace: hire-desk\r\ncontent-length: ${body.length}\r\n\r\n${body}`,
+        );
+        await new Promise(resolve => socket.once("data", resolve));
+        expect(entry.streams.size).to.equal(1);
+        socket.destroy();
+        while (entry.streams.size > 0 || engines.some(engine => [...engine.generator.running()].length > 0)) {
+            await new Promise(resolve => setTimeout(resolve, 5));
+        }
+    });
+
+    // Guards against an entry that buffers a whole answer for a caller that reads slowly.
+    it("serves a caller that reads slowly in full", async () => {
+        await start({ stepMs: 1, maxBatch: 64 });
+        const body = JSON.stringify(job(2_000));
+        const { host, port } = entry.http.address;
+        const socket = connect(port, host);
+        socket.write(
+            `POST ${path} HTTP/1.1\r\nhost: x\r\nx-workspace: hire-desk\r\nconnection: close\r\ncontent-length: ${body.length}\r\n\r\n${body}`,
+        );
+        let text = "";
+        socket.setEncoding("utf8");
+        socket.on("data", part => {
+            text += String(part);
+            socket.pause();
+            setTimeout(() => socket.resume(), 2);
+        });
+        await new Promise(resolve => socket.once("close", resolve));
+        const plain = text.replaceAll(/\r\n[0-9a-f]+\r\n/g, "");
+        expect(plain).to.contain("data: [DONE]");
+        expect([...plain.matchAll(/^id: (\d+)$/gm)].length).to.equal(2_000);
+    });
+
+    describe("bad input", () => {
+        const cases: [string, string, Record<string, string>, number, string][] = [
+            ["malformed JSON", '{"model": ', { "x-workspace": "hire-desk" }, 400, "malformed-request"],
+            ["missing messages", '{"model": "desk-model"}', { "x-workspace": "hire-desk" }, 400, "malformed-request"],
+            [
+                "a body over the limit",
+                "x".repeat(bodyLimitBytes + 1),
+                { "x-workspace": "hire-desk" },
+                413,
+                "body-too-large",
+            ],
+            ["no workspace", JSON.stringify(job(1)), {}, 400, "missing-header"],
+            ["an unknown workspace", JSON.stringify(job(1)), { "x-workspace": "nobody" }, 403, "unknown-workspace"],
+            [
+                "an unknown model",
+                JSON.stringify(job(1, { model: "other" })),
+                { "x-workspace": "hire-desk" },
+                404,
+                "unknown-model",
+            ],
+            [
+                "an expired deadline",
+                JSON.stringify(job(1)),
+                { "x-workspace": "hire-desk", "x-request-deadline": "1" },
+                408,
+                "deadline-expired",
+            ],
+            [
+                "a deadline that is no number",
+                JSON.stringify(job(1)),
+                { "x-workspace": "hire-desk", "x-request-deadline": "soon" },
+                400,
+                "malformed-request",
+            ],
+            [
+                "an unknown priority",
+                JSON.stringify(job(1)),
+                { "x-workspace": "hire-desk", "x-priority": "urgent" },
+                400,
+                "malformed-request",
+            ],
+            [
+                "a received count without text",
+                JSON.stringify(job(9)),
+                { "x-workspace": "hire-desk", "last-event-id": "4" },
+                400,
+                "malformed-request",
+            ],
+        ];
+        for (const [name, body, headers, status, type] of cases) {
+            it(`answers ${name} with a typed error and runs nothing`, async () => {
+                await start();
+                const answer = await send(entry, path, body, headers);
+                expect(answer.status).to.equal(status);
+                expect(JSON.parse(answer.body)).to.have.nested.property("error.type", type);
+                expect(JSON.parse(answer.body)).to.have.nested.property("error.run", "not-run");
+                expect(engines.map(engine => engine.generator.counters.started)).to.deep.equal([0, 0]);
+            });
+        }
+
+        // Guards against new work from an entry that cannot hear that an endpoint leaves.
+        it("refuses new work at once without a send permit, and says when to come back", async () => {
+            await start();
+            entry.gate.startDraining();
+            const draining = await send(entry, path, JSON.stringify(job(1)));
+            expect(draining.status).to.equal(503);
+            expect(draining.body).to.contain("draining");
+            const isolated = new TestEntry(entry.configuration, noClaims);
+            await isolated.start();
+            (isolated.subscriber.permit as unknown as { until: number; }).until = isolated.clock.now() - 1;
+            const refused = await send(isolated, path, JSON.stringify(job(1)));
+            await isolated.close();
+            expect(refused.status).to.equal(503);
+            expect(refused.headers["retry-after"]).to.equal("1");
+            expect(JSON.parse(refused.body)).to.have.nested.property("error.type", "no-permit");
+            expect(engines.map(engine => engine.generator.counters.started)).to.deep.equal([0, 0]);
+        });
+    });
+
+    // Guards against an untrue "not-run" after an engine may have done work.
+    it("answers unknown, not not-run, when every engine breaks off after taking the request", async () => {
+        await start();
+        await Promise.all(addresses.map(address => adminFault(address, { kind: "silence", direction: "answers" })));
+        const answer = await send(entry, path, JSON.stringify(job(5)), {
+            "x-workspace": "hire-desk",
+            "x-request-deadline": String(Math.floor(entry.clock.now()) + 400),
+        });
+        expect(answer.status).to.be.oneOf([503, 200]);
+        expect(answer.body).to.not.contain("not-run");
+    });
+});
