--- a/packages/routing/src/endpoint-table.ts
+++ b/packages/routing/src/endpoint-table.ts
@@ -68,12 +68,13 @@
         this.caches.get(endpoint)?.acceptSnapshot(snapshot, now);
     }
 
-    /** Endpoints whose cache snapshot the caller should request now; each is named once an interval. */
-    takeSnapshotRequests(now: number): string[] {
+    /** Those of the given endpoints whose cache snapshot should be requested now; each is named once an interval. */
+    takeSnapshotRequests(now: number, endpoints: Iterable<string> = this.caches.keys()): string[] {
         const due: string[] = [];
-        for (const [id, cache] of this.caches) {
+        for (const id of endpoints) {
+            const cache = this.caches.get(id);
             const requestedAt = this.snapshotRequestedAt.get(id) ?? -Infinity;
-            if (cache.stale && now - requestedAt >= this.options.resynchronisationIntervalMs) {
+            if (cache?.stale === true && now - requestedAt >= this.options.resynchronisationIntervalMs) {
                 this.snapshotRequestedAt.set(id, now);
                 due.push(id);
             }
