Use the entry's own requests when reports are stale

Cause: at a lag of 5 s the discounted report says nothing, and prefix affinity alone overloads single endpoints. Change: 25 ms for each own request at the endpoint, times the staleness.

--- a/packages/routing/src/predicted-first-token-policy.ts
+++ b/packages/routing/src/predicted-first-token-policy.ts
@@ -34,7 +34,7 @@
     sampleSize: 4,
     affinityBoundMs: 1_000,
     perRequestMs: 1,
-    ownRequestMs: 0,
+    ownRequestMs: 25,
     recomputeWeight: 1.5,
     linkCostMs: 2,
     queueHalfLifeMs: 500,
