Learn the address of a message's sender, so that a joining member can reply

Cause: the transport looked up the receiver in the member's own membership. A process that came back with a lost disk starts with an empty membership, so its replies to the leader were dropped and it was refused as not-caught-up for ever (seen in the test 'admits a process with a lost disk'; it did not end within 120 s). Ruled out: the log replication of the core, which sent its entries. Change: each batch names the sender's address. After: the test passes in 2.2 s.

--- a/packages/cli/src/wire-control.ts
+++ b/packages/cli/src/wire-control.ts
@@ -56,11 +56,13 @@
         const methods = new ControlMethods(server, founding);
         const storage = await AgreementStorage.open(folder, await founding.initialState());
         const replicated = new ReplicatedConfiguration(clock, log);
+        const own = { name: settings.name, ...settings.listen, failureDomain: settings.failureDomain };
+        const transport = new RpcTransport(own, client, clock);
         const driver = new AgreementDriver(
             folder.identity,
             storage,
             replicated,
-            new RpcTransport(client, clock),
+            transport,
             clock,
             random,
             log,
@@ -68,7 +70,7 @@
         const proposer = new CommandProposer(driver, replicated, clock);
         const names = new Set(settings.members.map(member => member.name));
         const repair = new MembershipRepair(driver, names, clock, log);
-        const parts = { driver, replicated, proposer, repair, survey: new InFlightSurvey(client, clock) };
+        const parts = { driver, replicated, proposer, repair, transport, survey: new InFlightSurvey(client, clock) };
         methods.attach(parts);
         dump.add("control", () => controlStatus(parts));
         dump.add("configuration", () => replicated.store.snapshot());
@@ -79,7 +81,7 @@
         this.inner.register(
             new GroupJoining(
                 driver,
-                { name: settings.name, ...settings.listen, failureDomain: settings.failureDomain },
+                own,
                 settings.members,
                 client,
                 clock,
--- a/packages/control/src/control-methods.ts
+++ b/packages/control/src/control-methods.ts
@@ -10,9 +10,11 @@
 import { addressOf, decodeMemberAddress, memberAddressSchema } from "./member-directory.ts";
 import type { MembershipRepair } from "./membership-repair.ts";
 import type { ReplicatedConfiguration } from "./replicated-configuration.ts";
+import type { RpcTransport } from "./rpc-transport.ts";
 
 const operationId = z.string().min(1).max(128);
 const messagesSchema = z.object({
+    sender: memberAddressSchema,
     messages: z.array(z.looseObject({ type: z.string(), from: z.string(), to: z.string(), term: z.number() })),
 });
 
@@ -22,6 +24,7 @@
     replicated: ReplicatedConfiguration;
     proposer: CommandProposer;
     repair: MembershipRepair;
+    transport: RpcTransport;
     survey: InFlightSurvey;
 }
 
@@ -50,9 +53,10 @@
     /** Adds the methods that need the agreement member. */
     attach(parts: ControlParts): void {
         this.parts = parts;
-        const { driver, replicated, repair } = parts;
-        this.server.method("agreement.step", messagesSchema, async ({ messages }) => {
+        const { driver, replicated, repair, transport } = parts;
+        this.server.method("agreement.step", messagesSchema, async ({ sender, messages }) => {
             for (const message of messages) {
+                transport.learn(message.from, sender);
                 driver.receive(message as unknown as Message);
             }
             return {};
--- a/packages/control/src/rpc-transport.ts
+++ b/packages/control/src/rpc-transport.ts
@@ -20,11 +20,21 @@
 /** Sends agreement messages by JSON-RPC; messages that wait while calls are in flight are sent as one batch. */
 export class RpcTransport implements AgreementTransport {
     private readonly outboxes = new Map<NodeId, Outbox>();
+    private readonly learnt = new Map<NodeId, MemberAddress>();
 
-    constructor(private readonly client: RpcClient, private readonly clock: Clock) {}
+    constructor(
+        private readonly own: MemberAddress,
+        private readonly client: RpcClient,
+        private readonly clock: Clock,
+    ) {}
+
+    /** Takes the address of a sender. A joining member knows no membership yet and could not reply otherwise. */
+    learn(id: NodeId, address: MemberAddress): void {
+        this.learnt.set(id, address);
+    }
 
     send(message: Message, membership: Membership): void {
-        const address = addressOf(membership, message.to);
+        const address = addressOf(membership, message.to) ?? this.learnt.get(message.to);
         if (address === undefined) {
             return;
         }
@@ -46,7 +56,7 @@
         outbox.queued = [];
         outbox.calls++;
         const deadline = this.clock.now() + messageLifetimeMs;
-        this.client.call(outbox.address, "agreement.step", { messages }, z.unknown(), deadline)
+        this.client.call(outbox.address, "agreement.step", { sender: this.own, messages }, z.unknown(), deadline)
             .catch(() => undefined)
             .finally(() => {
                 outbox.calls--;
