--- a/packages/configuration/src/index.ts
+++ b/packages/configuration/src/index.ts
@@ -24,3 +24,5 @@
 export * from "./subscription/configuration-view.ts";
 export * from "./subscription/messages.ts";
 export * from "./subscription/published-state.ts";
+export * from "./subscription/publisher-choice.ts";
+export * from "./subscription/subscription-wait.ts";
--- a/packages/configuration/src/subscription/configuration-relay.ts
+++ b/packages/configuration/src/subscription/configuration-relay.ts
@@ -7,6 +7,7 @@
 import { ConfigurationView, type ViewChange, type ViewRefusal } from "./configuration-view.ts";
 import type { SubscribeAnswer, SubscribeRequest } from "./messages.ts";
 import type { PermitSource, PublishedState } from "./published-state.ts";
+import { subscriptionWait } from "./subscription-wait.ts";
 
 /**
  * Time for which a relay lets the leader hold its subscription. It is shorter than that of an entry, because the permits
@@ -45,8 +46,8 @@
     }
 
     /** Returns the next request to the leader. */
-    request(): SubscribeRequest {
-        return this.view.request(relayWaitMs);
+    request(now: number): SubscribeRequest {
+        return this.view.request(Math.min(relayWaitMs, subscriptionWait(this.permit.validUntil - now)));
     }
 
     /** Takes the leader's answer to a request sent at `sentAt`. The caller then calls `publish` of its publisher. */
--- a/packages/configuration/tests/permits/permits.test.ts
+++ b/packages/configuration/tests/permits/permits.test.ts
@@ -100,7 +100,7 @@
         }
         if (now % 250 === 0 && now < cutFrom) {
             const sentAt = now * relayRate;
-            exchange(now, relay.request(), false, answer => void relay.accept(answer, sentAt));
+            exchange(now, relay.request(sentAt), false, answer => void relay.accept(answer, sentAt));
         }
         if (now % 500 === 0) {
             subscribers.forEach((subscriber, index) => {
--- a/packages/configuration/tests/subscription/distribution.test.ts
+++ b/packages/configuration/tests/subscription/distribution.test.ts
@@ -129,7 +129,7 @@
     }
 
     private fetchRelay(): void {
-        this.relayBag.push(this.answer(this.relay.request(), false));
+        this.relayBag.push(this.answer(this.relay.request(this.driver.at), false));
     }
 
     private deliverRelay(): void {
@@ -157,7 +157,7 @@
     /** Delivers current answers until nothing changes. */
     settle(): void {
         for (let round = 0; round < 2; round++) {
-            this.relay.accept(this.answer(this.relay.request(), false), this.driver.at);
+            this.relay.accept(this.answer(this.relay.request(this.driver.at), false), this.driver.at);
             this.views.forEach((view, index) => this.accept(index, this.answer(view.request(), index > 0)));
         }
     }
--- /dev/null
+++ b/packages/configuration/tests/subscription/subscription-rules.test.ts
@@ -0,0 +1,24 @@
+import { avoidMs, PublisherChoice, subscriptionTimeout, subscriptionWait } from "@lentilramp/configuration";
+import { expect } from "chai";
+
+describe("subscriptionWait", () => {
+    // Guards against permits that end while the first request after an election is held.
+    it("is shorter the less of the permit remains", () => {
+        expect([2_500, 1_800, 1_600, 0, -5_000].map(subscriptionWait)).to.deep.equal([500, 500, 300, 100, 100]);
+        expect(subscriptionTimeout(500)).to.equal(700);
+    });
+});
+
+describe("PublisherChoice", () => {
+    // Guards against a subscriber that goes back and forth between a dead publisher and a live one.
+    it("avoids a publisher that failed or is cut off, and comes back to the preferred one later", () => {
+        const choice = new PublisherChoice(["a", "b"]);
+        choice.onFailure("a", 0);
+        expect([choice.choose(1), choice.choose(avoidMs)]).to.deep.equal(["b", "a"]);
+        choice.onAnswer("b", 100, 10);
+        expect(choice.choose(20)).to.equal("a");
+        choice.onAnswer("b", 2_000, 30);
+        expect(choice.choose(40)).to.equal("b");
+        expect(new PublisherChoice([]).choose(0)).to.equal(undefined);
+    });
+});
