--- a/packages/bench/src/registry.ts
+++ b/packages/bench/src/registry.ts
@@ -1,4 +1,5 @@
 import type { Experiment } from "./experiment.ts";
+import { ConfigExperiment } from "./experiments/config.ts";
 import { OnceExperiment } from "./experiments/once/once.ts";
 import { RoutingExperiment } from "./experiments/routing.ts";
 
@@ -6,4 +7,5 @@
 export const experiments: readonly Experiment[] = [
     new OnceExperiment(),
     new RoutingExperiment(),
+    new ConfigExperiment(),
 ];
