Add the choice for plain services with ejection, and the routing tests

Two faults were found by the new tests and fixed: - In the engine choice, the few milliseconds that a report of 5 s ago still says decided ties, so 14 of 40 entries chose the same endpoint of 12. Cause: exact comparison of inexact predictions. Scores now get up to 10 ms of random.

--- a/packages/bench/src/fakes/cluster.ts
+++ b/packages/bench/src/fakes/cluster.ts
@@ -69,7 +69,7 @@
                 delayMs: this.delay(failureDomain, domain),
                 cost: domain === failureDomain ? 0 : 1,
             }]));
-            const table = new EndpointTable(new LinkTable(links));
+            const table = new EndpointTable(new LinkTable(links), random);
             table.setEndpoints(this.endpoints);
             return { failureDomain, table, policy: makePolicy() };
         });
--- a/packages/routing/src/endpoint-table.ts
+++ b/packages/routing/src/endpoint-table.ts
@@ -1,8 +1,11 @@
+import type { RandomSource } from "@lentilramp/runtime";
 import type { CacheEventBatch, CacheMapOptions, CacheSnapshot } from "./cache-map.ts";
 import { CacheMap, cacheMapDefaults } from "./cache-map.ts";
+import { EjectionTable } from "./ejection-table.ts";
 import type { EndpointView } from "./endpoint-view.ts";
-import type { Endpoint, EngineRequest } from "./endpoint.ts";
+import type { Endpoint, EngineRequest, RouteRequest } from "./endpoint.ts";
 import { InFlightTable } from "./in-flight-table.ts";
+import { LatencyTable } from "./latency-table.ts";
 import type { Link, LinkTable } from "./link-table.ts";
 import type { LoadReport } from "./load-report.ts";
 import { LoadReportTable } from "./load-report.ts";
@@ -27,8 +30,16 @@
     private readonly reports = new LoadReportTable();
     private readonly caches = new Map<string, CacheMap>();
     private readonly snapshotRequestedAt = new Map<string, number>();
+    private readonly latencies = new LatencyTable();
+    private readonly ejections: EjectionTable;
 
-    constructor(private readonly links: LinkTable, private readonly options = endpointTableDefaults) {}
+    constructor(
+        private readonly links: LinkTable,
+        random: RandomSource,
+        private readonly options = endpointTableDefaults,
+    ) {
+        this.ejections = new EjectionTable(random);
+    }
 
     /** Replaces the set of endpoints and drops what is known about those that left. */
     setEndpoints(endpoints: readonly Endpoint[]): void {
@@ -38,7 +49,9 @@
             this.caches.delete(id);
             this.reports.delete(id);
             this.snapshotRequestedAt.delete(id);
+            this.latencies.delete(id);
         }
+        this.ejections.setEndpoints([...ids]);
         const share = Math.floor(this.options.maxTotalBlocks / Math.max(1, ids.size));
         const maxBlocks = Math.min(this.options.maxBlocks, share);
         for (const id of ids) {
@@ -48,10 +61,28 @@
         }
     }
 
-    /** Records a dispatch in the in-flight counts and in the cache map. */
+    /** Records a dispatch to an engine in the in-flight counts and in the cache map. */
     recordDispatch(attempt: string, endpoint: string, req: EngineRequest, uncachedTokens: number, now: number): void {
         this.inFlight.dispatched(attempt, endpoint, req.priority, uncachedTokens, now);
         this.caches.get(endpoint)?.recordDispatch(req.prefix, now);
+        this.ejections.dispatched(endpoint, now);
+    }
+
+    /** Records a dispatch to a plain service. */
+    recordCall(attempt: string, endpoint: string, req: RouteRequest, now: number): void {
+        this.inFlight.dispatched(attempt, endpoint, req.priority, 0, now);
+        this.ejections.dispatched(endpoint, now);
+    }
+
+    /** Records an answer after `latencyMs` (the first byte for a stream). */
+    recordSuccess(endpoint: string, latencyMs: number, now: number): void {
+        this.latencies.record(endpoint, latencyMs, now);
+        this.ejections.succeeded(endpoint);
+    }
+
+    /** Records a failure of the endpoint; refusals under overload and errors of the caller are none. */
+    recordFailure(endpoint: string, now: number): void {
+        this.ejections.failed(endpoint, now);
     }
 
     acceptReport(endpoint: string, report: LoadReport): void {
@@ -90,6 +121,15 @@
         return this.caches.get(endpoint)?.matched(prefix, now) ?? 0;
     }
 
+    usable(endpoints: readonly Endpoint[], now: number): readonly Endpoint[] {
+        const allowed = endpoints.filter(endpoint => this.ejections.allows(endpoint.id, now));
+        return allowed.length > 0 ? allowed : endpoints;
+    }
+
+    latency(endpoint: string, now: number): number | undefined {
+        return this.latencies.get(endpoint, now);
+    }
+
     link(failureDomain: string): Link {
         return this.links.to(failureDomain);
     }
--- a/packages/routing/src/endpoint-view.ts
+++ b/packages/routing/src/endpoint-view.ts
@@ -10,6 +10,10 @@
     report(endpoint: string): LoadReport | undefined;
     /** Number of leading blocks of `prefix` presumed cached at the endpoint. */
     matchedBlocks(endpoint: string, prefix: readonly number[], now: number): number;
+    /** Those of the endpoints that are not ejected, or all of them when all are. */
+    usable(endpoints: readonly Endpoint[], now: number): readonly Endpoint[];
+    /** Recent latency of the endpoint in milliseconds, if known. */
+    latency(endpoint: string, now: number): number | undefined;
     /** Link from this entry to a failure domain. */
     link(failureDomain: string): Link;
 }
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -3,10 +3,13 @@
  */
 export * from "./block-hash.ts";
 export * from "./cache-map.ts";
+export * from "./ejection-table.ts";
 export * from "./endpoint-table.ts";
 export * from "./endpoint-view.ts";
 export * from "./endpoint.ts";
 export * from "./in-flight-table.ts";
+export * from "./latency-aware-policy.ts";
+export * from "./latency-table.ts";
 export * from "./link-table.ts";
 export * from "./load-estimate.ts";
 export * from "./load-report.ts";
--- /dev/null
+++ b/packages/routing/src/latency-aware-policy.ts
@@ -0,0 +1,58 @@
+import type { RandomSource } from "@lentilramp/runtime";
+import type { Result } from "ts-results-es";
+import { Err, Ok } from "ts-results-es";
+import type { EndpointView } from "./endpoint-view.ts";
+import type { RouteRequest } from "./endpoint.ts";
+import type { LoadEstimateOptions } from "./load-estimate.ts";
+import { estimateLoads } from "./load-estimate.ts";
+import type { RouteChoice, RouteError } from "./routing-policy.ts";
+import { RoutingPolicy } from "./routing-policy.ts";
+
+export interface LatencyAwareOptions extends LoadEstimateOptions {
+    /** Random candidates; two avoid the slow endpoints without sending everything to the fastest. */
+    sampleSize: number;
+    /** Latency assumed before the first sample of any endpoint. */
+    defaultLatencyMs: number;
+    linkCostMs: number;
+    /** Random share by which a score is raised, so that a slightly slower endpoint keeps getting requests. */
+    tieShare: number;
+}
+
+export const latencyAwareDefaults: LatencyAwareOptions = {
+    sampleSize: 2,
+    defaultLatencyMs: 50,
+    linkCostMs: 2,
+    tieShare: 0.2,
+    queueHalfLifeMs: 500,
+    requestsHalfLifeMs: 500,
+    defaultPrefillTokensPerMs: 1,
+};
+
+/** Choice for plain services: the candidate with the least product of latency and requests in progress. */
+export class LatencyAwarePolicy extends RoutingPolicy<RouteRequest> {
+    constructor(private readonly random: RandomSource, private readonly options = latencyAwareDefaults) {
+        super();
+    }
+
+    override choose(req: RouteRequest, view: EndpointView, now: number): Result<RouteChoice, RouteError> {
+        const eligible = view.usable(view.endpoints.filter(endpoint => !req.excluded?.has(endpoint.id)), now);
+        if (eligible.length === 0) {
+            return Err({ kind: "no-endpoint" });
+        }
+        const loads = estimateLoads(eligible, req.priority, view, now, this.options);
+        const choices = this.random.sample(eligible, this.options.sampleSize).map(endpoint => {
+            const link = view.link(endpoint.failureDomain);
+            const predictedMs = 2 * link.delayMs + (view.latency(endpoint.id, now) ?? this.options.defaultLatencyMs);
+            const requests = loads.get(endpoint.id)?.requests ?? 0;
+            return {
+                endpoint,
+                predictedMs,
+                cachedTokens: 0,
+                score: (predictedMs + link.cost * this.options.linkCostMs) * (1 + requests)
+                    * (1 + this.options.tieShare * this.random.next()),
+            };
+        });
+        const best = choices.reduce((least, choice) => choice.score < least.score ? choice : least);
+        return now < req.deadline ? Ok(best) : Err({ kind: "deadline-unreachable", lateMs: now - req.deadline });
+    }
+}
--- a/packages/routing/src/predicted-first-token-policy.ts
+++ b/packages/routing/src/predicted-first-token-policy.ts
@@ -25,6 +25,11 @@
     ownRequestMs: number;
     /** Weight of the prompt tokens to recompute, which also delay the requests that come after. */
     recomputeWeight: number;
+    /**
+     * Random milliseconds added to each score. The prediction is no more exact than this; without it all entries
+     * would follow what little a stale report still says.
+     */
+    tieMs: number;
     /** Milliseconds of first-token time that one unit of link cost is worth. */
     linkCostMs: number;
 }
@@ -36,6 +41,7 @@
     perRequestMs: 1,
     ownRequestMs: 25,
     recomputeWeight: 1.5,
+    tieMs: 10,
     linkCostMs: 2,
     queueHalfLifeMs: 500,
     requestsHalfLifeMs: 3_000,
@@ -60,7 +66,8 @@
     }
 
     override choose(req: EngineRequest, view: EndpointView, now: number): Result<RouteChoice, RouteError> {
-        const eligible = view.endpoints.filter(endpoint => serves(endpoint, req) && !req.excluded?.has(endpoint.id));
+        const serving = view.endpoints.filter(endpoint => serves(endpoint, req) && !req.excluded?.has(endpoint.id));
+        const eligible = view.usable(serving, now);
         if (eligible.length === 0) {
             return Err({ kind: "no-endpoint" });
         }
@@ -116,7 +123,7 @@
         const predictedMs = 2 * link.delayMs + load.tokensAhead / load.prefillTokensPerMs + recomputeMs
             + load.requests * this.options.perRequestMs;
         const score = predictedMs + (this.options.recomputeWeight - 1) * recomputeMs
-            + link.cost * this.options.linkCostMs
+            + link.cost * this.options.linkCostMs + this.random.next() * this.options.tieMs
             + load.staleness * view.inFlight.requests(endpoint.id) * this.options.ownRequestMs;
         return { endpoint, predictedMs, cachedTokens, score };
     }
--- /dev/null
+++ b/packages/routing/tests/latency-aware-policy.test.ts
@@ -0,0 +1,93 @@
+import type { RouteRequest } from "@lentilramp/routing";
+import { ejectionDefaults, EjectionTable, EndpointTable, LatencyAwarePolicy, LinkTable } from "@lentilramp/routing";
+import { SeededRandom } from "@lentilramp/runtime";
+import { expect } from "chai";
+import fc from "fast-check";
+
+const ids = ["a", "b", "c"];
+const req: RouteRequest = { priority: "normal", deadline: 1e6 };
+
+function service() {
+    const random = new SeededRandom(5);
+    const table = new EndpointTable(new LinkTable({ x: { delayMs: 1, cost: 0 } }), random);
+    table.setEndpoints(ids.map(id => ({ id, failureDomain: "x", models: [] })));
+    const policy = new LatencyAwarePolicy(random);
+    const count = (now: number, id: string) => {
+        const choices = Array.from({ length: 100 }, () => policy.choose(req, table, now).unwrap().endpoint.id);
+        return choices.filter(choice => choice === id).length;
+    };
+    return { table, count };
+}
+
+function fail(table: EndpointTable, id: string, now: number): void {
+    for (let i = 0; i < ejectionDefaults.consecutiveFailures; i++) {
+        table.recordFailure(id, now);
+    }
+}
+
+describe("LatencyAwarePolicy", () => {
+    // Guards against an equal share for an endpoint that has become slow.
+    it("avoids a slow endpoint and tries it again later", () => {
+        const { table, count } = service();
+        ids.forEach(id => table.recordSuccess(id, id === "a" ? 900 : 20, 0));
+        expect(count(0, "a")).to.equal(0);
+        expect(count(100_000, "a")).to.be.above(0);
+    });
+
+    // Guards against requests lost to an endpoint that fails, and against one that never returns.
+    it("ejects a failing endpoint, sends one trial after the ejection time, and restores it on success", () => {
+        const { table, count } = service();
+        fail(table, "a", 0);
+        expect(count(0, "a")).to.equal(0);
+        const later = 2 * ejectionDefaults.baseMs;
+        expect(count(later, "a")).to.be.above(0);
+        table.recordCall("trial", "a", req, later);
+        expect(count(later, "a")).to.equal(0);
+        table.inFlight.ended("trial");
+        table.recordFailure("a", later + 1);
+        expect(count(later + ejectionDefaults.baseMs, "a")).to.equal(0);
+        const end = later + 4 * ejectionDefaults.baseMs;
+        table.recordCall("trial 2", "a", req, end);
+        table.inFlight.ended("trial 2");
+        table.recordSuccess("a", 20, end);
+        expect(count(end, "a")).to.be.above(0);
+    });
+
+    // Guards against an outage caused by ejection when everything seems to fail.
+    it("always leaves an endpoint when all fail or the others have left", () => {
+        const { table, count } = service();
+        ids.forEach(id => fail(table, id, 0));
+        expect(count(0, "b") + count(0, "c")).to.be.above(0);
+        table.setEndpoints([{ id: "a", failureDomain: "x", models: [] }]);
+        expect(count(0, "a")).to.equal(100);
+    });
+});
+
+describe("EjectionTable", () => {
+    // Guards against ejection of more than the share under any sequence of results.
+    it("never ejects more than the share", () => {
+        const event = fc.record({ id: fc.nat(7), ok: fc.boolean(), after: fc.nat(3_000), trial: fc.boolean() });
+        fc.assert(
+            fc.property(fc.array(event, { maxLength: 200 }), events => {
+                const table = new EjectionTable(new SeededRandom(1));
+                const all = [...Array(8).keys()].map(String);
+                table.setEndpoints(all);
+                let now = 0;
+                for (const { id, ok, after, trial } of events) {
+                    now += after;
+                    if (trial) {
+                        table.dispatched(`${id}`, now);
+                    }
+                    if (ok) {
+                        table.succeeded(`${id}`);
+                    }
+                    else {
+                        table.failed(`${id}`, now);
+                    }
+                    expect(all.filter(other => table.allows(other, now)).length).to.be.at.least(4);
+                }
+            }),
+            { seed: 14 },
+        );
+    });
+});
