--- /dev/null
+++ b/packages/agreement/src/core.ts
@@ -0,0 +1,160 @@
+import { entriesBetween, entryAt, lastIndex, membershipAt } from "./log.ts";
+import { isVoter } from "./membership.ts";
+import type { Message } from "./messages.ts";
+import type { AgreementOptions } from "./options.ts";
+import type { Rule } from "./rules.ts";
+import type { NodeState } from "./state.ts";
+import type { Effect, Entry, NodeId, RefusalReason, Role, Write } from "./types.ts";
+
+/** Thrown when a node would have to undo a committed entry; the group has lost synced data. */
+export class SafetyError extends Error {
+    constructor(message: string) {
+        super(message);
+        this.name = "SafetyError";
+    }
+}
+
+type WithoutSequence<T> = T extends Write ? Omit<T, "sequence"> : never;
+type WithoutHeader<T> = T extends Message ? Omit<T, "from" | "to" | "term"> : never;
+
+/** One step of a node: its state, what it may consult, and the effects collected so far. */
+export class Core {
+    readonly effects: Effect[] = [];
+    private readonly neededBefore: number;
+
+    constructor(
+        readonly id: NodeId,
+        readonly state: NodeState,
+        readonly options: AgreementOptions,
+        readonly enforces: (rule: Rule) => boolean,
+        private readonly random: () => number,
+    ) {
+        this.neededBefore = state.neededSequence;
+    }
+
+    get now(): number {
+        return this.state.now;
+    }
+
+    get isVoter(): boolean {
+        return isVoter(this.state.membership, this.id);
+    }
+
+    /** Asks for a sync when this step wrote something on which replies depend. */
+    finish(): Effect[] {
+        if (this.state.neededSequence !== this.neededBefore) {
+            this.effects.push({ type: "sync", sequence: this.state.writeSequence });
+        }
+        return this.effects;
+    }
+
+    randomElectionDeadline(): number {
+        const { electionTimeoutMinMs: min, electionTimeoutMaxMs: max } = this.options;
+        return this.now + min + this.random() * (max - min);
+    }
+
+    send(to: NodeId, body: WithoutHeader<Message>): void {
+        this.effects.push({ type: "send", message: this.address(to, body) });
+    }
+
+    /** Sends once all writes so far on which replies depend are durable. */
+    sendDurably(to: NodeId, body: WithoutHeader<Message>): void {
+        const { neededSequence, syncedSequence, held } = this.state;
+        if (syncedSequence >= neededSequence || !this.enforces("reply-after-sync")) {
+            this.send(to, body);
+        }
+        else {
+            held.push({ sequence: neededSequence, message: this.address(to, body) });
+        }
+    }
+
+    refuse(id: string, reason: RefusalReason): void {
+        this.effects.push({ type: "refused", id, reason, leader: this.state.leader });
+    }
+
+    write(write: WithoutSequence<Write>, needed: boolean): void {
+        const sequence = ++this.state.writeSequence;
+        if (needed) {
+            this.state.neededSequence = sequence;
+        }
+        this.effects.push({ ...write, sequence } as Write);
+    }
+
+    /** Saves term, vote and commit index. Only the first two are needed before a reply. */
+    saveState(needed: boolean): void {
+        const { term, votedFor, commitIndex } = this.state;
+        this.write({ type: "save-state", term, votedFor, commitIndex }, needed);
+    }
+
+    /** Replaces the log from the first given entry on. */
+    appendEntries(entries: readonly Entry[]): void {
+        const { state } = this;
+        const first = entries[0];
+        if (first === undefined) {
+            return;
+        }
+        if (first.index <= state.commitIndex) {
+            throw new SafetyError(
+                `${this.id} would replace entry ${first.index}, committed up to ${state.commitIndex}`,
+            );
+        }
+        state.entries = [...entriesBetween(state, 0, first.index - 1), ...entries];
+        this.write({ type: "append", entries }, true);
+        state.durableIndex = Math.min(state.durableIndex, first.index - 1);
+        state.unsynced = state.unsynced.map(({ sequence, index }) => ({
+            sequence,
+            index: Math.min(index, first.index - 1),
+        }));
+        state.unsynced.push({ sequence: state.writeSequence, index: lastIndex(state) });
+        this.refreshMembership();
+    }
+
+    refreshMembership(): void {
+        const { membership, index } = membershipAt(this.state, lastIndex(this.state));
+        this.state.membership = membership;
+        this.state.membershipIndex = index;
+    }
+
+    setRole(role: Role, leader: NodeId | undefined): void {
+        const { state } = this;
+        if (state.role !== role || state.leader !== leader) {
+            state.role = role;
+            state.leader = leader;
+            this.effects.push({ type: "role", role, term: state.term, leader });
+        }
+    }
+
+    setLease(until: number | undefined): void {
+        if (this.state.leaseUntil !== until) {
+            this.state.leaseUntil = until;
+            this.effects.push({ type: "lease", until });
+        }
+    }
+
+    /** Gives newly committed entries to the state machine. */
+    commitTo(index: number): void {
+        const { state } = this;
+        if (index <= state.commitIndex) {
+            return;
+        }
+        const entries = entriesBetween(state, state.commitIndex + 1, index);
+        if (entries.length !== index - state.commitIndex) {
+            throw new SafetyError(`${this.id} misses entries to commit up to ${index}`);
+        }
+        state.commitIndex = index;
+        this.saveState(false);
+        this.effects.push({ type: "apply", entries });
+        if (index - state.snapshotAskedAt >= this.options.snapshotEvery) {
+            state.snapshotAskedAt = index;
+            this.effects.push({ type: "snapshot-due", index });
+        }
+    }
+
+    hasEntry(index: number): boolean {
+        return entryAt(this.state, index) !== undefined;
+    }
+
+    private address(to: NodeId, body: WithoutHeader<Message>): Message {
+        return { ...body, from: this.id, to, term: this.state.term } as Message;
+    }
+}
--- /dev/null
+++ b/packages/agreement/src/roles.ts
@@ -0,0 +1,101 @@
+import type { Core } from "./core.ts";
+import { lastIndex, lastTerm } from "./log.ts";
+import { isQuorum, voterIds } from "./membership.ts";
+import { broadcast, resetPeers } from "./replication.ts";
+import type { EntryContent, NodeId } from "./types.ts";
+
+/** Moves to `term` as a follower of `leader`; a leader gives up its lease and refuses its open reads. */
+export function becomeFollower(core: Core, term: number, leader: NodeId | undefined): void {
+    const { state } = core;
+    const wasFollower = state.role === "follower";
+    if (term > state.term) {
+        state.term = term;
+        state.votedFor = undefined;
+        core.saveState(true);
+    }
+    core.setLease(undefined);
+    state.votes = [];
+    state.peers.clear();
+    state.handOver = undefined;
+    state.lost = [];
+    core.setRole("follower", leader);
+    for (const read of state.reads.splice(0)) {
+        core.refuse(read.id, "not-leader");
+    }
+    if (!wasFollower) {
+        state.electionDeadline = core.randomElectionDeadline();
+    }
+}
+
+/** Asks whether an election could succeed, without raising the term. */
+export function startPreVote(core: Core): void {
+    const { state } = core;
+    state.electionDeadline = core.randomElectionDeadline();
+    state.votes = [core.id];
+    core.setRole("pre-candidate", undefined);
+    if (isQuorum(state.membership, state.votes)) {
+        startElection(core, false);
+        return;
+    }
+    for (const id of otherVoters(core)) {
+        core.send(id, {
+            type: "pre-vote",
+            asked: state.term + 1,
+            lastIndex: lastIndex(state),
+            lastTerm: lastTerm(state),
+        });
+    }
+}
+
+export function startElection(core: Core, handOver: boolean): void {
+    const { state } = core;
+    state.term += 1;
+    state.votedFor = core.id;
+    state.votes = [];
+    core.saveState(true);
+    state.voteSequence = state.writeSequence;
+    state.electionDeadline = core.randomElectionDeadline();
+    core.setRole("candidate", undefined);
+    for (const id of otherVoters(core)) {
+        core.sendDurably(id, { type: "vote", lastIndex: lastIndex(state), lastTerm: lastTerm(state), handOver });
+    }
+}
+
+export function recordVote(core: Core, from: NodeId): void {
+    const { state } = core;
+    if (!state.votes.includes(from)) {
+        state.votes.push(from);
+    }
+    if (isQuorum(state.membership, state.votes)) {
+        if (state.role === "pre-candidate") {
+            startElection(core, false);
+        }
+        else {
+            becomeLeader(core);
+        }
+    }
+}
+
+function becomeLeader(core: Core): void {
+    const { state } = core;
+    core.setRole("leader", core.id);
+    state.votes = [];
+    state.heartbeatDue = core.now + core.options.heartbeatMs;
+    state.electionDeadline = core.now + core.options.electionTimeoutMinMs;
+    state.termStartIndex = lastIndex(state) + 1;
+    resetPeers(core);
+    appendAsLeader(core, { kind: "no-op" });
+}
+
+/** Appends an entry to the leader's log and starts its replication; returns its index. */
+export function appendAsLeader(core: Core, content: EntryContent): number {
+    const { state } = core;
+    const index = lastIndex(state) + 1;
+    core.appendEntries([{ index, term: state.term, content }]);
+    broadcast(core, false);
+    return index;
+}
+
+function otherVoters(core: Core): NodeId[] {
+    return voterIds(core.state.membership).filter(id => id !== core.id);
+}
--- /dev/null
+++ b/packages/agreement/tests/readme.test.ts
@@ -0,0 +1,24 @@
+import { expect } from "chai";
+import { readdirSync, readFileSync } from "node:fs";
+import { runExample } from "./example.ts";
+
+const folder = new URL("..", import.meta.url);
+
+describe("agreement README", () => {
+    // Guards against an example that has fallen behind the interface.
+    it("shows an example of at most 50 lines that commits a command", async () => {
+        const example = readFileSync(new URL("tests/example.ts", folder), "utf8");
+        expect(readFileSync(new URL("README.md", folder), "utf8")).to.contain(example.trimEnd());
+        expect(example.trimEnd().split("\n").length).to.be.at.most(50);
+        expect(await runExample()).to.deep.equal(["x=1"]);
+    });
+
+    // Guards against a dependency that would keep the core from being embedded.
+    it("imports nothing but its own files", () => {
+        for (const name of readdirSync(new URL("src", folder))) {
+            const source = readFileSync(new URL(`src/${name}`, folder), "utf8");
+            const imports = [...source.matchAll(/from "([^"]+)"/g)].map(match => match[1]);
+            expect(imports.filter(path => path?.startsWith("./") !== true), name).to.deep.equal([]);
+        }
+    });
+});
