--- a/packages/entry/src/chat-stream.ts
+++ b/packages/entry/src/chat-stream.ts
@@ -46,6 +46,7 @@
     /** Offset of its first token. */
     firstOffset: number;
     firstTokenAt: number | undefined;
+    startedAt: number;
 }
 
 /** One answer of a model, made of one or more attempts at engines. */
@@ -143,6 +144,7 @@
     private async prepareNext(end: AttemptEnd & { kind: "lost"; }): Promise<void> {
         const { clock, log, metrics } = this.parts;
         if (end.fault && this.current !== undefined) {
+            this.parts.selector.table.recordFailure(this.current.endpoint.id, clock.now());
             this.excluded.add(this.current.endpoint.id);
         }
         log.info("stream.resumed", {
@@ -202,6 +204,7 @@
             reason: "connection lost",
             firstOffset: this.assembler.nextOffset,
             firstTokenAt: undefined,
+            startedAt: this.parts.clock.now(),
         };
         this.current = attempt;
         const { silence, selector, clock } = this.parts;
@@ -284,6 +287,8 @@
             if (accepted.kind === "released") {
                 if (attempt.firstTokenAt === undefined) {
                     attempt.firstTokenAt = this.parts.clock.now();
+                    const latencyMs = attempt.firstTokenAt - attempt.startedAt;
+                    this.parts.selector.table.recordSuccess(attempt.endpoint.id, latencyMs, attempt.firstTokenAt);
                     this.parts.selector.table.inFlight.firstToken(attempt.requestId);
                 }
                 await this.sink.write(event);
--- a/packages/entry/src/endpoint-observer.ts
+++ b/packages/entry/src/endpoint-observer.ts
@@ -52,7 +52,7 @@
 /** Polls load reports and cache events of the endpoints and keeps them for routing. */
 export class EndpointObserver extends Component {
     readonly name = "endpoint-observer";
-    private current: EndpointTable = new EndpointTable(new LinkTable({}));
+    private current: EndpointTable;
     private endpoints: readonly Endpoint[] = [];
     private readonly lastSequence = new Map<string, number>();
     private readonly leaving = new Set<string>();
@@ -68,6 +68,7 @@
         private readonly log: EventLog,
     ) {
         super();
+        this.current = new EndpointTable(new LinkTable({}), random);
     }
 
     get table(): EndpointTable {
@@ -77,7 +78,7 @@
     /** Takes a new configuration; the table is replaced only when the links change. */
     setConfiguration(configuration: Configuration): void {
         if (this.endpoints.length === 0) {
-            this.current = new EndpointTable(linksFrom(configuration, this.ownDomain));
+            this.current = new EndpointTable(linksFrom(configuration, this.ownDomain), this.random);
         }
         this.endpoints = configuration.endpoints;
         this.refresh();
--- a/packages/entry/src/idempotent-call.ts
+++ b/packages/entry/src/idempotent-call.ts
@@ -19,7 +19,7 @@
         const maxAttempts = route?.retry.maxAttempts ?? 1;
         let sent = false;
         for (let attempt = 1;; attempt++) {
-            const endpoint = this.dispatcher.choose(configuration, call.service, excluded);
+            const endpoint = this.dispatcher.choose(configuration, call, excluded);
             if (endpoint === undefined) {
                 throw new CallerError(
                     503,
--- a/packages/entry/src/once-call.ts
+++ b/packages/entry/src/once-call.ts
@@ -111,7 +111,7 @@
     private async execute(configuration: Configuration, call: ServiceCall, claim: Claim): Promise<ServiceAnswer> {
         const excluded = new Set<string>();
         for (;;) {
-            const endpoint = this.dispatcher.choose(configuration, call.service, excluded);
+            const endpoint = this.dispatcher.choose(configuration, call, excluded);
             const check = endpoint === undefined ? "no-endpoint" : claim.checkDispatch();
             // After a refused connection no byte was sent, so the same claim may try another endpoint.
             const retry = check === "already-dispatched" && this.clock.now() < call.context.deadline;
--- a/packages/entry/src/service-dispatcher.ts
+++ b/packages/entry/src/service-dispatcher.ts
@@ -1,5 +1,6 @@
 import type { Configuration, Endpoint } from "@lentilramp/configuration";
 import { BodyCutError, readBody } from "@lentilramp/protocol";
+import { LatencyAwarePolicy } from "@lentilramp/routing";
 import type { Clock, RandomSource } from "@lentilramp/runtime";
 import type { EndpointObserver } from "./endpoint-observer.ts";
 import type { RequestContext } from "./request-context.ts";
@@ -26,27 +27,40 @@
 
 /** Chooses endpoints of services and sends plain calls to them. */
 export class ServiceDispatcher {
+    private readonly policy: LatencyAwarePolicy;
+    private sent = 0;
+
     constructor(
         private readonly observer: EndpointObserver,
         private readonly upstream: UpstreamClient,
         private readonly calls: ServiceCalls,
         private readonly clock: Clock,
-        private readonly random: RandomSource,
-    ) {}
+        random: RandomSource,
+    ) {
+        this.policy = new LatencyAwarePolicy(random);
+    }
 
-    /** Returns the least loaded of the usable endpoints, or undefined when none is left. */
-    choose(configuration: Configuration, service: string, excluded: ReadonlySet<string>): Endpoint | undefined {
-        const usable = new Set(this.observer.table.endpoints.map(endpoint => endpoint.id));
-        const candidates = configuration.endpoints.filter(endpoint =>
-            endpoint.services.includes(service) && usable.has(endpoint.id) && !excluded.has(endpoint.id)
+    /** Returns the endpoint for a call, or undefined when none is left. */
+    choose(configuration: Configuration, call: ServiceCall, excluded: ReadonlySet<string>): Endpoint | undefined {
+        const { table } = this.observer;
+        const serving = new Set(
+            configuration.endpoints.filter(endpoint => endpoint.services.includes(call.service)).map(endpoint =>
+                endpoint.id
+            ),
         );
-        return this.random.sample(candidates, candidates.length)
-            .sort((a, b) => this.calls.byEndpoint.get(a.id) - this.calls.byEndpoint.get(b.id))[0];
+        const others = table.endpoints.map(endpoint => endpoint.id).filter(id => !serving.has(id) || excluded.has(id));
+        const { priority, deadline } = call.context;
+        const choice = this.policy.choose({ priority, deadline, excluded: new Set(others) }, table, this.clock.now());
+        return choice.isOk() ? this.observer.find(choice.value.endpoint.id) : undefined;
     }
 
     /** Sends a call and reads the whole answer; rejects with an UpstreamError. */
     async send(endpoint: Endpoint, call: ServiceCall, signal?: AbortSignal): Promise<ServiceAnswer> {
         const { context } = call;
+        const { table } = this.observer;
+        const attempt = `call-${this.sent++}`;
+        const startedAt = this.clock.now();
+        table.recordCall(attempt, endpoint.id, context, startedAt);
         return await this.calls.during(endpoint, call.service, context.workspace, async () => {
             const abort = new AbortController();
             const stop = (): void => abort.abort();
@@ -68,15 +82,18 @@
                     signal: abort.signal,
                 });
                 const body = await readBody(res, answerLimitBytes);
+                table.recordSuccess(endpoint.id, this.clock.now() - startedAt, this.clock.now());
                 const contentType = res.headers["content-type"] ?? "application/octet-stream";
                 return { endpoint: endpoint.id, status: res.statusCode ?? 502, contentType, body };
             }
             catch (err) {
+                table.recordFailure(endpoint.id, this.clock.now());
                 throw err instanceof BodyCutError
                     ? new UpstreamError("broken", endpoint.id, "the answer was cut")
                     : err;
             }
             finally {
+                table.inFlight.ended(attempt);
                 timer.cancel();
                 signal?.removeEventListener("abort", stop);
             }
