--- a/packages/bench/src/registry.ts
+++ b/packages/bench/src/registry.ts
@@ -1,6 +1,8 @@
 import type { Experiment } from "./experiment.ts";
+import { ClaimCostExperiment } from "./experiments/claim-cost.ts";
 import { ConfigExperiment } from "./experiments/config.ts";
 import { OnceExperiment } from "./experiments/once/once.ts";
+import { RecoveryExperiment } from "./experiments/recovery.ts";
 import { RoutingExperiment } from "./experiments/routing.ts";
 
 /** All experiments, in the order in which `--list` names them. */
@@ -8,4 +10,6 @@
     new OnceExperiment(),
     new RoutingExperiment(),
     new ConfigExperiment(),
+    new RecoveryExperiment(),
+    new ClaimCostExperiment(),
 ];
