Add the reclaim experiment; export in part, learn answer lengths, copy ahead

Changes: a stream that is to be recomputed goes on in place until the end of the notice, exports are ordered by the learned probability that the stream is still there, tokens held by the target are not sent, a part of a KV cache is kept, and after a notice KV caches on other engines are copied in case another wave follows.

--- a/packages/stand-ins/src/engine/engine-options.ts
+++ b/packages/stand-ins/src/engine/engine-options.ts
@@ -25,6 +25,8 @@
     importBytesPerSecond: z.number().positive().default(100e6),
     /** Tokens of imported KV cache that the engine holds until a request uses them. */
     importCapacityTokens: z.number().int().min(0).default(1_000_000),
+    /** Whether the leading tokens of a KV cache that arrives in part are kept. */
+    keepPartialImports: z.boolean().default(true),
     loadReportIntervalMs: z.number().positive().default(100),
     loadReportLagMs: z.number().min(0).default(250),
     /** Whether orders with an old fencing number are refused. */
--- a/packages/stand-ins/src/engine/kv-exporter.ts
+++ b/packages/stand-ins/src/engine/kv-exporter.ts
@@ -4,6 +4,7 @@
 import { HttpError } from "../http/http-error.ts";
 import type { Address } from "../http/http-stand-in.ts";
 import { RateLimiter } from "../http/rate-limiter.ts";
+import { tokensPerBlock } from "./chat-body.ts";
 import type { EngineOptions } from "./engine-options.ts";
 import type { EngineRequest } from "./engine-request.ts";
 import type { Generator } from "./generator.ts";
@@ -16,6 +17,10 @@
     port: z.number().int(),
     targetId: z.string().optional(),
     pause: z.boolean().default(false),
+    /** Tokens before this one are not sent; the target must hold them. */
+    fromToken: z.number().int().min(0).default(0),
+    /** Tokens from this one on are not sent. */
+    untilToken: z.number().int().min(0).optional(),
 });
 
 /** Sends the KV cache of a running request, at the limited rate that all exports share. */
@@ -35,7 +40,7 @@
 
     /** Answers `GET /v1/kv/{id}` with the KV cache as it is now; the request goes on unless it is paused. */
     async download(exchange: Exchange, id: string): Promise<void> {
-        const kv = this.capture(id, exchange.query.get("pause") === "true");
+        const kv = this.capture(id, exchange.query.get("pause") === "true", 0);
         exchange.open(200, {
             "content-type": "application/octet-stream",
             "content-length": String(kv.bytes),
@@ -56,7 +61,7 @@
     /** Answers `POST /v1/kv/{id}/push`: sends the KV cache to another engine. */
     async push(exchange: Exchange, id: string): Promise<void> {
         const body = await exchange.json(pushBody);
-        const kv = this.capture(id, body.pause);
+        const kv = this.capture(id, body.pause, body.fromToken, body.untilToken);
         const targetId = body.targetId ?? id;
         try {
             await this.send(body, `/v1/kv/${encodeURIComponent(targetId)}`, kv);
@@ -68,7 +73,7 @@
         exchange.reply(200, { id: targetId, tokens: kv.tokens, bytes: kv.bytes, nextOffset: kv.nextOffset });
     }
 
-    private capture(id: string, pause: boolean) {
+    private capture(id: string, pause: boolean, fromToken: number, untilToken = Infinity) {
         const held = this.generator.find(id);
         if (held?.state !== "running") {
             throw new HttpError(404, "unknown-request", `no running request ${id}`);
@@ -76,13 +81,16 @@
         if (pause) {
             this.generator.pause(id, true);
         }
-        const tokens = this.coveredTokens(held);
+        const tokens = Math.max(fromToken, Math.min(untilToken, this.coveredTokens(held)));
+        const base = fromToken % tokensPerBlock === 0 ? held.blocks[fromToken / tokensPerBlock - 1] : undefined;
         return {
             tokens,
-            bytes: tokens * this.options.kvBytesPerToken,
+            bytes: (tokens - fromToken) * this.options.kvBytesPerToken,
             nextOffset: held.sequence.nextOffset,
             headers: {
                 "x-kv-tokens": String(tokens),
+                "x-kv-from": String(fromToken),
+                ...(base === undefined ? {} : { "x-kv-base": base }),
                 "x-kv-fingerprint": held.fingerprint,
                 "x-kv-next-offset": String(held.sequence.nextOffset),
             },
@@ -129,7 +137,8 @@
                 if (req.destroyed) {
                     break;
                 }
-                req.write(chunk);
+                // Waits until the part has been handed to the connection, so that a cut leaves it on its way.
+                await new Promise<void>(resolve => void req.write(chunk, () => resolve()));
             }
             req.end();
         }
--- a/packages/stand-ins/src/engine/prefix-cache.ts
+++ b/packages/stand-ins/src/engine/prefix-cache.ts
@@ -33,6 +33,10 @@
         return { stored, evicted };
     }
 
+    has(hash: string): boolean {
+        return this.blocks.has(hash);
+    }
+
     list(): string[] {
         return [...this.blocks];
     }
--- a/packages/stand-ins/tests/model-engine.test.ts
+++ b/packages/stand-ins/tests/model-engine.test.ts
@@ -159,6 +159,37 @@
         expect(stream.done).to.equal(true);
     });
 
+    // Guards against a part of a KV cache that is lost when its export is cut, and against a part without its base.
+    it("keeps the part of an export that arrived and continues behind it", async () => {
+        const kv = { kvBytesPerToken: 8_192 };
+        const [source, target] = [await start({ stepMs: 3, ...kv }), await start(kv)];
+        const long = { ...body, max_tokens: 5_000 };
+        const push = async (options: object) =>
+            await requestJson(source, "POST", "/v1/kv/r5/push", { ...target, pause: true, ...options });
+        let results: Promise<unknown[]> | undefined;
+        await readStream(source, long, { "x-request-id": "r5" }, count => {
+            if (count === 80) {
+                results = (async () => {
+                    const missing = (await push({ fromToken: 64 })).status;
+                    await fault(source, { kind: "cut-exports", afterBytes: 655_360 });
+                    const cut = (await push({})).status;
+                    await fault(source, { kind: "cut-exports" });
+                    let kept = 0;
+                    while (kept === 0) {
+                        const { body: state } = await requestJson(target, "GET", "/v1/imports/r5");
+                        kept = (state as { tokens?: number; }).tokens ?? 0;
+                    }
+                    const rest = (await push({ fromToken: kept })).body as { tokens: number; bytes: number; };
+                    await requestJson(source, "DELETE", "/v1/requests/r5");
+                    return [missing, cut, kept > 80, rest.bytes - (rest.tokens - kept) * 8_192];
+                })();
+            }
+            return true;
+        });
+        // 655,360 bytes are 80 tokens; bytes that are on their way when the connection is cut are lost.
+        expect(await results).to.deep.equal([502, 502, false, 0]);
+    });
+
     // Guards against cache events without gaps under the fault and a full listing that does not repair them.
     it("gives cache events with gaps and a full listing", async () => {
         const lossy = await start({ cacheEventDropRate: 1 });
--- a/packages/streams/src/budgeted-reclaim.ts
+++ b/packages/streams/src/budgeted-reclaim.ts
@@ -1,26 +1,38 @@
+import { BoundLengthModel } from "./answer-length-model.ts";
+import type { AnswerLengthModel } from "./answer-length-model.ts";
 import type { ExportBandwidth, ReclaimedStream, ReclaimNotice, ReclaimPlan, ReclaimStep } from "./reclaim-policy.ts";
-import { kvTokensAfter, ReclaimPolicy, recomputeStep, tokensToRecompute } from "./reclaim-policy.ts";
+import { exportMs, ReclaimPolicy, tokensToExport, tokensToRecompute } from "./reclaim-policy.ts";
 
-/** Margins of the plan. */
 export interface BudgetedReclaimOptions {
-    /** Time kept free before the reclaim, for lagging clocks and for the last bytes on the way. */
+    /** Time kept free before the reclaim: ten one-way delays (5 ms) of the longest link between failure domains. */
     marginMs: number;
     /** Factor on the expected time of tokens, because steps take longer when others prefill. */
     slowdown: number;
+    lengths: AnswerLengthModel;
 }
 
-export const defaultBudgetedReclaimOptions: BudgetedReclaimOptions = { marginMs: 200, slowdown: 1.1 };
+export const defaultBudgetedReclaimOptions: BudgetedReclaimOptions = {
+    marginMs: 50,
+    slowdown: 1.1,
+    lengths: new BoundLengthModel(),
+};
 
 // Streams whose value for each byte differs by less than this are ordered by their deadline.
 const valueStep = 0.05;
 
 /**
- * Lets streams finish that end in time, exports the rest by tokens saved for each byte and then by deadline until the
- * bandwidth is used up, and recomputes what is left.
+ * Lets streams finish that end in time, exports the rest by the expected tokens saved for each byte and then by
+ * deadline until the bandwidth is used up, and recomputes what is left.
+ *
+ * A stream that is to be recomputed goes on in place until the end of the usable time: it may end by then, and a later
+ * recomputation takes no longer. The export that no longer fits is made in part where targets keep the leading tokens.
  */
 export class BudgetedReclaim extends ReclaimPolicy {
-    constructor(private readonly options: BudgetedReclaimOptions = defaultBudgetedReclaimOptions) {
+    private readonly options: BudgetedReclaimOptions;
+
+    constructor(options: Partial<BudgetedReclaimOptions> = {}) {
         super();
+        this.options = { ...defaultBudgetedReclaimOptions, ...options };
     }
 
     override plan(
@@ -31,42 +43,78 @@
     ): ReclaimPlan {
         const usableUntil = notice.reclaimAt - this.options.marginMs;
         const steps: ReclaimStep[] = [];
-        const candidates: ReclaimedStream[] = [];
+        const candidates: { stream: ReclaimedStream; value: number; }[] = [];
         for (const stream of streams) {
             const endAt = now + stream.remainingTokens * stream.tokenIntervalMs * this.options.slowdown;
-            // When a stream that still waits for its prefill will produce its first token is unknown.
-            if (stream.uncomputedTokens === 0 && endAt <= usableUntil) {
+            if (stream.uncomputedTokens > 0 && tokensToRecompute(stream) === 0) {
+                // The endpoint has computed nothing of it that another one would have to compute again.
+                steps.push({ streamId: stream.id, action: "recompute", startAt: now, endAt: now, recomputedTokens: 0 });
+            }
+            else if (stream.uncomputedTokens === 0 && endAt <= usableUntil) {
                 steps.push({ streamId: stream.id, action: "finish", startAt: now, endAt, recomputedTokens: 0 });
             }
             else {
-                candidates.push(stream);
+                candidates.push({ stream, value: this.valuePerByte(stream, usableUntil - now) });
             }
         }
+        candidates.sort((a, b) =>
+            b.value - a.value || a.stream.deadline - b.stream.deadline || (a.stream.id < b.stream.id ? -1 : 1)
+        );
+        steps.push(...this.planExports(candidates.map(({ stream }) => stream), usableUntil, bandwidth, now));
+        return { reclaimAt: notice.reclaimAt, steps };
+    }
+
+    private planExports(
+        candidates: readonly ReclaimedStream[],
+        usableUntil: number,
+        bandwidth: ExportBandwidth,
+        now: number,
+    ): ReclaimStep[] {
+        const exports: ReclaimStep[] = [];
+        const left: ReclaimedStream[] = [];
         let startAt = Math.max(now, bandwidth.busyUntil ?? now);
-        for (const stream of candidates.sort((a, b) => this.compare(a, b))) {
-            const bytes = kvTokensAfter(stream, startAt - now) * stream.kvBytesPerToken;
-            const endAt = startAt + bytes / bandwidth.bytesPerSecond * 1_000;
-            if (stream.canExport && endAt <= usableUntil && tokensToRecompute(stream) > 0) {
-                steps.push({ streamId: stream.id, action: "export", startAt, endAt, recomputedTokens: 0 });
+        for (const stream of candidates) {
+            const endAt = startAt + exportMs(stream, tokensToExport(stream, startAt - now), bandwidth);
+            if (stream.canExport && endAt <= usableUntil) {
+                exports.push({ streamId: stream.id, action: "export", startAt, endAt, recomputedTokens: 0 });
                 startAt = endAt;
             }
             else {
-                steps.push(recomputeStep(stream, now));
+                left.push(stream);
             }
         }
-        return { reclaimAt: notice.reclaimAt, steps };
+        const partial = bandwidth.keepsPartial ? left.find(stream => stream.canExport) : undefined;
+        const recomputed = left.map((stream): ReclaimStep => {
+            const tokens = tokensToRecompute(stream);
+            const fitting = Math.floor((usableUntil - startAt) / exportMs(stream, 1, bandwidth));
+            if (stream === partial && fitting > 0) {
+                const recomputedTokens = Math.max(0, tokensToExport(stream, startAt - now) - fitting);
+                return { streamId: stream.id, action: "export", startAt, endAt: usableUntil, recomputedTokens };
+            }
+            return {
+                streamId: stream.id,
+                action: "recompute",
+                startAt: Math.max(now, usableUntil),
+                endAt: Math.max(now, usableUntil),
+                recomputedTokens: tokens,
+            };
+        });
+        return [...exports, ...recomputed];
     }
 
-    private compare(a: ReclaimedStream, b: ReclaimedStream): number {
-        return valueOf(b) - valueOf(a) || a.deadline - b.deadline || (a.id < b.id ? -1 : 1);
+    /**
+     * Expected value of each exported byte: the probability that the stream does not end before the reclaim. Only
+     * bytes of tokens that would be recomputed are exported, so the tokens saved for each byte do not differ otherwise
+     * between streams of one model.
+     */
+    private valuePerByte(stream: ReclaimedStream, usableMs: number): number {
+        const more = stream.uncomputedTokens > 0 ? 0 : usableMs / stream.tokenIntervalMs;
+        const bound = stream.producedTokens + stream.remainingTokens;
+        const survival = this.options.lengths.survival(stream.producedTokens, bound, more);
+        return Math.round(survival / valueStep) / stream.kvBytesPerToken;
     }
 }
 
-/** Tokens saved for each byte exported, relative to a stream of which nothing is cached elsewhere, in steps. */
-function valueOf(stream: ReclaimedStream): number {
-    return Math.round(tokensToRecompute(stream) / Math.max(1, kvTokensAfter(stream, 0)) / valueStep);
-}
-
 /** The plan of the default policy. Plan again when an export ends or fails, with the streams that are left. */
 export function planReclaim(
     streams: readonly ReclaimedStream[],
--- a/packages/streams/src/export-all-reclaim.ts
+++ b/packages/streams/src/export-all-reclaim.ts
@@ -1,5 +1,5 @@
 import type { ExportBandwidth, ReclaimedStream, ReclaimNotice, ReclaimPlan } from "./reclaim-policy.ts";
-import { kvTokensAfter, ReclaimPolicy } from "./reclaim-policy.ts";
+import { exportMs, ReclaimPolicy, tokensToExport } from "./reclaim-policy.ts";
 
 /** Baseline of the bench: exports every stream in the given order, whether or not the time is enough. */
 export class ExportAllReclaim extends ReclaimPolicy {
@@ -11,8 +11,7 @@
     ): ReclaimPlan {
         let startAt = Math.max(now, bandwidth.busyUntil ?? now);
         const steps = streams.map(stream => {
-            const bytes = kvTokensAfter(stream, startAt - now) * stream.kvBytesPerToken;
-            const endAt = startAt + bytes / bandwidth.bytesPerSecond * 1_000;
+            const endAt = startAt + exportMs(stream, tokensToExport(stream, startAt - now), bandwidth);
             const step = { streamId: stream.id, action: "export" as const, startAt, endAt, recomputedTokens: 0 };
             startAt = endAt;
             return step;
--- a/packages/streams/src/export-failure.ts
+++ b/packages/streams/src/export-failure.ts
@@ -1,42 +1,47 @@
-import type { ExportBandwidth, ReclaimedStream, ReclaimNotice } from "./reclaim-policy.ts";
-import { kvTokensAfter } from "./reclaim-policy.ts";
+import type { ExportBandwidth, ReclaimedStream } from "./reclaim-policy.ts";
+import { exportMs, tokensToExport } from "./reclaim-policy.ts";
 
-/** How an export failed. An engine keeps nothing of a truncated KV cache, so no part of it can be used. */
+/** How an export failed. */
 export interface ExportFailure {
     kind: "cut" | "refused";
     target: string;
+    /** Leading tokens of prompt and answer that the target holds now; the part of the KV cache that arrived counts. */
+    keptTokens: number;
     /** Failures of this stream so far, with this one. */
     failures: number;
 }
 
 export type ExportFallback =
-    /** Export the whole KV cache again, to this target. */
-    | { kind: "export-again"; target: string; }
-    /** Resume from the received prefix on another endpoint. */
-    | { kind: "recompute"; };
+    /** Export from the token `fromToken` on; 0 stands for the first token that the target does not hold. */
+    | { kind: "export-again"; target: string; fromToken: number; }
+    /** Resume on `target`, or on any endpoint when there is none, and compute what it does not hold. */
+    | { kind: "recompute"; target?: string; importedTokens: number; };
 
 const maxFailures = 3;
-const marginMs = 200;
 
 /**
- * Decides what follows a failed export. A target that refused is not asked again; after a cut the same target may be
- * used. The export is repeated only when it ends before the reclaim, because a second failure costs the time that a
- * recomputation needs.
+ * Decides what follows a failed export. After a cut the export goes on to the same target behind what it kept; a
+ * target that refused is not asked again. The export goes on only when it ends before `usableUntil`, because the
+ * stream produces nothing meanwhile.
  */
 export function afterExportFailure(
     stream: ReclaimedStream,
     failure: ExportFailure,
-    targets: readonly string[],
-    notice: ReclaimNotice,
+    otherTargets: readonly string[],
+    usableUntil: number,
     bandwidth: ExportBandwidth,
     now: number,
 ): ExportFallback {
-    const target = targets.find(other => failure.kind === "cut" || other !== failure.target);
+    const cut = failure.kind === "cut";
+    const keptTokens = cut && bandwidth.keepsPartial ? failure.keptTokens : 0;
+    const target = cut ? failure.target : otherTargets.find(other => other !== failure.target);
+    const saved = Math.max(0, keptTokens - stream.heldTokens);
     const startAt = Math.max(now, bandwidth.busyUntil ?? now);
-    const bytes = kvTokensAfter(stream, startAt - now) * stream.kvBytesPerToken;
-    const endAt = startAt + bytes / bandwidth.bytesPerSecond * 1_000;
-    if (target === undefined || failure.failures >= maxFailures || endAt > notice.reclaimAt - marginMs) {
-        return { kind: "recompute" };
+    const endAt = startAt + exportMs(stream, Math.max(0, tokensToExport(stream, 0) - saved), bandwidth);
+    if (target === undefined || failure.failures >= maxFailures || endAt > usableUntil) {
+        return keptTokens > 0
+            ? { kind: "recompute", target: failure.target, importedTokens: keptTokens }
+            : { kind: "recompute", importedTokens: 0 };
     }
-    return { kind: "export-again", target };
+    return { kind: "export-again", target, fromToken: keptTokens };
 }
--- a/packages/streams/src/index.ts
+++ b/packages/streams/src/index.ts
@@ -1,10 +1,14 @@
 /**
  * Stream assembly, resumption, detection of silent connections and reclaim planning.
  */
+export * from "./answer-length-model.ts";
 export * from "./budgeted-reclaim.ts";
 export * from "./export-all-reclaim.ts";
 export * from "./export-failure.ts";
 export * from "./judge-probe.ts";
+export * from "./observed-length-model.ts";
+export * from "./precopy-after-notice.ts";
+export * from "./precopy-policy.ts";
 export * from "./reclaim-policy.ts";
 export * from "./recompute-all-reclaim.ts";
 export * from "./restart-from-zero.ts";
--- a/packages/streams/src/reclaim-policy.ts
+++ b/packages/streams/src/reclaim-policy.ts
@@ -12,8 +12,11 @@
     tokenIntervalMs: number;
     /** Size of the KV cache of one token. */
     kvBytesPerToken: number;
-    /** Leading prompt tokens in the prefix cache of the endpoint that would recompute the stream. */
-    cachedPromptTokens: number;
+    /**
+     * Leading tokens of prompt and answer that the endpoint which takes over holds, in its prefix cache or from an
+     * earlier copy; they are neither exported nor recomputed.
+     */
+    heldTokens: number;
     /** Instant by which the answer must be complete. */
     deadline: number;
     /** False when no other endpoint has room for the KV cache. */
@@ -30,16 +33,18 @@
     bytesPerSecond: number;
     /** Instant at which the exports in progress end, when there are any. */
     busyUntil?: number;
+    /** Whether targets keep the leading tokens of a KV cache that arrives in part. */
+    keepsPartial: boolean;
 }
 
 export interface ReclaimStep {
     streamId: string;
     action: "finish" | "export" | "recompute";
-    /** Instant at which an export starts, or at which the other actions take effect. */
+    /** Instant at which the step starts. A stream goes on in place until then. */
     startAt: number;
-    /** Instant by which the action has ended at the reclaimed endpoint. */
+    /** Instant by which the step has ended at the reclaimed endpoint. */
     endAt: number;
-    /** Tokens that are computed again when the step succeeds. */
+    /** Tokens that are computed again when the step succeeds, as far as known now. */
     recomputedTokens: number;
 }
 
@@ -61,25 +66,18 @@
 
 /** Tokens that another endpoint computes again when the stream is recomputed now. */
 export function tokensToRecompute(stream: ReclaimedStream): number {
-    const cached = Math.min(stream.cachedPromptTokens, stream.promptTokens);
-    return Math.max(0, stream.promptTokens + stream.producedTokens - stream.uncomputedTokens - cached);
+    return Math.max(0, stream.promptTokens + stream.producedTokens - stream.uncomputedTokens - stream.heldTokens);
 }
 
-/** Tokens in the KV cache of the stream after it has gone on for `elapsedMs`. */
-export function kvTokensAfter(stream: ReclaimedStream, elapsedMs: number): number {
+/** Tokens to export when the stream goes on for `elapsedMs` before its export starts. */
+export function tokensToExport(stream: ReclaimedStream, elapsedMs: number): number {
     const produced = Math.min(stream.remainingTokens, Math.ceil(elapsedMs / stream.tokenIntervalMs));
     // Prefill of the rest may end while the stream waits for its export.
-    const uncomputed = elapsedMs > 0 ? 0 : stream.uncomputedTokens;
-    return stream.promptTokens + stream.producedTokens - uncomputed + produced;
+    const uncomputed = elapsedMs > 0 ? stream.uncomputedTokens : 0;
+    return tokensToRecompute(stream) + uncomputed + produced;
 }
 
-/** The step that recomputes a stream on another endpoint from now on. */
-export function recomputeStep(stream: ReclaimedStream, now: number): ReclaimStep {
-    return {
-        streamId: stream.id,
-        action: "recompute",
-        startAt: now,
-        endAt: now,
-        recomputedTokens: tokensToRecompute(stream),
-    };
+/** Time to export a number of tokens of the stream. */
+export function exportMs(stream: ReclaimedStream, tokens: number, bandwidth: ExportBandwidth): number {
+    return tokens * stream.kvBytesPerToken / bandwidth.bytesPerSecond * 1_000;
 }
--- a/packages/streams/src/recompute-all-reclaim.ts
+++ b/packages/streams/src/recompute-all-reclaim.ts
@@ -1,5 +1,5 @@
 import type { ExportBandwidth, ReclaimedStream, ReclaimNotice, ReclaimPlan } from "./reclaim-policy.ts";
-import { ReclaimPolicy, recomputeStep } from "./reclaim-policy.ts";
+import { ReclaimPolicy, tokensToRecompute } from "./reclaim-policy.ts";
 
 /** Baseline of the bench: recomputes every stream as soon as the notice arrives. */
 export class RecomputeAllReclaim extends ReclaimPolicy {
@@ -10,6 +10,13 @@
         now: number,
     ): ReclaimPlan {
         void bandwidth;
-        return { reclaimAt: notice.reclaimAt, steps: streams.map(stream => recomputeStep(stream, now)) };
+        const steps = streams.map(stream => ({
+            streamId: stream.id,
+            action: "recompute" as const,
+            startAt: now,
+            endAt: now,
+            recomputedTokens: tokensToRecompute(stream),
+        }));
+        return { reclaimAt: notice.reclaimAt, steps };
     }
 }
