--- a/packages/bench/src/registry.ts
+++ b/packages/bench/src/registry.ts
@@ -2,6 +2,7 @@
 import { ClaimCostExperiment } from "./experiments/claim-cost.ts";
 import { ConfigExperiment } from "./experiments/config.ts";
 import { OnceExperiment } from "./experiments/once/once.ts";
+import { ReclaimExperiment } from "./experiments/reclaim.ts";
 import { RecoveryExperiment } from "./experiments/recovery.ts";
 import { RoutingExperiment } from "./experiments/routing.ts";
 
@@ -12,4 +13,5 @@
     new ConfigExperiment(),
     new RecoveryExperiment(),
     new ClaimCostExperiment(),
+    new ReclaimExperiment(),
 ];
