--- a/packages/entry/src/reclaim-mover.ts
+++ b/packages/entry/src/reclaim-mover.ts
@@ -1,7 +1,7 @@
 import type { Endpoint } from "@lentilramp/configuration";
 import { readBody } from "@lentilramp/protocol";
 import type { Clock, EventLog, Metrics } from "@lentilramp/runtime";
-import { planReclaim, type ReclaimedStream, type ReclaimPlan } from "@lentilramp/streams";
+import { planReclaim, type ReclaimedStream, type ReclaimPlan, type ReclaimStep } from "@lentilramp/streams";
 import { z } from "zod";
 import type { ChatStream } from "./chat-stream.ts";
 import type { EngineSelector } from "./engine-selector.ts";
@@ -72,16 +72,36 @@
             export: count("export"),
             recompute: count("recompute"),
         });
-        for (const { streamId, action } of plan.steps) {
-            if (action === "recompute") {
-                streams.get(streamId)?.interrupt("reclaim: recomputed elsewhere");
-            }
+        const moved = (step: ReclaimStep): Promise<void> => {
+            const stream = streams.get(step.streamId);
+            return stream === undefined ? Promise.resolve() : this.carryOut(stream, step, endpoint, reclaimAt);
+        };
+        const exports = plan.steps.filter(step => step.action === "export");
+        await Promise.all([
+            ...plan.steps.filter(step => step.action === "recompute").map(moved),
+            // Exports are made one after the other, because they share the bandwidth of the engine.
+            exports.reduce((previous, step) => previous.then(() => moved(step)), Promise.resolve()),
+        ]);
+    }
+
+    private async carryOut(
+        stream: ChatStream,
+        step: ReclaimStep,
+        endpoint: Endpoint,
+        reclaimAt: number,
+    ): Promise<void> {
+        if (step.action === "recompute") {
+            // The stream goes on in place until then, since it may end by itself.
+            await this.clock.sleepUntil(step.startAt);
         }
-        for (const { streamId, action } of plan.steps) {
-            const stream = streams.get(streamId);
-            if (action === "export" && stream?.endpoint?.id === endpoint.id) {
-                await this.export(stream, endpoint, reclaimAt);
-            }
+        if (stream.endpoint?.id !== endpoint.id) {
+            return;
+        }
+        if (step.action === "export") {
+            await this.export(stream, endpoint, reclaimAt);
+        }
+        else {
+            stream.interrupt("reclaim: recomputed elsewhere");
         }
     }
 
@@ -89,7 +109,10 @@
         const now = this.clock.now();
         // All entries export from the engine at the same time, so each plans with its share.
         const bytesPerSecond = this.options.exportBytesPerSecond / Math.max(1, this.entryCount());
-        return planReclaim(streams.map(stream => this.describe(stream, now)), { reclaimAt }, { bytesPerSecond }, now);
+        return planReclaim(streams.map(stream => this.describe(stream, now)), { reclaimAt }, {
+            bytesPerSecond,
+            keepsPartial: false,
+        }, now);
     }
 
     private describe(stream: ChatStream, now: number): ReclaimedStream {
@@ -102,7 +125,7 @@
             kvBytesPerToken: this.kvBytesPerToken,
             // The prompt of a stream that has produced a token is computed completely.
             uncomputedTokens: stream.assembler.nextOffset > 0 ? 0 : stream.engineRequest.promptTokens,
-            cachedPromptTokens: 0,
+            heldTokens: 0,
             deadline: stream.context.deadline,
             canExport: this.selectTarget(stream) !== undefined,
         };
