--- a/packages/stand-ins/tests/engine-client.ts
+++ b/packages/stand-ins/tests/engine-client.ts
@@ -16,7 +16,7 @@
     address: Address,
     body: ChatInput,
     headers: Record<string, string> = {},
-    onToken: (count: number) => boolean = () => true,
+    onToken: (count: number, token: { offset: number; text: string; }) => boolean = () => true,
 ): Promise<ReceivedStream> {
     const received: ReceivedStream = { status: 0, resumeOffset: 0, tokens: [], done: false, cut: false };
     return await new Promise(resolve => {
@@ -39,8 +39,9 @@
                             token_offset: number;
                             choices: { delta: { content: string; }; }[];
                         };
-                        received.tokens.push({ offset: chunk.token_offset, text: chunk.choices[0]!.delta.content });
-                        if (!onToken(received.tokens.length)) {
+                        const token = { offset: chunk.token_offset, text: chunk.choices[0]!.delta.content };
+                        received.tokens.push(token);
+                        if (!onToken(received.tokens.length, token)) {
                             req.destroy();
                         }
                     },
--- a/packages/streams/tests/reclaim-policy.test.ts
+++ b/packages/streams/tests/reclaim-policy.test.ts
@@ -31,10 +31,18 @@
 
     // Guards against bandwidth spent on tokens that the target holds, and on the stream with the later deadline first.
     it("exports by deadline what the target does not hold, and recomputes the rest in time", () => {
-        const streams = [stream("late", { deadline: 90_000 }), stream("early"), stream("held", { heldTokens: 990 })];
+        const streams = [
+            stream("1-late", { deadline: 90_000 }),
+            stream("2-early"),
+            stream("3-held", { heldTokens: 990 }),
+        ];
         const plan = planReclaim(streams, notice, { ...bandwidth, bytesPerSecond: 0.25e6 }, 0);
         const steps = plan.steps.map(({ streamId, action, startAt }) => [streamId, action, Math.round(startAt)]);
-        expect(steps).to.deep.equal([["early", "export", 0], ["held", "export", 4_000], ["late", "recompute", 4_950]]);
+        expect(steps).to.deep.equal([["2-early", "export", 0], ["3-held", "export", 4_000], [
+            "1-late",
+            "recompute",
+            4_950,
+        ]]);
     });
 
     // Guards against exporting streams first that will probably have ended by the reclaim.
