Run failure detection among entries and leave dead or leaving ones out of lookups

Membership uses UDP on the port number of the entry's HTTP address, so that the configuration's entries are its candidates and no further setting is needed.

--- a/packages/cli/src/wire-entry.ts
+++ b/packages/cli/src/wire-entry.ts
@@ -10,6 +10,7 @@
     EngineSelector,
     IdempotentCaller,
     LeavingList,
+    MembershipService,
     OnceCaller,
     ReclaimMover,
     RequestGate,
@@ -37,6 +38,10 @@
             observer.setConfiguration(subscriber.view.configuration);
         }
     });
+    const membership = settings.membership
+        ? new MembershipService({ id: settings.name, ...settings.listen }, base.key, clock, random, log)
+        : undefined;
+    subscriber.onChange(() => membership?.setCandidates(subscriber.view.configuration?.entries ?? []));
     const streams = new StreamTable();
     const calls = new ServiceCalls();
     const silence = new SilenceMonitor(upstream, clock, log, metrics);
@@ -90,7 +95,7 @@
     const addresses = new AddressHandler(
         subscriber,
         settings.failureDomain,
-        entry => entry.id !== settings.name || !gate.isDraining,
+        entry => (entry.id !== settings.name || !gate.isDraining) && membership?.isUsable(entry.id) !== false,
         clock,
     );
     const status = (): Record<string, unknown> => ({
@@ -131,5 +136,9 @@
     }
     lifecycle.register(silence);
     lifecycle.register(http);
+    if (membership !== undefined) {
+        dump.add("membership", () => membership.dump());
+        lifecycle.register(membership);
+    }
     lifecycle.register(new DrainGate(gate, once));
 }
--- a/packages/cli/tests/test-group.ts
+++ b/packages/cli/tests/test-group.ts
@@ -70,7 +70,7 @@
             ...this.common(entry.id, entry),
             role: "entry",
             control: this.members,
-            membershipSeeds: [],
+            membership: true,
             bodyLimitBytes: 65_536,
         };
         await this.start(settings);
@@ -117,6 +117,17 @@
         return answer.configuration;
     }
 
+    /** Ports of the entries that a lookup at the named entry returns. */
+    async lookUp(name: string): Promise<number[]> {
+        const answer = await fetch(`http://${host}:${this.portOf(name)}/v1/addresses`);
+        const { addresses = [] } = await answer.json() as { addresses?: { port: number; }[]; };
+        return addresses.map(address => address.port);
+    }
+
+    portOf(entry: string): number {
+        return this.entries.find(other => other.id === entry)?.port ?? 0;
+    }
+
     async status(name: string): Promise<Record<string, unknown>> {
         const address = [...this.members, ...this.entries.map(entry => ({ ...entry, name: entry.id }))].find(peer =>
             peer.name === name
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -13,6 +13,7 @@
 export * from "./entry-methods.ts";
 export * from "./idempotent-call.ts";
 export * from "./leaving-list.ts";
+export * from "./membership-service.ts";
 export * from "./once-call.ts";
 export * from "./reclaim-mover.ts";
 export * from "./request-gate.ts";
--- a/packages/settings/src/process-settings.ts
+++ b/packages/settings/src/process-settings.ts
@@ -28,8 +28,7 @@
     role: z.literal("entry"),
     ...common,
     control: z.array(member).min(1).describe("control processes of the region"),
-    membership: addressSchema.optional().describe("UDP address for membership; off when left out"),
-    membershipSeeds: z.array(addressSchema).default([]).describe("UDP addresses of other entries to join through"),
+    membership: z.boolean().default(true).describe("failure detection among entries, by UDP on the port of `listen`"),
     instanceListUrl: z.url().optional().describe("platform's list of live and leaving instances"),
     bodyLimitBytes: z.int().min(1_024).default(1_048_576).describe("largest request body, in bytes"),
 });
