Add the model checker, its models and the mutations

Each of 21 mutations turns one rule off and must lead to a violation.

The first form of the invariant on a new leader's log was wrong: a delayed vote can elect a leader of a term that is already over, which need not hold what a later term committed. It now speaks of entries committed in earlier terms, as the protocol guarantees.

--- a/packages/agreement/src/roles.ts
+++ b/packages/agreement/src/roles.ts
@@ -33,7 +33,7 @@
     state.electionDeadline = core.randomElectionDeadline();
     state.votes = [core.id];
     core.setRole("pre-candidate", undefined);
-    if (isQuorum(state.membership, state.votes)) {
+    if (isQuorum(state.membership, state.votes) || !core.enforces("pre-vote")) {
         startElection(core, false);
         return;
     }
--- a/packages/agreement/src/rules.ts
+++ b/packages/agreement/src/rules.ts
@@ -3,6 +3,8 @@
  * A node enforces all of them; only a subclass in the checker or in a test overrides that.
  */
 export type Rule =
+    /** A voter campaigns only when a majority would vote for it. Without it there are more elections, all safe. */
+    | "pre-vote"
     /** A reply waits until the writes that it depends on are durable. */
     | "reply-after-sync"
     /** A voter votes once a term. */
--- /dev/null
+++ b/packages/model-check/src/catalogue.ts
@@ -0,0 +1,218 @@
+import type { Rule } from "@lentilramp/agreement";
+import { AgreementModel, type AgreementModelSettings } from "./agreement-model.ts";
+import type { Budget } from "./agreement-state.ts";
+import { type ClaimRule, ClaimsModel } from "./claims-model.ts";
+import { type Exploration, explore } from "./explorer.ts";
+
+const noBudget: Budget = { campaigns: 0, proposals: 0, crashes: 0, reads: 0, changes: 0, handOvers: 0, time: 0 };
+
+// No lease is ever held: without time only the quorum-confirmed read is in question.
+const timelessOptions = { leaseMs: 0, maxBatchEntries: 1 };
+
+// A clock rate error of 20% lets a few coarse time steps tell a safe lease from an unsafe one.
+const timedOptions = {
+    heartbeatMs: 10,
+    electionTimeoutMinMs: 40,
+    electionTimeoutMaxMs: 40,
+    leaseMs: 26,
+    clockRateError: 0.2,
+    handOverMs: 40,
+};
+
+const base: Omit<AgreementModelSettings, "name" | "budget"> = {
+    voters: 3,
+    joiners: 0,
+    options: timelessOptions,
+    separateSync: false,
+    timeStep: undefined,
+    rates: [[1, 1, 1, 1]],
+    changes: [],
+    prefix: [],
+};
+
+/** Steps by which `leader` wins an election with the vote of `voter`. */
+function election(leader: string, voter: string): string[] {
+    return [
+        `campaign ${leader}`,
+        `${leader}->${voter} vote`,
+        `${voter}->${leader} vote-reply`,
+    ];
+}
+
+function replicate(leader: string, follower: string): string[] {
+    return [`heartbeat ${leader}`, `${leader}->${follower} append`, `${follower}->${leader} append-reply`];
+}
+
+/** Leader a has last heard from c three time steps ago, and b has just answered a newer heartbeat. */
+const leaseStart = [
+    ...Array<string>(5).fill("time passes"),
+    "tick a",
+    "a->b vote",
+    "b->a vote-reply",
+    "a->b append",
+    "b->a append-reply",
+    "a->c append",
+    "c->a append-reply",
+    "lose messages",
+    ...Array<string>(3).fill("time passes"),
+    "tick a",
+    "a->b append",
+];
+
+const agreementModels: readonly AgreementModelSettings[] = [
+    { ...base, name: "replication", budget: { ...noBudget, campaigns: 2, proposals: 1 } },
+    {
+        ...base,
+        name: "crash",
+        separateSync: true,
+        budget: { ...noBudget, campaigns: 2, proposals: 1, crashes: 2 },
+    },
+    {
+        ...base,
+        name: "old-terms",
+        // Two leaders in turn have each appended an entry that no other voter holds.
+        prefix: [
+            ...election("a", "c"),
+            "lose messages",
+            "campaign b",
+            "lose messages",
+            ...election("b", "c"),
+            "lose messages",
+        ],
+        budget: { ...noBudget, campaigns: 2 },
+    },
+    {
+        ...base,
+        name: "membership",
+        joiners: 1,
+        prefix: [...election("a", "b"), "lose messages"],
+        changes: [
+            { kind: "remove", id: "c" },
+            { kind: "add-learner", id: "x", address: "x" },
+            { kind: "promote", id: "x" },
+        ],
+        budget: { ...noBudget, campaigns: 1, changes: 3 },
+    },
+    {
+        ...base,
+        name: "snapshots",
+        options: { ...timelessOptions, snapshotEvery: 1, keptEntries: 0 },
+        prefix: [...election("a", "b"), "a->b append", "b->a append-reply", "lose messages"],
+        budget: { ...noBudget, campaigns: 1, proposals: 1, crashes: 1 },
+    },
+    {
+        ...base,
+        name: "configuration",
+        prefix: [...election("a", "b"), ...replicate("a", "b"), "lose messages"],
+        budget: { ...noBudget, campaigns: 2, proposals: 1, reads: 1 },
+    },
+    {
+        ...base,
+        name: "lease",
+        options: timedOptions,
+        timeStep: 10,
+        rates: [[0.8, 1.2, 1.2], [1.2, 0.8, 0.8], [1, 1, 1]],
+        prefix: [...leaseStart, "b->a append-reply", "lose messages"],
+        budget: { ...noBudget, crashes: 1, handOvers: 1, time: 6 },
+    },
+];
+
+export interface Limits {
+    /** For each model of the agreement code, and for the claims specification, whose states are cheap. */
+    readonly maxStates: number;
+    readonly maxClaimStates: number;
+}
+
+export const fullLimits: Limits = { maxStates: 120_000, maxClaimStates: 400_000 };
+export const shortLimits: Limits = { maxStates: 8_000, maxClaimStates: 40_000 };
+
+export interface ModelRun {
+    readonly name: string;
+    readonly invariants: readonly string[];
+    readonly run: (limits: Limits) => Exploration;
+}
+
+function agreementRun(settings: AgreementModelSettings, off: readonly Rule[]): ModelRun {
+    const model = new AgreementModel(settings, off);
+    return { name: model.name, invariants: model.invariants, run: limits => explore(model, limits.maxStates) };
+}
+
+function claimsRun(crashes: number, diskLosses: number, off: readonly ClaimRule[]): ModelRun {
+    const model = new ClaimsModel({ crashes, diskLosses }, off);
+    return { name: model.name, invariants: model.invariants, run: limits => explore(model, limits.maxClaimStates) };
+}
+
+export const models: readonly ModelRun[] = [
+    ...agreementModels.map(settings => agreementRun(settings, [])),
+    claimsRun(1, 2, []),
+];
+
+export interface Mutation {
+    readonly name: Rule | ClaimRule;
+    readonly run: ModelRun;
+}
+
+/** Turns a rule off in the model that shows best what it is for; the changes keep the search short. */
+function mutation(rule: Rule, modelName: string, changes: Partial<AgreementModelSettings> = {}): Mutation {
+    const settings = agreementModels.find(model => model.name === modelName) as AgreementModelSettings;
+    return { name: rule, run: agreementRun({ ...settings, ...changes }, [rule]) };
+}
+
+function only(budget: Partial<Budget>): { budget: Budget; } {
+    return { budget: { ...noBudget, ...budget } };
+}
+
+const slowLeader = [[0.8, 1.2, 1.2]];
+
+/** Leaders of terms 1 and 2 have each appended a removal, on the way to two groups without a common voter. */
+const crossedRemovals: Partial<AgreementModelSettings> = {
+    voters: 4,
+    joiners: 0,
+    options: { leaseMs: 0 },
+    changes: [{ kind: "remove", id: "d" }, { kind: "remove", id: "a" }],
+    prefix: [
+        ...election("a", "b"),
+        "a->c vote",
+        "c->a vote-reply",
+        "remove d by a",
+        "lose messages",
+        ...election("b", "c"),
+        "b->d vote",
+        "d->b vote-reply",
+        "remove a by b",
+        "lose messages",
+        "step down a",
+        "campaign a",
+        "lose messages",
+    ],
+};
+
+const removals: Partial<AgreementModelSettings> = {
+    joiners: 0,
+    changes: [{ kind: "remove", id: "b" }, { kind: "remove", id: "c" }],
+    prefix: [...election("a", "b"), ...replicate("a", "b"), ...replicate("a", "c"), "lose messages"],
+};
+
+export const mutations: readonly Mutation[] = [
+    mutation("reply-after-sync", "crash", only({ campaigns: 2, crashes: 1 })),
+    mutation("one-vote-a-term", "replication", only({ campaigns: 2 })),
+    mutation("candidate-log-up-to-date", "replication", only({ campaigns: 2 })),
+    mutation("commit-own-term-only", "old-terms"),
+    mutation("leader-counts-synced-only", "crash", only({ campaigns: 1 })),
+    mutation("append-checks-previous", "old-terms", only({ campaigns: 1 })),
+    mutation("one-change-at-a-time", "membership", { ...removals, ...only({ changes: 2, campaigns: 1 }) }),
+    mutation("change-after-own-commit", "membership", { ...crossedRemovals, ...only({ campaigns: 1 }) }),
+    mutation("read-waits-for-quorum", "configuration", only({ campaigns: 1, reads: 1 })),
+    mutation("read-after-own-commit", "configuration", only({ campaigns: 1, reads: 1 })),
+    mutation("snapshot-above-commit", "snapshots", only({ proposals: 1 })),
+    mutation("voters-keep-promise", "lease", { rates: slowLeader, ...only({ time: 3 }) }),
+    mutation("promise-survives-restart", "lease", { rates: slowLeader, ...only({ time: 3, crashes: 1 }) }),
+    mutation("lease-from-sending", "lease", { rates: slowLeader, prefix: leaseStart, ...only({ time: 5 }) }),
+    mutation("lease-within-promise", "lease", { rates: slowLeader, ...only({ time: 5 }) }),
+    mutation("hand-over-ends-lease", "lease", { rates: slowLeader, ...only({ time: 1, handOvers: 1 }) }),
+    { name: "claim-first-record-wins", run: claimsRun(0, 0, ["claim-first-record-wins"]) },
+    { name: "claim-reply-after-sync", run: claimsRun(1, 0, ["claim-reply-after-sync"]) },
+    { name: "claim-needs-majority", run: claimsRun(0, 0, ["claim-needs-majority"]) },
+    { name: "seal-needs-majority", run: claimsRun(0, 0, ["seal-needs-majority"]) },
+    { name: "claim-names-identity", run: claimsRun(0, 1, ["claim-names-identity"]) },
+];
