--- a/packages/demo/src/main.ts
+++ b/packages/demo/src/main.ts
@@ -9,6 +9,7 @@
     deployment?: string;
     seed: number;
     json?: boolean;
+    keep?: boolean;
 }
 
 interface Row {
@@ -39,6 +40,14 @@
     return { rows, problems, held };
 }
 
+async function keepRunning(name: string): Promise<void> {
+    const stopped = new Promise<void>(resolve => {
+        process.once("SIGINT", resolve);
+        process.once("SIGTERM", resolve);
+    });
+    await new Scenario(name, 1, line => console.error(line)).keepRunning(stopped);
+}
+
 function printTable(rows: readonly Row[], problems: readonly string[]): void {
     for (const { deployment, name, tried, held } of rows) {
         const verdict = tried === 0 ? "NOT TRIED" : tried === held ? "held" : "BROKEN";
@@ -56,6 +65,7 @@
     .option("--deployment <name>", `One of ${deployments.join(", ")}; all in turn when left out`)
     .option("--seed <n>", "Seed of the workload", { default: 1 })
     .option("--json", "Print one JSON document")
+    .option("--keep", "Only start one deployment, with its first configuration, and leave it running")
     .action(async (options: Options) => {
         const names = options.deployment === undefined ? deployments : [options.deployment];
         if (names.some(name => !deployments.includes(name)) || !existsSync("dist/lentilramp")) {
@@ -63,6 +73,10 @@
             process.exitCode = usageError;
             return;
         }
+        if (options.keep === true) {
+            await keepRunning(names[0] ?? "");
+            return;
+        }
         const { rows, problems, held } = await runAll(names, options);
         if (options.json === true) {
             console.log(JSON.stringify({ promises: rows, problems, held }, undefined, 4));
--- a/packages/demo/src/scenario.ts
+++ b/packages/demo/src/scenario.ts
@@ -69,6 +69,20 @@
         }
     }
 
+    /** Starts the deployment with its first configuration and leaves it running until `stopped` resolves. */
+    async keepRunning(stopped: Promise<void>): Promise<void> {
+        try {
+            this.progress(`starting ${this.deployment.name} in ${this.deployment.folder}`);
+            await this.deployment.start();
+            await this.approveFirst();
+            this.progress("running; end it with Ctrl-C");
+            await stopped;
+        }
+        finally {
+            await this.deployment.stop();
+        }
+    }
+
     private async approveFirst(): Promise<void> {
         const status = await this.approve("questionnaire.json", "first.json");
         if (status !== 0) {
