--- a/packages/stand-ins/src/engine/load-reporter.ts
+++ b/packages/stand-ins/src/engine/load-reporter.ts
@@ -16,16 +16,22 @@
     sample(report: LoadReport): void {
         const last = this.samples.at(-1);
         if (last === undefined || report.at - last.at >= this.intervalMs) {
+            this.forget(report.at);
             this.samples.push(report);
         }
     }
 
     read(now: number): LoadReport {
-        const visible = this.samples.filter(sample => sample.at <= now - this.lagMs);
-        const newest = visible.at(-1);
-        if (newest !== undefined) {
-            this.samples = this.samples.filter(sample => sample.at >= newest.at);
-        }
-        return newest ?? { at: now - this.lagMs, running: 0, queued: 0, queuedPrefillTokens: 0 };
+        this.forget(now);
+        const [oldest] = this.samples;
+        return oldest !== undefined && oldest.at <= now - this.lagMs
+            ? oldest
+            : { at: now - this.lagMs, running: 0, queued: 0, queuedPrefillTokens: 0 };
+    }
+
+    /** Drops the samples before the newest one that is older than the lag. */
+    private forget(now: number): void {
+        const newest = this.samples.findLastIndex(sample => sample.at <= now - this.lagMs);
+        this.samples = this.samples.slice(Math.max(0, newest));
     }
 }
--- a/packages/streams/src/budgeted-reclaim.ts
+++ b/packages/streams/src/budgeted-reclaim.ts
@@ -25,7 +25,7 @@
  * deadline until the bandwidth is used up, and recomputes what is left.
  *
  * A stream that is to be recomputed goes on in place until the end of the usable time: it may end by then, and a later
- * recomputation takes no longer. The export that no longer fits is made in part where targets keep the leading tokens.
+ * recomputation is longer only by the prefill of what was produced meanwhile. The export that no longer fits is made in part where targets keep the leading tokens.
  */
 export class BudgetedReclaim extends ReclaimPolicy {
     private readonly options: BudgetedReclaimOptions;
