--- /dev/null
+++ b/packages/entry/tests/service.test.ts
@@ -0,0 +1,158 @@
+import { PlainService } from "@lentilramp/stand-ins";
+import { expect } from "chai";
+import { v7 as newKey } from "uuid";
+import { send, startAll, type TestAnswer, testConfiguration, TestEntry } from "./entry-harness.ts";
+import { FakeClaims } from "./fake-claims.ts";
+
+const reserve = "/v1/services/hire-app/reserve";
+const availability = "/v1/services/hire-app/availability";
+const deadlineMs = 1_500;
+
+describe("plain calls", () => {
+    let services: PlainService[];
+    let addresses: { host: string; port: number; }[];
+    let claims: FakeClaims;
+    let entries: TestEntry[];
+
+    beforeEach(async () => {
+        services = [new PlainService({ latencyMs: 1 }), new PlainService({ latencyMs: 1 })];
+        addresses = await startAll(services);
+        claims = new FakeClaims();
+        const configuration = testConfiguration([], addresses);
+        entries = [
+            new TestEntry(configuration, claims.coordinator()),
+            new TestEntry(configuration, claims.coordinator()),
+        ];
+        await Promise.all(entries.map(entry => entry.start()));
+    });
+
+    afterEach(async () => {
+        await Promise.all(entries.map(entry => entry.close()));
+        await Promise.all(services.map(service => service.close()));
+    });
+
+    function call(key: string | undefined, body = '{"lens":1}', path = reserve, entry = 0): Promise<TestAnswer> {
+        const target = entries[entry] as TestEntry;
+        return send(target, path, body, {
+            "x-workspace": "hire-desk",
+            "x-request-deadline": String(Math.floor(target.clock.now()) + deadlineMs),
+            ...(key === undefined ? {} : { "idempotency-key": key }),
+        });
+    }
+
+    function executions(key: string): number {
+        return services.reduce((sum, service) => sum + service.executions(key), 0);
+    }
+
+    async function faultAll(fault: object): Promise<void> {
+        await Promise.all(
+            addresses.map(({ host, port }) =>
+                fetch(`http://${host}:${port}/admin/faults`, { method: "POST", body: JSON.stringify(fault) })
+            ),
+        );
+    }
+
+    function errorOf(answer: TestAnswer): { type: string; run: string; } {
+        return (JSON.parse(answer.body) as { error: { type: string; run: string; }; }).error;
+    }
+
+    // Guards against a second execution when the caller repeats a call through another entry.
+    it("gives a repeat through another entry the first answer and executes once", async () => {
+        const key = newKey();
+        const first = await call(key);
+        const second = await call(key, undefined, undefined, 1);
+        expect(first.status).to.equal(200);
+        expect(second.body).to.equal(first.body);
+        expect(executions(key)).to.equal(1);
+    });
+
+    // Guards against two executions when two copies arrive at two entries at the same time.
+    it("executes one of two simultaneous copies", async () => {
+        for (let i = 0; i < 20; i++) {
+            const key = newKey();
+            const answers = await Promise.all([call(key), call(key, undefined, undefined, 1)]);
+            expect(executions(key)).to.be.at.most(1);
+            for (const answer of answers.filter(other => other.status !== 200)) {
+                expect(errorOf(answer).run).to.be.oneOf(["in-progress", "unknown", "not-run"]);
+                expect(errorOf(answer).run === "not-run" && executions(key) > 0).to.equal(false);
+            }
+        }
+    });
+
+    // Guards against an answer "not run" after the endpoint may have executed the call.
+    it("reports unknown when the answer is lost after the execution, and again on a repeat", async () => {
+        await faultAll({ kind: "cut-after-execution" });
+        const key = newKey();
+        const first = await call(key);
+        expect(errorOf(first)).to.include({ type: "outcome-unknown", run: "unknown" });
+        await faultAll({ kind: "clear" });
+        const second = await call(key);
+        expect(errorOf(second).run).to.be.oneOf(["in-progress", "unknown"]);
+        expect(executions(key)).to.equal(1);
+    });
+
+    // Guards against a call that waits beyond its deadline on an endpoint that has gone silent.
+    it("reports unknown at the deadline when the endpoint does not answer", async () => {
+        await faultAll({ kind: "hang-before-execution" });
+        expect(errorOf(await call(newKey())).run).to.equal("unknown");
+    });
+
+    // Guards against a key that is used up by a connection that was never made.
+    it("tries another endpoint after a refused connection", async () => {
+        await services[0]?.close();
+        for (let i = 0; i < 5; i++) {
+            const key = newKey();
+            expect((await call(key)).status).to.equal(200);
+            expect(executions(key)).to.equal(1);
+        }
+    });
+
+    it("reports not-run for good when no endpoint accepts a connection", async () => {
+        await Promise.all(services.map(service => service.close()));
+        const key = newKey();
+        expect(errorOf(await call(key)).run).to.equal("not-run");
+        expect(errorOf(await call(key)).run).to.equal("not-run");
+    });
+
+    // Guards against a claim without a majority.
+    it("dispatches nothing while two of three claim replicas are unreachable", async () => {
+        claims.unreachable.add("a").add("b");
+        const key = newKey();
+        const answer = await call(key);
+        expect(errorOf(answer).run).to.be.oneOf(["undecided", "unknown"]);
+        expect(executions(key)).to.equal(0);
+    });
+
+    it("refuses a key with another body and a call without a key", async () => {
+        const key = newKey();
+        await call(key);
+        expect((await call(key, '{"lens":2}')).status).to.equal(422);
+        expect(errorOf(await call(undefined)).type).to.equal("key-required");
+        expect(errorOf(await call("not-a-key")).type).to.equal("invalid-key");
+        expect(executions(key)).to.equal(1);
+    });
+
+    // Guards against a final "not-run" for a key that is still open.
+    it("answers undecided, not not-run, when it refuses a call with a key before the claim", async () => {
+        entries[0]?.gate.startDraining();
+        const key = newKey();
+        expect(errorOf(await call(key)).run).to.equal("undecided");
+        expect((await call(key, undefined, undefined, 1)).status).to.equal(200);
+    });
+
+    it("retries an idempotent call at another endpoint", async () => {
+        await fetch(`http://${addresses[0]?.host}:${addresses[0]?.port}/admin/faults`, {
+            method: "POST",
+            body: JSON.stringify({ kind: "cut-after-execution" }),
+        });
+        for (let i = 0; i < 10; i++) {
+            expect((await call(undefined, undefined, availability)).status).to.equal(200);
+        }
+    });
+
+    it("answers unknown services and operations with typed errors", async () => {
+        expect(errorOf(await call(undefined, "{}", "/v1/services/other/x")).type).to.equal("unknown-service");
+        expect(errorOf(await call(undefined, "{}", "/v1/services/hire-app/other")).type).to.equal("unknown-operation");
+        expect(errorOf(await call(newKey(), "{")).type).to.equal("malformed-request");
+    });
+});
