--- a/packages/bench/src/registry.ts
+++ b/packages/bench/src/registry.ts
@@ -4,6 +4,7 @@
 import { OnceExperiment } from "./experiments/once/once.ts";
 import { ReclaimExperiment } from "./experiments/reclaim.ts";
 import { RecoveryExperiment } from "./experiments/recovery.ts";
+import { RelayExperiment } from "./experiments/relay/relay.ts";
 import { RoutingExperiment } from "./experiments/routing.ts";
 
 /** All experiments, in the order in which `--list` names them. */
@@ -14,4 +15,5 @@
     new RecoveryExperiment(),
     new ClaimCostExperiment(),
     new ReclaimExperiment(),
+    new RelayExperiment(),
 ];
--- a/packages/entry/src/bounded-admission.ts
+++ b/packages/entry/src/bounded-admission.ts
@@ -8,7 +8,7 @@
     maxWaiting: number;
 }
 
-export const boundedAdmissionDefaults: BoundedAdmissionOptions = { concurrency: 512, maxWaiting: 1_024 };
+export const boundedAdmissionDefaults: BoundedAdmissionOptions = { concurrency: 8_192, maxWaiting: 1_024 };
 const retryMs = 1_000;
 const ranks = { high: 2, normal: 1, low: 0 } as const;
 
--- a/packages/entry/src/chat-stream.ts
+++ b/packages/entry/src/chat-stream.ts
@@ -4,11 +4,12 @@
 import { ResumeFromPrefix, StreamAssembler } from "@lentilramp/streams";
 import { CallerError, type RunState } from "./caller-error.ts";
 import type { ChatBody } from "./chat-body.ts";
-import { readEngineEvents } from "./engine-events.ts";
+import { readEngineAnswer } from "./engine-answer.ts";
+import type { EngineEvent } from "./engine-events.ts";
 import type { EngineSelector } from "./engine-selector.ts";
 import type { RequestContext } from "./request-context.ts";
 import type { SilenceMonitor } from "./silence-monitor.ts";
-import type { TokenSink } from "./token-sink.ts";
+import type { RelayedToken, TokenSink } from "./token-sink.ts";
 import { type UpstreamClient, UpstreamError } from "./upstream.ts";
 
 const retryPauseMs = 50;
@@ -60,6 +61,8 @@
     /** True once a request may have reached an engine that did not refuse it. */
     private sent = false;
     private cancelled = false;
+    /** Tokens released but not yet written to the caller. */
+    private batch: RelayedToken[] = [];
 
     constructor(
         readonly id: string,
@@ -250,7 +253,7 @@
     }
 
     private async relay(attempt: Attempt, kvId: string | undefined): Promise<AttemptEnd> {
-        const { upstream, silence } = this.parts;
+        const { upstream } = this.parts;
         const received = this.assembler.received();
         const resumed = received.offset > 0
             ? { resume_offset: received.offset, resume_text: received.text }
@@ -276,29 +279,59 @@
         this.sent = true;
         this.begin(attempt);
         const first = Number(res.headers["x-resume-offset"] ?? received.offset);
-        for await (const event of readEngineEvents(res, first)) {
+        let end: AttemptEnd = { kind: "lost", reason: "the engine's answer was cut", fault: true };
+        await readEngineAnswer(res, first, events => {
+            const ended = this.takeEvents(attempt, events);
+            if (ended !== undefined) {
+                end = ended;
+                return { kind: "ended" };
+            }
+            const wait = this.batch.length > 0 ? this.sink.write(this.batch) : undefined;
+            this.batch = [];
+            return { kind: "continue", wait };
+        });
+        return end;
+    }
+
+    /** Passes the tokens of a batch on in order; returns how the attempt ended, if it did. */
+    private takeEvents(attempt: Attempt, events: readonly EngineEvent[]): AttemptEnd | undefined {
+        let last = -1;
+        for (const event of events) {
             if (event.kind === "done") {
+                void this.sink.write(this.batch);
+                this.batch = [];
                 return this.assembler.finish(attempt.number)
                     ? { kind: "done" }
                     : { kind: "lost", reason: "replaced", fault: false };
             }
             const accepted = this.assembler.accept(attempt.number, event.offset, event.text);
-            silence.onBytes(attempt.requestId, event.offset + 1);
+            last = event.offset;
             if (accepted.kind === "released") {
-                if (attempt.firstTokenAt === undefined) {
-                    attempt.firstTokenAt = this.parts.clock.now();
-                    const latencyMs = attempt.firstTokenAt - attempt.startedAt;
-                    this.parts.selector.table.recordSuccess(attempt.endpoint.id, latencyMs, attempt.firstTokenAt);
-                    this.parts.selector.table.inFlight.firstToken(attempt.requestId);
-                }
-                await this.sink.write(event);
+                this.batch.push(event);
             }
             else if (accepted.kind === "gap" || accepted.kind === "mismatch") {
                 attempt.abort.abort();
                 return { kind: "lost", reason: `the engine resumed with a ${accepted.kind}`, fault: true };
             }
         }
-        return { kind: "lost", reason: "the engine's answer was cut", fault: true };
+        if (last >= 0) {
+            this.parts.silence.onBytes(attempt.requestId, last + 1);
+            this.noteFirstToken(attempt);
+        }
+        return undefined;
+    }
+
+    private noteFirstToken(attempt: Attempt): void {
+        if (attempt.firstTokenAt === undefined) {
+            const { selector, clock } = this.parts;
+            attempt.firstTokenAt = clock.now();
+            selector.table.recordSuccess(
+                attempt.endpoint.id,
+                attempt.firstTokenAt - attempt.startedAt,
+                attempt.firstTokenAt,
+            );
+            selector.table.inFlight.firstToken(attempt.requestId);
+        }
     }
 
     private begin(attempt: Attempt): void {
--- a/packages/entry/src/token-sink.ts
+++ b/packages/entry/src/token-sink.ts
@@ -21,8 +21,8 @@
 export abstract class TokenSink {
     /** Called before the first token. */
     abstract begin(info: AnswerInfo): void;
-    /** Resolves when the next token may be written, which carries the caller's back-pressure to the engine. */
-    abstract write(token: RelayedToken): Promise<void> | undefined;
+    /** Writes tokens that follow each other. Resolves when the next ones may be written, which carries the caller's back-pressure to the engine. */
+    abstract write(tokens: readonly RelayedToken[]): Promise<void> | undefined;
     abstract finish(): void;
     /** Reports a failure after `begin`. */
     abstract fail(err: CallerError): void;
@@ -44,8 +44,12 @@
         this.res.flushHeaders();
     }
 
-    override write(token: RelayedToken): Promise<void> | undefined {
-        if (this.res.write(`id: ${token.offset + 1}\ndata: ${token.chunk}\n\n`) || this.res.destroyed) {
+    override write(tokens: readonly RelayedToken[]): Promise<void> | undefined {
+        let text = "";
+        for (const token of tokens) {
+            text += `id: ${token.offset + 1}\ndata: ${token.chunk}\n\n`;
+        }
+        if (text === "" || this.res.write(text) || this.res.destroyed) {
             return undefined;
         }
         return new Promise(resolve => {
@@ -81,8 +85,8 @@
         this.info = info;
     }
 
-    override write(token: RelayedToken): undefined {
-        this.texts.push(token.text);
+    override write(tokens: readonly RelayedToken[]): undefined {
+        this.texts.push(...tokens.map(token => token.text));
     }
 
     override finish(): void {
