--- a/packages/limits/src/index.ts
+++ b/packages/limits/src/index.ts
@@ -1,4 +1,10 @@
 /**
  * Admission, fair shares, queues and concurrency limits.
  */
-export {};
+export * from "./admission-policy.ts";
+export * from "./concurrency-limit.ts";
+export * from "./fair-admission-policy.ts";
+export * from "./fair-queue.ts";
+export * from "./fair-shares.ts";
+export * from "./latency-target-limit.ts";
+export * from "./service-time.ts";
--- a/packages/routing/src/endpoint-table.ts
+++ b/packages/routing/src/endpoint-table.ts
@@ -74,6 +74,11 @@
         this.ejections.dispatched(endpoint, now);
     }
 
+    /** Leading blocks of `prefix` presumed cached at the endpoint that has most of them. */
+    longestMatch(prefix: readonly number[], now: number): number {
+        return Math.max(0, ...this.endpoints.map(endpoint => this.matchedBlocks(endpoint.id, prefix, now)));
+    }
+
     /** Records an answer after `latencyMs` (the first byte for a stream). */
     recordSuccess(endpoint: string, latencyMs: number, now: number): void {
         this.latencies.record(endpoint, latencyMs, now);
