--- a/packages/limits/src/fair-admission-policy.ts
+++ b/packages/limits/src/fair-admission-policy.ts
@@ -27,7 +27,7 @@
     ...fairQueueDefaults,
     waitMargin: 1.2,
     deviations: 1,
-    maxWaitMs: 2_000,
+    maxWaitMs: 1_500,
     uncachedWaitShare: 0.5,
     minRetryAfterMs: 100,
 };
--- a/packages/limits/src/latency-target-limit.ts
+++ b/packages/limits/src/latency-target-limit.ts
@@ -17,7 +17,7 @@
     initial: 32,
     min: 4,
     max: 1_000,
-    targetMs: 1_000,
+    targetMs: 750,
     quantile: 0.9,
     windowSamples: 20,
     decrease: 0.9,
