--- /dev/null
+++ b/packages/retries/src/budgeted-retry-policy.ts
@@ -0,0 +1,41 @@
+import type { RandomSource } from "@lentilramp/runtime";
+import type { Result } from "ts-results-es";
+import { Err, Ok } from "ts-results-es";
+import type { BackoffOptions } from "./backoff.ts";
+import { backoffDefaults, backoffMs } from "./backoff.ts";
+import type { RetryBudget } from "./retry-budget.ts";
+import type { FailedAttempt, RetryPlan, RetryRefusal } from "./retry-policy.ts";
+import { RetryPolicy } from "./retry-policy.ts";
+import { mayRetry } from "./retry-rules.ts";
+
+export interface BudgetedRetryOptions extends BackoffOptions {
+    maxAttempts: number;
+}
+
+export const budgetedRetryDefaults: BudgetedRetryOptions = { ...backoffDefaults, maxAttempts: 3 };
+
+/** Retries within a budget, with back-off, and only when the attempt can end by the deadline. */
+export class BudgetedRetryPolicy extends RetryPolicy {
+    constructor(
+        private readonly budget: RetryBudget,
+        private readonly random: RandomSource,
+        private readonly options: BudgetedRetryOptions = budgetedRetryDefaults,
+    ) {
+        super();
+    }
+
+    override onFailure(failed: FailedAttempt, now: number): Result<RetryPlan, RetryRefusal> {
+        if (!mayRetry(failed.request, failed.failure)) {
+            return Err("not-retryable");
+        }
+        if (failed.attempts >= this.options.maxAttempts) {
+            return Err("attempts-used");
+        }
+        const at = now + backoffMs(failed.attempts, this.random, this.options);
+        if (at + failed.expectedMs > failed.deadline) {
+            return Err("deadline");
+        }
+        // The budget comes last, because a retry that does not take place must not use it up.
+        return this.budget.tryWithdraw(now) ? Ok({ at }) : Err("budget-empty");
+    }
+}
--- a/packages/retries/src/index.ts
+++ b/packages/retries/src/index.ts
@@ -1,4 +1,9 @@
 /**
  * Retry budgets, back-off and hedging.
  */
-export {};
+export * from "./backoff.ts";
+export * from "./budgeted-retry-policy.ts";
+export * from "./hedging-policy.ts";
+export * from "./retry-budget.ts";
+export * from "./retry-policy.ts";
+export * from "./retry-rules.ts";
--- /dev/null
+++ b/packages/retries/src/retry-budget.ts
@@ -0,0 +1,58 @@
+export interface RetryBudgetOptions {
+    /** Retries and hedges for each request. */
+    ratio: number;
+    windowMs: number;
+    buckets: number;
+}
+
+export const retryBudgetDefaults: RetryBudgetOptions = { ratio: 0.1, windowMs: 10_000, buckets: 20 };
+
+/**
+ * Budget of retries and hedged requests for one endpoint group: at most a share of the requests of the last
+ * seconds. There is no reserve for quiet times, so the load offered to the endpoints never exceeds the callers'
+ * own by the ratio; with ten or fewer requests in the window nothing is retried.
+ */
+export class RetryBudget {
+    private readonly requests: number[];
+    private readonly withdrawals: number[];
+    private readonly bucketMs: number;
+    private latest = -Infinity;
+
+    constructor(private readonly options: RetryBudgetOptions = retryBudgetDefaults) {
+        this.requests = Array(options.buckets).fill(0);
+        this.withdrawals = Array(options.buckets).fill(0);
+        this.bucketMs = options.windowMs / options.buckets;
+    }
+
+    /** Records the first dispatch of a request; retries and hedges are not recorded here. */
+    recordRequest(now: number): void {
+        const bucket = this.advance(now);
+        this.requests[bucket] = (this.requests[bucket] ?? 0) + 1;
+    }
+
+    /** Takes one retry or hedge from the budget; false when it is used up. */
+    tryWithdraw(now: number): boolean {
+        const bucket = this.advance(now);
+        if (sum(this.withdrawals) + 1 >= this.options.ratio * sum(this.requests)) {
+            return false;
+        }
+        this.withdrawals[bucket] = (this.withdrawals[bucket] ?? 0) + 1;
+        return true;
+    }
+
+    /** Clears the buckets that left the window. Time that goes backwards counts as the latest known time. */
+    private advance(now: number): number {
+        const current = Math.max(this.latest, Math.floor(now / this.bucketMs));
+        const { buckets } = this.options;
+        for (let bucket = Math.max(this.latest + 1, current - buckets + 1); bucket <= current; bucket++) {
+            this.requests[bucket % buckets] = 0;
+            this.withdrawals[bucket % buckets] = 0;
+        }
+        this.latest = current;
+        return current % buckets;
+    }
+}
+
+function sum(values: readonly number[]): number {
+    return values.reduce((total, value) => total + value, 0);
+}
