--- a/packages/bench/src/registry.ts
+++ b/packages/bench/src/registry.ts
@@ -2,9 +2,11 @@
 import { ClaimCostExperiment } from "./experiments/claim-cost.ts";
 import { ConfigExperiment } from "./experiments/config.ts";
 import { OnceExperiment } from "./experiments/once/once.ts";
+import { OverloadExperiment } from "./experiments/overload.ts";
 import { ReclaimExperiment } from "./experiments/reclaim.ts";
 import { RecoveryExperiment } from "./experiments/recovery.ts";
 import { RelayExperiment } from "./experiments/relay/relay.ts";
+import { RetriesExperiment } from "./experiments/retries.ts";
 import { RoutingExperiment } from "./experiments/routing.ts";
 
 /** All experiments, in the order in which `--list` names them. */
@@ -16,4 +18,6 @@
     new ClaimCostExperiment(),
     new ReclaimExperiment(),
     new RelayExperiment(),
+    new OverloadExperiment(),
+    new RetriesExperiment(),
 ];
