--- a/packages/agreement/src/core.ts
+++ b/packages/agreement/src/core.ts
@@ -75,7 +75,12 @@
             this.send(to, body);
         }
         else {
-            held.push({ sequence: neededSequence, message: this.address(to, body) });
+            // A newer reply replaces an older one that waits for the same sync, so that a slow disk cannot make the
+            // list grow with each heartbeat.
+            this.state.held = held.filter(({ sequence, message }) =>
+                sequence !== neededSequence || message.to !== to || message.type !== body.type
+            );
+            this.state.held.push({ sequence: neededSequence, message: this.address(to, body) });
         }
     }
 
--- a/packages/agreement/tests/node.test.ts
+++ b/packages/agreement/tests/node.test.ts
@@ -111,4 +111,20 @@
         expect(simulation.leader()?.id).to.not.equal(undefined);
         expect(simulation.leader()?.id).to.not.equal(leader.id);
     });
+
+    // Guards against replies that pile up, and are all sent at once, while a disk does not finish a sync.
+    it("holds one reply to the leader while a sync is in progress", () => {
+        const stored = foundingState(["a", "b", "c"].map(id => ({ id, address: id })));
+        const node = new AgreementNode({ id: "b", stored, random: () => 0, now: 0 });
+        const heartbeat = { type: "append", from: "a", to: "b", term: 1, prevIndex: 0, prevTerm: 0 } as const;
+        const rest = { entries: [], commitIndex: 0, round: 0 };
+        const effects = [100, 200, 300].flatMap(sentAt =>
+            node.step({ type: "message", message: { ...heartbeat, ...rest, sentAt } }, sentAt)
+        );
+        const sequence = effects.flatMap(effect => effect.type === "sync" ? [effect.sequence] : []);
+        expect(effects.some(effect => effect.type === "send")).to.equal(false);
+        const released = node.step({ type: "synced", sequence: sequence[0]! }, 310);
+        const sends = released.flatMap(effect => effect.type === "send" ? [effect.message] : []);
+        expect(sends.map(message => message.type === "append-reply" && message.sentAt)).to.deep.equal([300]);
+    });
 });
