Refuse requests to a node whose storage failed

Cause: such a node ignored every input, so that a proposal, read or membership change was never answered. The storage failure test covers it.

--- a/packages/agreement/src/node.ts
+++ b/packages/agreement/src/node.ts
@@ -77,7 +77,9 @@
     /** `now` is in milliseconds on a clock that never goes back; an earlier instant counts as the latest seen. */
     step(input: Input, now: number): Effect[] {
         this.state.now = Math.max(this.state.now, now);
-        return this.state.storageFailed ? [] : this.run(core => dispatch(core, input));
+        // After a storage failure requests are still answered, namely refused; everything else is ignored.
+        const ignored = this.state.storageFailed && !("id" in input);
+        return ignored ? [] : this.run(core => dispatch(core, input));
     }
 
     /** The instant at which the next tick is due; Infinity after a storage failure. */
--- a/packages/agreement/tests/node.test.ts
+++ b/packages/agreement/tests/node.test.ts
@@ -102,10 +102,12 @@
         expect(() => resolveOptions({ leaseMs: 395 })).to.throw(OptionsError);
     });
 
-    // Guards against a voter with a failed disk that still votes, acknowledges or leads.
+    // Guards against a voter with a failed disk that still votes, acknowledges or leads, or leaves callers waiting.
     it("is passive after its storage failed", () => {
         const { simulation, leader } = settled();
         simulation.step(leader, { type: "storage-failed" });
+        simulation.step(leader, { type: "propose", id: "late", command: "late" });
+        expect(simulation.refused).to.deep.equal(["late not-leader"]);
         simulation.run(2_000);
         expect(leader.node!.status.role).to.equal("follower");
         expect(simulation.leader()?.id).to.not.equal(undefined);
