--- a/packages/agreement/src/node.ts
+++ b/packages/agreement/src/node.ts
@@ -8,7 +8,7 @@
     keepsPromise,
 } from "./election.ts";
 import { handleAppend, handleSnapshot, refuseOldLeader } from "./follower.ts";
-import { startHandOver } from "./hand-over.ts";
+import { requestCampaign, startHandOver } from "./hand-over.ts";
 import { lastIndex } from "./log.ts";
 import { isQuorum } from "./membership.ts";
 import type { Message } from "./messages.ts";
@@ -16,7 +16,7 @@
 import { handleMembershipChange, handlePropose } from "./proposals.ts";
 import { extendLease, handleRead } from "./reads.ts";
 import { advanceCommit, broadcast, handleAppendReply } from "./replication.ts";
-import { becomeFollower, recordVote, startPreVote } from "./roles.ts";
+import { becomeFollower, recordVote, requestVotes, startPreVote } from "./roles.ts";
 import type { Rule } from "./rules.ts";
 import { handleSnapshotTaken } from "./snapshots.ts";
 import { initialState, type NodeState } from "./state.ts";
@@ -77,7 +77,9 @@
     /** `now` is in milliseconds on a clock that never goes back; an earlier instant counts as the latest seen. */
     step(input: Input, now: number): Effect[] {
         this.state.now = Math.max(this.state.now, now);
-        return this.state.storageFailed ? [] : this.run(core => dispatch(core, input));
+        // After a storage failure requests are still answered, namely refused; everything else is ignored.
+        const ignored = this.state.storageFailed && !("id" in input);
+        return ignored ? [] : this.run(core => dispatch(core, input));
     }
 
     /** The instant at which the next tick is due; Infinity after a storage failure. */
@@ -88,7 +90,9 @@
         const { role, heartbeatDue, electionDeadline, handOver, leaseUntil } = this.state;
         return role === "leader"
             ? Math.min(heartbeatDue, electionDeadline, handOver?.deadline ?? Infinity, leaseUntil ?? Infinity)
-            : electionDeadline;
+            : role === "follower"
+            ? electionDeadline
+            : Math.min(electionDeadline, heartbeatDue);
     }
 
     /** Summary for dumps and metrics. */
@@ -158,6 +162,9 @@
                 core.setRole("follower", undefined);
             }
         }
+        else if (state.role !== "follower" && now >= state.heartbeatDue) {
+            requestVotes(core);
+        }
         return;
     }
     if (state.leaseUntil !== undefined && now >= state.leaseUntil) {
@@ -181,6 +188,9 @@
     if (now >= state.heartbeatDue) {
         state.heartbeatDue = now + options.heartbeatMs;
         broadcast(core, true);
+        if (state.handOver?.sent === true) {
+            requestCampaign(core, state.handOver.target);
+        }
     }
 }
 
--- a/packages/bench/src/registry.ts
+++ b/packages/bench/src/registry.ts
@@ -1,6 +1,7 @@
 import type { Experiment } from "./experiment.ts";
 import { ClaimCostExperiment } from "./experiments/claim-cost.ts";
 import { ConfigExperiment } from "./experiments/config.ts";
+import { ElectionExperiment } from "./experiments/election.ts";
 import { OnceExperiment } from "./experiments/once/once.ts";
 import { OverloadExperiment } from "./experiments/overload.ts";
 import { ReclaimExperiment } from "./experiments/reclaim.ts";
