--- a/packages/bench/src/registry.ts
+++ b/packages/bench/src/registry.ts
@@ -2,6 +2,7 @@
 import { ClaimCostExperiment } from "./experiments/claim-cost.ts";
 import { ConfigExperiment } from "./experiments/config.ts";
 import { ElectionExperiment } from "./experiments/election.ts";
+import { MembershipExperiment } from "./experiments/membership.ts";
 import { OnceExperiment } from "./experiments/once/once.ts";
 import { OverloadExperiment } from "./experiments/overload.ts";
 import { ReclaimExperiment } from "./experiments/reclaim.ts";
@@ -21,4 +22,5 @@
     new RelayExperiment(),
     new OverloadExperiment(),
     new RetriesExperiment(),
+    new MembershipExperiment(),
 ];
