--- a/packages/bench/src/registry.ts
+++ b/packages/bench/src/registry.ts
@@ -13,6 +13,7 @@
 
 /** All experiments, in the order in which `--list` names them. */
 export const experiments: readonly Experiment[] = [
+    new ElectionExperiment(),
     new OnceExperiment(),
     new RoutingExperiment(),
     new ConfigExperiment(),
