--- a/packages/cli/src/wire-entry.ts
+++ b/packages/cli/src/wire-entry.ts
@@ -2,12 +2,12 @@
 import {
     AddressHandler,
     attachEntryMethods,
-    BoundedAdmission,
     ChatHandler,
     ConfigurationSubscriber,
     DrainGate,
     EndpointObserver,
     EngineSelector,
+    FairAdmission,
     IdempotentCaller,
     LeavingList,
     MembershipService,
@@ -22,6 +22,7 @@
     StreamTable,
     UpstreamClient,
 } from "@lentilramp/entry";
+import { RetryBudget } from "@lentilramp/retries";
 import type { EntrySettings } from "@lentilramp/settings";
 import { v7 as newId } from "uuid";
 import type { ProcessBase } from "./wire.ts";
@@ -57,7 +58,12 @@
     );
     observer.onLeaving(endpoint => void mover.onNotice(endpoint));
     const gate = new RequestGate(subscriber, clock);
-    const admission = new BoundedAdmission();
+    const budget = new RetryBudget();
+    const admission = new FairAdmission(
+        workspace => subscriber.view.configuration?.workspaces.find(other => other.id === workspace)?.share ?? 1,
+        clock,
+        metrics,
+    );
     const coordinator = new ClaimCoordinator({
         clock,
         transport: new RpcClaimTransport(client),
@@ -78,13 +84,13 @@
         gate,
         admission,
         streams,
-        { selector, upstream, silence, clock, log, metrics },
+        { selector, upstream, silence, clock, log, metrics, budget, random },
         bodyLimitBytes,
     );
     const services = new ServiceHandler({
         gate,
         admission,
-        idempotent: new IdempotentCaller(dispatcher, clock, log),
+        idempotent: new IdempotentCaller(dispatcher, budget, clock, random, log, metrics),
         once,
         coordinator,
         subscriber,
--- a/packages/entry/src/chat-handler.ts
+++ b/packages/entry/src/chat-handler.ts
@@ -40,10 +40,15 @@
                 sink = body.stream ? new EventStreamSink(res) : new CollectingSink(res),
             );
             const tokens = stream.engineRequest.promptTokens + (body.max_tokens ?? defaultAnswerTokens);
-            release = await this.admission.enter(context, { kind: "engine", tokens });
+            release = await this.admission.enter(context, { kind: "engine", name: body.model, tokens });
+            if (res.destroyed) {
+                // The caller left while the request was queued; nothing was dispatched.
+                release(true);
+                return;
+            }
             this.gate.count(true);
             await this.run(stream, res);
-            release(true);
+            release(true, stream.firstTokenMs);
         }
         catch (err) {
             release?.(false);
--- a/packages/entry/src/chat-stream.ts
+++ b/packages/entry/src/chat-stream.ts
@@ -1,6 +1,7 @@
 import type { Endpoint } from "@lentilramp/configuration";
+import { BudgetedRetryPolicy, type RetryBudget } from "@lentilramp/retries";
 import type { EngineRequest } from "@lentilramp/routing";
-import type { Clock, EventLog, Metrics } from "@lentilramp/runtime";
+import type { Clock, EventLog, Metrics, RandomSource } from "@lentilramp/runtime";
 import { ResumeFromPrefix, StreamAssembler } from "@lentilramp/streams";
 import { CallerError, type RunState } from "./caller-error.ts";
 import type { ChatBody } from "./chat-body.ts";
@@ -25,6 +26,8 @@
     clock: Clock;
     log: EventLog;
     metrics: Metrics;
+    budget: RetryBudget;
+    random: RandomSource;
 }
 
 /** Where a stream continues: an endpoint that has imported the KV cache under `kvId`. */
@@ -57,6 +60,8 @@
     private readonly excluded = new Set<string>();
     private current: Attempt | undefined;
     private target: MoveTarget | undefined;
+    private readonly startedAt: number;
+    private readonly retry: BudgetedRetryPolicy;
     private begun = false;
     /** True once a request may have reached an engine that did not refuse it. */
     private sent = false;
@@ -74,6 +79,8 @@
         private readonly sink: TokenSink,
         private readonly parts: ChatStreamParts,
     ) {
+        this.startedAt = parts.clock.now();
+        this.retry = new BudgetedRetryPolicy(parts.budget, parts.random);
         this.assembler = new StreamAssembler({ offset: received, text: received > 0 ? body.resume_text ?? "" : "" });
     }
 
@@ -87,6 +94,9 @@
         return this.current?.requestId;
     }
 
+    /** Time from the start of the stream to its first token; undefined before that. */
+    firstTokenMs: number | undefined;
+
     /** Upper bound of the tokens still to be produced. */
     get remainingTokens(): number {
         return Math.max(0, (this.body.max_tokens ?? 0) - this.assembler.nextOffset);
@@ -123,6 +133,7 @@
 
     /** Relays the whole answer; rejects with a CallerError when it cannot be completed. */
     async run(): Promise<void> {
+        this.parts.budget.recordRequest(this.startedAt);
         for (;;) {
             const decision = this.resume.decide({
                 promptTokens: this.engineRequest.promptTokens,
@@ -159,11 +170,31 @@
         });
         metrics.count("streams.resumed");
         this.current = undefined;
-        if (end.fault) {
+        if (end.fault && !this.begun) {
+            await this.waitForRetry(end.reason);
+        }
+        else if (end.fault) {
+            // An accepted stream is resumed without a budget, because its caller has a part of the answer already.
             await clock.sleepUntil(clock.now() + retryPauseMs);
         }
     }
 
+    /** A request that has not begun is retried within the budget, so that a failing domain causes no storm. */
+    private async waitForRetry(reason: string): Promise<void> {
+        const { clock } = this.parts;
+        const plan = this.retry.onFailure({
+            request: "stream",
+            failure: this.sent ? "connection-lost" : "not-sent",
+            attempts: this.assembler.attempt,
+            deadline: this.context.deadline,
+            expectedMs: 0,
+        }, clock.now());
+        if (plan.isErr()) {
+            throw this.failure(`${reason}; not retried (${plan.error})`);
+        }
+        await clock.sleepUntil(plan.value.at);
+    }
+
     private choose(): { endpoint: Endpoint; kvId: string | undefined; importedTokens: number; } {
         const moved = this.target;
         this.target = undefined;
@@ -325,6 +356,7 @@
         if (attempt.firstTokenAt === undefined) {
             const { selector, clock } = this.parts;
             attempt.firstTokenAt = clock.now();
+            this.firstTokenMs ??= attempt.firstTokenAt - this.startedAt;
             selector.table.recordSuccess(
                 attempt.endpoint.id,
                 attempt.firstTokenAt - attempt.startedAt,
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -2,7 +2,6 @@
 export * from "./address-handler.ts";
 export * from "./address-lookup.ts";
 export * from "./admission.ts";
-export * from "./bounded-admission.ts";
 export * from "./caller-error.ts";
 export * from "./chat-handler.ts";
 export * from "./chat-stream.ts";
@@ -11,6 +10,7 @@
 export * from "./endpoint-observer.ts";
 export * from "./engine-selector.ts";
 export * from "./entry-methods.ts";
+export * from "./fair-admission.ts";
 export * from "./idempotent-call.ts";
 export * from "./leaving-list.ts";
 export * from "./membership-service.ts";
--- a/packages/entry/src/service-handler.ts
+++ b/packages/entry/src/service-handler.ts
@@ -68,11 +68,16 @@
             const body = await readBody(req, this.parts.bodyLimitBytes);
             parseJson(body);
             this.checkKey(operation, context);
-            release = await admission.enter(context, { kind: "service", tokens: 1 });
+            release = await admission.enter(context, {
+                kind: "service",
+                name: `${params.service}/${operation.name}`,
+                tokens: 1,
+            });
             gate.count(true);
             const call = { service: params.service ?? "", operation: operation.name, body, context };
+            const startedAt = this.parts.clock.now();
             sendAnswer(res, await this.execute(configuration, operation, call));
-            release(true);
+            release(true, this.parts.clock.now() - startedAt);
         }
         catch (err) {
             if (!(err instanceof CallerError)) {
