Test every rule of the decision packages against its removal

Tests for these were added (old generations, report order, affinity bound, own requests, ejection share and trials, bounds of a class), and two that could not fail were corrected: own tokens counted twice were hidden by the cached prefix, and the ticket account hardly ever filled the queue.

--- a/packages/limits/tests/limits.test.ts
+++ b/packages/limits/tests/limits.test.ts
@@ -165,6 +165,15 @@
         expect(policy.takeRefused()).to.deep.equal([]);
     });
 
+    // Guards against one busy class that fills the whole queue.
+    it("bounds each class and refuses when it is full", () => {
+        const policy = new FairAdmissionPolicy(new FixedLimit(1), { maxPerClass: 2 });
+        const admit = (change: Partial<AdmissionRequest>) => policy.admit(request(change), 0).isOk();
+        expect([1, 2, 3].map(() => admit({}))).to.deep.equal([true, true, false]);
+        expect(admit({ priority: "low" })).to.be.true;
+        expect(admit({ workspace: "other" })).to.be.true;
+    });
+
     // Guards against lost tickets and leaks: each one is queued, in flight, ended or refused, within the bounds.
     it("accounts for every ticket", () => {
         const arrival = fc.record({
@@ -173,7 +182,7 @@
             take: fc.boolean(),
         });
         fc.assert(
-            fc.property(fc.array(arrival, { maxLength: 100 }), arrivals => {
+            fc.property(fc.array(arrival, { maxLength: 100, size: "max" }), arrivals => {
                 const options = { ...fairQueueDefaults, maxPerClass: 4, maxTotal: 10 };
                 const policy = new FairAdmissionPolicy(new FixedLimit(3), options);
                 let admitted = 0;
--- a/packages/routing/tests/cache-map.test.ts
+++ b/packages/routing/tests/cache-map.test.ts
@@ -54,6 +54,18 @@
         expect(map.matched([1, 2], 0)).to.equal(0);
     });
 
+    // Guards against events and snapshots of an engine's former life that arrive after its restart.
+    it("ignores what a former generation published", () => {
+        const map = new CacheMap();
+        map.acceptSnapshot({ generation: 2, sequence: 1, blocks: [1] }, 0);
+        map.acceptBatch(batch(2, [7], [], 1), 0);
+        map.acceptSnapshot({ generation: 1, sequence: 9, blocks: [8] }, 0);
+        expect([1, 7, 8].map(hash => map.matched([hash], 0))).to.deep.equal([1, 0, 0]);
+        map.acceptBatch(batch(2, [2], [], 2), 0);
+        map.acceptSnapshot({ generation: 2, sequence: 1, blocks: [1] }, 0);
+        expect(map.matched([1, 2], 0)).to.equal(2);
+    });
+
     // Guards against a map that believes in removed blocks under any loss and order of batches.
     it("equals the engine's cache whenever it is not stale", () => {
         const change = fc.record({ stored: fc.array(fc.nat(20)), removed: fc.array(fc.nat(20)) });
--- a/packages/routing/tests/latency-aware-policy.test.ts
+++ b/packages/routing/tests/latency-aware-policy.test.ts
@@ -64,6 +64,38 @@
 });
 
 describe("EjectionTable", () => {
+    const { baseMs, consecutiveFailures, maxShare, trialMs } = ejectionDefaults;
+    const ejected = (failures: number) => {
+        const table = new EjectionTable(new SeededRandom(1));
+        table.setEndpoints(ids);
+        Array.from(Array(failures).keys()).forEach(() => table.failed("a", 0));
+        return table;
+    };
+
+    // Guards against ejection of all endpoints, for example when the entry's own link fails.
+    it("stops at the largest share", () => {
+        const table = new EjectionTable(new SeededRandom(1));
+        const all = [...Array(8).keys()].map(String);
+        table.setEndpoints(all);
+        all.forEach(id => Array.from(Array(5).keys()).forEach(() => table.failed(id, 0)));
+        expect(all.filter(id => table.allows(id, 0))).to.have.length(8 * (1 - maxShare));
+    });
+
+    // Guards against a burst on an endpoint that may still fail, and against a lost trial that blocks it for ever.
+    it("allows one trial at a time and forgets a trial without a result", () => {
+        const table = ejected(consecutiveFailures);
+        const later = 1.2 * baseMs;
+        expect(table.allows("a", later)).to.be.true;
+        table.dispatched("a", later);
+        expect(table.allows("a", later)).to.be.false;
+        expect(table.allows("a", later + trialMs)).to.be.true;
+    });
+
+    // Guards against a long ejection caused by many requests that were in flight when the endpoint failed.
+    it("prolongs the ejection only for failed trials", () => {
+        expect(ejected(consecutiveFailures + 20).allows("a", 1.2 * baseMs)).to.be.true;
+    });
+
     // Guards against ejection of more than the share under any sequence of results.
     it("never ejects more than the share", () => {
         const event = fc.record({ id: fc.nat(7), ok: fc.boolean(), after: fc.nat(3_000), trial: fc.boolean() });
--- a/packages/routing/tests/predicted-first-token-policy.test.ts
+++ b/packages/routing/tests/predicted-first-token-policy.test.ts
@@ -95,12 +95,54 @@
         table.recordDispatch("1", "own", req, 640, 0);
         table.acceptReport("own", report(640, 10));
         table.acceptReport("other", report(900, 10));
-        expect(chosen(table, req, 10)).to.equal("own");
+        expect(chosen(table, { ...req, prefix: [99] }, 10)).to.equal("own");
         table.inFlight.firstToken("1");
         table.inFlight.ended("1");
         expect(table.inFlight.requests("own")).to.equal(0);
     });
 
+    // Guards against a report that arrives late and replaces a newer one.
+    it("keeps the newest measurement", () => {
+        const table = tableOf(endpoint("a"), endpoint("b"));
+        table.acceptReport("a", report(5_000, 10));
+        table.acceptReport("a", report(0, 5));
+        table.acceptReport("b", report(500, 10));
+        expect(chosen(table, req, 10)).to.equal("b");
+    });
+
+    // Guards against one endpoint overloaded by all requests with the same long prefix.
+    it("does not prefer a cached prefix on an endpoint far busier than the mean", () => {
+        const long = { ...req, promptTokens: 64_000, prefix: Array.from(Array(1_000).keys()) };
+        const ids = [...Array(12).keys()].map(i => `e${i}`);
+        const table = tableOf(...ids.map(id => endpoint(id)));
+        table.acceptCacheSnapshot("e0", { generation: 1, sequence: 1, blocks: long.prefix }, 0);
+        ids.forEach((id, i) => table.acceptReport(id, report(i === 0 ? 14_000 : 0, 0)));
+        const choices = Array.from(Array(60).keys(), () => chosen(table, long));
+        expect(choices.filter(id => id === "e0").length).to.be.below(40);
+    });
+
+    // Guards against a choice by nothing but chance when the reports are stale.
+    it("follows the own requests in flight when the reports are stale", () => {
+        const table = tableOf(endpoint("busy"), endpoint("free"));
+        for (let i = 0; i < 3; i++) {
+            table.recordDispatch(`${i}`, "busy", { ...req, prefix: [] }, 640, 0);
+            table.inFlight.firstToken(`${i}`);
+        }
+        ["busy", "free"].forEach(id => table.acceptReport(id, report(0, 1)));
+        for (let i = 0; i < 20; i++) {
+            expect(chosen(table, req, 10_000)).to.equal("free");
+        }
+    });
+
+    // Guards against streams lost to an engine that fails.
+    it("avoids an ejected engine", () => {
+        const table = tableOf(endpoint("a"), endpoint("b", "far"));
+        for (let i = 0; i < 3; i++) {
+            table.recordFailure("a", 0);
+        }
+        expect(chosen(table)).to.equal("b");
+    });
+
     // Guards against an engine choice outside the eligible set for any load and age.
     it("always chooses an eligible endpoint", () => {
         fc.assert(
