Add the placement planner

Decides over an injected instant which instances to hold, what engines load and which roles they have.

A start order's id is derived from the cell, the ids known there and its ordinal, so a successor repeats the same id for the same fleet.

--- a/packages/placement/src/index.ts
+++ b/packages/placement/src/index.ts
@@ -1,4 +1,19 @@
 /**
  * Which instances to hold and what to load on them.
  */
-export {};
+export * from "./capacity-model.ts";
+export * from "./class-choice.ts";
+export * from "./demand-forecast.ts";
+export * from "./domain-changes.ts";
+export * from "./duty-lease.ts";
+export * from "./held-target.ts";
+export * from "./load-schedule.ts";
+export * from "./market-policy.ts";
+export * from "./operation-id.ts";
+export * from "./options.ts";
+export * from "./placement-planner.ts";
+export * from "./reclaim-rate.ts";
+export * from "./role-assignment.ts";
+export * from "./spread-policy.ts";
+export * from "./types.ts";
+export * from "./weight-store-ledger.ts";
--- /dev/null
+++ b/packages/placement/tests/engine-orders.test.ts
@@ -0,0 +1,115 @@
+import { DailyShapeForecast, LinearCapacity, ProportionalRoles } from "@lentilramp/placement";
+import { expect } from "chai";
+import fc from "fast-check";
+import { demandOf, domains, instanceOf, plannerOf, prices, TestLease } from "./fixtures.ts";
+
+const bytesPerSecond = 1e9;
+const models = [
+    { name: "small", bytes: 4e9, share: 0, adapters: [{ name: "quotes", bytes: 1e9 }] },
+    { name: "large", bytes: 40e9, share: 1, version: "v2", adapters: [] },
+];
+
+function liveFleet(each: number) {
+    return domains.flatMap(failureDomain =>
+        Array.from(Array(each).keys(), i => instanceOf(`${failureDomain}${i}`, { failureDomain, lastSeenAt: 0 }))
+    );
+}
+
+describe("orders to engines", () => {
+    // Guards against transfers that together ask for more than the rate of the weight store.
+    it("never exceeds the rate of the weight store", () => {
+        fc.assert(
+            fc.property(fc.array(fc.integer({ min: 100, max: 20_000 }), { minLength: 20, maxLength: 80 }), steps => {
+                const planner = plannerOf({ weightStoreBytesPerSecond: bytesPerSecond, silenceMs: 1e9 });
+                let now = 0;
+                let busyUntil = 0;
+                for (const step of steps) {
+                    now += step;
+                    const instances = liveFleet(2);
+                    const loads = planner.plan(demandOf(50, { models }), prices, { instances, pending: [] }, now)
+                        .flatMap(order => order.kind.startsWith("load") && "bytes" in order ? [order] : []);
+                    for (const load of loads) {
+                        expect(now).to.be.at.least(busyUntil);
+                        busyUntil = now + load.bytes / bytesPerSecond * 1_000;
+                    }
+                }
+                expect(busyUntil).to.be.above(0);
+            }),
+            { seed: 21, numRuns: 50 },
+        );
+    });
+
+    // Guards against a new holder that starts a transfer while one of its predecessor still runs.
+    it("waits for transfers that the committed state still records", () => {
+        const lease = new TestLease();
+        const planner = plannerOf({ weightStoreBytesPerSecond: bytesPerSecond, silenceMs: 1e9 }, lease);
+        const pending = [{ operationId: "earlier", bytes: 4e9 }];
+        const loadsAt = (now: number) =>
+            planner.plan(demandOf(50, { models }), prices, { instances: liveFleet(1), pending }, now)
+                .filter(order => order.kind.startsWith("load")).length;
+        expect([loadsAt(0), loadsAt(3_999), loadsAt(4_000)]).to.deep.equal([0, 0, 1]);
+    });
+
+    // Guards against a model, adapter or version that is available in one failure domain only.
+    it("brings each model with its adapters and version to every failure domain", () => {
+        const planner = plannerOf({ silenceMs: 1e12 });
+        const instances = liveFleet(3);
+        for (let now = 0; now < 100; now++) {
+            for (
+                const order of planner.plan(demandOf(50, { models }), prices, { instances, pending: [] }, now * 1_000)
+            ) {
+                const engine = instances.find(item => "instanceId" in order && item.id === order.instanceId);
+                if (engine !== undefined && order.kind === "load-model") {
+                    engine.models = [...engine.models, order.target];
+                }
+                else if (engine !== undefined && order.kind === "load-adapter") {
+                    engine.adapters = [...engine.adapters, order.target];
+                }
+                else if (engine !== undefined && order.kind === "load-version") {
+                    engine.version = order.target;
+                }
+            }
+        }
+        for (const domain of domains) {
+            const members = instances.filter(item => item.failureDomain === domain);
+            expect(members.filter(item => item.models.includes("large")).length).to.equal(3);
+            expect(members.filter(item => item.models.includes("small") && item.adapters.includes("quotes")).length)
+                .to.equal(1);
+            expect(members.every(item => item.version === "v2")).to.equal(true);
+        }
+    });
+
+    // Guards against instances that are started long before the weight store can serve them.
+    it("starts no more instances than the weight store can load in time", () => {
+        const planner = plannerOf({ weightStoreBytesPerSecond: bytesPerSecond, startMs: 80_000 });
+        const orders = planner.plan(demandOf(2_000, { models }), prices, { instances: [], pending: [] }, 0);
+        expect(orders.filter(order => order.kind === "start")).to.have.length(3);
+    });
+
+    // Guards against roles that change although their numbers already fit.
+    it("assigns roles by share and changes as few engines as possible", () => {
+        const roles = [{ role: "prefill", share: 0.25 }, { role: "decode", share: 0.75 }];
+        const members = [0, 1, 2, 3].map(i => instanceOf(`i${i}`, { role: i < 3 ? "decode" : "any" }));
+        const changes = new ProportionalRoles().changes(roles, members, 1);
+        expect(changes.map(order => [order.instanceId, order.target])).to.deep.equal([["i3", "prefill"]]);
+    });
+
+    // Guards against a forecast that follows the daily peak only when it has come.
+    it("learns the daily shape and expects the peak before it comes", () => {
+        const forecast = new DailyShapeForecast();
+        const hour = 3_600_000;
+        const shape = (at: number) => at % (24 * hour) >= 9 * hour && at % (24 * hour) < 17 * hour ? 100 : 10;
+        let now = 0;
+        for (; now < 24 * hour + 8.5 * hour; now += 60_000) {
+            forecast.observe(shape(now), now);
+        }
+        expect(forecast.peak(now, now + 15 * 60_000)).to.be.closeTo(10, 1);
+        expect(forecast.peak(now, now + 30 * 60_000)).to.be.closeTo(100, 5);
+    });
+
+    // Guards against a capacity that ignores the promised latency.
+    it("derives the slots of a machine class from the promised latency", () => {
+        const model = new LinearCapacity({ fast: { baseMs: 20, perRequestMs: 1 } });
+        expect([model.slots("fast", 71), model.slots("fast", 10), model.slots("other", 71)]).to.deep.equal([51, 0, 0]);
+    });
+});
--- /dev/null
+++ b/packages/placement/tests/fixtures.ts
@@ -0,0 +1,116 @@
+import {
+    type Demand,
+    DutyLease,
+    type Fleet,
+    type FleetInstance,
+    type InstancePrice,
+    LinearCapacity,
+    placementOptions,
+    type PlacementOrder,
+    PlacementPlanner,
+} from "@lentilramp/placement";
+import { SeededRandom } from "@lentilramp/runtime";
+
+export const domains = ["a", "b", "c"];
+/** 20 + 1 x slots <= 50 gives 30 slots an instance. */
+export const capacity = new LinearCapacity({ accelerator: { baseMs: 20, perRequestMs: 1 } });
+export const slotsEach = 30;
+
+export const prices: InstancePrice[] = domains.flatMap(failureDomain => [
+    { failureDomain, machineClass: "accelerator", market: "reclaimable" as const, pricePerHour: 3.5 },
+    { failureDomain, machineClass: "accelerator", market: "on-demand" as const, pricePerHour: 10 },
+]);
+
+export function demandOf(slots: number, more: Partial<Demand> = {}): Demand {
+    return { slots, tokenLatencyMs: 50, models: [], roles: [], ...more };
+}
+
+export function instanceOf(id: string, more: Partial<FleetInstance> = {}): FleetInstance {
+    return {
+        id,
+        failureDomain: "a",
+        machineClass: "accelerator",
+        market: "reclaimable",
+        state: "live",
+        draining: false,
+        inFlight: 0,
+        models: [],
+        adapters: [],
+        version: "",
+        role: "any",
+        ...more,
+    };
+}
+
+export class TestLease extends DutyLease {
+    fencing: number | undefined = 1;
+
+    override fencingAt(): number | undefined {
+        return this.fencing;
+    }
+}
+
+export function plannerOf(options: object = {}, lease = new TestLease(), seed = 1): PlacementPlanner {
+    const parsed = placementOptions.parse({ weightStoreBytesPerSecond: 1e12, ...options });
+    return new PlacementPlanner(parsed, capacity, lease, new SeededRandom(seed));
+}
+
+/** Carries out orders at once and counts what was done. Starts are live after `startMs`. */
+export class TestFleet {
+    instances: (FleetInstance & { readyAt: number; })[] = [];
+    readonly operations = new Map<string, string>();
+    /** Operation ids that were sent again after their instance had gone. */
+    spent: string[] = [];
+    starts = 0;
+    stops = 0;
+
+    constructor(private readonly startMs = 60_000) {}
+
+    view(now: number): Fleet {
+        for (const instance of this.instances) {
+            if (instance.state === "starting" && instance.readyAt <= now) {
+                instance.state = "live";
+            }
+        }
+        return { instances: this.instances.map(instance => ({ ...instance })), pending: [] };
+    }
+
+    apply(
+        orders: readonly PlacementOrder[],
+        now: number,
+        refuse: (order: PlacementOrder) => boolean = () => false,
+    ): PlacementOrder[] {
+        const refused: PlacementOrder[] = [];
+        for (const order of orders) {
+            if (refuse(order)) {
+                refused.push(order);
+            }
+            else if (order.kind === "start" && !this.operations.has(order.operationId)) {
+                const id = `i-${this.operations.size}`;
+                this.operations.set(order.operationId, id);
+                const { failureDomain, machineClass, market } = order;
+                this.instances.push({
+                    ...instanceOf(id, { failureDomain, machineClass, market, state: "starting" }),
+                    readyAt: now + this.startMs,
+                });
+                this.starts++;
+            }
+            else if (order.kind === "start") {
+                const id = this.operations.get(order.operationId);
+                this.spent.push(...this.instances.some(item => item.id === id) ? [] : [order.operationId]);
+            }
+            else if (order.kind === "drain") {
+                this.instances.filter(({ id }) => id === order.instanceId).forEach(item => item.draining = true);
+            }
+            else if (order.kind === "stop") {
+                this.instances = this.instances.filter(({ id }) => id !== order.instanceId);
+                this.stops++;
+            }
+        }
+        return refused;
+    }
+
+    slotsOutside(failureDomain: string): number {
+        return this.instances.filter(item => item.failureDomain !== failureDomain && !item.draining).length * slotsEach;
+    }
+}
