--- a/packages/bench/src/experiments/relay/bare-relay.ts
+++ b/packages/bench/src/experiments/relay/bare-relay.ts
@@ -25,4 +25,4 @@
 });
 server.keepAliveTimeout = 60_000;
 server.listen(0, "127.0.0.1", () => process.send?.({ port: (server.address() as AddressInfo).port }));
-process.on("message", () => process.send?.({ cpu: process.cpuUsage() }));
+process.on("message", () => process.send?.({ cpu: process.cpuUsage(), residentBytes: process.memoryUsage.rss() }));
--- a/packages/bench/src/experiments/relay/relay.ts
+++ b/packages/bench/src/experiments/relay/relay.ts
@@ -1,9 +1,9 @@
-import { type ChildProcess, fork } from "node:child_process";
+import type { ChildProcess } from "node:child_process";
 import { once } from "node:events";
-import { fileURLToPath } from "node:url";
 import { atLeast, atMost, Experiment, type ExperimentResult, type SeriesPoint } from "../../experiment.ts";
+import { forkModule, forkScript } from "../../processes/fork-module.ts";
 import type { LoadOptions, LoadResult } from "./load-generator.ts";
-import { BareRelay, EntryRelay, forkModule, type MeasuredSystem } from "./measured-systems.ts";
+import { BareRelay, EntryRelay, type MeasuredSystem } from "./measured-systems.ts";
 
 const sourceCount = 4;
 const generatorCount = 3;
@@ -44,8 +44,7 @@
 }
 
 async function runGenerator(options: LoadOptions): Promise<LoadResult> {
-    const file = fileURLToPath(new URL("./load-generator.ts", import.meta.url));
-    const child = fork(file, [], { execArgv: ["--import", "tsx"], stdio: ["ignore", "ignore", "inherit", "ipc"] });
+    const child = forkScript(new URL("./load-generator.ts", import.meta.url));
     child.send(options);
     const [result] = await once(child, "message") as [LoadResult];
     child.kill();
@@ -92,7 +91,10 @@
             const started = await Promise.all(
                 Array.from(
                     Array(sourceCount),
-                    () => forkModule<{ port: number; }>("token-source", [String(intervalMs)]),
+                    () =>
+                        forkModule<{ port: number; }>(new URL("./token-source.ts", import.meta.url), [
+                            String(intervalMs),
+                        ]),
                 ),
             );
             sources.push(...started.map(({ child }) => child));
--- a/packages/bench/src/registry.ts
+++ b/packages/bench/src/registry.ts
@@ -1,6 +1,7 @@
 import type { Experiment } from "./experiment.ts";
 import { ClaimCostExperiment } from "./experiments/claim-cost.ts";
 import { ConfigExperiment } from "./experiments/config.ts";
+import { ControlExperiment } from "./experiments/control/control.ts";
 import { ElectionExperiment } from "./experiments/election.ts";
 import { MembershipExperiment } from "./experiments/membership.ts";
 import { OnceExperiment } from "./experiments/once/once.ts";
@@ -21,6 +22,7 @@
     new ClaimCostExperiment(),
     new ReclaimExperiment(),
     new RelayExperiment(),
+    new ControlExperiment(),
     new OverloadExperiment(),
     new RetriesExperiment(),
     new MembershipExperiment(),
--- a/packages/cli/src/wire-entry.ts
+++ b/packages/cli/src/wire-entry.ts
@@ -33,7 +33,7 @@
     const { bodyLimitBytes } = settings;
     const upstream = new UpstreamClient(clock);
     const subscriber = new ConfigurationSubscriber(settings.control, client, clock, log);
-    const observer = new EndpointObserver(settings.failureDomain, upstream, clock, random, log);
+    const observer = new EndpointObserver(settings.name, settings.failureDomain, upstream, clock, random, log);
     subscriber.onChange(() => {
         if (subscriber.view.configuration !== undefined) {
             observer.setConfiguration(subscriber.view.configuration);
--- a/packages/cli/src/wire.ts
+++ b/packages/cli/src/wire.ts
@@ -63,6 +63,7 @@
         residentBytes: process.memoryUsage.rss(),
         cpuMicroseconds: process.cpuUsage(),
     }));
+    dump.add("http", () => http.traffic);
     http.route("GET", "/dump", async (req, res) => {
         if (!key.matches(req.headers.authorization)) {
             sendJson(res, 401, {
--- a/packages/entry/src/endpoint-observer.ts
+++ b/packages/entry/src/endpoint-observer.ts
@@ -1,6 +1,6 @@
 import type { Configuration, Endpoint } from "@lentilramp/configuration";
 import { readBody } from "@lentilramp/protocol";
-import { type Endpoint as RoutedEndpoint, EndpointTable, LinkTable } from "@lentilramp/routing";
+import { chooseSubset, type Endpoint as RoutedEndpoint, EndpointTable, LinkTable } from "@lentilramp/routing";
 import { type Clock, Component, type EventLog, type RandomSource } from "@lentilramp/runtime";
 import { z } from "zod";
 import type { UpstreamClient } from "./upstream.ts";
@@ -61,6 +61,7 @@
     private loops: Promise<void> | undefined;
 
     constructor(
+        private readonly ownName: string,
         private readonly ownDomain: string,
         private readonly upstream: UpstreamClient,
         private readonly clock: Clock,
@@ -80,11 +81,25 @@
         if (this.endpoints.length === 0) {
             this.current = new EndpointTable(linksFrom(configuration, this.ownDomain), this.random);
         }
-        this.endpoints = configuration.endpoints;
+        this.endpoints = this.subset(configuration);
         this.refresh();
         this.upstream.keepOnly(new Set(this.endpoints.map(endpoint => endpoint.id)));
     }
 
+    /** Endpoints that this entry uses: a bounded number for each model and service. */
+    private subset(configuration: Configuration): Endpoint[] {
+        const groups = [
+            ...configuration.models.map(model =>
+                configuration.endpoints.filter(endpoint => endpoint.models.includes(model.name))
+            ),
+            ...configuration.services.map(service =>
+                configuration.endpoints.filter(endpoint => endpoint.services.includes(service.name))
+            ),
+        ];
+        const chosen = groups.flatMap(group => chooseSubset(this.ownName, this.ownDomain, group));
+        return [...new Map(chosen.map(endpoint => [endpoint.id, endpoint])).values()];
+    }
+
     /** Runs `listener` when an endpoint is first named as leaving. */
     onLeaving(listener: (endpoint: Endpoint) => void): void {
         this.leavingListeners.push(listener);
--- a/packages/entry/tests/entry-harness.ts
+++ b/packages/entry/tests/entry-harness.ts
@@ -85,7 +85,7 @@
     readonly http = new HttpServer({ host: "127.0.0.1", port: 0, ...defaultHttpServerOptions }, this.log);
     private readonly silence = new SilenceMonitor(this.upstream, this.clock, this.log, this.metrics);
     private readonly random = new SeededRandom(1);
-    private readonly observer = new EndpointObserver("a", this.upstream, this.clock, this.random, this.log);
+    private readonly observer = new EndpointObserver("entry-1", "a", this.upstream, this.clock, this.random, this.log);
 
     constructor(readonly configuration: Configuration, coordinator: ClaimCoordinator) {
         const { clock, log, metrics, upstream, gate, streams } = this;
--- a/packages/protocol/src/http-server.ts
+++ b/packages/protocol/src/http-server.ts
@@ -1,6 +1,6 @@
 import { Component, type EventLog } from "@lentilramp/runtime";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
-import type { AddressInfo } from "node:net";
+import type { AddressInfo, Socket } from "node:net";
 import { BodyCutError, BodyTooLargeError } from "./read-body.ts";
 
 /** Handles one request; resolves when the response has been ended. */
@@ -82,6 +82,9 @@
     readonly name = "http-server";
     private readonly routes: Route[] = [];
     private readonly server: Server;
+    private readonly sockets = new Set<Socket>();
+    private closedBytesRead = 0;
+    private closedBytesWritten = 0;
     private inFlight = 0;
     private onIdle: (() => void) | undefined;
 
@@ -96,6 +99,14 @@
             },
             (req, res) => void this.handle(req, res),
         );
+        this.server.on("connection", socket => {
+            this.sockets.add(socket);
+            socket.once("close", () => {
+                this.sockets.delete(socket);
+                this.closedBytesRead += socket.bytesRead;
+                this.closedBytesWritten += socket.bytesWritten;
+            });
+        });
         this.server.on("clientError", (err: NodeJS.ErrnoException, socket) => {
             if (socket.writable) {
                 const status = err.code === "HPE_HEADER_OVERFLOW"
@@ -124,8 +135,15 @@
         return { host: address.address, port: address.port };
     }
 
-    get requestsInFlight(): number {
-        return this.inFlight;
+    /** Connections open and bytes transferred since the start, for the dump. */
+    get traffic(): { connections: number; inFlight: number; bytesRead: number; bytesWritten: number; } {
+        let bytesRead = this.closedBytesRead;
+        let bytesWritten = this.closedBytesWritten;
+        for (const socket of this.sockets) {
+            bytesRead += socket.bytesRead;
+            bytesWritten += socket.bytesWritten;
+        }
+        return { connections: this.sockets.size, inFlight: this.inFlight, bytesRead, bytesWritten };
     }
 
     override async start(): Promise<void> {
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -4,6 +4,7 @@
 export * from "./block-hash.ts";
 export * from "./cache-map.ts";
 export * from "./ejection-table.ts";
+export * from "./endpoint-subset.ts";
 export * from "./endpoint-table.ts";
 export * from "./endpoint-view.ts";
 export * from "./endpoint.ts";
