Shed uncached work earlier and spare workspaces below their share

Cause: after an overload, first tokens stay slow while long queues drain and while chats whose turns were refused find their history uncached.

--- a/packages/limits/src/fair-admission-policy.ts
+++ b/packages/limits/src/fair-admission-policy.ts
@@ -27,8 +27,8 @@
     ...fairQueueDefaults,
     waitMargin: 1.2,
     deviations: 1,
-    maxWaitMs: 1_500,
-    uncachedWaitShare: 0.5,
+    maxWaitMs: 1_200,
+    uncachedWaitShare: 0.25,
     minRetryAfterMs: 100,
 };
 
@@ -138,7 +138,9 @@
 
     private maxWaitMs(req: AdmissionRequest): number {
         const { maxWaitMs, uncachedWaitShare } = this.options;
-        return maxWaitMs * (uncachedWaitShare + (1 - uncachedWaitShare) * (req.cachedShare ?? 0));
+        // A workspace below its share did not cause the queue and keeps all kinds of its requests.
+        const share = this.queue.belowShare(req.workspace) ? 1 : uncachedWaitShare;
+        return maxWaitMs * (share + (1 - share) * (req.cachedShare ?? 0));
     }
 
     /** Expected time in the queue: work ahead by the rate of service, which follows from Little's law. */
--- a/packages/limits/src/fair-queue.ts
+++ b/packages/limits/src/fair-queue.ts
@@ -114,6 +114,16 @@
         return Math.min(this.cost, (queue?.cost ?? 0) * active / weight);
     }
 
+    /** True when the workspace has less queued work than the mean of those with work, or none, by weight. */
+    belowShare(workspace: string): boolean {
+        let active = 0;
+        for (const id of this.workspaces.keys()) {
+            active += this.options.workspaceWeight(id);
+        }
+        const cost = this.workspaces.get(workspace)?.cost ?? 0;
+        return cost === 0 || cost * active < this.cost * this.options.workspaceWeight(workspace);
+    }
+
     private removed(ticket: Ticket): void {
         const { workspace, cost } = ticket.request;
         const queue = this.workspaces.get(workspace);
--- a/packages/limits/tests/limits.test.ts
+++ b/packages/limits/tests/limits.test.ts
@@ -141,6 +141,18 @@
         expect(policy.admit(request({ cachedShare: 1 }), 0).isErr()).to.be.true;
     });
 
+    // Guards against refusals to a small workspace for a queue that a large one has caused.
+    it("bounds the wait less tightly for a workspace below its share", () => {
+        const policy = trained(100, { maxWaitMs: 1_000 });
+        for (let i = 0; i < 7; i++) {
+            policy.admit(request({ workspace: "large", cachedShare: 1 }), 0);
+        }
+        policy.admit(request({ workspace: "small", cachedShare: 1 }), 0);
+        policy.admit(request({ workspace: "small", cachedShare: 1 }), 0);
+        expect(policy.admit(request({ workspace: "large" }), 0).isErr()).to.be.true;
+        expect(policy.admit(request({ workspace: "small" }), 0).isOk()).to.be.true;
+    });
+
     // Guards against a lock-out: after a slow period all would be refused and no sample could correct it.
     it("lets one request of a kind through when the estimate alone forbids it", () => {
         const policy = trained(5_000);
