--- a/packages/membership/tests/dissemination.test.ts
+++ b/packages/membership/tests/dissemination.test.ts
@@ -81,7 +81,8 @@
         expect(probed).to.include(node.member(suspected!)!.port);
     });
 
-    // Guards against a live member declared dead by a node that its refutation has not reached (seen at 1,600 nodes).
+    // Guards against a live member declared dead by a node that its refutation has not reached (seen at 1,600 nodes),
+    // and against updates that are spent on members that may be dead.
     it("asks a suspected member once more before it is declared dead", () => {
         const node = startedNode();
         const old: Update = { id: "b", status: "suspect", incarnation: 2 };
@@ -91,6 +92,7 @@
             for (const effect of node.step({ kind: "tick" }, at)) {
                 if (effect.kind === "send" && effect.to.port === 9_002 && effect.message.kind === "ping") {
                     pings.add(at);
+                    expect(effect.message.updates.map(({ id }) => id)).to.deep.equal(["b"]);
                 }
             }
         }
