--- a/packages/journal/src/journal.ts
+++ b/packages/journal/src/journal.ts
@@ -159,8 +159,7 @@
         // A new segment makes the records before it removable as soon as the snapshot is durable.
         await this.exclusive(() => this.startSegmentUnlessFull());
         const path = snapshotPath(this.folder, throughIndex);
-        // A failed write of the temporary file does not touch the journal, so it only fails this snapshot.
-        const temporary = await writeTemporary(this.files, path, snapshotParts(chunks));
+        const temporary = await this.writeSnapshotFile(path, chunks);
         await this.exclusive(async () => {
             if (throughIndex > this.last) {
                 await this.files.remove(temporary);
@@ -172,6 +171,16 @@
         });
     }
 
+    /** A full disk only fails this snapshot. A failed sync stops the journal as well, since it is on the same disk. */
+    private async writeSnapshotFile(path: string, chunks: readonly Uint8Array[]): Promise<string> {
+        try {
+            return await writeTemporary(this.files, path, snapshotParts(chunks));
+        }
+        catch (err) {
+            throw err instanceof RestartRequiredError ? this.stop(err) : err;
+        }
+    }
+
     private scheduleCommit(): void {
         void this.work.add(() => this.commitWaiting());
     }
--- a/packages/journal/tests/journal.test.ts
+++ b/packages/journal/tests/journal.test.ts
@@ -164,4 +164,19 @@
             expect(await errorOf(Journal.open(files, folder)), `offset ${offset}`).to.be.instanceOf(CorruptionError);
         }
     });
+
+    // Guards against appends on a disk that has failed to sync a snapshot, after an error that says they are refused.
+    it("refuses appends after a failed sync of a snapshot", async () => {
+        const files = new FaultyFiles();
+        const { journal } = await Journal.open(files, folder);
+        await appendAll(journal, 2);
+        // The first sync is that of the new segment; the second one is that of the snapshot file.
+        const saving = errorOf(journal.saveSnapshot(bytes("state"), 2));
+        while (!files.names.has(`${folder}/snapshot-0000000000000002.tmp`)) {
+            await Promise.resolve();
+        }
+        files.faults.failNextSync = true;
+        expect(await saving).to.be.instanceOf(RestartRequiredError);
+        expect(await errorOf(journal.append(bytes("later")))).to.be.instanceOf(RestartRequiredError);
+    });
 });
