--- a/packages/control/src/claim-service.ts
+++ b/packages/control/src/claim-service.ts
@@ -88,10 +88,12 @@
 
     private async maintain(): Promise<void> {
         this.replica.replica.expire(this.clock.now());
-        const index = this.replica.appliedIndex;
-        if (snapshotDue(index - this.recordsAtSnapshot, this.status.records)) {
-            await this.journal.saveSnapshot(this.replica.replica.snapshot(), index);
-            this.recordsAtSnapshot = index;
+        if (snapshotDue(this.replica.appliedIndex - this.recordsAtSnapshot, this.status.records)) {
+            const { chunks, throughIndex } = await this.replica.takeSnapshot(() =>
+                new Promise(resolve => setImmediate(resolve))
+            );
+            await this.journal.saveSnapshot(Buffer.concat(chunks), throughIndex);
+            this.recordsAtSnapshot = throughIndex;
         }
     }
 }
