--- a/packages/control/src/control-methods.ts
+++ b/packages/control/src/control-methods.ts
@@ -37,7 +37,7 @@
     }
 }
 
-/** JSON-RPC methods of the control process; docs/protocols-internal.md lists them. */
+/** JSON-RPC methods of the control process; the table "Messages between processes" of docs/design.md lists them. */
 export class ControlMethods {
     private parts: ControlParts | undefined;
 
