--- a/packages/demo/src/workload.ts
+++ b/packages/demo/src/workload.ts
@@ -17,7 +17,7 @@
     const uses = answers.teams.flatMap(team => team.models).flatMap(model => model.uses);
     return uses.map((use, i) => ({
         use,
-        maxTokens: i === uses.length - 1 ? 40 : 240,
+        maxTokens: i === uses.length - 1 ? 40 : 200,
         priority: i === uses.length - 1 ? "high" : "normal",
     }));
 }
