--- a/packages/entry/tests/chat.test.ts
+++ b/packages/entry/tests/chat.test.ts
@@ -106,6 +106,22 @@
         });
     }
 
+    // Guards against a stream that ends because the engine it was moved to no longer holds its KV cache.
+    it("goes on without the KV cache when the engine refuses it", async () => {
+        await start();
+        let moved = false;
+        const answer = await send(entry, path, JSON.stringify(job(200)), undefined, () => {
+            const stream = [...entry.streams.at("engine-1"), ...entry.streams.at("engine-2")][0];
+            const endpoint = entry.configuration.endpoints.find(other => other.id !== stream?.endpoint?.id);
+            if (!moved && stream !== undefined && endpoint !== undefined) {
+                moved = true;
+                stream.moveTo({ endpoint, kvId: "absent", tokens: 10 });
+            }
+        });
+        expect(moved).to.equal(true);
+        expect(textOf(answer.body)).to.equal(expectedTokens(job(200)).join(""));
+    });
+
     // Guards against a caller that cannot continue elsewhere after its entry was lost.
     it("continues from the caller's received prefix", async () => {
         await start();
