--- a/packages/control/src/claim-generation-keeper.ts
+++ b/packages/control/src/claim-generation-keeper.ts
@@ -1,5 +1,5 @@
 import { claimGenerationLeadMs } from "@lentilramp/configuration";
-import { type Clock, Component, type EventLog, type Timer } from "@lentilramp/runtime";
+import { type Clock, type EventLog, PeriodicComponent } from "@lentilramp/runtime";
 import type { AgreementDriver } from "./agreement-driver.ts";
 import type { CommandProposer } from "./command-proposer.ts";
 import { decodeMemberAddress } from "./member-directory.ts";
@@ -13,37 +13,24 @@
  * Keeps the newest claim generation equal to the voters of the control group. The first generation covers all keys;
  * a later one covers keys issued after the lead time, so the replicas of a key never change.
  */
-export class ClaimGenerationKeeper extends Component {
+export class ClaimGenerationKeeper extends PeriodicComponent {
     readonly name = "claim-generation-keeper";
-    private timer: Timer | undefined;
 
     constructor(
         private readonly driver: AgreementDriver,
         private readonly replicated: ReplicatedConfiguration,
         private readonly proposer: CommandProposer,
-        private readonly clock: Clock,
+        clock: Clock,
         private readonly log: EventLog,
     ) {
-        super();
+        super(clock, intervalMs);
     }
 
-    override async start(): Promise<void> {
-        this.schedule();
+    protected override onFailure(err: unknown): void {
+        this.log.debug("claims.generation-refused", { error: String(err) });
     }
 
-    override async close(): Promise<void> {
-        this.timer?.cancel();
-    }
-
-    private schedule(): void {
-        this.timer = this.clock.schedule(this.clock.now() + intervalMs, () => {
-            void this.update()
-                .catch((err: unknown) => this.log.debug("claims.generation-refused", { error: String(err) }))
-                .finally(() => this.schedule());
-        });
-    }
-
-    private async update(): Promise<void> {
+    protected override async runOnce(): Promise<void> {
         const { configuration } = this.replicated.store;
         if (this.replicated.readyTerm === undefined || configuration.version === 0) {
             return;
--- a/packages/control/src/claim-service.ts
+++ b/packages/control/src/claim-service.ts
@@ -8,7 +8,7 @@
 } from "@lentilramp/claims";
 import type { DataFolder, Journal } from "@lentilramp/journal";
 import { claimMessageSchema, encodeClaimValue, type RpcServer } from "@lentilramp/protocol";
-import { type Clock, Component, type EventLog, type Timer } from "@lentilramp/runtime";
+import { type Clock, type EventLog, PeriodicComponent } from "@lentilramp/runtime";
 
 const maintenanceMs = 1_000;
 
@@ -23,19 +23,18 @@
 }
 
 /** The claim replica of a control process: journal, expiry, snapshots, and its methods. */
-export class ClaimService extends Component {
+export class ClaimService extends PeriodicComponent {
     readonly name = "claims";
-    private timer: Timer | undefined;
     private recordsAtSnapshot: number;
 
     private constructor(
         private readonly replica: DurableClaimReplica,
         private readonly journal: Journal,
-        private readonly clock: Clock,
+        clock: Clock,
         private readonly log: EventLog,
         recordsSinceSnapshot: number,
     ) {
-        super();
+        super(clock, maintenanceMs);
         this.recordsAtSnapshot = journal.lastIndex - recordsSinceSnapshot;
     }
 
@@ -65,12 +64,8 @@
         }
     }
 
-    override async start(): Promise<void> {
-        this.schedule();
-    }
-
     override async close(): Promise<void> {
-        this.timer?.cancel();
+        await super.close();
         await this.journal.close();
     }
 
@@ -78,15 +73,11 @@
         return await this.replica.handle(message);
     }
 
-    private schedule(): void {
-        this.timer = this.clock.schedule(this.clock.now() + maintenanceMs, () => {
-            void this.maintain()
-                .catch((err: unknown) => this.log.error("claims.snapshot-failed", { error: String(err) }))
-                .finally(() => this.schedule());
-        });
+    protected override onFailure(err: unknown): void {
+        this.log.error("claims.snapshot-failed", { error: String(err) });
     }
 
-    private async maintain(): Promise<void> {
+    protected override async runOnce(): Promise<void> {
         this.replica.replica.expire(this.clock.now());
         if (snapshotDue(this.replica.appliedIndex - this.recordsAtSnapshot, this.status.records)) {
             const { chunks, throughIndex } = await this.replica.takeSnapshot(() =>
--- a/packages/control/src/group-joining.ts
+++ b/packages/control/src/group-joining.ts
@@ -1,5 +1,5 @@
 import type { RpcClient } from "@lentilramp/protocol";
-import { type Clock, Component, type Timer } from "@lentilramp/runtime";
+import { type Clock, PeriodicComponent } from "@lentilramp/runtime";
 import { z } from "zod";
 import type { AgreementDriver } from "./agreement-driver.ts";
 import type { MemberAddress } from "./member-directory.ts";
@@ -8,35 +8,24 @@
 const callMs = 500;
 
 /** Asks the other control processes for admission until this process belongs to the group. */
-export class GroupJoining extends Component {
+export class GroupJoining extends PeriodicComponent {
     readonly name = "group-joining";
-    private timer: Timer | undefined;
 
     constructor(
         private readonly driver: AgreementDriver,
         private readonly own: MemberAddress,
         private readonly members: readonly MemberAddress[],
         private readonly client: RpcClient,
-        private readonly clock: Clock,
+        clock: Clock,
     ) {
-        super();
+        super(clock, intervalMs);
     }
 
-    override async start(): Promise<void> {
-        this.schedule();
+    protected override onFailure(): void {
+        // Each call of a run has its own deadline and is tried again in the next run.
     }
 
-    override async close(): Promise<void> {
-        this.timer?.cancel();
-    }
-
-    private schedule(): void {
-        this.timer = this.clock.schedule(this.clock.now() + intervalMs, () => {
-            void this.ask().finally(() => this.schedule());
-        });
-    }
-
-    private async ask(): Promise<void> {
+    protected override async runOnce(): Promise<void> {
         if (this.driver.status.membership.members.some(member => member.id === this.driver.id)) {
             return;
         }
--- a/packages/control/src/membership-repair.ts
+++ b/packages/control/src/membership-repair.ts
@@ -1,5 +1,5 @@
 import type { Member, NodeId } from "@lentilramp/agreement";
-import { type Clock, Component, type EventLog, type Timer } from "@lentilramp/runtime";
+import { type Clock, type EventLog, PeriodicComponent } from "@lentilramp/runtime";
 import type { AgreementDriver } from "./agreement-driver.ts";
 import { decodeMemberAddress, encodeMemberAddress, type MemberAddress } from "./member-directory.ts";
 
@@ -16,27 +16,17 @@
  * disk: the old identity is removed first, then the new one is added as a learner and promoted once it has caught up,
  * one change at a time.
  */
-export class MembershipRepair extends Component {
+export class MembershipRepair extends PeriodicComponent {
     readonly name = "membership-repair";
     private readonly pending = new Map<string, JoinRequest>();
-    private timer: Timer | undefined;
-    private busy = false;
 
     constructor(
         private readonly driver: AgreementDriver,
         private readonly memberNames: ReadonlySet<string>,
-        private readonly clock: Clock,
+        clock: Clock,
         private readonly log: EventLog,
     ) {
-        super();
-    }
-
-    override async start(): Promise<void> {
-        this.schedule();
-    }
-
-    override async close(): Promise<void> {
-        this.timer?.cancel();
+        super(clock, intervalMs);
     }
 
     /** Takes a request at the leader. Only the names of the settings are admitted. */
@@ -48,35 +38,24 @@
         return true;
     }
 
-    private schedule(): void {
-        this.timer = this.clock.schedule(this.clock.now() + intervalMs, () => {
-            void this.run().finally(() => this.schedule());
-        });
-    }
-
-    private async run(): Promise<void> {
-        if (this.busy || this.driver.status.role !== "leader") {
+    protected override async runOnce(): Promise<void> {
+        if (this.driver.status.role !== "leader") {
             this.pending.clear();
             return;
         }
-        this.busy = true;
-        try {
-            const [next] = this.pending.values();
-            if (next !== undefined) {
-                await this.advance(next);
-            }
-            else {
-                await this.promoteLearners();
-            }
-        }
-        catch (err) {
-            this.log.debug("control.member-change-refused", { error: String(err) });
+        const [next] = this.pending.values();
+        if (next !== undefined) {
+            await this.advance(next);
         }
-        finally {
-            this.busy = false;
+        else {
+            await this.promoteLearners();
         }
     }
 
+    protected override onFailure(err: unknown): void {
+        this.log.debug("control.member-change-refused", { error: String(err) });
+    }
+
     /** Makes the next change towards the admission of a process. */
     private async advance({ identity, address }: JoinRequest): Promise<void> {
         const { members } = this.driver.status.membership;
--- a/packages/entry/src/endpoint-observer.ts
+++ b/packages/entry/src/endpoint-observer.ts
@@ -1,7 +1,7 @@
 import type { Configuration, Endpoint } from "@lentilramp/configuration";
 import { readBody } from "@lentilramp/protocol";
 import { chooseSubset, type Endpoint as RoutedEndpoint, EndpointTable, LinkTable } from "@lentilramp/routing";
-import { type Clock, Component, type EventLog, type RandomSource } from "@lentilramp/runtime";
+import { type Clock, type EventLog, PeriodicComponent, type RandomSource } from "@lentilramp/runtime";
 import { z } from "zod";
 import type { UpstreamClient } from "./upstream.ts";
 
@@ -50,36 +50,34 @@
 }
 
 /** Polls load reports and cache events of the endpoints and keeps them for routing. */
-export class EndpointObserver extends Component {
+export class EndpointObserver extends PeriodicComponent {
     readonly name = "endpoint-observer";
-    private current: EndpointTable;
+    private observed: EndpointTable;
     private endpoints: readonly Endpoint[] = [];
     private readonly lastSequence = new Map<string, number>();
     private readonly leaving = new Set<string>();
     private readonly leavingListeners: ((endpoint: Endpoint) => void)[] = [];
-    private running = false;
-    private loops: Promise<void> | undefined;
 
     constructor(
         private readonly ownName: string,
         private readonly ownDomain: string,
         private readonly upstream: UpstreamClient,
-        private readonly clock: Clock,
+        clock: Clock,
         private readonly random: RandomSource,
         private readonly log: EventLog,
     ) {
-        super();
-        this.current = new EndpointTable(new LinkTable({}), random);
+        super(clock, pollIntervalMs);
+        this.observed = new EndpointTable(new LinkTable({}), random);
     }
 
     get table(): EndpointTable {
-        return this.current;
+        return this.observed;
     }
 
     /** Takes a new configuration; the table is replaced only when the links change. */
     setConfiguration(configuration: Configuration): void {
         if (this.endpoints.length === 0) {
-            this.current = new EndpointTable(linksFrom(configuration, this.ownDomain), this.random);
+            this.observed = new EndpointTable(linksFrom(configuration, this.ownDomain), this.random);
         }
         this.endpoints = this.subset(configuration);
         this.refresh();
@@ -122,35 +120,30 @@
         return this.endpoints.find(endpoint => endpoint.id === id);
     }
 
-    override async start(): Promise<void> {
-        this.running = true;
-        this.loops = this.run();
-    }
-
-    override async close(): Promise<void> {
-        this.running = false;
-        await this.loops;
-    }
-
     private refresh(): void {
         const usable = this.endpoints.filter(endpoint =>
             (endpoint.lifecycle === "active" || endpoint.lifecycle === "planned") && !this.leaving.has(endpoint.id)
         );
-        this.current.setEndpoints(usable.map(toRouted));
+        this.observed.setEndpoints(usable.map(toRouted));
     }
 
-    private async run(): Promise<void> {
-        while (this.running) {
-            await Promise.all(this.endpoints.map(endpoint => this.observe(endpoint).catch(() => undefined)));
-            // The random part keeps entries from polling the same endpoint at the same instant.
-            await this.clock.sleepUntil(this.clock.now() + pollIntervalMs * (0.75 + 0.5 * this.random.next()));
-        }
+    protected override async runOnce(): Promise<void> {
+        await Promise.all(this.endpoints.map(endpoint => this.observe(endpoint).catch(() => undefined)));
+    }
+
+    protected override onFailure(): void {
+        // Each endpoint is observed by itself; an unreachable one keeps its last report, which ages.
+    }
+
+    /** The random part keeps entries from polling the same endpoint at the same instant. */
+    protected override nextDelayMs(): number {
+        return pollIntervalMs * (0.75 + 0.5 * this.random.next());
     }
 
     private async observe(endpoint: Endpoint): Promise<void> {
         const load = await this.get(endpoint, "/v1/load", loadSchema);
         const now = this.clock.now();
-        this.current.acceptReport(endpoint.id, {
+        this.observed.acceptReport(endpoint.id, {
             measuredAt: Math.min(load.at, now),
             waitingTokens: { high: 0, normal: load.queuedPrefillTokens, low: 0 },
             requests: load.running + load.queued,
@@ -166,7 +159,7 @@
         const { events } = await this.get(endpoint, `/v1/cache/events?after=${after}`, eventsSchema);
         for (const event of events) {
             const blocks = event.blocks.map(parseBlock);
-            this.current.acceptCacheBatch(endpoint.id, {
+            this.observed.acceptCacheBatch(endpoint.id, {
                 generation: 1,
                 sequence: event.sequence,
                 stored: event.kind === "stored" ? blocks : [],
@@ -174,10 +167,10 @@
             }, this.clock.now());
             this.lastSequence.set(endpoint.id, event.sequence);
         }
-        if (this.current.takeSnapshotRequests(this.clock.now(), [endpoint.id]).length > 0) {
+        if (this.observed.takeSnapshotRequests(this.clock.now(), [endpoint.id]).length > 0) {
             const listing = await this.get(endpoint, "/v1/cache", listingSchema);
             const snapshot = { generation: 1, sequence: listing.sequence, blocks: listing.blocks.map(parseBlock) };
-            this.current.acceptCacheSnapshot(endpoint.id, snapshot, this.clock.now());
+            this.observed.acceptCacheSnapshot(endpoint.id, snapshot, this.clock.now());
             this.lastSequence.set(endpoint.id, listing.sequence);
         }
     }
--- a/packages/entry/src/leaving-list.ts
+++ b/packages/entry/src/leaving-list.ts
@@ -1,5 +1,5 @@
 import { readBody } from "@lentilramp/protocol";
-import { type Clock, Component } from "@lentilramp/runtime";
+import { type Clock, PeriodicComponent } from "@lentilramp/runtime";
 import { z } from "zod";
 import type { EndpointObserver } from "./endpoint-observer.ts";
 import type { UpstreamClient } from "./upstream.ts";
@@ -13,38 +13,23 @@
 });
 
 /** Polls the platform's list of instances. It lags, so it only takes endpoints out of use and never adds any. */
-export class LeavingList extends Component {
+export class LeavingList extends PeriodicComponent {
     readonly name = "leaving-list";
-    private running = false;
-    private loop: Promise<void> | undefined;
 
     constructor(
         private readonly url: URL,
         private readonly observer: EndpointObserver,
         private readonly upstream: UpstreamClient,
-        private readonly clock: Clock,
+        clock: Clock,
     ) {
-        super();
+        super(clock, pollIntervalMs);
     }
 
-    override async start(): Promise<void> {
-        this.running = true;
-        this.loop = this.run();
+    protected override onFailure(): void {
+        // The list lags and may be unreachable; the endpoints known as leaving stay so.
     }
 
-    override async close(): Promise<void> {
-        this.running = false;
-        await this.loop;
-    }
-
-    private async run(): Promise<void> {
-        while (this.running) {
-            await this.poll().catch(() => undefined);
-            await this.clock.sleepUntil(this.clock.now() + pollIntervalMs);
-        }
-    }
-
-    private async poll(): Promise<void> {
+    protected override async runOnce(): Promise<void> {
         const deadline = this.clock.now() + pollDeadlineMs;
         const abort = new AbortController();
         const timer = this.clock.schedule(deadline, () => abort.abort());
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -3,5 +3,6 @@
 export * from "./event-log.ts";
 export * from "./lifecycle.ts";
 export * from "./metrics.ts";
+export * from "./periodic-component.ts";
 export * from "./random-source.ts";
 export * from "./state-dump.ts";
--- /dev/null
+++ b/packages/runtime/tests/periodic-component.test.ts
@@ -0,0 +1,41 @@
+import { ManualClock, PeriodicComponent } from "@lentilramp/runtime";
+import { expect } from "chai";
+
+class Counter extends PeriodicComponent {
+    readonly name = "counter";
+    runs = 0;
+    failures = 0;
+
+    protected override async runOnce(): Promise<void> {
+        this.runs++;
+        if (this.runs === 2) {
+            throw new Error("second run");
+        }
+    }
+
+    protected override onFailure(): void {
+        this.failures++;
+    }
+}
+
+async function settle(): Promise<void> {
+    await new Promise(resolve => setImmediate(resolve));
+}
+
+describe("PeriodicComponent", () => {
+    // Guards against work that ends for good after one failure, or that goes on after the close.
+    it("goes on after a failure and stops at the close", async () => {
+        const clock = new ManualClock(0);
+        const counter = new Counter(clock, 10);
+        await counter.start();
+        for (const at of [10, 20, 30]) {
+            clock.advanceTo(at);
+            await settle();
+        }
+        expect([counter.runs, counter.failures]).to.deep.equal([3, 1]);
+        await counter.close();
+        clock.advanceTo(100);
+        await settle();
+        expect(counter.runs).to.equal(3);
+    });
+});
