--- a/packages/bench/src/experiments/routing.ts
+++ b/packages/bench/src/experiments/routing.ts
@@ -13,8 +13,9 @@
 
 type PolicyFactory = (random: RandomSource) => RoutingPolicy<EngineRequest>;
 
-/** Longer than nearly all chats, so that the measured minute has as many later turns as first ones. */
-const warmUpMs = 100_000;
+const warmUpMs = 60_000;
+/** Sessions start this long before the first instant, so that all turns of chats are present from then on. */
+const settleMs = 200_000;
 const measuredMs = 60_000;
 const endMs = warmUpMs + measuredMs;
 /** Sessions go on arriving for this long, so that the last measured requests finish under the same load. */
@@ -37,6 +38,17 @@
     figures: Record<string, number>;
 }
 
+/** The first turn at the first instant or later, when each token of the earlier answers takes 30 ms. */
+function firstTurnAfterStart(session: Session): { index: number; at: number; } {
+    let at = session.at;
+    let index = 0;
+    while (at < 0 && index < session.turns.length) {
+        at += (session.turns[index]?.outputTokens ?? 0) * 30 + (session.turns[index + 1]?.thinkMs ?? 0);
+        index++;
+    }
+    return { index, at };
+}
+
 /** Runs one policy under one load; the sessions depend on the seed and the rate only. */
 export function runPolicy(
     seed: number,
@@ -82,8 +94,10 @@
             }
         });
     };
-    for (const session of new Workload(new SeededRandom(seed)).sessions(sessionsPerSecond, 0, endMs + afterMs)) {
-        clock.schedule(session.at, () => runTurn(session, 0, 0, -Infinity));
+    const workload = new Workload(new SeededRandom(seed));
+    for (const session of workload.sessions(sessionsPerSecond, -settleMs, endMs + afterMs)) {
+        const { index, at } = firstTurnAfterStart(session);
+        clock.schedule(at, () => runTurn(session, index, 0, -Infinity));
     }
     clock.runUntil(endMs + afterMs);
     const engines = [...cluster.engines.values()];
@@ -138,6 +152,7 @@
                 replicas: clusterDefaults.engines,
                 entries: clusterDefaults.entries,
                 sessionsPerSecondAtFullLoad: capacity,
+                settleMs,
                 warmUpMs,
                 measuredMs,
                 cacheLoss: clusterDefaults.cacheLoss,
