Run placement at the leader under its duty lease

Each round holds the lease, polls the cloud API, the weight store and the engines, plans, and carries out the orders while the lease is valid. Nothing runs when the settings name no cloudUrl.

Faults found by the tests over sockets: - A new holder drained instances at once, because it had seen no demand for them.

--- a/packages/cli/src/wire-control.ts
+++ b/packages/cli/src/wire-control.ts
@@ -10,6 +10,7 @@
     GroupJoining,
     InFlightSurvey,
     MembershipRepair,
+    PlacementDuty,
     ReplicatedConfiguration,
     RpcTransport,
 } from "@lentilramp/control";
@@ -70,7 +71,8 @@
         const proposer = new CommandProposer(driver, replicated, clock);
         const names = new Set(settings.members.map(member => member.name));
         const repair = new MembershipRepair(driver, names, clock, log);
-        const parts = { driver, replicated, proposer, repair, transport, survey: new InFlightSurvey(client, clock) };
+        const survey = new InFlightSurvey(client, clock);
+        const parts = { driver, replicated, proposer, repair, transport, survey };
         methods.attach(parts);
         dump.add("control", () => controlStatus(parts));
         dump.add("configuration", () => replicated.store.snapshot());
@@ -88,6 +90,16 @@
             ),
         );
         this.inner.register(new ClaimGenerationKeeper(driver, replicated, proposer, clock, log));
+        const { cloudUrl, weightStoreUrl } = settings;
+        if (cloudUrl !== undefined) {
+            const holder = folder.identity;
+            this.inner.register(
+                new PlacementDuty(
+                    { cloudUrl, weightStoreUrl },
+                    { holder, replicated, proposer, survey, clock, random, log },
+                ),
+            );
+        }
         await this.inner.start();
     }
 
--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -11,5 +11,6 @@
 export * from "./in-flight-survey.ts";
 export * from "./member-directory.ts";
 export * from "./membership-repair.ts";
+export * from "./placement/index.ts";
 export * from "./replicated-configuration.ts";
 export * from "./rpc-transport.ts";
--- a/packages/placement/src/capacity-model.ts
+++ b/packages/placement/src/capacity-model.ts
@@ -13,12 +13,13 @@
 
 /** The time between two tokens grows linearly with the batch of the engine. */
 export class LinearCapacity extends CapacityModel {
-    constructor(private readonly classes: Readonly<Record<string, StepTime>>) {
+    /** Without `others`, a class that is not listed serves nothing. */
+    constructor(private readonly classes: Readonly<Record<string, StepTime>>, private readonly others?: StepTime) {
         super();
     }
 
     override slots(machineClass: string, tokenLatencyMs: number): number {
-        const step = this.classes[machineClass];
+        const step = this.classes[machineClass] ?? this.others;
         return step === undefined ? 0 : Math.max(0, Math.floor((tokenLatencyMs - step.baseMs) / step.perRequestMs));
     }
 }
--- a/packages/placement/src/load-schedule.ts
+++ b/packages/placement/src/load-schedule.ts
@@ -46,6 +46,8 @@
         fencing: number,
         now: number,
     ): EngineOrder[];
+    /** The order was not accepted by the engine. */
+    abstract forget(id: string): void;
 }
 
 /** One transfer at a time. An instance without any model is served first, since it carries nothing until then. */
@@ -57,6 +59,10 @@
         super();
     }
 
+    override forget(id: string): void {
+        this.given.delete(id);
+    }
+
     override loads(
         demand: Demand,
         live: readonly FleetInstance[],
--- a/packages/placement/src/placement-planner.ts
+++ b/packages/placement/src/placement-planner.ts
@@ -73,6 +73,11 @@
         this.policies.market.onRefused(failureDomain, market, now);
     }
 
+    /** An order to an engine was not accepted; a later plan contains it again. */
+    onOrderFailed(id: string): void {
+        this.policies.loads.forget(id);
+    }
+
     /** The instance of this start order is already gone. */
     onStartSpent(id: string): void {
         this.starts.onSpent(id);
@@ -172,7 +177,7 @@
         const starts: { failureDomain: string; machineClass: string; market: Market; }[] = [];
         const surplus: InstanceOrder[] = [];
         situations.forEach((situation, i) => {
-            const target = this.hold(targets[i], situation.fallenBack, now);
+            const target = this.hold(targets[i], situation.members.length, situation.fallenBack, now);
             const changes = domainChanges({ ...situation, target, serving: situation.members, pricePerSlot });
             for (const kind of changes.starts) {
                 const machineClass = choice(situation.failureDomain, kind)?.machineClass ?? "";
@@ -201,12 +206,17 @@
         return Math.max(0, served - waiting.length);
     }
 
-    private hold(target: DomainTarget | undefined, fallenBack: boolean, now: number): DomainTarget {
+    private hold(target: DomainTarget | undefined, present: number, fallenBack: boolean, now: number): DomainTarget {
         if (target === undefined) {
             throw new Error("the spread policy gave no target for a failure domain");
         }
-        const held = this.held.get(target.failureDomain) ?? new HeldTarget(this.options.shrinkHoldMs);
-        this.held.set(target.failureDomain, held);
+        let held = this.held.get(target.failureDomain);
+        if (held === undefined) {
+            // A new holder has seen no demand yet, so it keeps what its predecessor held for the hold time.
+            held = new HeldTarget(this.options.shrinkHoldMs);
+            held.update(present, now);
+            this.held.set(target.failureDomain, held);
+        }
         const instances = held.update(target.instances, now);
         return { ...target, instances, onDemand: fallenBack ? instances : target.onDemand };
     }
@@ -218,7 +228,7 @@
         fencing: number,
         now: number,
     ): PlacementOrder[] {
-        const live = serving.filter(instance => instance.state === "live" && instance.lastSeenAt !== undefined)
+        const live = serving.filter(instance => instance.state === "live" && instance.engineKnown)
             .sort(byId);
         const known = new Set(fleet.pending.map(order => order.operationId));
         const domains = [...new Set(live.map(instance => instance.failureDomain))];
--- a/packages/placement/src/types.ts
+++ b/packages/placement/src/types.ts
@@ -20,6 +20,8 @@
     /** The committed configuration names the endpoint of this instance as draining. */
     draining: boolean;
     inFlight: number;
+    /** The engine has answered, so that what it holds is known. */
+    engineKnown: boolean;
     models: readonly string[];
     adapters: readonly string[];
     version: string;
--- a/packages/placement/tests/engine-orders.test.ts
+++ b/packages/placement/tests/engine-orders.test.ts
@@ -50,6 +50,18 @@
         expect([loadsAt(0), loadsAt(3_999), loadsAt(4_000)]).to.deep.equal([0, 0, 1]);
     });
 
+    // Guards against a load that an engine did not accept and that is then held back as if it were under way.
+    it("repeats a load that was not accepted, and no other", () => {
+        const planner = plannerOf({ weightStoreBytesPerSecond: 1e12, silenceMs: 1e9 });
+        const loadAt = (now: number) =>
+            planner.plan(demandOf(50, { models }), prices, { instances: liveFleet(1), pending: [] }, now)
+                .find(order => order.kind.startsWith("load"))?.operationId;
+        const first = loadAt(0);
+        expect(loadAt(1_000)).to.not.equal(first);
+        planner.onOrderFailed(first ?? "");
+        expect(loadAt(2_000)).to.equal(first);
+    });
+
     // Guards against a model, adapter or version that is available in one failure domain only.
     it("brings each model with its adapters and version to every failure domain", () => {
         const planner = plannerOf({ silenceMs: 1e12 });
--- a/packages/placement/tests/fixtures.ts
+++ b/packages/placement/tests/fixtures.ts
@@ -34,6 +34,7 @@
         state: "live",
         draining: false,
         inFlight: 0,
+        engineKnown: true,
         models: [],
         adapters: [],
         version: "",
--- a/packages/placement/tests/placement-planner.test.ts
+++ b/packages/placement/tests/placement-planner.test.ts
@@ -164,6 +164,16 @@
         expect(inC.every(item => item.market === "on-demand")).to.equal(true);
     });
 
+    // Guards against a new holder that gives up instances because it has not seen the demand for them.
+    it("keeps the instances of its predecessor for the hold time", () => {
+        const instances = [0, 1, 2, 3].map(i => instanceOf(`x${i}`));
+        const planner = plannerOf({ costWeight: 1 });
+        const drains = (now: number) =>
+            planner.plan(demandOf(1), prices, { instances, pending: [] }, now).filter(order => order.kind === "drain");
+        expect([drains(0), drains(1_199_999)]).to.deep.equal([[], []]);
+        expect(drains(1_200_000)).to.have.length(1);
+    });
+
     // Guards against a surplus instance that is stopped while it serves or may still get work, or that is kept for ever.
     it("stops a drained instance when its work has ended or the drain time has passed", () => {
         const stops = (inFlight: number, now: number, planner = plannerOf()) => {
