--- a/packages/control/tests/placement/placement-duty.test.ts
+++ b/packages/control/tests/placement/placement-duty.test.ts
@@ -144,6 +144,20 @@
         expect(found).to.deep.equal([["load-model", "desk-model", 1]]);
     });
 
+    // Guards against a start that is repeated for ever with the id of an instance that is already gone.
+    it("replaces an instance that went without a notice", async () => {
+        await test.start();
+        await test.configure([]);
+        const duty = test.duty("one");
+        await test.rounds(duty, 2);
+        const before = await test.cells();
+        const [lost] = await test.listed();
+        await requestJson(test.cloud, "DELETE", `/v1/instances/${lost?.id ?? ""}`);
+        expect(await test.cells()).to.not.deep.equal(before);
+        await test.rounds(duty, 3);
+        expect(await test.cells()).to.deep.equal(before);
+    });
+
     // Guards against a failing weight store that delays a drain.
     it("drains although the weight store does not answer", async () => {
         await test.start();
