--- a/packages/bench/src/registry.ts
+++ b/packages/bench/src/registry.ts
@@ -2,6 +2,7 @@
 import { ClaimCostExperiment } from "./experiments/claim-cost.ts";
 import { ConfigExperiment } from "./experiments/config.ts";
 import { ControlExperiment } from "./experiments/control/control.ts";
+import { CostExperiment } from "./experiments/cost/cost.ts";
 import { ElectionExperiment } from "./experiments/election.ts";
 import { MembershipExperiment } from "./experiments/membership.ts";
 import { OnceExperiment } from "./experiments/once/once.ts";
@@ -23,6 +24,7 @@
     new ReclaimExperiment(),
     new RelayExperiment(),
     new ControlExperiment(),
+    new CostExperiment(),
     new OverloadExperiment(),
     new RetriesExperiment(),
     new MembershipExperiment(),
