--- a/packages/cli/tests/test-group.ts
+++ b/packages/cli/tests/test-group.ts
@@ -16,7 +16,7 @@
 const byteValues = 256;
 
 /** Loopback address that no other test process uses at the same time. */
-const host = `127.${64 + (Math.floor(process.pid / byteValues ** 2) % 64)}.${
+export const host = `127.${64 + (Math.floor(process.pid / byteValues ** 2) % 64)}.${
     Math.floor(process.pid / byteValues) % byteValues
 }.${process.pid % byteValues || 1}`;
 let nextPort = 20_000;
@@ -34,7 +34,9 @@
 export class TestGroup {
     readonly folder = mkdtempSync(join(tmpdir(), "lentilramp-group-"));
     readonly running = new Map<string, ProcessBase>();
-    private readonly clock = new SystemClock();
+    protected readonly clock = new SystemClock();
+    /** Platform's list that entries started afterwards poll. */
+    instanceListUrl: string | undefined;
     private readonly client = new RpcClient(new ProcessKey(key), this.clock);
     readonly members = domains.map((failureDomain, i) => ({
         name: `control-${i + 1}`,
@@ -42,7 +44,7 @@
         port: nextPort++,
         failureDomain,
     }));
-    private readonly entries = domains.map((failureDomain, i) => ({
+    readonly entries = domains.map((failureDomain, i) => ({
         id: `entry-${i + 1}`,
         host,
         port: nextPort++,
@@ -71,6 +73,7 @@
             role: "entry",
             control: this.members,
             membership: true,
+            instanceListUrl: this.instanceListUrl,
             bodyLimitBytes: 65_536,
         };
         await this.start(settings);
@@ -129,13 +132,31 @@
     }
 
     async status(name: string): Promise<Record<string, unknown>> {
+        return await this.call(name, "status", {}, statusSchema);
+    }
+
+    /** Calls one process once. */
+    async call<R extends z.ZodType>(name: string, method: string, params: unknown, result: R): Promise<z.infer<R>> {
         const address = [...this.members, ...this.entries.map(entry => ({ ...entry, name: entry.id }))].find(peer =>
             peer.name === name
         );
         if (address === undefined) {
             throw new Error(`no process ${name}`);
         }
-        return await this.client.call(address, "status", {}, statusSchema, this.clock.now() + callMs);
+        return await this.client.call(address, method, params, result, this.clock.now() + callMs);
+    }
+
+    /** Name of the control process that leads, as seen by a process other than `except`. */
+    async leader(except?: string): Promise<string> {
+        for (;;) {
+            for (const { name } of this.members.filter(member => member.name !== except)) {
+                const status = await this.status(name).catch(() => undefined);
+                if (status?.role === "leader") {
+                    return name;
+                }
+            }
+            await this.clock.sleepUntil(this.clock.now() + pollMs);
+        }
     }
 
     /** Waits until `condition` holds; the test's own time limit ends it. */
@@ -146,7 +167,7 @@
     }
 
     /** Calls the leader; repeats until one answers. */
-    private async callLeader<R extends z.ZodType>(method: string, params: unknown, result: R): Promise<z.infer<R>> {
+    async callLeader<R extends z.ZodType>(method: string, params: unknown, result: R): Promise<z.infer<R>> {
         for (let i = 0;; i++) {
             try {
                 const peer = this.members[i % this.members.length] as (typeof this.members)[number];
@@ -173,7 +194,7 @@
         };
     }
 
-    private async start(settings: ControlSettings | EntrySettings): Promise<void> {
+    protected async start(settings: ControlSettings | EntrySettings): Promise<void> {
         const base = wireProcess(settings);
         this.running.set(settings.name, base);
         await base.lifecycle.start();
