--- a/packages/control/src/in-flight-survey.ts
+++ b/packages/control/src/in-flight-survey.ts
@@ -10,8 +10,11 @@
 export class InFlightSurvey {
     constructor(private readonly client: RpcClient, private readonly clock: Clock) {}
 
-    /** Returns the sum, or undefined when an entry does not answer. */
+    /** Returns the sum, or undefined when an entry does not answer or when no entry is listed that could be asked. */
     async count(configuration: Configuration, kind: HandOverKind, id: string): Promise<number | undefined> {
+        if (configuration.entries.length === 0) {
+            return undefined;
+        }
         const deadline = this.clock.now() + callMs;
         const counts = await Promise.all(
             configuration.entries.map(entry =>
--- /dev/null
+++ b/packages/control/tests/in-flight-survey.test.ts
@@ -0,0 +1,29 @@
+import { configurationSchema } from "@lentilramp/configuration";
+import { InFlightSurvey } from "@lentilramp/control";
+import { ProcessKey, RpcClient } from "@lentilramp/protocol";
+import { SystemClock } from "@lentilramp/runtime";
+import { expect } from "chai";
+
+const clock = new SystemClock();
+
+function configurationWith(entries: readonly { id: string; host: string; port: number; failureDomain: string; }[]) {
+    return configurationSchema.parse({
+        region: "r",
+        costWeight: 0,
+        failureDomains: [{ id: "a", region: "r" }],
+        entries: [...entries],
+    });
+}
+
+describe("InFlightSurvey", () => {
+    const client = new RpcClient(new ProcessKey("test-key-0123456789"), clock);
+    after(() => client.close());
+
+    // Guards against the step `released` of a hand-over while requests are in flight at entries that were not asked.
+    it("knows no count without entries and with an entry that does not answer", async () => {
+        const survey = new InFlightSurvey(client, clock);
+        expect(await survey.count(configurationWith([]), "endpoint", "x")).to.equal(undefined);
+        const closed = { id: "e", host: "127.0.0.1", port: 1, failureDomain: "a" };
+        expect(await survey.count(configurationWith([closed]), "endpoint", "x")).to.equal(undefined);
+    });
+});
