--- a/packages/bench/src/experiments/relay/measured-systems.ts
+++ b/packages/bench/src/experiments/relay/measured-systems.ts
@@ -48,7 +48,8 @@
 
     static async start(sourcePorts: readonly number[]): Promise<EntryRelay> {
         const deployment = new MeasuredDeployment();
-        deployment.start(false);
+        // Admission must not bound the relay that is measured.
+        deployment.start(false, 4_096);
         await deployment.configure(benchConfiguration(sourcePorts.map(port => ({ host: "127.0.0.1", port }))));
         await deployment.untilPermit();
         return new EntryRelay(deployment);
--- a/packages/bench/src/processes/measured-deployment.ts
+++ b/packages/bench/src/processes/measured-deployment.ts
@@ -38,8 +38,11 @@
     private readonly children: ChildProcess[] = [];
     private changes = 0;
 
-    /** Starts both processes; `membership` says whether the entry takes part in failure detection. */
-    start(membership: boolean): void {
+    /**
+     * Starts both processes; `membership` says whether the entry takes part in failure detection, `engineConcurrency`
+     * how many requests it admits at the start.
+     */
+    start(membership: boolean, engineConcurrency = 512): void {
         if (!existsSync(binary)) {
             throw new Error("dist/lentilramp is missing; run npm run build");
         }
@@ -61,6 +64,7 @@
             listen: { host, port: entry.port },
             control: [control],
             membership,
+            engineConcurrency,
         });
     }
 
--- a/packages/cli/src/wire-entry.ts
+++ b/packages/cli/src/wire-entry.ts
@@ -8,6 +8,7 @@
     EndpointObserver,
     EngineSelector,
     FairAdmission,
+    fairAdmissionSettings,
     IdempotentCaller,
     LeavingList,
     MembershipService,
@@ -63,6 +64,7 @@
         workspace => subscriber.view.configuration?.workspaces.find(other => other.id === workspace)?.share ?? 1,
         clock,
         metrics,
+        { ...fairAdmissionSettings, engine: { ...fairAdmissionSettings.engine, initial: settings.engineConcurrency } },
     );
     const coordinator = new ClaimCoordinator({
         clock,
--- a/packages/cli/tests/test-group.ts
+++ b/packages/cli/tests/test-group.ts
@@ -74,6 +74,7 @@
             control: this.members,
             membership: true,
             instanceListUrl: this.instanceListUrl,
+            engineConcurrency: 512,
             bodyLimitBytes: 65_536,
         };
         await this.start(settings);
--- a/packages/demo/src/deployment.ts
+++ b/packages/demo/src/deployment.ts
@@ -59,7 +59,11 @@
 
     async start(): Promise<void> {
         await Promise.all([
-            ...this.engines.map(engine => this.startStandIn(engine.id, "engine", { ...engine, ...engineOptions })),
+            ...this.answers.teams.flatMap(team => team.models).flatMap(model =>
+                model.replicas.map(engine =>
+                    this.startStandIn(engine.id, "engine", { ...engine, ...engineOptions, models: [model.name] })
+                )
+            ),
             ...this.services.map(service =>
                 this.startStandIn(service.id, "service", { ...service, ...serviceOptions })
             ),
--- a/packages/entry/src/fair-admission.ts
+++ b/packages/entry/src/fair-admission.ts
@@ -19,11 +19,12 @@
 }
 
 /**
- * Limits of one entry. The first token is held to the 560 ms of the latency target. The bounds leave room for the 444
- * streams of a node's share at the target size (6,250 tokens/s at 71 ms), and for a relay that is measured alone.
+ * Limits of one entry. The first token is held to the 560 ms of the latency target. The setting `engineConcurrency`
+ * gives the first limit for engines; its default of 512 leaves room for the 444 streams of a node's share at the target
+ * size (6,250 tokens/s at 71 ms).
  */
 export const fairAdmissionSettings: FairAdmissionSettings = {
-    engine: { initial: 512, max: 4_096, targetMs: 560 },
+    engine: { max: 4_096, targetMs: 560 },
     service: { initial: 128, max: 1_024, targetMs: 750 },
 };
 
--- a/packages/settings/src/process-settings.ts
+++ b/packages/settings/src/process-settings.ts
@@ -30,6 +30,9 @@
     control: z.array(member).min(1).describe("control processes of the region"),
     membership: z.boolean().default(true).describe("failure detection among entries, by UDP on the port of `listen`"),
     instanceListUrl: z.url().optional().describe("platform's list of live and leaving instances"),
+    engineConcurrency: z.int().min(1).max(4_096).default(512).describe(
+        "requests to engines admitted at the start; later the limit follows the time to the first token",
+    ),
     bodyLimitBytes: z.int().min(1_024).default(1_048_576).describe("largest request body, in bytes"),
 });
 
