Accept a release that the last stream's end allows in the hand-over test

Cause: the test sends 'released' while streams are in flight and expects each to be refused. The check that no release is accepted with streams in flight stays.

--- a/packages/cli/tests/paired-failures.test.ts
+++ b/packages/cli/tests/paired-failures.test.ts
@@ -97,13 +97,16 @@
         const early = await group.command("endpoint.handOver", { ...handOver, operationId: "r0", step: "released" });
         expect(early).to.include({ ok: false, error: "not-yet" });
         expect((await group.send("entry-2", chat, chatJob(1))).status).to.equal(200);
-        for (let i = 1; load(id) > 0; i++) {
-            const refused = await group.command("endpoint.handOver", {
+        let released = false;
+        for (let i = 1; load(id) > 0 && !released; i++) {
+            const attempt = await group.command("endpoint.handOver", {
                 ...handOver,
                 operationId: `r${i}`,
                 step: "released",
             });
-            expect(refused.ok && load(id) > 0, "released with streams in flight").to.equal(false);
+            // The last stream can end while the step is on its way; the step is then rightly accepted.
+            released = attempt.ok;
+            expect(released && load(id) > 0, "released with streams in flight").to.equal(false);
         }
         for (const { answer } of streams) {
             expect(textOf((await answer).body)).to.equal(expectedTokens(streamJob).join(""));
@@ -111,7 +114,7 @@
         let attempts = 0;
         await group.until(async () => {
             const step = { ...handOver, operationId: `last-${attempts++}`, step: "released" };
-            return (await group.command("endpoint.handOver", step)).ok;
+            return released || (await group.command("endpoint.handOver", step)).ok;
         });
         const transferred = await group.command("endpoint.handOver", {
             ...handOver,
