--- a/packages/entry/src/once-call.ts
+++ b/packages/entry/src/once-call.ts
@@ -5,6 +5,7 @@
     type ClaimResult,
     type CompletedOutcome,
     completedOutcome,
+    type KeyRefusal,
     requestDigest,
 } from "@lentilramp/claims";
 import type { Configuration } from "@lentilramp/configuration";
@@ -53,6 +54,12 @@
     }
 }
 
+/** An expired key may have run and one issued ahead may still run; an invalid key never does. */
+function refusedKey(reason: KeyRefusal): CallerError {
+    const run = { expired: "unknown", "issued-ahead": "undecided", "invalid-key": "not-run" } as const;
+    return new CallerError(400, "invalid-key", `idempotency-key must be a current UUIDv7 (${reason})`, run[reason]);
+}
+
 /** Executes non-idempotent calls at most once, under the claim of their key. */
 export class OnceCaller {
     private readonly storing = new Set<Promise<unknown>>();
@@ -99,12 +106,7 @@
             case "key-reused":
                 throw new CallerError(unprocessable, "key-reused", "the key was used with another body", "not-run");
             case "refused":
-                throw new CallerError(
-                    400,
-                    "invalid-key",
-                    `idempotency-key must be a current UUIDv7 (${result.reason})`,
-                    "undecided",
-                );
+                throw refusedKey(result.reason);
         }
     }
 
--- a/packages/entry/tests/service.test.ts
+++ b/packages/entry/tests/service.test.ts
@@ -132,6 +132,15 @@
         expect(executions(key)).to.equal(1);
     });
 
+    // Guards against a final answer about a key whose call may have run a day ago.
+    it("says unknown for an expired key and not-run for one that can never be valid", async () => {
+        const dayAgo = newKey({ msecs: Date.now() - 25 * 3_600_000 });
+        expect(errorOf(await call(dayAgo))).to.include({ type: "invalid-key", run: "unknown" });
+        expect(errorOf(await call("not-a-key"))).to.include({ type: "invalid-key", run: "not-run" });
+        const ahead = newKey({ msecs: Date.now() + 3_600_000 });
+        expect(errorOf(await call(ahead))).to.include({ type: "invalid-key", run: "undecided" });
+    });
+
     // Guards against a final "not-run" for a key that is still open.
     it("answers undecided, not not-run, when it refuses a call with a key before the claim", async () => {
         entries[0]?.gate.startDraining();
