--- a/packages/entry/src/chat-stream.ts
+++ b/packages/entry/src/chat-stream.ts
@@ -215,7 +215,7 @@
             this.assembler,
             {
                 begin: chosen => this.begin(chosen),
-                write: tokens => this.sink.write(tokens),
+                write: (tokens, raw) => this.sink.write(tokens, raw),
                 firstToken: at => this.firstTokenMs ??= at - this.startedAt,
             },
             this.parts,
--- a/packages/entry/src/engine-attempt.ts
+++ b/packages/entry/src/engine-attempt.ts
@@ -33,7 +33,8 @@
 export interface AttemptOutput {
     /** The engine has accepted the request. */
     begin(endpoint: Endpoint): void;
-    write(tokens: readonly RelayedToken[]): Promise<void> | undefined;
+    /** `raw` holds exactly these tokens as the engine sent them, when that is known. */
+    write(tokens: readonly RelayedToken[], raw: Buffer | undefined): Promise<void> | undefined;
     firstToken(at: number): void;
 }
 
@@ -125,9 +126,10 @@
         this.output.begin(endpoint);
         const first = Number(res.headers["x-resume-offset"] ?? received.offset);
         let end: AttemptEnd = { kind: "lost", reason: "the engine's answer was cut", fault: true, sent: true };
-        await readEngineAnswer(res, first, events => {
+        await readEngineAnswer(res, first, (events, raw) => {
             const ended = this.take(events);
-            const wait = this.batch.length > 0 ? this.output.write(this.batch) : undefined;
+            const released = this.batch.length === events.length ? raw : undefined;
+            const wait = this.batch.length > 0 ? this.output.write(this.batch, released) : undefined;
             this.batch = [];
             if (ended !== undefined) {
                 end = ended;
--- a/packages/entry/src/engine-events.ts
+++ b/packages/entry/src/engine-events.ts
@@ -47,6 +47,8 @@
  * parsing JSON: the relay spent more processor time on parsing than on sending (docs/notes/relay.md).
  */
 export class EngineEventReader {
+    /** True when the last part held whole events of the plain form and nothing else. */
+    wholePlainPart = false;
     private rest = "";
     private readonly parsed: { id: string | undefined; data: string; }[] = [];
     private readonly parser = createParser({ onEvent: event => this.parsed.push({ id: event.id, data: event.data }) });
@@ -59,10 +61,12 @@
         const text = this.rest === "" ? part : this.rest + part;
         const events: EngineEvent[] = [];
         let from = 0;
+        this.wholePlainPart = this.rest === "";
         for (let end = text.indexOf(eventEnd); end >= 0; end = text.indexOf(eventEnd, from)) {
             const event = text.slice(from, end);
             from = end + eventEnd.length;
             const plain = readPlainEvent(event);
+            this.wholePlainPart &&= plain !== undefined;
             for (const read of plain === undefined ? this.parse(event) : [plain]) {
                 if (read.kind === "token") {
                     this.nextOffset = read.offset + 1;
@@ -71,6 +75,7 @@
             }
         }
         this.rest = from === 0 ? text : text.slice(from);
+        this.wholePlainPart &&= this.rest === "";
         return events;
     }
 
--- a/packages/entry/src/token-sink.ts
+++ b/packages/entry/src/token-sink.ts
@@ -21,13 +21,20 @@
 export abstract class TokenSink {
     /** Called before the first token. */
     abstract begin(info: AnswerInfo): void;
-    /** Writes tokens that follow each other. Resolves when the next ones may be written, which carries the caller's back-pressure to the engine. */
-    abstract write(tokens: readonly RelayedToken[]): Promise<void> | undefined;
+    /**
+     * Writes tokens that follow each other; `raw` holds exactly these as the engine sent them, when that is known.
+     * Resolves when the next ones may be written, which carries the caller's back-pressure to the engine.
+     */
+    abstract write(tokens: readonly RelayedToken[], raw: Buffer | undefined): Promise<void> | undefined;
     abstract finish(): void;
     /** Reports a failure after `begin`. */
     abstract fail(err: CallerError): void;
 }
 
+function formatEvents(tokens: readonly RelayedToken[]): string {
+    return tokens.map(token => `id: ${token.offset + 1}\ndata: ${token.chunk}\n\n`).join("");
+}
+
 /** Writes server-sent events; the id of an event is the number of tokens sent so far. */
 export class EventStreamSink extends TokenSink {
     constructor(private readonly res: ServerResponse) {
@@ -44,12 +51,8 @@
         this.res.flushHeaders();
     }
 
-    override write(tokens: readonly RelayedToken[]): Promise<void> | undefined {
-        let text = "";
-        for (const token of tokens) {
-            text += `id: ${token.offset + 1}\ndata: ${token.chunk}\n\n`;
-        }
-        if (text === "" || this.res.write(text) || this.res.destroyed) {
+    override write(tokens: readonly RelayedToken[], raw: Buffer | undefined): Promise<void> | undefined {
+        if (tokens.length === 0 || this.res.write(raw ?? formatEvents(tokens)) || this.res.destroyed) {
             return undefined;
         }
         return new Promise(resolve => {
--- a/packages/entry/tests/engine-events.test.ts
+++ b/packages/entry/tests/engine-events.test.ts
@@ -36,6 +36,22 @@
         );
     });
 
+    // Guards against raw parts that are passed on although they hold a part of an event or an event of another form.
+    it("marks only parts that hold whole events of the plain form", () => {
+        const reader = new EngineEventReader(0);
+        const marked = (part: string) => {
+            reader.feed(part);
+            return reader.wholePlainPart;
+        };
+        const [first, second] = [eventOf(0, "a"), eventOf(1, "b")];
+        expect(marked(first + second)).to.equal(true);
+        expect(marked(first + second.slice(0, 9))).to.equal(false);
+        expect(marked(second.slice(9))).to.equal(false);
+        expect(marked(eventOf(2, 'a"b'))).to.equal(false);
+        expect(marked("data: [DONE]\n\n")).to.equal(false);
+        expect(marked(eventOf(3, "c"))).to.equal(true);
+    });
+
     it("numbers the tokens of engines that state no offsets", () => {
         const events = new EngineEventReader(7).feed(
             'data: {"choices":[{"delta":{"content":"a"}}]}\n\ndata: {"choices":[]}\n\n',
