Share the reading of JSON documents and the placement duty's repetition

Found in the read-through: the endpoint observer and the leaving list each had the same request with a deadline, now UpstreamClient.getJson; the placement duty had a loop of its own beside PeriodicComponent; one re-export of the cost experiment was unused.

--- a/packages/bench/src/experiments/cost/cloud-fake.ts
+++ b/packages/bench/src/experiments/cost/cloud-fake.ts
@@ -1,4 +1,4 @@
-import type { FleetInstance, InstancePrice, Market, StartOrder } from "@lentilramp/placement";
+import type { FleetInstance, InstancePrice, StartOrder } from "@lentilramp/placement";
 import type { RandomSource } from "@lentilramp/runtime";
 import type { CostSettings } from "./cost-settings.ts";
 
@@ -175,5 +175,3 @@
         return factor;
     }
 }
-
-export type { Market };
--- a/packages/control/src/placement/placement-duty.ts
+++ b/packages/control/src/placement/placement-duty.ts
@@ -6,7 +6,7 @@
     PlacementPlanner,
     type StepTime,
 } from "@lentilramp/placement";
-import { type Clock, Component, type EventLog, type RandomSource } from "@lentilramp/runtime";
+import { type Clock, type EventLog, PeriodicComponent, type RandomSource } from "@lentilramp/runtime";
 import type { CommandProposer } from "../command-proposer.ts";
 import type { InFlightSurvey } from "../in-flight-survey.ts";
 import type { ReplicatedConfiguration } from "../replicated-configuration.ts";
@@ -40,7 +40,7 @@
 }
 
 /** Placement at the leader of the control group, under the duty lease `placement`. */
-export class PlacementDuty extends Component {
+export class PlacementDuty extends PeriodicComponent {
     readonly name = "placement-duty";
     private readonly client: JsonClient;
     private readonly platform: PlatformClient;
@@ -52,11 +52,9 @@
     private sizes: ReadonlyMap<string, number> = new Map();
     private fencing: number | undefined;
     private lastNotice = 0;
-    private running = false;
-    private loop: Promise<void> | undefined;
 
     constructor(private readonly settings: PlacementDutySettings, private readonly parts: PlacementDutyDependencies) {
-        super();
+        super(parts.clock, intervalMs);
         const { clock, holder, proposer, survey } = parts;
         this.client = new JsonClient(clock);
         this.platform = new PlatformClient(this.client, settings.cloudUrl, settings.weightStoreUrl);
@@ -65,14 +63,8 @@
         this.observer = new FleetObserver(this.engines, survey, clock);
     }
 
-    override async start(): Promise<void> {
-        this.running = true;
-        this.loop = this.run();
-    }
-
     override async close(): Promise<void> {
-        this.running = false;
-        await this.loop;
+        await super.close();
         this.client.close();
     }
 
@@ -138,12 +130,12 @@
         }
     }
 
-    private async run(): Promise<void> {
-        const { clock, log } = this.parts;
-        while (this.running) {
-            await this.round().catch((err: unknown) => log.warn("placement.round-failed", { error: String(err) }));
-            await clock.sleepUntil(clock.now() + intervalMs);
-        }
+    protected override async runOnce(): Promise<void> {
+        await this.round();
+    }
+
+    protected override onFailure(err: unknown): void {
+        this.parts.log.warn("placement.round-failed", { error: String(err) });
     }
 
     /** What was learned is dropped when the process stops leading or the cost weight changes. */
--- a/packages/entry/src/endpoint-observer.ts
+++ b/packages/entry/src/endpoint-observer.ts
@@ -1,5 +1,4 @@
 import type { Configuration, Endpoint } from "@lentilramp/configuration";
-import { readBody } from "@lentilramp/protocol";
 import { chooseSubset, type Endpoint as RoutedEndpoint, EndpointTable, LinkTable } from "@lentilramp/routing";
 import { type Clock, type EventLog, PeriodicComponent, type RandomSource } from "@lentilramp/runtime";
 import { z } from "zod";
@@ -7,7 +6,6 @@
 
 const pollIntervalMs = 250;
 const pollDeadlineMs = 1_000;
-const answerLimitBytes = 4 * 1_048_576;
 /** Prompt tokens that an engine computes in a millisecond, assumed because load reports do not state it. */
 const assumedPrefillTokensPerMs = 10;
 
@@ -176,22 +174,6 @@
     }
 
     private async get<T extends z.ZodType>(endpoint: Endpoint, path: string, schema: T): Promise<z.infer<T>> {
-        const deadline = this.clock.now() + pollDeadlineMs;
-        const abort = new AbortController();
-        const timer = this.clock.schedule(deadline, () => abort.abort());
-        try {
-            const res = await this.upstream.send({
-                endpoint,
-                method: "GET",
-                path,
-                headers: {},
-                deadline,
-                signal: abort.signal,
-            });
-            return schema.parse(JSON.parse((await readBody(res, answerLimitBytes)).toString("utf8")));
-        }
-        finally {
-            timer.cancel();
-        }
+        return await this.upstream.getJson(endpoint, path, schema, this.clock.now() + pollDeadlineMs);
     }
 }
--- a/packages/entry/src/leaving-list.ts
+++ b/packages/entry/src/leaving-list.ts
@@ -1,4 +1,3 @@
-import { readBody } from "@lentilramp/protocol";
 import { type Clock, PeriodicComponent } from "@lentilramp/runtime";
 import { z } from "zod";
 import type { EndpointObserver } from "./endpoint-observer.ts";
@@ -6,7 +5,6 @@
 
 const pollIntervalMs = 500;
 const pollDeadlineMs = 1_000;
-const answerLimitBytes = 4 * 1_048_576;
 
 const listSchema = z.looseObject({
     instances: z.array(z.looseObject({ id: z.string(), state: z.string() })),
@@ -30,25 +28,11 @@
     }
 
     protected override async runOnce(): Promise<void> {
-        const deadline = this.clock.now() + pollDeadlineMs;
-        const abort = new AbortController();
-        const timer = this.clock.schedule(deadline, () => abort.abort());
-        try {
-            const res = await this.upstream.send({
-                endpoint: { id: "instance-list", host: this.url.hostname, port: Number(this.url.port) },
-                method: "GET",
-                path: this.url.pathname,
-                headers: {},
-                deadline,
-                signal: abort.signal,
-            });
-            const list = listSchema.parse(JSON.parse((await readBody(res, answerLimitBytes)).toString("utf8")));
-            this.observer.setLeaving(
-                new Set(list.instances.filter(item => item.state !== "live").map(item => item.id)),
-            );
-        }
-        finally {
-            timer.cancel();
-        }
+        const { hostname, port, pathname } = this.url;
+        const address = { id: "instance-list", host: hostname, port: Number(port) };
+        const list = await this.upstream.getJson(address, pathname, listSchema, this.clock.now() + pollDeadlineMs);
+        this.observer.setLeaving(
+            new Set(list.instances.filter(item => item.state !== "live").map(item => item.id)),
+        );
     }
 }
--- a/packages/entry/src/upstream.ts
+++ b/packages/entry/src/upstream.ts
@@ -1,5 +1,7 @@
+import { readBody } from "@lentilramp/protocol";
 import type { Clock } from "@lentilramp/runtime";
 import { Agent, type ClientRequest, type IncomingMessage, request } from "node:http";
+import type { z } from "zod";
 
 /**
  * Why a call to an endpoint gave no response. `refused` means that no byte of the request was sent, so the call was
@@ -36,6 +38,7 @@
 
 const maxSocketsPerEndpoint = 512;
 const idleSocketMs = 15_000;
+const documentLimitBytes = 4 * 1_048_576;
 /** Failures of connection set-up, in which no byte of the request reaches the endpoint. */
 const setupErrors = new Set(["ECONNREFUSED", "EHOSTUNREACH", "ENETUNREACH", "EADDRNOTAVAIL"]);
 
@@ -69,6 +72,24 @@
         });
     }
 
+    /** Gets a JSON document and checks it; the whole answer must arrive by `deadline`. */
+    async getJson<T extends z.ZodType>(
+        endpoint: UpstreamAddress,
+        path: string,
+        schema: T,
+        deadline: number,
+    ): Promise<z.infer<T>> {
+        const abort = new AbortController();
+        const timer = this.clock.schedule(deadline, () => abort.abort());
+        try {
+            const res = await this.send({ endpoint, method: "GET", path, headers: {}, deadline, signal: abort.signal });
+            return schema.parse(JSON.parse((await readBody(res, documentLimitBytes)).toString("utf8")));
+        }
+        finally {
+            timer.cancel();
+        }
+    }
+
     /** Closes the idle connections to an endpoint, for example after one of them was found silent. */
     retirePool(endpointId: string): void {
         const pool = this.pools.get(endpointId);
