Write agreement effects in order and delay writes on a full disk

A command proposed by the state machine while the effects of an election were carried out was written before the no-op entry that precedes it. The driver now queues effects.

--- a/packages/agreement/src/core.ts
+++ b/packages/agreement/src/core.ts
@@ -155,7 +155,12 @@
         }
         const entries = entriesBetween(state, state.commitIndex + 1, index);
         if (entries.length !== index - state.commitIndex) {
-            throw new SafetyError(`${this.id} misses entries to commit up to ${index}`);
+            const held = state.entries.map(entry => entry.index);
+            throw new SafetyError(
+                `${this.id} misses entries to commit up to ${index}: committed ${state.commitIndex}, `
+                    + `base ${state.base.index}, snapshot ${state.snapshot.index}, `
+                    + `holds ${held.length} from ${held[0]} to ${held.at(-1)}`,
+            );
         }
         state.commitIndex = index;
         this.saveState(false);
--- /dev/null
+++ b/packages/catalog/tests/catalog.test.ts
@@ -0,0 +1,73 @@
+import { checkCatalog, drawService, RouteTable, WorkspaceKeys } from "@lentilramp/catalog";
+import { SeededRandom } from "@lentilramp/runtime";
+import { expect } from "chai";
+import fc from "fast-check";
+import { testCatalog, testRoute, testWorkspace } from "./fixtures.ts";
+
+describe("RouteTable", () => {
+    const prefixes = ["/", "/a/", "/a/b/", "/a/bc/"];
+    const table = new RouteTable(testCatalog({ routes: prefixes.map(pathPrefix => testRoute({ pathPrefix })) }));
+
+    it("selects the longest prefix, so that a request is not handled by a more general route", () => {
+        expect(table.find("desk.example", "/a/b/c?x=/a/bc/")?.pathPrefix).to.equal("/a/b/");
+        expect(table.find("desk.example", "/a/b")?.pathPrefix).to.equal("/a/");
+        expect(table.find("DESK.example:8080", "/a/bc/")?.pathPrefix).to.equal("/a/bc/");
+    });
+
+    it("knows no route of another host", () => {
+        expect(table.find("other.example", "/a/b/c")).to.equal(undefined);
+    });
+
+    it("agrees with a search of all prefixes", () => {
+        const segment = fc.constantFrom("a", "b", "bc", "x");
+        fc.assert(fc.property(fc.array(segment, { maxLength: 5 }), fc.boolean(), (segments, slash) => {
+            const path = `/${segments.join("/")}${slash ? "/" : ""}`;
+            const expected = prefixes.filter(prefix => path.startsWith(prefix)).sort((a, b) => b.length - a.length)[0];
+            expect(table.find("desk.example", path)?.pathPrefix).to.equal(expected);
+        }));
+    });
+});
+
+describe("drawService", () => {
+    it("never draws a target of weight 0, whose service may not run the request", () => {
+        const route = testRoute({
+            targets: [{ service: "app", weight: 90 }, { service: "none", weight: 0 }, { service: "model", weight: 10 }],
+        });
+        const random = new SeededRandom(7);
+        const drawn = Array.from({ length: 2_000 }, () => drawService(route, random));
+        expect(drawn).not.to.include("none");
+        expect(drawn.filter(service => service === "model").length).to.be.within(130, 270);
+    });
+});
+
+describe("checkCatalog", () => {
+    it("accepts a complete catalog", () => {
+        expect(checkCatalog(testCatalog())).to.equal(undefined);
+    });
+
+    const invalid: [string, ReturnType<typeof testCatalog>][] = [
+        ["an unknown service", testCatalog({ routes: [testRoute({ targets: [{ service: "x", weight: 1 }] })] })],
+        [
+            "weights that add up to 0",
+            testCatalog({ routes: [testRoute({ targets: [{ service: "app", weight: 0 }] })] }),
+        ],
+        ["no target", testCatalog({ routes: [testRoute({ targets: [] })] })],
+        ["a timeout of 0", testCatalog({ routes: [testRoute({ timeoutMs: 0 })] })],
+        ["two routes at one place", testCatalog({ routes: [testRoute(), testRoute({ name: "s" })] })],
+        ["two workspaces with one key", testCatalog({ workspaces: [testWorkspace(), testWorkspace({ name: "v" })] })],
+    ];
+    for (const [what, catalog] of invalid) {
+        it(`refuses ${what}`, () => {
+            expect(checkCatalog(catalog)).to.be.a("string");
+        });
+    }
+});
+
+describe("WorkspaceKeys", () => {
+    it("finds the holder of a key and nobody for an unknown or missing one", () => {
+        const keys = new WorkspaceKeys(testCatalog());
+        expect(keys.find("key-1")?.name).to.equal("w");
+        expect(keys.find("key-2")).to.equal(undefined);
+        expect(keys.find(undefined)).to.equal(undefined);
+    });
+});
--- a/packages/control/src/agreement-driver.ts
+++ b/packages/control/src/agreement-driver.ts
@@ -49,6 +49,8 @@
     private timer: Timer | undefined;
     private nextRequestId = 1;
     private closed = false;
+    private readonly effects: Effect[] = [];
+    private carryingOut = false;
 
     constructor(
         id: NodeId,
@@ -135,12 +137,29 @@
 
     private scheduleTick(): void {
         this.timer?.cancel();
-        this.timer = this.clock.schedule(this.node.nextTickAt, () => this.step({ type: "tick" }));
+        // After a storage failure there is no next tick.
+        this.timer = Number.isFinite(this.node.nextTickAt)
+            ? this.clock.schedule(this.node.nextTickAt, () => this.step({ type: "tick" }))
+            : undefined;
     }
 
+    /**
+     * Carries out effects in the order of the steps that gave them. A step that is taken while effects are carried
+     * out, for example by the state machine, must not have its writes overtake earlier ones.
+     */
     private carryOut(effects: readonly Effect[]): void {
-        for (const effect of effects) {
-            this.carryOutOne(effect);
+        this.effects.push(...effects);
+        if (this.carryingOut) {
+            return;
+        }
+        this.carryingOut = true;
+        try {
+            for (let effect = this.effects.shift(); effect !== undefined; effect = this.effects.shift()) {
+                this.carryOutOne(effect);
+            }
+        }
+        finally {
+            this.carryingOut = false;
         }
     }
 
--- a/packages/control/src/agreement-storage.ts
+++ b/packages/control/src/agreement-storage.ts
@@ -1,24 +1,51 @@
 import { applyWrite, type StoredState, type Write } from "@lentilramp/agreement";
-import type { DataFolder, Journal, JournalContents } from "@lentilramp/journal";
+import { type DataFolder, DiskFullError, type Journal, type JournalContents } from "@lentilramp/journal";
 import { decode, encode } from "@msgpack/msgpack";
+import { setTimeout as sleep } from "node:timers/promises";
 
 /** Journal records after which the whole stored state is written as one snapshot, which bounds a restart. */
 const recordsPerSnapshot = 1_000;
 
+/** Writes that go into one journal record at most. */
+const writesPerRecord = 64;
+/** Pause before writes that found no room on the disk are tried again, in milliseconds. */
+const fullDiskPauseMs = 100;
+
 function encodeRecord(value: unknown): Uint8Array {
     return encode(value, { ignoreUndefined: true });
 }
 
 function recover(contents: JournalContents, initial: StoredState): StoredState {
-    const start = contents.snapshot === undefined ? initial : decode(contents.snapshot.payload) as StoredState;
-    return contents.records.reduce((state, record) => applyWrite(state, decode(record.payload) as Write), start);
+    let state = contents.snapshot === undefined ? initial : decode(contents.snapshot.payload) as StoredState;
+    for (const record of contents.records) {
+        const decoded = decode(record.payload) as Write | Write[];
+        for (const write of Array.isArray(decoded) ? decoded : [decoded]) {
+            state = applyWrite(state, write);
+        }
+    }
+    return state;
 }
 
-/** Durable log, term and vote of the agreement member, one journal record a write. */
+interface WaitingSync {
+    /** Number of the write that must be durable. */
+    write: number;
+    resolve: () => void;
+    reject: (err: unknown) => void;
+}
+
+/**
+ * Durable log, term and vote of the agreement member. Writes that wait for the disk share one journal record, so that
+ * either all of them or none is found after a restart. A full disk delays writes; nothing is lost or reordered.
+ */
 export class AgreementStorage {
     private recordsSinceSnapshot: number;
-    private lastWrite: Promise<unknown> = Promise.resolve();
-    private snapshotting = false;
+    private pending: Write[] = [];
+    private accepted = 0;
+    private durable = 0;
+    private waiting: WaitingSync[] = [];
+    private flushing: Promise<void> | undefined;
+    private failure: unknown;
+    private closing = false;
 
     private constructor(private readonly journal: Journal, private current: StoredState, records: number) {
         this.recordsSinceSnapshot = records;
@@ -41,36 +68,79 @@
     /** Queues a write; `sync` waits for it. */
     write(write: Write): void {
         this.current = applyWrite(this.current, write);
-        this.recordsSinceSnapshot++;
-        this.lastWrite = this.journal.append(encodeRecord(write));
-        // The failure is reported by `sync`; this handler keeps it from being an unhandled rejection.
-        this.lastWrite.catch(() => undefined);
+        this.pending.push(write);
+        this.accepted++;
+        this.flushing ??= this.flush();
     }
 
-    /** Resolves when all writes queued so far are durable. */
+    /** Resolves when all writes queued so far are durable; rejects when the storage has failed. */
     async sync(): Promise<void> {
-        await this.lastWrite;
-        if (this.recordsSinceSnapshot >= recordsPerSnapshot && !this.snapshotting) {
-            await this.compact();
+        if (this.failure !== undefined) {
+            throw this.failure;
+        }
+        if (this.durable < this.accepted) {
+            await new Promise<void>((resolve, reject) => {
+                this.waiting.push({ write: this.accepted, resolve, reject });
+            });
         }
     }
 
     async close(): Promise<void> {
-        await this.lastWrite.catch(() => undefined);
+        this.closing = true;
+        await this.flushing;
         await this.journal.close();
     }
 
-    private async compact(): Promise<void> {
-        this.snapshotting = true;
-        try {
-            const state = encodeRecord(this.current);
-            const written = this.lastWrite;
-            this.recordsSinceSnapshot = 0;
-            const index = await written as number;
-            await this.journal.saveSnapshot(state, index);
+    private async flush(): Promise<void> {
+        // Lets the writes of one step share a record.
+        await Promise.resolve();
+        while (this.pending.length > 0 && this.failure === undefined) {
+            const group = this.pending.slice(0, writesPerRecord);
+            try {
+                await this.journal.append(encodeRecord(group));
+                this.recordsSinceSnapshot++;
+                this.pending.splice(0, group.length);
+                this.settle(this.durable + group.length);
+                await this.compactIfDue();
+            }
+            catch (err) {
+                if (!(err instanceof DiskFullError) || this.closing) {
+                    this.fail(err);
+                }
+                else {
+                    await sleep(fullDiskPauseMs);
+                }
+            }
+        }
+        // In the same turn in which no write is left, so that the next one starts a new flush.
+        this.flushing = undefined;
+    }
+
+    private settle(durable: number): void {
+        this.durable = durable;
+        const done = this.waiting.filter(waiting => waiting.write <= durable);
+        this.waiting = this.waiting.filter(waiting => waiting.write > durable);
+        for (const { resolve } of done) {
+            resolve();
         }
-        finally {
-            this.snapshotting = false;
+    }
+
+    private fail(err: unknown): void {
+        this.failure = err;
+        const waiting = this.waiting;
+        this.waiting = [];
+        for (const { reject } of waiting) {
+            reject(err);
+        }
+    }
+
+    /** Writes the whole state as a snapshot once enough records have gathered and no write is on its way. */
+    private async compactIfDue(): Promise<void> {
+        if (this.recordsSinceSnapshot < recordsPerSnapshot || this.pending.length > 0) {
+            return;
         }
+        const state = encodeRecord(this.current);
+        await this.journal.saveSnapshot(state, this.journal.lastIndex);
+        this.recordsSinceSnapshot = 0;
     }
 }
--- /dev/null
+++ b/packages/control/tests/agreement-driver.test.ts
@@ -0,0 +1,100 @@
+import { foundingState, type Role } from "@lentilramp/agreement";
+import { AgreementDriver, AgreementStorage, encodeMemberAddress, type StateMachine } from "@lentilramp/control";
+import { DataFolder } from "@lentilramp/journal";
+import { MemoryEventLog, SeededRandom, SystemClock } from "@lentilramp/runtime";
+import { expect } from "chai";
+import { FaultyFiles } from "../../journal/tests/faulty-files.ts";
+
+const address = encodeMemberAddress({ name: "m1", host: "127.0.0.1", port: 1, failureDomain: "a" });
+const founders = foundingState([{ id: "m1", address }]);
+
+class RecordingMachine implements StateMachine {
+    readonly applied: string[] = [];
+    onLeads: () => void = () => undefined;
+
+    apply(command: string): string {
+        this.applied.push(command);
+        return command;
+    }
+
+    snapshot(): string {
+        return JSON.stringify(this.applied);
+    }
+
+    restore(state: string): void {
+        this.applied.splice(0, Infinity, ...JSON.parse(state) as string[]);
+    }
+
+    onEntryApplied(): void {
+        // Not needed here.
+    }
+
+    onRole(role: Role): void {
+        if (role === "leader") {
+            this.onLeads();
+        }
+    }
+
+    onLease(): void {
+        // Not needed here.
+    }
+}
+
+describe("AgreementDriver", () => {
+    const clock = new SystemClock();
+
+    async function open(files: FaultyFiles, machine: StateMachine) {
+        const folder = await DataFolder.open(files, "/data", "single-process");
+        const storage = await AgreementStorage.open(folder, founders);
+        const transport = { send: () => undefined };
+        const random = new SeededRandom(1);
+        const driver = new AgreementDriver("m1", storage, machine, transport, clock, random, new MemoryEventLog());
+        await driver.start();
+        return { driver, storage };
+    }
+
+    // A proposal made while the effects of the election are carried out used to be written before the entry that
+    // precedes it, and the member could not start again.
+    it("writes entries in their order when the state machine proposes as soon as it leads", async () => {
+        const files = new FaultyFiles();
+        const machine = new RecordingMachine();
+        const { driver } = await open(files, machine);
+        const proposed = new Promise<unknown>((resolve, reject) => {
+            machine.onLeads = () => void driver.propose("office").then(resolve, reject);
+        });
+        expect(await proposed).to.equal("office");
+        await driver.close();
+        const restarted = await open(files, new RecordingMachine());
+        expect(restarted.driver.status.lastIndex).to.equal(2);
+        await restarted.driver.close();
+    });
+});
+
+describe("AgreementStorage on a full disk", () => {
+    // A write that was refused for lack of space used to be lost when a later one succeeded.
+    it("keeps a refused write and the order of all writes, and reports durability only afterwards", async () => {
+        const files = new FaultyFiles();
+        const folder = await DataFolder.open(files, "/data", "single-process");
+        const storage = await AgreementStorage.open(folder, founders);
+        const entry = (index: number) => ({ index, term: 1, content: { kind: "no-op" as const } });
+        files.faults.room = 0;
+        storage.write({ type: "append", sequence: 1, entries: [entry(1)] });
+        let durable = false;
+        const synced = storage.sync().then(() => durable = true);
+        await clockTicks();
+        expect(durable).to.equal(false);
+        files.faults.room = Infinity;
+        storage.write({ type: "append", sequence: 2, entries: [entry(2)] });
+        await synced;
+        await storage.sync();
+        await storage.close();
+        const again = await AgreementStorage.open(folder, founders);
+        expect(again.stored.entries.map(({ index }) => index)).to.deep.equal([1, 2]);
+    });
+});
+
+async function clockTicks(): Promise<void> {
+    for (let i = 0; i < 20; i++) {
+        await new Promise(resolve => setImmediate(resolve));
+    }
+}
--- /dev/null
+++ b/packages/dispatch/tests/dispatch.test.ts
@@ -0,0 +1,226 @@
+import {
+    type Candidate,
+    Dispatcher,
+    type DispatchRequest,
+    EndpointHealth,
+    EngineModel,
+    LoadBoard,
+    PrefixMemory,
+    ServiceModel,
+    WaitQueue,
+} from "@lentilramp/dispatch";
+import { SeededRandom } from "@lentilramp/runtime";
+import { expect } from "chai";
+
+function engine(id: string): Candidate {
+    return { id, failureDomain: "a", slots: 4 };
+}
+
+function prompt(change: Partial<DispatchRequest> = {}, own = 500): DispatchRequest {
+    return {
+        id: "r",
+        service: "model",
+        workspace: "w",
+        rank: 0,
+        arrivedAt: 0,
+        targetAt: 300,
+        deadline: 3_000,
+        work: {
+            parts: [{ id: "p", tokens: 2_000 }, { id: "q", tokens: 4_000 }, { id: "own", tokens: own }],
+            promptTokens: 6_000 + own,
+            maxOutputTokens: 50,
+            outputTokens: 50,
+        },
+        ...change,
+    };
+}
+
+class World {
+    readonly board = new LoadBoard();
+    readonly health = new EndpointHealth();
+    readonly memory = new PrefixMemory();
+    home: string | undefined;
+    readonly model = new EngineModel(this.memory, { home: () => this.home });
+    readonly dispatcher = new Dispatcher(this.board, this.health, new SeededRandom(1));
+    readonly engines = ["e1", "e2", "e3"].map(engine);
+
+    decide(req: DispatchRequest, now = 0, ahead = 0) {
+        return this.dispatcher.decide(req, this.engines, this.model, now, new Set(), ahead);
+    }
+}
+
+describe("EngineModel", () => {
+    it("prefers the engine that has read the shared parts, so that they are not read again", () => {
+        const world = new World();
+        world.memory.record("e2", prompt().work?.parts ?? [], 100_000, 0);
+        const decision = world.decide(prompt({}, 400));
+        expect(decision.kind === "send" && decision.choice.endpoint.id).to.equal("e2");
+    });
+
+    it("sends the first request of a prompt where all processes would, without a word between them", () => {
+        const world = new World();
+        world.home = "e3";
+        const decision = world.decide(prompt());
+        expect(decision.kind === "send" && decision.choice.endpoint.id).to.equal("e3");
+    });
+
+    it("leaves a full home for another engine, so that a hot prompt does not wait behind itself", () => {
+        const world = new World();
+        world.home = "e3";
+        for (let i = 0; i < 5; i++) {
+            world.board.sent("e3", 500);
+        }
+        const decision = world.decide(prompt());
+        expect(decision.kind === "send" && decision.choice.endpoint.id).to.not.equal("e3");
+    });
+
+    it("counts the load that the others reported, and forgets it when it is old", () => {
+        const world = new World();
+        world.board.setPeers({ e1: { running: 9, unreadTokens: 0 } }, 0);
+        expect(world.board.load("e1", 500).running).to.equal(9);
+        expect(world.board.load("e1", 1_500).running).to.equal(0);
+    });
+});
+
+describe("PrefixMemory", () => {
+    it("forgets the least recently used parts once the cache of the engine is exceeded", () => {
+        const memory = new PrefixMemory();
+        memory.record("e", [{ id: "a", tokens: 600 }], 1_000, 0);
+        memory.record("e", [{ id: "b", tokens: 600 }], 1_000, 1);
+        expect(memory.cachedTokens("e", [{ id: "a", tokens: 600 }])).to.equal(0);
+        expect(memory.cachedTokens("e", [{ id: "b", tokens: 600 }])).to.equal(600);
+    });
+
+    it("takes a part as cached only when all parts before it are", () => {
+        const memory = new PrefixMemory();
+        memory.record("e", [{ id: "a", tokens: 100 }, { id: "b", tokens: 100 }], 1_000, 0);
+        expect(memory.cachedTokens("e", [{ id: "b", tokens: 100 }])).to.equal(0);
+    });
+});
+
+describe("Dispatcher under a burst", () => {
+    function fill(world: World, running: number, unreadTokens: number): void {
+        for (const { id } of world.engines) {
+            for (let i = 0; i < running; i++) {
+                world.board.sent(id, unreadTokens / running);
+            }
+        }
+    }
+
+    it("refuses at once what no engine can answer on time, with a time to come back", () => {
+        const world = new World();
+        fill(world, 5, 60_000);
+        const decision = world.decide(prompt());
+        expect(decision.kind).to.equal("refuse");
+        expect(decision.kind === "refuse" && decision.retryAfterMs).to.be.within(60, 1_500);
+    });
+
+    it("lets a request wait while its first byte can still be on time", () => {
+        const world = new World();
+        fill(world, 5, 20_000);
+        const decision = world.decide(prompt());
+        expect(decision.kind).to.equal("wait");
+        expect(decision.kind === "wait" && decision.until).to.be.below(300);
+    });
+
+    it("refuses less urgent ranks earlier than urgent ones", () => {
+        const world = new World();
+        fill(world, 2, 20_000);
+        expect(world.decide(prompt({ rank: 0 })).kind).to.equal("send");
+        expect(world.decide(prompt({ rank: 2 })).kind).to.not.equal("send");
+    });
+
+    it("sends a prompt that is too long for its target while there is room, so that long prompts are served", () => {
+        const world = new World();
+        const decision = world.decide(prompt({}, 60_000));
+        expect(decision.kind).to.equal("send");
+        expect(decision.kind === "send" && decision.choice.onTime).to.equal(false);
+    });
+
+    it("does not overtake requests that wait before it", () => {
+        const world = new World();
+        expect(world.decide(prompt(), 0, 3).kind).to.equal("wait");
+    });
+
+    it("spreads the returns of callers that were refused together", () => {
+        const world = new World();
+        fill(world, 5, 60_000);
+        const times = Array.from({ length: 50 }, () => {
+            const decision = world.decide(prompt());
+            return decision.kind === "refuse" ? decision.retryAfterMs : 0;
+        });
+        expect(Math.max(...times)).to.be.above(1.5 * Math.min(...times));
+    });
+
+    it("says at once that there is no endpoint", () => {
+        const world = new World();
+        const decision = world.dispatcher.decide(prompt(), [], world.model, 0);
+        expect(decision.kind === "refuse" && decision.reason).to.equal("no-endpoint");
+    });
+});
+
+describe("ServiceModel", () => {
+    it("predicts waiting once the places of an endpoint are taken", () => {
+        const model = new ServiceModel();
+        const req = prompt({ work: undefined });
+        const free = model.predict(req, engine("e"), { running: 3, unreadTokens: 0 });
+        const full = model.predict(req, engine("e"), { running: 8, unreadTokens: 0 });
+        expect(full.firstByteMs).to.be.above(free.firstByteMs);
+        expect(full.idleMs).to.equal(free.idleMs);
+    });
+});
+
+describe("EndpointHealth", () => {
+    const ids = ["e1", "e2", "e3", "e4"];
+
+    it("ejects an endpoint that fails part of its requests while its siblings do not, and tries it again", () => {
+        const health = new EndpointHealth();
+        ids.forEach(id => health.record(id, ids, true, 0));
+        health.record("e1", ids, false, 10);
+        expect(health.record("e1", ids, false, 20)).to.equal(true);
+        expect(health.usable("e1", 30)).to.equal(false);
+        expect(health.usable("e1", 1_100)).to.equal(true);
+        health.dispatched("e1", 1_100);
+        expect(health.usable("e1", 1_110)).to.equal(false);
+        health.record("e1", ids, true, 1_200);
+        expect(health.usable("e1", 1_210)).to.equal(true);
+    });
+
+    it("ejects nobody when all fail alike, which is a fault of the service or of the path", () => {
+        const health = new EndpointHealth();
+        for (let round = 0; round < 5; round++) {
+            for (const id of ids) {
+                expect(health.record(id, ids, false, round * 10)).to.equal(false);
+            }
+        }
+    });
+
+    it("never ejects more than half of a service", () => {
+        const health = new EndpointHealth();
+        for (const id of ids) {
+            for (let i = 0; i < 8; i++) {
+                health.record(id, ids, id === "e4", i);
+            }
+        }
+        expect(ids.filter(id => !health.usable(id, 10)).length).to.be.at.most(2);
+    });
+});
+
+describe("WaitQueue", () => {
+    it("serves urgent ranks first and, within a rank, the request with the least time left", () => {
+        const queue = new WaitQueue<{ req: DispatchRequest; }>();
+        const items = [
+            prompt({ rank: 1, targetAt: 100 }),
+            prompt({ rank: 0, targetAt: 300 }),
+            prompt({ targetAt: 200 }),
+        ]
+            .map(req => ({ req }));
+        items.forEach(item => queue.push(item));
+        expect(queue.inOrder().map(item => [item.req.rank, item.req.targetAt])).to.deep.equal([
+            [0, 200],
+            [0, 300],
+            [1, 100],
+        ]);
+        expect(queue.ahead(prompt({ rank: 1, targetAt: 50 }))).to.equal(2);
+    });
+});
--- /dev/null
+++ b/packages/fleet/tests/fleet.test.ts
@@ -0,0 +1,233 @@
+import {
+    CapMeter,
+    CapShares,
+    type Endpoint,
+    EndpointDirectory,
+    ReplicaPlanner,
+    Roster,
+    TrueTime,
+    UsageLedger,
+    UsageWindows,
+} from "@lentilramp/fleet";
+import { expect } from "chai";
+import fc from "fast-check";
+import { testWorkspace } from "../../catalog/tests/fixtures.ts";
+
+function endpoint(id: string, change: Partial<Endpoint> = {}): Endpoint {
+    return {
+        id,
+        service: "model",
+        host: "10.0.0.1",
+        port: 80,
+        failureDomain: "a",
+        slots: 4,
+        ready: true,
+        reclaimable: false,
+        ...change,
+    };
+}
+
+describe("EndpointDirectory", () => {
+    it("offers no leaving endpoint, whose new requests would break the drain bound", () => {
+        const directory = new EndpointDirectory();
+        directory.update([endpoint("e1"), endpoint("e2", { ready: false })], 10);
+        expect(directory.ready("model").map(({ id }) => id)).to.deep.equal(["e1"]);
+        expect(directory.all).to.have.length(2);
+    });
+
+    it("does not go back to an older list that arrives late", () => {
+        const directory = new EndpointDirectory();
+        directory.update([endpoint("e2")], 20);
+        directory.update([endpoint("e1")], 10);
+        expect(directory.has("e1")).to.equal(false);
+        expect(directory.age(25)).to.equal(5);
+    });
+});
+
+describe("CapMeter", () => {
+    const workspace = testWorkspace({ capPerSecond: 1_000, capBurst: 500, countsTokens: true, plainTokens: 10 });
+
+    it("never admits more than burst, rate and one request over, whatever the arrivals", () => {
+        fc.assert(
+            fc.property(
+                fc.array(fc.tuple(fc.nat(200), fc.integer({ min: 1, max: 400 })), { maxLength: 200 }),
+                arrivals => {
+                    const meter = new CapMeter();
+                    meter.setShare("w", { share: 0.5, floor: 0.1, expiresAt: Infinity });
+                    let now = 0;
+                    let used = 0;
+                    for (const [gap, units] of arrivals) {
+                        now += gap;
+                        used += meter.tryUse(workspace, units, now).admitted ? units : 0;
+                    }
+                    expect(used).to.be.at.most(250 + now * 0.5 + 400);
+                },
+            ),
+        );
+    });
+
+    it("falls back to the floor when the share has expired, because the others may use the rest", () => {
+        const meter = new CapMeter();
+        meter.setShare("w", { share: 1, floor: 0.1, expiresAt: 100 });
+        expect(meter.tryUse(workspace, 400, 0).admitted).to.equal(true);
+        // A request larger than the bucket of the floor leaves a debt, which the floor's rate has to pay first.
+        expect(meter.tryUse(workspace, 400, 200).admitted).to.equal(true);
+        expect(meter.tryUse(workspace, 40, 1_000).admitted).to.equal(false);
+        expect(meter.tryUse(workspace, 40, 5_000).admitted).to.equal(true);
+    });
+
+    it("admits nothing without any share and says when there is room otherwise", () => {
+        const meter = new CapMeter();
+        expect(meter.tryUse(workspace, 1, 0)).to.deep.equal({ admitted: false, retryAt: Infinity });
+        meter.setShare("w", { share: 1, floor: 0.1, expiresAt: Infinity });
+        meter.tryUse(workspace, 500, 1_000);
+        const verdict = meter.tryUse(workspace, 300, 1_500);
+        expect(verdict).to.deep.equal({ admitted: true });
+    });
+
+    it("counts a plain request as the stated number of tokens", () => {
+        expect(CapMeter.units(workspace, undefined)).to.equal(10);
+        expect(CapMeter.units(workspace, 70)).to.equal(70);
+        expect(CapMeter.units({ ...workspace, countsTokens: false }, 70)).to.equal(1);
+    });
+});
+
+describe("CapShares", () => {
+    it("gives out no more than the whole cap, also with the floors of silent ingresses", () => {
+        const demands = fc.array(fc.nat(10_000), { minLength: 1, maxLength: 12 });
+        fc.assert(fc.property(demands, fc.nat(4), (asked, silent) => {
+            const shares = new CapShares();
+            const live = asked.map((units, i) => {
+                shares.observe(`i${i}`, { w: units }, 250);
+                return `i${i}`;
+            });
+            const members = live.length + silent;
+            const sum = live.reduce((total, name) => total + shares.share(name, "w", live, members), 0);
+            expect(sum + silent * shares.floor(members)).to.be.at.most(1 + 1e-9);
+        }));
+    });
+
+    it("moves the cap to where the load is", () => {
+        const shares = new CapShares();
+        for (let i = 0; i < 10; i++) {
+            shares.observe("busy", { w: 900 }, 250);
+            shares.observe("idle", { w: 100 }, 250);
+        }
+        const live = ["busy", "idle"];
+        expect(shares.share("busy", "w", live, 2)).to.be.above(2 * shares.share("idle", "w", live, 2));
+    });
+});
+
+describe("Roster", () => {
+    const description = { name: "i1", host: "10.0.0.1", port: 80, region: "r", failureDomain: "a", accepting: true };
+
+    it("leaves silent and stopping ingresses out of lookups but reserves their part of the caps", () => {
+        const roster = new Roster(1_000, 30_000);
+        roster.seen(description, 0);
+        roster.seen({ ...description, name: "i2", accepting: false }, 900);
+        expect(roster.accepting(900).map(({ name }) => name)).to.deep.equal(["i1"]);
+        expect(roster.accepting(1_500)).to.deep.equal([]);
+        expect(roster.members(1_500)).to.equal(2);
+    });
+});
+
+describe("TrueTime", () => {
+    it("holds while less than half of the clocks have been stepped", () => {
+        const time = new TrueTime();
+        for (const [i, step] of [0, 3, -2, 2_400, -2_400].entries()) {
+            time.observe(`m${i}`, 1_000_000 + step, 500);
+        }
+        expect(time.at(600)).to.equal(1_000_100);
+    });
+
+    it("forgets clocks that are no longer reported", () => {
+        const time = new TrueTime();
+        time.observe("gone", 5_000_000, 0);
+        time.observe("m", 1_003_600, 3_600);
+        expect(time.at(3_600)).to.equal(1_003_600);
+        expect(new TrueTime().at(0)).to.equal(undefined);
+    });
+});
+
+describe("UsageLedger and UsageWindows", () => {
+    it("counts each request once, however often an ingress repeats its counts", () => {
+        const ledger = new UsageLedger(5_000);
+        const windows = new UsageWindows(5_000);
+        ledger.record("w", 12_000);
+        windows.observe("i1/1", ledger.snapshot());
+        ledger.record("w", 13_000);
+        windows.observe("i1/1", ledger.snapshot());
+        windows.observe("i1/2", { 2: { w: 3 } });
+        windows.observe("i2/1", { 2: { v: 1 } });
+        expect(windows.total(2)).to.deep.equal({ w: 5, v: 1 });
+    });
+
+    it("names the windows that have settled and are not yet too late", () => {
+        const windows = new UsageWindows(5_000);
+        expect(windows.due(23_100, 3_000, 10_000)).to.deep.equal([2, 3]);
+        expect(windows.due(22_900, 3_000, 10_000)).to.deep.equal([2]);
+    });
+});
+
+describe("ReplicaPlanner", () => {
+    const range = {
+        minReplicas: 1,
+        maxReplicas: 6,
+        bootMs: 4_000,
+        reclaimablePrice: 0.2,
+        domainPrices: new Map([["a", 0.85], ["b", 1.2], ["c", 1]]),
+    };
+    const capacity = { slots: 10, prefillPerSecond: 100_000 };
+    const domains = ["a", "b", "c"];
+
+    it("orders nothing before there was any demand, so that a quiet start does not empty the fleet", () => {
+        const planner = new ReplicaPlanner("model");
+        planner.observe({ prefillPerSecond: 0, outstanding: 0 }, 0);
+        expect(planner.plan([endpoint("e1")], range, domains, capacity, 0)).to.deep.equal([]);
+    });
+
+    it("holds enough reclaimable replicas that the loss of one domain leaves what is needed", () => {
+        const planner = new ReplicaPlanner("model");
+        planner.observe({ prefillPerSecond: 0, outstanding: 24 }, 0);
+        const needed = planner.needed(capacity) ?? 0;
+        const orders = planner.plan([], range, domains, capacity, 0).filter(order => order.reclaimable);
+        for (const lost of domains) {
+            const left = orders.filter(order => order.failureDomain !== lost);
+            expect(left.reduce((sum, order) => sum + order.count, 0)).to.be.at.least(needed);
+        }
+    });
+
+    it("fills with on-demand replicas what reclaimable ones do not give, the cheapest domain first", () => {
+        const planner = new ReplicaPlanner("model");
+        planner.observe({ prefillPerSecond: 0, outstanding: 24 }, 0);
+        const onDemand = planner.plan([], range, domains, capacity, 0).filter(order => !order.reclaimable);
+        expect(onDemand.reduce((sum, order) => sum + order.count, 0)).to.be.at.least(planner.needed(capacity) ?? 0);
+        expect(onDemand.find(order => order.failureDomain === "a")?.count).to.be.at.least(
+            onDemand.find(order => order.failureDomain === "b")?.count ?? 0,
+        );
+    });
+
+    it("gives replicas back only after the lower number has been wanted for a while", () => {
+        const planner = new ReplicaPlanner("model");
+        const held = Array.from({ length: 6 }, (_, i) => endpoint(`e${i}`, { failureDomain: "b" }));
+        planner.observe({ prefillPerSecond: 0, outstanding: 2 }, 0);
+        const shrinks = (now: number) =>
+            planner.plan(held, range, domains, capacity, now)
+                .filter(order => order.failureDomain === "b" && !order.reclaimable && order.count < 6);
+        expect(shrinks(0)).to.deep.equal([]);
+        expect(shrinks(2_000)).to.deep.equal([]);
+        expect(shrinks(3_500)).to.have.length(1);
+    });
+
+    it("asks a domain that had none again only after a pause", () => {
+        const planner = new ReplicaPlanner("model");
+        planner.observe({ prefillPerSecond: 0, outstanding: 24 }, 0);
+        const reclaimable = (now: number) =>
+            planner.plan([], range, domains, capacity, now).filter(order => order.reclaimable);
+        for (const order of reclaimable(0)) {
+            planner.refused(order, 0);
+        }
+        expect(reclaimable(1_000)).to.deep.equal([]);
+        expect(reclaimable(2_500)).to.have.length(3);
+    });
+});
--- a/packages/ingress/src/answer-writer.ts
+++ b/packages/ingress/src/answer-writer.ts
@@ -39,13 +39,13 @@
     }
 
     /** Relays an answer whose parts mean nothing by themselves. */
-    async whole(res: IncomingMessage): Promise<BodyEnd> {
+    async whole(res: IncomingMessage, broken: () => boolean): Promise<BodyEnd> {
         const length = Number(res.headers["content-length"] ?? Infinity);
         if (length > wholeLimitBytes) {
-            return await this.stream(res, () => undefined);
+            return await this.stream(res, broken, () => undefined);
         }
         const parts: Buffer[] = [];
-        const end = await this.consume(res, piece => {
+        const end = await this.consume(res, broken, piece => {
             parts.push(piece);
             return true;
         });
@@ -57,9 +57,9 @@
     }
 
     /** Relays an answer as it comes. */
-    async stream(res: IncomingMessage, onFirst: () => void): Promise<BodyEnd> {
+    async stream(res: IncomingMessage, broken: () => boolean, onFirst: () => void): Promise<BodyEnd> {
         let first = true;
-        const end = await this.consume(res, piece => {
+        const end = await this.consume(res, broken, piece => {
             if (first) {
                 first = false;
                 onFirst();
@@ -79,9 +79,9 @@
     /** Relays whole events, so that another endpoint can go on after the last one. */
     async events(
         res: IncomingMessage,
-        options: { clock: Clock; stallMs: number; onFirst: () => void; },
+        options: { clock: Clock; stallMs: number; broken: () => boolean; onFirst: () => void; },
     ): Promise<BodyEnd> {
-        const { clock, stallMs, onFirst } = options;
+        const { clock, stallMs, broken, onFirst } = options;
         const splitter = new EventSplitter();
         let timer: Timer | undefined;
         let first = true;
@@ -89,7 +89,7 @@
             timer?.cancel();
             timer = clock.schedule(clock.now() + stallMs, () => this.stop("stalled"));
         };
-        const end = await this.consume(res, piece => {
+        const end = await this.consume(res, broken, piece => {
             if (first) {
                 first = false;
                 onFirst();
@@ -123,7 +123,7 @@
     }
 
     /** Reads the body; `take` returns false when the caller cannot take more for now. */
-    private consume(res: IncomingMessage, take: (piece: Buffer) => boolean): Promise<BodyEnd> {
+    private consume(res: IncomingMessage, broken: () => boolean, take: (piece: Buffer) => boolean): Promise<BodyEnd> {
         return new Promise(resolve => {
             let ended = false;
             const finish = (end: BodyEnd): void => {
@@ -144,7 +144,7 @@
                     this.out.once("drain", () => res.resume());
                 }
             });
-            res.on("end", () => finish(res.complete ? "complete" : "cut"));
+            res.on("end", () => finish(res.complete && !broken() ? "complete" : "cut"));
             res.on("error", () => finish("cut"));
             res.on("close", () => finish("cut"));
         });
--- a/packages/ingress/src/attempt.ts
+++ b/packages/ingress/src/attempt.ts
@@ -38,6 +38,7 @@
     private req: ClientRequest | undefined;
     private connected = false;
     private settled = false;
+    private reset = false;
 
     constructor(
         private readonly input: AttemptInput,
@@ -60,6 +61,14 @@
         });
     }
 
+    /**
+     * Whether the connection failed. The body of an answer without a length ends with its connection, and Node.js
+     * reports it as complete also when the connection was reset.
+     */
+    get broken(): boolean {
+        return this.reset;
+    }
+
     /** Ends the work at the endpoint by closing the connection. */
     abort(): void {
         this.cancelTimers();
@@ -99,6 +108,7 @@
             this.pool.retire(endpoint.id);
         }));
         req.on("error", (err: NodeJS.ErrnoException) => {
+            this.reset = true;
             const reason = err.code ?? err.message;
             settle(
                 this.connected
--- a/packages/ingress/src/relayed-call.ts
+++ b/packages/ingress/src/relayed-call.ts
@@ -274,8 +274,9 @@
 
     private async relayBody(sent: Sent, res: IncomingMessage, status: number): Promise<BodyEnd> {
         const { route } = this.admitted;
+        const broken = (): boolean => sent.attempt.broken;
         if (route.execution !== "stream" || status !== 200) {
-            return await this.writer.whole(res);
+            return await this.writer.whole(res, broken);
         }
         const onFirst = (): void => {
             this.start(sent);
@@ -285,9 +286,10 @@
             ? await this.writer.events(res, {
                 clock: this.ctx.clock,
                 stallMs: (route.gapTargetMs ?? defaultPauseMs) * stalledPauses,
+                broken,
                 onFirst,
             })
-            : await this.writer.stream(res, onFirst);
+            : await this.writer.stream(res, broken, onFirst);
         if (end !== "complete") {
             sent.attempt.abort();
         }
