--- a/packages/fleet/tests/fleet.test.ts
+++ b/packages/fleet/tests/fleet.test.ts
@@ -209,7 +209,7 @@
 
     it("gives replicas back only after the lower number has been wanted for a while", () => {
         const planner = new ReplicaPlanner("model");
-        const held = Array.from({ length: 6 }, (_, i) => endpoint(`e${i}`, { failureDomain: "b" }));
+        const held = [0, 1, 2, 3, 4, 5].map(i => endpoint(`e${i}`, { failureDomain: "b" }));
         planner.observe({ prefillPerSecond: 0, outstanding: 2 }, 0);
         const shrinks = (now: number) =>
             planner.plan(held, range, domains, capacity, now)
--- /dev/null
+++ b/packages/ingress/tests/ingress-harness.ts
@@ -0,0 +1,226 @@
+import { type Catalog, CatalogCodec } from "@lentilramp/catalog";
+import type { Endpoint } from "@lentilramp/fleet";
+import { CallerServer, FleetView, type IngressOptions, Relay } from "@lentilramp/ingress";
+import { PlatformHeaders } from "@lentilramp/platform";
+import { MemoryEventLog, SeededRandom, SystemClock } from "@lentilramp/runtime";
+import { once } from "node:events";
+import { createServer, type IncomingHttpHeaders, type IncomingMessage, request, type ServerResponse } from "node:http";
+import type { AddressInfo } from "node:net";
+import { Err, Ok, type Result } from "ts-results-es";
+import { testCatalog } from "../../catalog/tests/fixtures.ts";
+
+/** What an endpoint of a test saw of one request. */
+export interface SeenRequest {
+    method: string;
+    target: string;
+    headers: IncomingHttpHeaders;
+    body: string;
+    /** Resolves when the connection of the request has closed. */
+    closed: Promise<unknown>;
+}
+
+type Answer = (req: IncomingMessage, res: ServerResponse, seen: SeenRequest) => void | Promise<void>;
+
+/** An endpoint that answers as the test says. */
+export class ScriptedEndpoint {
+    readonly seen: SeenRequest[] = [];
+    readonly server = createServer((req, res) => void this.handle(req, res));
+
+    constructor(readonly id: string, public answer: Answer) {}
+
+    async start(): Promise<void> {
+        this.server.listen(0, "127.0.0.1");
+        await once(this.server, "listening");
+    }
+
+    close(): void {
+        this.server.close();
+        this.server.closeAllConnections();
+    }
+
+    get endpoint(): Endpoint {
+        return {
+            id: this.id,
+            service: "app",
+            host: "127.0.0.1",
+            port: (this.server.address() as AddressInfo).port,
+            failureDomain: "a",
+            slots: 4,
+            ready: true,
+            reclaimable: false,
+        };
+    }
+
+    private async handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
+        const parts: Buffer[] = [];
+        for await (const part of req) {
+            parts.push(part as Buffer);
+        }
+        const seen = {
+            method: req.method ?? "",
+            target: req.url ?? "",
+            headers: req.headers,
+            body: Buffer.concat(parts).toString("latin1"),
+            closed: once(req.socket, "close"),
+        };
+        this.seen.push(seen);
+        await this.answer(req, res, seen);
+    }
+}
+
+/** Answers with a seal and the id of the request, as sound endpoints do. */
+export function sealed(status: number, body: string, headers: Record<string, string> = {}): Answer {
+    return (req, res) => {
+        res.writeHead(status, {
+            "x-attempt-id": String(req.headers["x-attempt-id"]),
+            "x-response-seal": "s",
+            ...headers,
+        });
+        res.end(body);
+    };
+}
+
+class FixedCatalog extends CatalogCodec {
+    constructor(private readonly catalog: Catalog) {
+        super();
+    }
+
+    override decode(): Result<Catalog, string> {
+        return this.catalog === undefined ? new Err("none") : new Ok(this.catalog);
+    }
+}
+
+export interface CallerAnswer {
+    status: number;
+    headers: IncomingHttpHeaders;
+    body: string;
+    /** Whether the answer looks whole to the caller. */
+    complete: boolean;
+}
+
+/** An ingress between a caller and scripted endpoints. */
+export class IngressHarness {
+    readonly log = new MemoryEventLog();
+    readonly clock = new SystemClock();
+    readonly view: FleetView;
+    readonly relay: Relay;
+    private readonly server: CallerServer;
+    private readonly ports: { callers: number; readiness: number; };
+
+    private constructor(catalog: Catalog | undefined, ports: { callers: number; readiness: number; }) {
+        this.ports = ports;
+        const options: IngressOptions = {
+            name: "ingress",
+            region: "r",
+            failureDomain: "a",
+            callers: { host: "127.0.0.1", port: ports.callers },
+            readiness: { host: "127.0.0.1", port: ports.readiness },
+            seedHosts: [],
+            stewardPort: 1,
+            graceMs: 2_000,
+            retryRatio: 0.5,
+            retryWindowMs: 10_000,
+            retryReserve: 20,
+            usageWindowMs: 5_000,
+            drainBoundMs: 3_000,
+        };
+        const codec = new FixedCatalog(catalog ?? testCatalog());
+        this.view = new FleetView(codec, this.clock, this.log, options.usageWindowMs, () => undefined);
+        if (catalog !== undefined) {
+            this.view.apply({
+                leading: false,
+                stewards: [],
+                catalog: { version: catalog.version, text: "" },
+                shares: {},
+                floorShare: 0,
+                peers: {},
+                members: 1,
+            }, this.clock.now());
+        }
+        const random = new SeededRandom(3);
+        this.relay = new Relay(this.view, new PlatformHeaders(), options, this.clock, random, this.log, 100);
+        this.server = new CallerServer(
+            this.relay,
+            options,
+            () => this.view.catalog !== undefined && !this.relay.draining(),
+            200,
+            this.clock,
+            this.log,
+        );
+    }
+
+    static async start(catalog: Catalog | undefined, endpoints: readonly ScriptedEndpoint[]): Promise<IngressHarness> {
+        const harness = new IngressHarness(catalog, { callers: await freePort(), readiness: await freePort() });
+        await harness.server.start();
+        harness.view.applyList(endpoints.map(({ endpoint }) => endpoint), harness.clock.now(), 1);
+        return harness;
+    }
+
+    async close(): Promise<void> {
+        await this.server.close();
+    }
+
+    drain(): Promise<void> {
+        return this.server.drain();
+    }
+
+    async ready(): Promise<number> {
+        return (await this.call({ port: this.ports.readiness, path: "/" })).status;
+    }
+
+    async call(
+        { method = "GET", path = "/x", headers = {}, body = "", port = this.ports.callers, onData = () => undefined }: {
+            method?: string;
+            path?: string;
+            headers?: Record<string, string>;
+            body?: string;
+            port?: number;
+            onData?: (text: string, leave: () => void) => void;
+        },
+    ): Promise<CallerAnswer> {
+        return await new Promise((resolve, reject) => {
+            const req = request({
+                host: "127.0.0.1",
+                port,
+                path,
+                method,
+                agent: false,
+                headers: {
+                    host: "desk.example",
+                    "x-attempt-id": "attempt-1",
+                    "api-key": "key-1",
+                    "x-deadline-ms": "2000",
+                    ...headers,
+                },
+            });
+            req.on("error", reject);
+            req.on("response", res => {
+                let text = "";
+                res.setEncoding("latin1");
+                res.on("data", (part: string) => {
+                    text += part;
+                    onData(text, () => req.destroy());
+                });
+                res.on("error", () => undefined);
+                res.on("close", () =>
+                    resolve({
+                        status: res.statusCode ?? 0,
+                        headers: res.headers,
+                        body: text,
+                        complete: res.complete,
+                    }));
+            });
+            req.end(body);
+        });
+    }
+}
+
+async function freePort(): Promise<number> {
+    const server = createServer();
+    server.listen(0, "127.0.0.1");
+    await once(server, "listening");
+    const { port } = server.address() as AddressInfo;
+    server.close();
+    await once(server, "close");
+    return port;
+}
--- /dev/null
+++ b/packages/ingress/tests/relay.test.ts
@@ -0,0 +1,209 @@
+import type { CatalogRoute } from "@lentilramp/catalog";
+import { expect } from "chai";
+import { testCatalog, testRoute, testWorkspace } from "../../catalog/tests/fixtures.ts";
+import { IngressHarness, ScriptedEndpoint, sealed } from "./ingress-harness.ts";
+
+describe("Relay", () => {
+    let endpoints: ScriptedEndpoint[] = [];
+    let ingress: IngressHarness | undefined;
+
+    async function start(
+        answers: ConstructorParameters<typeof ScriptedEndpoint>[1][],
+        route: Partial<CatalogRoute> = {},
+    ): Promise<IngressHarness> {
+        endpoints = answers.map((answer, i) => new ScriptedEndpoint(`e${i + 1}`, answer));
+        await Promise.all(endpoints.map(endpoint => endpoint.start()));
+        ingress = await IngressHarness.start(testCatalog({ routes: [testRoute(route)] }), endpoints);
+        return ingress;
+    }
+
+    afterEach(async () => {
+        await ingress?.close();
+        endpoints.forEach(endpoint => endpoint.close());
+        ingress = undefined;
+        endpoints = [];
+    });
+
+    const sends = (): number => endpoints.reduce((sum, endpoint) => sum + endpoint.seen.length, 0);
+
+    it("passes method, path, query and body on unchanged and drops what concerns one connection", async () => {
+        const { call } = await startBound([sealed(201, "made", { "x-own": "kept", "keep-alive": "timeout=7" })], {
+            execution: "at-most-once",
+        });
+        const answer = await call({
+            method: "POST",
+            path: "/a%20b/c?d=1&d=2",
+            body: "body\u00ff",
+            headers: { connection: "x-hop", "x-hop": "1", "x-tenant": "forged", "x-hold": "h", "x-end": "kept" },
+        });
+        expect(answer).to.include({ status: 201, body: "made", complete: true });
+        expect(answer.headers["x-own"]).to.equal("kept");
+        const [seen] = endpoints[0]?.seen ?? [];
+        expect(seen).to.include({ method: "POST", target: "/a%20b/c?d=1&d=2" });
+        expect(seen?.headers).to.include({ "x-tenant": "w", "x-expected-instance": "e1", "x-end": "kept" });
+        expect(seen?.headers).to.not.have.any.keys("api-key", "x-hold", "x-hop");
+        expect(Number(seen?.headers["x-deadline-ms"])).to.be.within(1, 2_000);
+    });
+
+    async function startBound(...args: Parameters<typeof start>) {
+        const harness = await start(...args);
+        return { call: harness.call.bind(harness), harness };
+    }
+
+    it("never repeats an at-most-once request whose connection was reset after it was sent", async () => {
+        const reset = (req: { socket: { resetAndDestroy(): unknown; }; }): void => void req.socket.resetAndDestroy();
+        const { call } = await startBound([reset, reset], { execution: "at-most-once" });
+        const answer = await call({ method: "POST", body: "x" });
+        expect(answer.status).to.equal(502);
+        expect(answer.headers["retry-after"]).to.equal(undefined);
+        expect(sends()).to.equal(1);
+    });
+
+    it("sends an at-most-once request elsewhere once an endpoint has said that it did not run it", async () => {
+        const full = sealed(503, "full", { "x-not-executed": "1" });
+        const { call } = await startBound([full, sealed(200, "ok")], { execution: "at-most-once", maxAttempts: 1 });
+        endpoints[1]!.answer = (req, res, seen) => {
+            void seen;
+            sealed(200, "ok")(req, res, seen);
+        };
+        const answers = [await call({ method: "POST", body: "x" }), await call({ method: "POST", body: "x" })];
+        expect(answers.map(({ status }) => status)).to.deep.equal([200, 200]);
+        expect(endpoints[1]?.seen).to.have.length(2);
+    });
+
+    it("repeats an idempotent request that an endpoint failed, and gives the caller one answer", async () => {
+        const { call } = await startBound([sealed(500, "broken"), sealed(200, "ok")]);
+        for (let i = 0; i < 4; i++) {
+            expect(await call({})).to.include({ status: 200, body: "ok" });
+        }
+    });
+
+    it("does not turn a status that promises 'not run' into such a promise for a request that has run", async () => {
+        const { call } = await startBound([sealed(503, "ran")], { execution: "at-most-once" });
+        expect((await call({ method: "POST", body: "x" })).status).to.equal(502);
+    });
+
+    it("drops a success without a seal and one that answers another request", async () => {
+        const other = sealed(200, "other", { "x-attempt-id": "attempt-0" });
+        const unsealed: typeof other = (req, res) => {
+            res.writeHead(200, { "x-attempt-id": String(req.headers["x-attempt-id"]) }).end("unsealed");
+        };
+        const { call } = await startBound([unsealed], { execution: "at-most-once" });
+        expect((await call({ method: "POST", body: "x" })).status).to.equal(502);
+        endpoints[0]!.answer = other;
+        expect((await call({ method: "POST", body: "x" })).status).to.equal(502);
+    });
+
+    it("does not pass an answer without a length on as whole when its connection was reset", async () => {
+        const { call } = await startBound([(req, res) => {
+            res.useChunkedEncodingByDefault = false;
+            res.shouldKeepAlive = false;
+            res.writeHead(200, { "x-attempt-id": "attempt-1", "x-response-seal": "s", connection: "close" });
+            res.write("half", () => setTimeout(() => req.socket.resetAndDestroy(), 30));
+        }], { execution: "at-most-once" });
+        const answer = await call({ method: "POST", body: "x" }).catch(() => ({ status: 0, complete: false }));
+        expect(answer.status === 200 && answer.complete).to.equal(false);
+    });
+
+    const events = (from: number, to: number): string => {
+        let text = "";
+        for (let id = from; id <= to; id++) {
+            text += `id: ${id}\ndata: piece ${id}\n\n`;
+        }
+        return text;
+    };
+    const streamHead = {
+        "x-attempt-id": "attempt-1",
+        "x-response-seal": "s",
+        "content-type": "text/event-stream",
+    };
+
+    it("continues a resumable stream elsewhere after its last whole event, without a gap or a repeat", async () => {
+        const answer: ConstructorParameters<typeof ScriptedEndpoint>[1] = (req, res) => {
+            const after = Number(req.headers["last-event-id"] ?? 0);
+            res.writeHead(200, streamHead);
+            if (after === 0) {
+                res.write(`${events(1, 3)}id: 4\nda`, () => setTimeout(() => req.socket.resetAndDestroy(), 30));
+            }
+            else {
+                res.end(events(after + 1, 6));
+            }
+        };
+        const { call } = await startBound([answer, answer], { execution: "stream", resumable: true });
+        const result = await call({ method: "POST", body: "x" });
+        expect(result).to.include({ status: 200, complete: true, body: events(1, 6) });
+        expect(sends()).to.equal(2);
+    });
+
+    it("closes the caller's connection when a stream that must not be repeated is cut", async () => {
+        const { call } = await startBound([(req, res) => {
+            res.writeHead(200, streamHead);
+            res.write(events(1, 2), () => setTimeout(() => req.socket.resetAndDestroy(), 30));
+        }], { execution: "stream" });
+        const answer = await call({ method: "POST", body: "x" });
+        expect(answer).to.include({ status: 200, complete: false, body: events(1, 2) });
+    });
+
+    it("ends the work at the endpoint when the caller leaves in mid-stream", async () => {
+        const { call } = await startBound([(req, res) => {
+            void req;
+            res.writeHead(200, streamHead);
+            res.write(events(1, 1));
+        }], { execution: "stream", resumable: true });
+        await call({ method: "POST", body: "x", onData: (...[, leave]) => leave() }).catch(() => undefined);
+        await endpoints[0]?.seen[0]?.closed;
+    });
+
+    it("answers at once when the time of the route is over", async () => {
+        const { call } = await startBound([() => undefined], { execution: "at-most-once", timeoutMs: 200 });
+        expect((await call({ method: "POST", body: "x" })).status).to.equal(504);
+        await endpoints[0]?.seen[0]?.closed;
+    });
+
+    it("refuses unknown routes and keys, and everything before it holds a catalog", async () => {
+        const { call } = await startBound([sealed(200, "ok")]);
+        expect((await call({ headers: { host: "other.example" } })).status).to.equal(404);
+        expect((await call({ headers: { "api-key": "wrong" } })).status).to.equal(401);
+        const empty = await IngressHarness.start(undefined, []);
+        try {
+            expect((await empty.call({})).status).to.equal(503);
+            expect(await empty.ready()).to.equal(503);
+        }
+        finally {
+            await empty.close();
+        }
+    });
+
+    it("refuses what is over the cap of a workspace and says when to come back", async () => {
+        endpoints = [new ScriptedEndpoint("e1", sealed(200, "ok"))];
+        await endpoints[0]?.start();
+        const workspaces = [testWorkspace({ capPerSecond: 1, capBurst: 2 })];
+        ingress = await IngressHarness.start(testCatalog({ workspaces }), endpoints);
+        ingress.view.caps.setShare("w", { share: 1, floor: 1, expiresAt: Infinity });
+        const harness = ingress;
+        const answers = [];
+        for (let i = 0; i < 3; i++) {
+            answers.push(await harness.call({}));
+        }
+        expect(answers.map(({ status }) => status)).to.deep.equal([200, 200, 429]);
+        expect(Number(answers[2]?.headers["retry-after"])).to.be.above(0);
+    });
+
+    it("finishes what it has read during a planned stop, closes connections, and then refuses truthfully", async () => {
+        const { call, harness } = await startBound([(req, res, seen) => {
+            setTimeout(() => void sealed(200, "slow")(req, res, seen), 150);
+        }]);
+        const inProgress = call({});
+        await new Promise(resolve => setTimeout(resolve, 40));
+        const drained = harness.drain();
+        expect(await harness.ready()).to.equal(503);
+        const answer = await inProgress;
+        expect(answer).to.include({ status: 200, body: "slow", complete: true });
+        expect(answer.headers.connection).to.equal("close");
+        await new Promise(resolve => setTimeout(resolve, 120));
+        const late = await call({});
+        expect(late.status).to.equal(503);
+        expect(Number(late.headers["retry-after"])).to.be.above(0);
+        await drained;
+    });
+});
