Tell a reset from an end for answers without a length, and never join two answers

And a short answer without a length was streamed, so that its head had gone out when it was sent elsewhere. Ruled out: the parser and the agent.

--- a/packages/ingress/src/answer-writer.ts
+++ b/packages/ingress/src/answer-writer.ts
@@ -38,28 +38,38 @@
         this.stop("left");
     }
 
-    /** Relays an answer whose parts mean nothing by themselves. */
-    async whole(res: IncomingMessage, broken: () => boolean): Promise<BodyEnd> {
-        const length = Number(res.headers["content-length"] ?? Infinity);
-        if (length > wholeLimitBytes) {
-            return await this.stream(res, broken, () => undefined);
-        }
-        const parts: Buffer[] = [];
-        const end = await this.consume(res, broken, piece => {
-            parts.push(piece);
-            return true;
+    /**
+     * Relays an answer whose parts mean nothing by themselves. A short one is held back until it is whole, so that
+     * another endpoint can answer instead when it is cut.
+     */
+    async whole(res: IncomingMessage, broke: () => Promise<boolean>): Promise<BodyEnd> {
+        let held: Buffer[] = [];
+        let heldBytes = 0;
+        const end = await this.consume(res, broke, piece => {
+            if (this.started) {
+                return this.out.write(piece);
+            }
+            held.push(piece);
+            heldBytes += piece.length;
+            if (heldBytes <= wholeLimitBytes) {
+                return true;
+            }
+            this.writeHead(res);
+            const all = Buffer.concat(held);
+            held = [];
+            return this.out.write(all);
         });
         if (end === "complete") {
             this.writeHead(res);
-            this.out.end(Buffer.concat(parts));
+            this.out.end(Buffer.concat(held));
         }
         return end;
     }
 
     /** Relays an answer as it comes. */
-    async stream(res: IncomingMessage, broken: () => boolean, onFirst: () => void): Promise<BodyEnd> {
+    async stream(res: IncomingMessage, broke: () => Promise<boolean>, onFirst: () => void): Promise<BodyEnd> {
         let first = true;
-        const end = await this.consume(res, broken, piece => {
+        const end = await this.consume(res, broke, piece => {
             if (first) {
                 first = false;
                 onFirst();
@@ -79,9 +89,9 @@
     /** Relays whole events, so that another endpoint can go on after the last one. */
     async events(
         res: IncomingMessage,
-        options: { clock: Clock; stallMs: number; broken: () => boolean; onFirst: () => void; },
+        options: { clock: Clock; stallMs: number; broke: () => Promise<boolean>; onFirst: () => void; },
     ): Promise<BodyEnd> {
-        const { clock, stallMs, broken, onFirst } = options;
+        const { clock, stallMs, broke, onFirst } = options;
         const splitter = new EventSplitter();
         let timer: Timer | undefined;
         let first = true;
@@ -89,7 +99,7 @@
             timer?.cancel();
             timer = clock.schedule(clock.now() + stallMs, () => this.stop("stalled"));
         };
-        const end = await this.consume(res, broken, piece => {
+        const end = await this.consume(res, broke, piece => {
             if (first) {
                 first = false;
                 onFirst();
@@ -123,7 +133,11 @@
     }
 
     /** Reads the body; `take` returns false when the caller cannot take more for now. */
-    private consume(res: IncomingMessage, broken: () => boolean, take: (piece: Buffer) => boolean): Promise<BodyEnd> {
+    private consume(
+        res: IncomingMessage,
+        broke: () => Promise<boolean>,
+        take: (piece: Buffer) => boolean,
+    ): Promise<BodyEnd> {
         return new Promise(resolve => {
             let ended = false;
             const finish = (end: BodyEnd): void => {
@@ -144,9 +158,15 @@
                     this.out.once("drain", () => res.resume());
                 }
             });
-            res.on("end", () => finish(res.complete && !broken() ? "complete" : "cut"));
+            res.on("end", () => {
+                void broke().then(broken => finish(res.complete && !broken ? "complete" : "cut"));
+            });
             res.on("error", () => finish("cut"));
-            res.on("close", () => finish("cut"));
+            res.on("close", () => {
+                if (!res.complete) {
+                    finish("cut");
+                }
+            });
         });
     }
 }
--- a/packages/ingress/src/attempt.ts
+++ b/packages/ingress/src/attempt.ts
@@ -1,6 +1,7 @@
 import type { Endpoint } from "@lentilramp/fleet";
 import type { Clock, Timer } from "@lentilramp/runtime";
 import { type ClientRequest, type IncomingMessage, request } from "node:http";
+import type { Socket } from "node:net";
 import type { EndpointPool } from "./endpoint-pool.ts";
 import type { AnswerHead, RequestWire } from "./wire.ts";
 
@@ -39,6 +40,8 @@
     private connected = false;
     private settled = false;
     private reset = false;
+    private probe: Promise<boolean> | undefined;
+    private res: IncomingMessage | undefined;
 
     constructor(
         private readonly input: AttemptInput,
@@ -62,11 +65,12 @@
     }
 
     /**
-     * Whether the connection failed. The body of an answer without a length ends with its connection, and Node.js
-     * reports it as complete also when the connection was reset.
+     * Whether the endpoint broke off, asked when the body has ended. An answer without a length ends with its
+     * connection, and a reset that is read together with data is reported as a plain end; only a write tells the two
+     * apart.
      */
-    get broken(): boolean {
-        return this.reset;
+    async broke(): Promise<boolean> {
+        return this.reset || await (this.probe ?? false);
     }
 
     /** Ends the work at the endpoint by closing the connection. */
@@ -84,6 +88,10 @@
         this.req = req;
         req.setNoDelay(true);
         req.on("socket", socket => {
+            // Comes before the listener of Node.js, which closes the writing side.
+            const onEnd = (): void => this.probeEnd(socket);
+            socket.prependOnceListener("end", onEnd);
+            req.once("close", () => socket.off("end", onEnd));
             if (!socket.connecting) {
                 this.connected = true;
                 return;
@@ -124,7 +132,22 @@
         req.end(body);
     }
 
+    private probeEnd(socket: Socket): void {
+        const headers = this.res?.headers;
+        if (
+            headers === undefined || headers["content-length"] !== undefined
+            || headers["transfer-encoding"] !== undefined
+        ) {
+            return;
+        }
+        // An empty line means nothing to an endpoint, and this one has closed its side.
+        this.probe = new Promise(resolve => {
+            socket.write("\r\n", err => resolve(Boolean(err)));
+        });
+    }
+
     private judge(req: ClientRequest, res: IncomingMessage): AttemptOutcome {
+        this.res = res;
         const status = res.statusCode ?? 0;
         const head = this.wire.readAnswer(status, res.headers);
         const refuse = (reason: string): AttemptOutcome => {
--- a/packages/ingress/src/relayed-call.ts
+++ b/packages/ingress/src/relayed-call.ts
@@ -265,7 +265,9 @@
         this.excluded.add(sent.endpoint.id);
         this.lastFailure = `answer ${end}`;
         this.logSend(sent, "cut", end);
-        if (this.repeatable && this.runs < route.maxAttempts) {
+        // What the caller has got can be continued only after a whole event.
+        const continuable = !this.writer.started || route.execution === "stream" && route.resumable;
+        if (continuable && this.repeatable && this.runs < route.maxAttempts) {
             return false;
         }
         this.giveUp(this.lastFailure, undefined);
@@ -274,9 +276,9 @@
 
     private async relayBody(sent: Sent, res: IncomingMessage, status: number): Promise<BodyEnd> {
         const { route } = this.admitted;
-        const broken = (): boolean => sent.attempt.broken;
+        const broke = (): Promise<boolean> => sent.attempt.broke();
         if (route.execution !== "stream" || status !== 200) {
-            return await this.writer.whole(res, broken);
+            return await this.writer.whole(res, broke);
         }
         const onFirst = (): void => {
             this.start(sent);
@@ -286,10 +288,10 @@
             ? await this.writer.events(res, {
                 clock: this.ctx.clock,
                 stallMs: (route.gapTargetMs ?? defaultPauseMs) * stalledPauses,
-                broken,
+                broke,
                 onFirst,
             })
-            : await this.writer.stream(res, broken, onFirst);
+            : await this.writer.stream(res, broke, onFirst);
         if (end !== "complete") {
             sent.attempt.abort();
         }
--- a/packages/ingress/tests/ingress-harness.ts
+++ b/packages/ingress/tests/ingress-harness.ts
@@ -19,7 +19,7 @@
     closed: Promise<unknown>;
 }
 
-type Answer = (req: IncomingMessage, res: ServerResponse, seen: SeenRequest) => void | Promise<void>;
+export type Answer = (req: IncomingMessage, res: ServerResponse, seen: SeenRequest) => void | Promise<void>;
 
 /** An endpoint that answers as the test says. */
 export class ScriptedEndpoint {
--- a/packages/ingress/tests/relay.test.ts
+++ b/packages/ingress/tests/relay.test.ts
@@ -1,14 +1,15 @@
 import type { CatalogRoute } from "@lentilramp/catalog";
 import { expect } from "chai";
+import type { IncomingMessage } from "node:http";
 import { testCatalog, testRoute, testWorkspace } from "../../catalog/tests/fixtures.ts";
-import { IngressHarness, ScriptedEndpoint, sealed } from "./ingress-harness.ts";
+import { type Answer, IngressHarness, ScriptedEndpoint, sealed } from "./ingress-harness.ts";
 
 describe("Relay", () => {
     let endpoints: ScriptedEndpoint[] = [];
     let ingress: IngressHarness | undefined;
 
     async function start(
-        answers: ConstructorParameters<typeof ScriptedEndpoint>[1][],
+        answers: Answer[],
         route: Partial<CatalogRoute> = {},
     ): Promise<IngressHarness> {
         endpoints = answers.map((answer, i) => new ScriptedEndpoint(`e${i + 1}`, answer));
@@ -62,10 +63,6 @@
     it("sends an at-most-once request elsewhere once an endpoint has said that it did not run it", async () => {
         const full = sealed(503, "full", { "x-not-executed": "1" });
         const { call } = await startBound([full, sealed(200, "ok")], { execution: "at-most-once", maxAttempts: 1 });
-        endpoints[1]!.answer = (req, res, seen) => {
-            void seen;
-            sealed(200, "ok")(req, res, seen);
-        };
         const answers = [await call({ method: "POST", body: "x" }), await call({ method: "POST", body: "x" })];
         expect(answers.map(({ status }) => status)).to.deep.equal([200, 200]);
         expect(endpoints[1]?.seen).to.have.length(2);
@@ -94,17 +91,35 @@
         expect((await call({ method: "POST", body: "x" })).status).to.equal(502);
     });
 
-    it("does not pass an answer without a length on as whole when its connection was reset", async () => {
-        const { call } = await startBound([(req, res) => {
-            res.useChunkedEncodingByDefault = false;
-            res.shouldKeepAlive = false;
-            res.writeHead(200, { "x-attempt-id": "attempt-1", "x-response-seal": "s", connection: "close" });
-            res.write("half", () => setTimeout(() => req.socket.resetAndDestroy(), 30));
-        }], { execution: "at-most-once" });
-        const answer = await call({ method: "POST", body: "x" }).catch(() => ({ status: 0, complete: false }));
-        expect(answer.status === 200 && answer.complete).to.equal(false);
+    const unframed = (body: string, end: (req: IncomingMessage) => void): Answer => (req, res) => {
+        res.useChunkedEncodingByDefault = false;
+        res.shouldKeepAlive = false;
+        res.writeHead(200, { "x-attempt-id": "attempt-1", "x-response-seal": "s", connection: "close" });
+        res.write(body, () => end(req));
+    };
+
+    it("passes an answer without a length on as whole when its connection was closed", async () => {
+        const { call } = await startBound([unframed("whole", req => req.socket.end())], { execution: "at-most-once" });
+        expect(await call({ method: "POST", body: "x" })).to.include({ status: 200, body: "whole", complete: true });
     });
 
+    // A reset that is read together with data is reported as the end of the stream.
+    for (const afterMs of [0, 30]) {
+        it(`does not pass an answer without a length on as whole when reset after ${afterMs} ms`, async () => {
+            const reset = (req: IncomingMessage): void => {
+                if (afterMs === 0) {
+                    req.socket.resetAndDestroy();
+                }
+                else {
+                    setTimeout(() => req.socket.resetAndDestroy(), afterMs);
+                }
+            };
+            const { call } = await startBound([unframed("half", reset)], { execution: "at-most-once" });
+            const answer = await call({ method: "POST", body: "x" });
+            expect(answer.status === 200 && answer.complete).to.equal(false);
+        });
+    }
+
     const events = (from: number, to: number): string => {
         let text = "";
         for (let id = from; id <= to; id++) {
@@ -112,6 +127,14 @@
         }
         return text;
     };
+    // The head had been sent to the caller before the body was cut, and two bodies were joined under it.
+    it("does not join the answers of two endpoints when the first one without a length is cut", async () => {
+        const { call } = await startBound([unframed("half", req => req.socket.resetAndDestroy()), sealed(200, "ok")]);
+        for (let i = 0; i < 4; i++) {
+            expect(await call({})).to.include({ status: 200, body: "ok", complete: true });
+        }
+    });
+
     const streamHead = {
         "x-attempt-id": "attempt-1",
         "x-response-seal": "s",
@@ -119,7 +142,7 @@
     };
 
     it("continues a resumable stream elsewhere after its last whole event, without a gap or a repeat", async () => {
-        const answer: ConstructorParameters<typeof ScriptedEndpoint>[1] = (req, res) => {
+        const answer: Answer = (req, res) => {
             const after = Number(req.headers["last-event-id"] ?? 0);
             res.writeHead(200, streamHead);
             if (after === 0) {
