Let on-demand replicas carry most of the load and count refused work as demand

Also: a steward that does not lead gives floors of the caps, an ingress that starts holds requests for 0.6 s at most instead of refusing them, elections take 0.45 to 0.9 s. Ruled out: admission (95 in 100 on time with enough engines).

--- a/packages/cli/src/wire-ingress.ts
+++ b/packages/cli/src/wire-ingress.ts
@@ -31,7 +31,7 @@
     );
     const lingerMs = lookupMs * keptAnswers;
     const relay = new Relay(view, new PlatformHeaders(), options, clock, random, log, lingerMs * servedPart);
-    const accepting = (): boolean => view.catalog !== undefined && lifecycle.state === "ready" && !relay.draining();
+    const accepting = (): boolean => view.ready && lifecycle.state === "ready" && !relay.draining();
     const describe = (elapsedMs: number): SyncRequest => ({
         ingress: describeIngress(options, accepting()),
         lifetime: `${options.name}/${lifetime}`,
--- a/packages/cli/src/wire-steward.ts
+++ b/packages/cli/src/wire-steward.ts
@@ -30,9 +30,9 @@
 
 /** Timing of the agreement on instances with a part of a core; an election takes a second at most. */
 const agreementTiming = {
-    heartbeatMs: 150,
-    electionTimeoutMinMs: 700,
-    electionTimeoutMaxMs: 1_300,
+    heartbeatMs: 100,
+    electionTimeoutMinMs: 450,
+    electionTimeoutMaxMs: 900,
     // The steady clock stops while an instance is suspended, so no read rests on a lease.
     leaseMs: 0,
 } as const;
--- a/packages/dispatch/src/engine-model.ts
+++ b/packages/dispatch/src/engine-model.ts
@@ -1,7 +1,7 @@
 import { LatencyModel, type Prediction } from "./latency-model.ts";
 import type { EndpointLoad } from "./load-board.ts";
 import { chainKeys, type PrefixMemory } from "./prefix-memory.ts";
-import type { Candidate, DispatchRequest } from "./types.ts";
+import type { Candidate, DispatchRequest, EngineWork } from "./types.ts";
 
 /** Speed of an engine; the defaults are those that the users' sheets give for their engines. */
 export interface EngineSpeed {
@@ -69,6 +69,14 @@
     }
 }
 
+/** Time that a step takes on average while prompts of other requests are read between the tokens, in milliseconds. */
+const busyStepMs = 8;
+
+/** Time for which a request takes a place of an engine, in milliseconds. */
+export function expectedPlaceMs(work: EngineWork, unreadTokens: number, speed = engineSpeedDefaults): number {
+    return speed.firstEventMs + unreadTokens / speed.prefillTokensPerMs + work.outputTokens * busyStepMs;
+}
+
 /** Key of the parts that a prompt shares with others, or undefined when it has one part only. */
 export function sharedKey(req: DispatchRequest): string | undefined {
     const keys = chainKeys(req.work?.parts ?? []);
--- a/packages/fleet/src/cap-meter.ts
+++ b/packages/fleet/src/cap-meter.ts
@@ -30,6 +30,19 @@
         this.shares.set(workspace, share);
     }
 
+    /** Takes a floor for workspaces of which no share is known. */
+    offerFloor(workspaces: readonly string[], floor: number): void {
+        for (const workspace of workspaces) {
+            if (!this.shares.has(workspace)) {
+                this.shares.set(workspace, { share: floor, floor, expiresAt: Infinity });
+            }
+        }
+    }
+
+    get knowsAny(): boolean {
+        return this.shares.size > 0;
+    }
+
     /** Units of a request under the rule of its workspace. */
     static units(workspace: CatalogWorkspace, declaredTokens: number | undefined): number {
         return workspace.countsTokens ? declaredTokens ?? workspace.plainTokens : 1;
--- a/packages/fleet/src/cap-shares.ts
+++ b/packages/fleet/src/cap-shares.ts
@@ -24,9 +24,9 @@
         this.demand.delete(ingress);
     }
 
-    /** Floor of one of `members` ingresses. */
-    floor(members: number): number {
-        return floorPart / Math.max(1, members);
+    /** Floor of one of `members` ingresses; none before their number is known. */
+    static floor(members: number): number {
+        return members > 0 ? floorPart / members : 0;
     }
 
     /**
@@ -38,6 +38,6 @@
         const total = demands.reduce((sum, value) => sum + value, 0);
         const even = total > 0 ? total * evenWeight / live.length : 1;
         const own = (this.demand.get(ingress)?.get(workspace) ?? 0) + even;
-        return this.floor(members) + (1 - floorPart) * own / (total + even * live.length);
+        return CapShares.floor(members) + (1 - floorPart) * own / (total + even * live.length);
     }
 }
--- a/packages/fleet/src/replica-planner.ts
+++ b/packages/fleet/src/replica-planner.ts
@@ -2,9 +2,13 @@
 import type { Endpoint } from "./endpoint-directory.ts";
 
 /** Share of an engine's prompt rate that is planned for; above it, waiting grows faster than the load. */
-const plannedPrefillShare = 0.45;
+const plannedPrefillShare = 0.5;
 /** Share of an engine's slots that is planned for; the rest absorbs bursts between two plans. */
 const plannedSlotShare = 0.6;
+/** Part of what is needed that on-demand replicas give at all times, because every reclaimable one can go at once. */
+const onDemandPart = 0.8;
+/** Reclaimable replicas relative to what is needed; they carry bursts for a fraction of the price. */
+const reclaimablePart = 0.6;
 /** Demand of the last this many milliseconds counts; a wave of the load must not shrink the fleet in its trough. */
 const demandWindowMs = 8_000;
 /** A lower number must have been wanted for this long, in milliseconds, before replicas are given back. */
@@ -24,8 +28,8 @@
 export interface ServiceDemand {
     /** Prompt tokens that had to be read, for each second. */
     prefillPerSecond: number;
-    /** Requests running or waiting at endpoints or in an ingress. */
-    outstanding: number;
+    /** Places that the requests would take on average if all were served. */
+    places: number;
 }
 
 export interface ReplicaOrder {
@@ -47,9 +51,9 @@
 }
 
 /**
- * Decides how many replicas of a service to hold in each failure domain. Reclaimable replicas carry the load, with
- * enough of them that the loss of one domain leaves what is needed; on-demand ones fill what is missing while
- * reclaimable ones are refused or start, and a base of them survives a reclaim of every domain.
+ * Decides how many replicas of a service to hold in each failure domain. On-demand replicas carry most of the load,
+ * since a reclaim takes every reclaimable one of a domain and replacements can be refused for a while; reclaimable ones
+ * carry bursts. On-demand ones fill what is missing while reclaimable ones are refused or start.
  */
 export class ReplicaPlanner {
     private samples: Sample[] = [];
@@ -81,7 +85,7 @@
             Math.max(
                 max,
                 sample.prefillPerSecond / (capacity.prefillPerSecond * plannedPrefillShare),
-                sample.outstanding / (capacity.slots * plannedSlotShare),
+                sample.places / (capacity.slots * plannedSlotShare),
             ), 0);
         return peak > 0 ? Math.max(1, Math.ceil(peak)) : undefined;
     }
@@ -102,10 +106,10 @@
         const ready = endpoints.filter(endpoint => endpoint.ready);
         const perDomain = range.reclaimablePrice === undefined
             ? 0
-            : Math.min(range.maxReplicas, Math.ceil(needed / Math.max(1, domains.length - 1)));
+            : Math.min(range.maxReplicas, Math.ceil(needed * reclaimablePart / Math.max(1, domains.length)));
         const reclaimableReady = ready.filter(endpoint => endpoint.reclaimable).length;
         const onDemand = this.onDemandCounts(
-            Math.max(Math.ceil(needed / 3), needed - reclaimableReady),
+            Math.max(Math.ceil(needed * onDemandPart), needed - reclaimableReady),
             perDomain,
             range,
             domains,
--- a/packages/ingress/src/fleet-messages.ts
+++ b/packages/ingress/src/fleet-messages.ts
@@ -22,8 +22,11 @@
     asked: z.record(z.string(), z.number()),
     /** Requests begun, by window and workspace. */
     usage: z.record(z.string(), z.record(z.string(), z.number())),
-    /** Work offered to each engine service: prompt tokens to be read since the last sync, and requests in progress. */
-    demand: z.record(z.string(), z.object({ unreadTokens: z.number(), outstanding: z.number() })),
+    /**
+     * Work that arrived for each engine service since the last sync, refused requests included: prompt tokens to be
+     * read, and the time for which the requests would take a place.
+     */
+    demand: z.record(z.string(), z.object({ unreadTokens: z.number(), placeMs: z.number() })),
 });
 export type SyncRequest = z.infer<typeof syncRequestSchema>;
 
@@ -42,6 +45,8 @@
     /** Share of each workspace's cap, and the part that remains without contact. */
     shares: z.record(z.string(), z.number()),
     floorShare: z.number(),
+    /** Workspaces for which only the floor is known, in the answer of a steward that does not lead. */
+    cappedWorkspaces: z.array(z.string()).optional(),
     /** Load of all other ingresses by endpoint. */
     peers: z.record(z.string(), loadSchema),
     members: z.number(),
--- a/packages/ingress/src/fleet-view.ts
+++ b/packages/ingress/src/fleet-view.ts
@@ -19,6 +19,7 @@
     readonly caps = new CapMeter();
     readonly usage: UsageLedger;
     listNumber = 0;
+    private synced = false;
     /** Ingresses that may be at work, this one included. */
     members = 1;
     private trueOffset: number | undefined;
@@ -38,14 +39,25 @@
         return this.clock.now() + (this.trueOffset ?? Date.now() - this.clock.now());
     }
 
+    /** Whether requests can be served: routes, endpoints and a part of the caps are known. */
+    get ready(): boolean {
+        return this.catalog !== undefined && this.endpoints.all.length > 0
+            && (this.synced || this.caps.knowsAny
+                || this.catalog.workspaces.every(({ capPerSecond }) => capPerSecond <= 0));
+    }
+
     /** Takes an answer to a sync that was sent at `sentAt`. */
     apply(answer: SyncAnswer, sentAt: number): void {
         if (answer.catalog !== undefined) {
             this.applyCatalog(answer.catalog.version, answer.catalog.text);
         }
         if (!answer.leading) {
+            if (answer.floorShare > 0) {
+                this.caps.offerFloor(answer.cappedWorkspaces ?? [], answer.floorShare);
+            }
             return;
         }
+        this.synced = true;
         const now = this.clock.now();
         this.members = Math.max(1, answer.members);
         if (answer.trueMs !== undefined) {
--- a/packages/ingress/src/relay.ts
+++ b/packages/ingress/src/relay.ts
@@ -21,7 +21,10 @@
 import type { CallerHead, RequestWire } from "./wire.ts";
 
 /** Time after which a caller may come back when nothing is known yet, in milliseconds. */
-const notReadyReturnMs = 250;
+const notReadyReturnMs = 500;
+/** Longest time that a request waits for a process that starts, in milliseconds; a third of the shortest budgets. */
+const startHoldMs = 600;
+const startLookMs = 20;
 /** Patience of a caller that states none, in milliseconds. */
 const defaultPatienceMs = 30_000;
 /** Part of the shared retry budget that this design spends; the rest covers calls whose sends are counted late. */
@@ -55,7 +58,7 @@
     maxFree(service: string): number;
     /** Whether callers' connections are to be closed with their answers. */
     draining(): boolean;
-    addDemand(service: string, unreadTokens: number, outstanding: number): void;
+    addDemand(service: string, unreadTokens: number, placeMs: number): void;
 }
 
 interface Refusal {
@@ -71,8 +74,7 @@
     private readonly queues = new Map<string, PlaceQueue>();
     private readonly models = new Map<string, LatencyModel>();
     private readonly budgets = new Map<string, RetryBudget>();
-    private demand: Record<string, { unreadTokens: number; outstanding: number; }> = {};
-    private readonly outstanding = new Map<string, number>();
+    private demand: Record<string, { unreadTokens: number; placeMs: number; }> = {};
     private inProgress = 0;
     private drainingSince: number | undefined;
 
@@ -102,20 +104,16 @@
     }
 
     /** Demand on engine services since the last call. */
-    takeDemand(): Record<string, { unreadTokens: number; outstanding: number; }> {
-        for (const [service, outstanding] of this.outstanding) {
-            const entry = this.demand[service] ??= { unreadTokens: 0, outstanding: 0 };
-            entry.outstanding = outstanding;
-        }
+    takeDemand(): Record<string, { unreadTokens: number; placeMs: number; }> {
         const demand = this.demand;
         this.demand = {};
         return demand;
     }
 
-    addDemand(service: string, unreadTokens: number, outstanding: number): void {
-        const entry = this.demand[service] ??= { unreadTokens: 0, outstanding: 0 };
+    addDemand(service: string, unreadTokens: number, placeMs: number): void {
+        const entry = this.demand[service] ??= { unreadTokens: 0, placeMs: 0 };
         entry.unreadTokens += unreadTokens;
-        this.outstanding.set(service, (this.outstanding.get(service) ?? 0) + outstanding);
+        entry.placeMs += placeMs;
     }
 
     /** Handles one request; resolves when nothing is left to do for it. */
@@ -123,6 +121,9 @@
         const arrivedAt = this.clock.now();
         this.inProgress++;
         try {
+            if (!this.view.ready) {
+                await this.untilReady(res, arrivedAt + startHoldMs);
+            }
             const admitted = await this.admit(req, res, arrivedAt);
             if (admitted !== undefined) {
                 await new RelayedCall(admitted, this).run();
@@ -206,6 +207,13 @@
         return best;
     }
 
+    /** Holds a request that came while this process starts; it is ready within a fraction of a second as a rule. */
+    private async untilReady(res: ServerResponse, until: number): Promise<void> {
+        while (!this.view.ready && !res.destroyed && this.clock.now() < until) {
+            await this.clock.sleepUntil(this.clock.now() + startLookMs);
+        }
+    }
+
     private async admit(
         req: IncomingMessage,
         res: ServerResponse,
--- a/packages/ingress/src/relayed-call.ts
+++ b/packages/ingress/src/relayed-call.ts
@@ -1,4 +1,4 @@
-import { type Choice, ServiceModel } from "@lentilramp/dispatch";
+import { type Choice, expectedPlaceMs, ServiceModel } from "@lentilramp/dispatch";
 import type { Endpoint } from "@lentilramp/fleet";
 import type { IncomingMessage } from "node:http";
 import { AnswerWriter, type BodyEnd } from "./answer-writer.ts";
@@ -61,14 +61,13 @@
         });
         const timer = clock.schedule(dispatch.deadline, () => this.onDeadline());
         this.ctx.budget(dispatch.service).recordRequest(clock.now());
-        this.ctx.addDemand(dispatch.service, 0, 1);
+        this.recordDemand();
         try {
             await this.relay();
         }
         finally {
             timer.cancel();
             this.finished = true;
-            this.ctx.addDemand(dispatch.service, 0, -1);
         }
     }
 
@@ -153,7 +152,6 @@
         const { dispatch } = admitted;
         ctx.view.board.sent(endpoint.id, prediction.unreadTokens);
         ctx.view.health.dispatched(endpoint.id, now);
-        ctx.addDemand(dispatch.service, prediction.unreadTokens, 0);
         const service = ctx.view.catalog?.services.get(dispatch.service);
         if (dispatch.work !== undefined && service?.engine !== undefined) {
             ctx.view.memory.record(endpoint.id, dispatch.work.parts, service.engine.kvCacheTokens, now);
@@ -362,6 +360,20 @@
         sendRefusal(res, reason === "time is up" ? 504 : 502, reason, undefined, this.ctx.draining());
     }
 
+    /** Counts the work that the request brings, whether it will be served or not. */
+    private recordDemand(): void {
+        const { dispatch } = this.admitted;
+        const { work } = dispatch;
+        if (work === undefined) {
+            return;
+        }
+        const { dispatcher, clock } = this.ctx;
+        const candidates = this.ctx.candidates(dispatch.service);
+        const choice = dispatcher.choose(dispatch, candidates, this.ctx.model(dispatch.service), clock.now());
+        const unreadTokens = choice?.prediction.unreadTokens ?? work.promptTokens;
+        this.ctx.addDemand(dispatch.service, unreadTokens, expectedPlaceMs(work, unreadTokens));
+    }
+
     private recordUsage(at: number): void {
         const { workspace } = this.admitted;
         if (workspace !== undefined) {
--- a/packages/steward/src/catalog-state.ts
+++ b/packages/steward/src/catalog-state.ts
@@ -15,6 +15,8 @@
     z.object({ type: z.literal("office"), holder: z.string() }),
     /** What will be said about a window; decided once, so that every repetition says the same. */
     z.object({ type: z.literal("usage"), report: reportSchema }),
+    /** The number of ingresses among which the caps are split. */
+    z.object({ type: z.literal("members"), count: z.number() }),
     /** Proves that the holder still leads. */
     z.object({ type: z.literal("barrier") }),
 ]);
@@ -25,6 +27,7 @@
     text: z.string(),
     office: z.object({ fence: z.number(), holder: z.string() }).optional(),
     reports: z.array(reportSchema),
+    members: z.number().default(0),
 });
 
 /** Result of a command. */
@@ -38,7 +41,7 @@
 
 /** The replicated state of the stewards. */
 export class CatalogState implements StateMachine {
-    private state: z.infer<typeof stateSchema> = { version: -1, text: "", reports: [] };
+    private state: z.infer<typeof stateSchema> = { version: -1, text: "", reports: [], members: 0 };
     private role: Role = "follower";
     private term = 0;
 
@@ -56,6 +59,11 @@
         return this.state.office;
     }
 
+    /** The number of ingresses that the last leader knew. */
+    get members(): number {
+        return this.state.members;
+    }
+
     get leads(): boolean {
         return this.role === "leader";
     }
@@ -86,6 +94,9 @@
                     this.state.reports = [...this.state.reports, command.report].slice(-keptReports);
                 }
                 break;
+            case "members":
+                this.state.members = command.count;
+                break;
             case "barrier":
                 break;
         }
--- a/packages/steward/src/fleet-coordinator.ts
+++ b/packages/steward/src/fleet-coordinator.ts
@@ -81,7 +81,7 @@
             shares: Object.fromEntries(
                 workspaces.map(workspace => [workspace, this.shares.share(name, workspace, live, members)]),
             ),
-            floorShare: this.shares.floor(members),
+            floorShare: CapShares.floor(members),
             peers: this.peersOf(name, live),
             members,
             trueMs: this.trueTime.at(now),
@@ -98,10 +98,10 @@
                 this.shares.forget(name);
                 continue;
             }
-            for (const [service, { unreadTokens, outstanding }] of Object.entries(state.demand)) {
-                const sum = total.get(service) ?? { prefillPerSecond: 0, outstanding: 0 };
+            for (const [service, { unreadTokens, placeMs }] of Object.entries(state.demand)) {
+                const sum = total.get(service) ?? { prefillPerSecond: 0, places: 0 };
                 sum.prefillPerSecond += unreadTokens * 1_000 / Math.max(1, state.elapsedMs);
-                sum.outstanding += outstanding;
+                sum.places += placeMs / Math.max(1, state.elapsedMs);
                 total.set(service, sum);
             }
         }
--- a/packages/steward/src/platform-duties.ts
+++ b/packages/steward/src/platform-duties.ts
@@ -11,12 +11,14 @@
 
 const tickMs = 200;
 /** Time between two reads of the list of endpoints; with a sync it stays well under the bound for leaving ones. */
-const listMs = 900;
+const listMs = 450;
 const callMs = 1_000;
 /** Time after the end of a usage window until the ingresses' counts are complete, in milliseconds. */
 const settleMs = 3_000;
+/** Time after taking office until a lower number of ingresses is believed, in milliseconds. */
+const membersSettleMs = 5_000;
 /** Time between two plans of the numbers of replicas. */
-const planMs = 500;
+const planMs = 250;
 /** Added to the lease of a duty for the time that a call is on its way, in milliseconds. */
 const leaseMarginMs = 300;
 
@@ -73,6 +75,7 @@
         }
         this.coordinator.trueTime.observe(this.options.name, Date.now(), this.clock.now());
         this.spawn("list", () => this.readList());
+        this.spawn("members", () => this.recordMembers());
         const { office } = this;
         if (office === undefined || this.clock.now() < office.actFrom) {
             return;
@@ -154,6 +157,15 @@
         }
     }
 
+    /** Keeps the number of ingresses in the replicated state, for those that start while nobody leads. */
+    private async recordMembers(): Promise<void> {
+        const count = this.coordinator.roster.members(this.clock.now());
+        const settled = this.clock.now() - (this.office?.since ?? Infinity) > membersSettleMs;
+        if (count !== this.core.state.members && (settled || count > this.core.state.members)) {
+            await this.core.propose({ type: "members", count });
+        }
+    }
+
     private async reportUsage(holder: DutyHolder): Promise<void> {
         const now = this.clock.now();
         const trueMs = this.coordinator.trueTime.at(now);
@@ -197,7 +209,7 @@
             }
             const planner = this.planners.get(service.name) ?? new ReplicaPlanner(service.name);
             this.planners.set(service.name, planner);
-            planner.observe(demand.get(service.name) ?? { prefillPerSecond: 0, outstanding: 0 }, now);
+            planner.observe(demand.get(service.name) ?? { prefillPerSecond: 0, places: 0 }, now);
             const endpoints = this.coordinator.endpoints.filter(endpoint => endpoint.service === service.name);
             const capacity = {
                 slots: engine.slots,
--- a/packages/steward/src/steward-methods.ts
+++ b/packages/steward/src/steward-methods.ts
@@ -1,7 +1,7 @@
 import { type Message } from "@lentilramp/agreement";
 import { addressOf, memberAddressSchema, type MembershipRepair, type RpcTransport } from "@lentilramp/control";
 import { decodeMemberAddress } from "@lentilramp/control";
-import { ingressDescriptionSchema } from "@lentilramp/fleet";
+import { CapShares, ingressDescriptionSchema } from "@lentilramp/fleet";
 import { type SyncAnswer, syncRequestSchema } from "@lentilramp/ingress";
 import type { PeerAddress, RpcServer } from "@lentilramp/protocol";
 import { z } from "zod";
@@ -83,9 +83,11 @@
                 leading: false,
                 leader: state.leads ? undefined : leaderAddress(core),
                 shares: {},
-                floorShare: 0,
+                // Floors never expire, so that an ingress that starts while nobody leads can serve.
+                floorShare: CapShares.floor(state.members),
+                cappedWorkspaces: [...parts.cappedWorkspaces()],
                 peers: {},
-                members: 0,
+                members: state.members,
             };
         }
         return { ...common, leading: true, ...coordinator.sync(req, parts.cappedWorkspaces()) };
