--- a/packages/cli/src/wire-ingress.ts
+++ b/packages/cli/src/wire-ingress.ts
@@ -27,6 +27,7 @@
         clock,
         log,
         options.usageWindowMs,
+        options.capTolerance,
         id => relay.pool.forget(id),
     );
     const lingerMs = lookupMs * keptAnswers;
--- a/packages/fleet/src/cap-meter.ts
+++ b/packages/fleet/src/cap-meter.ts
@@ -17,11 +17,25 @@
     floor: number;
 }
 
+/** By how much the use of a cap over all ingresses may exceed the cap in a window. */
+export interface CapTolerance {
+    /** Relative to what the cap allows in the window. */
+    overshoot: number;
+    windowMs: number;
+    /** In units of the cap. */
+    units: number;
+}
+
+/** Part of the tolerance that is used to absorb uneven arrivals; the rest covers shares that are being moved. */
+const usedTolerance = 0.5;
+
 /** Answer of the meter: admitted, or the instant at which there is room. */
 export type CapVerdict = { admitted: true; } | { admitted: false; retryAt: number; };
 
 /** Enforces this ingress's part of each workspace's cap with one token bucket a workspace. */
 export class CapMeter {
+    constructor(private readonly tolerance: CapTolerance = { overshoot: 0, windowMs: 0, units: 0 }) {}
+
     private readonly buckets = new Map<string, Bucket>();
     private readonly shares = new Map<string, CapShare>();
     private readonly asked = new Map<string, number>();
@@ -55,8 +69,8 @@
         }
         const share = this.shareOf(workspace.name, now);
         const rate = workspace.capPerSecond * share / 1_000;
-        const size = workspace.capBurst * share;
-        const bucket = this.buckets.get(workspace.name) ?? { level: size, filledAt: now };
+        const size = (workspace.capBurst + this.slack(workspace)) * share;
+        const bucket = this.buckets.get(workspace.name) ?? { level: workspace.capBurst * share, filledAt: now };
         bucket.level = Math.min(size, bucket.level + (now - bucket.filledAt) * rate);
         bucket.filledAt = now;
         this.buckets.set(workspace.name, bucket);
@@ -84,6 +98,12 @@
         return asked;
     }
 
+    /** Units beyond the burst that the buckets of all ingresses may hold together. */
+    private slack({ capPerSecond, capBurst }: CatalogWorkspace): number {
+        const { overshoot, windowMs, units } = this.tolerance;
+        return usedTolerance * (overshoot * (capPerSecond * windowMs / 1_000 + capBurst) + units);
+    }
+
     private shareOf(workspace: string, now: number): number {
         const share = this.shares.get(workspace);
         if (share === undefined) {
--- a/packages/fleet/src/replica-planner.ts
+++ b/packages/fleet/src/replica-planner.ts
@@ -11,6 +11,8 @@
 const reclaimablePart = 0.6;
 /** Demand of the last this many milliseconds counts; a wave of the load must not shrink the fleet in its trough. */
 const demandWindowMs = 8_000;
+/** Time over which demand is averaged, in milliseconds; arrivals come in clumps that an engine's queue absorbs. */
+const averageMs = 2_000;
 /** A lower number must have been wanted for this long, in milliseconds, before replicas are given back. */
 const shrinkAfterMs = 3_000;
 /** After a refused order for reclaimable replicas, the domain is asked again this much later, in milliseconds. */
@@ -57,13 +59,21 @@
  */
 export class ReplicaPlanner {
     private samples: Sample[] = [];
+    private average: Sample | undefined;
     private readonly placed = new Map<string, Placed>();
     private readonly refusedUntil = new Map<string, number>();
 
     constructor(private readonly service: string) {}
 
     observe(demand: ServiceDemand, now: number): void {
-        this.samples = [...this.samples.filter(sample => now - sample.at < demandWindowMs), { ...demand, at: now }];
+        const last = this.average ?? { prefillPerSecond: 0, places: 0, at: now };
+        const weight = 1 - Math.exp(-(now - last.at) / averageMs);
+        this.average = {
+            prefillPerSecond: last.prefillPerSecond + (demand.prefillPerSecond - last.prefillPerSecond) * weight,
+            places: last.places + (demand.places - last.places) * weight,
+            at: now,
+        };
+        this.samples = [...this.samples.filter(sample => now - sample.at < demandWindowMs), this.average];
     }
 
     /** Notes that the platform had none to give. */
--- a/packages/ingress/src/fleet-view.ts
+++ b/packages/ingress/src/fleet-view.ts
@@ -1,6 +1,6 @@
 import { type Catalog, type CatalogCodec, RouteTable, WorkspaceKeys } from "@lentilramp/catalog";
 import { EndpointHealth, LoadBoard, PrefixMemory } from "@lentilramp/dispatch";
-import { CapMeter, EndpointDirectory, UsageLedger } from "@lentilramp/fleet";
+import { CapMeter, type CapTolerance, EndpointDirectory, UsageLedger } from "@lentilramp/fleet";
 import type { Clock, EventLog } from "@lentilramp/runtime";
 import type { SyncAnswer } from "./fleet-messages.ts";
 
@@ -16,7 +16,7 @@
     readonly board = new LoadBoard();
     readonly health = new EndpointHealth();
     readonly memory = new PrefixMemory();
-    readonly caps = new CapMeter();
+    readonly caps: CapMeter;
     readonly usage: UsageLedger;
     listNumber = 0;
     private synced = false;
@@ -29,9 +29,11 @@
         private readonly clock: Clock,
         private readonly log: EventLog,
         usageWindowMs: number,
+        tolerance: CapTolerance,
         private readonly onEndpointGone: (id: string) => void,
     ) {
         this.usage = new UsageLedger(usageWindowMs);
+        this.caps = new CapMeter(tolerance);
     }
 
     /** Time of day by the fleet's clocks; by the own clock before the first sync. */
--- a/packages/ingress/src/ingress-options.ts
+++ b/packages/ingress/src/ingress-options.ts
@@ -1,4 +1,4 @@
-import type { IngressDescription } from "@lentilramp/fleet";
+import type { CapTolerance, IngressDescription } from "@lentilramp/fleet";
 
 /** Settings of an ingress, whatever platform it runs on. Durations are in milliseconds. */
 export interface IngressOptions {
@@ -19,6 +19,7 @@
     retryWindowMs: number;
     /** Retries that all ingresses together may make in a window beyond the ratio. */
     retryReserve: number;
+    capTolerance: CapTolerance;
     usageWindowMs: number;
     /** Time within which a leaving endpoint must get no new request. */
     drainBoundMs: number;
