--- /dev/null
+++ b/packages/cli/src/fleet-metrics.ts
@@ -0,0 +1,25 @@
+import type { MetricTable } from "@lentilramp/runtime";
+
+/** Metrics of the processes of a fleet; docs/OPERATIONS.md lists them. */
+export const fleetMetrics = {
+    requests: { kind: "counter", help: "Requests by their final outcome", labels: ["execution", "outcome"] },
+    refusals: { kind: "counter", help: "Requests answered without an endpoint", labels: ["reason"] },
+    sends: { kind: "counter", help: "Sends to endpoints by what became of them", labels: ["outcome"] },
+    first_byte: { kind: "duration", help: "Arrival to the first byte for the caller", labels: ["execution"] },
+    whole_answer: { kind: "duration", help: "Arrival to the end of the answer", labels: ["execution"] },
+    in_progress: { kind: "gauge", help: "Requests in progress" },
+    waiting: { kind: "gauge", help: "Requests that wait for a place" },
+    catalog_version: { kind: "gauge", help: "Number of the catalog in force here" },
+    endpoints_ready: { kind: "gauge", help: "Endpoints that may get requests" },
+    list_age: { kind: "gauge", help: "Age of the list of endpoints in seconds" },
+    sync_age: { kind: "gauge", help: "Seconds since the last answer of the leading steward" },
+    members: { kind: "gauge", help: "Ingresses among which caps are split" },
+    leads: { kind: "gauge", help: "1 when this steward leads" },
+    fence: { kind: "gauge", help: "Fencing number of the office" },
+    event_loop_delay: {
+        kind: "gauge",
+        help: "99th percentile of the event loop's delay since the last read, in seconds",
+    },
+    resident_bytes: { kind: "gauge", help: "Resident memory in bytes" },
+    log_lines_dropped: { kind: "gauge", help: "Log lines dropped because nobody read them" },
+} as const satisfies MetricTable;
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -8,6 +8,7 @@
 import { lookup } from "./commands/lookup.ts";
 import { serve } from "./commands/serve.ts";
 import { status } from "./commands/status.ts";
+import { trace } from "./commands/trace.ts";
 import { CommandError, type ExitCode, exitCodes } from "./exit-codes.ts";
 import type { ConnectionOptions } from "./operator-client.ts";
 import { Output } from "./output.ts";
@@ -86,6 +87,15 @@
     );
 cli.command("lookup <address>", "Ask an entry which addresses callers should use (HOST:PORT)")
     .action((address: string, options: CommonOptions) => run(() => lookup(address, new Output(options.json === true))));
+cli.command("trace <id> [...files]", "Tell what the logs of several processes say of one request")
+    .action((id: string, files: string[], options: CommonOptions) =>
+        run(() => {
+            if (files.length === 0) {
+                throw new CommandError(exitCodes.usage, "name at least one log file");
+            }
+            return trace(id, files, new Output(options.json === true));
+        })
+    );
 cli.help();
 cli.version(version);
 
--- a/packages/cli/src/wire-fleet.ts
+++ b/packages/cli/src/wire-fleet.ts
@@ -6,11 +6,15 @@
     LifecycleManager,
     LineSink,
     ProcessEventLog,
+    PrometheusMetrics,
     type RandomSource,
     SystemClock,
     SystemRandom,
     ThrottledEventLog,
 } from "@lentilramp/runtime";
+import { monitorEventLoopDelay } from "node:perf_hooks";
+import { fleetMetrics } from "./fleet-metrics.ts";
+import { MetricsServer } from "./metrics-server.ts";
 import { wireIngress } from "./wire-ingress.ts";
 import { wireSteward } from "./wire-steward.ts";
 
@@ -18,6 +22,8 @@
 const lookupMs = 2_000;
 /** Lines of one event in a second. */
 const linesPerSecond = 40;
+/** Port of the metrics on every instance; `deploy/system.toml` names the same. */
+const metricsPort = 9_464;
 const startMs = 60_000;
 const closeMs = 1_000;
 
@@ -29,6 +35,9 @@
     lifecycle: LifecycleManager;
     client: RpcClient;
     key: ProcessKey;
+    metrics: PrometheusMetrics;
+    /** Sets gauges before they are read. */
+    gauges: (() => void)[];
 }
 
 /** Builds the parts of a fleet process; `reload` reads the settings again when they may have changed. */
@@ -49,7 +58,18 @@
         lifecycle: new LifecycleManager(clock, log, { startMs, drainMs: settings.graceMs, closeMs }),
         client: new RpcClient(key, clock),
         key,
+        metrics: new PrometheusMetrics(fleetMetrics),
+        gauges: [],
     };
+    addProcessGauges(base, sink);
+    base.lifecycle.register(
+        new MetricsServer(
+            { host: settings.host, port: metricsPort },
+            base.metrics,
+            () => base.gauges.forEach(set => set()),
+            log,
+        ),
+    );
     if (settings.cloud === undefined) {
         throw new Error("the settings name no platform API");
     }
@@ -84,3 +104,14 @@
     }
     return base;
 }
+
+function addProcessGauges({ gauges, metrics }: FleetProcess, sink: LineSink): void {
+    const delay = monitorEventLoopDelay();
+    delay.enable();
+    gauges.push(() => {
+        metrics.gauge("event_loop_delay", delay.percentile(99) / 1e9);
+        delay.reset();
+        metrics.gauge("resident_bytes", process.memoryUsage.rss());
+        metrics.gauge("log_lines_dropped", sink.droppedLines);
+    });
+}
--- a/packages/cli/src/wire-ingress.ts
+++ b/packages/cli/src/wire-ingress.ts
@@ -20,7 +20,7 @@
     lookupMs: number,
     base: FleetProcess,
 ): void {
-    const { clock, log, random, client, lifecycle } = base;
+    const { clock, log, random, client, lifecycle, metrics } = base;
     const lifetime = randomUUID();
     const view: FleetView = new FleetView(
         new JsonCatalogCodec(),
@@ -31,7 +31,13 @@
         id => relay.pool.forget(id),
     );
     const lingerMs = lookupMs * keptAnswers;
-    const relay = new Relay(view, new PlatformHeaders(), options, clock, random, log, lingerMs * servedPart);
+    const relay = new Relay(
+        view,
+        new PlatformHeaders(),
+        options,
+        { clock, random, log, metrics },
+        lingerMs * servedPart,
+    );
     const accepting = (): boolean => view.ready && lifecycle.state === "ready" && !relay.draining();
     const describe = (elapsedMs: number): SyncRequest => ({
         ingress: describeIngress(options, accepting()),
@@ -53,6 +59,15 @@
         clock,
         log,
     );
+    base.gauges.push(() => {
+        metrics.gauge("in_progress", relay.requestsInProgress);
+        metrics.gauge("waiting", relay.waiting);
+        metrics.gauge("catalog_version", view.catalog?.version ?? -1);
+        metrics.gauge("endpoints_ready", view.endpoints.all.filter(endpoint => endpoint.ready).length);
+        metrics.gauge("list_age", view.endpoints.age(clock.now()) / 1_000);
+        metrics.gauge("sync_age", (clock.now() - link.answeredAt) / 1_000);
+        metrics.gauge("members", view.members);
+    });
     lifecycle.register(client);
     lifecycle.register(link);
     lifecycle.register(new ListFallback(view, source, options.drainBoundMs * listAgePart, clock, log));
--- a/packages/cli/src/wire-steward.ts
+++ b/packages/cli/src/wire-steward.ts
@@ -111,6 +111,12 @@
                     .map(workspace => workspace.name),
             inOffice: () => duties.inOffice,
         });
+        base.gauges.push(() => {
+            base.metrics.gauge("leads", replicated.leads ? 1 : 0);
+            base.metrics.gauge("fence", replicated.office?.fence ?? 0);
+            base.metrics.gauge("catalog_version", replicated.catalog?.version ?? -1);
+            base.metrics.gauge("members", replicated.members);
+        });
         const operators = new OperatorInterface(core, coordinator, client);
         const stewards = () => [
             ...driver.status.membership.members.map(decodeMemberAddress),
--- a/packages/ingress/src/relay.ts
+++ b/packages/ingress/src/relay.ts
@@ -10,7 +10,7 @@
 import { CapMeter, type Endpoint } from "@lentilramp/fleet";
 import { BodyCutError, BodyTooLargeError, readBody } from "@lentilramp/protocol";
 import { RetryBudget } from "@lentilramp/retries";
-import type { Clock, EventLog, RandomSource } from "@lentilramp/runtime";
+import type { Clock, EventLog, Metrics, RandomSource } from "@lentilramp/runtime";
 import murmurhash from "murmurhash";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { EndpointPool } from "./endpoint-pool.ts";
@@ -51,6 +51,7 @@
     dispatcher: Dispatcher;
     clock: Clock;
     log: EventLog;
+    metrics: Metrics;
     queue(service: string): PlaceQueue;
     model(service: string): LatencyModel;
     budget(service: string): RetryBudget;
@@ -71,6 +72,10 @@
 export class Relay implements RelayContext {
     readonly pool = new EndpointPool();
     readonly dispatcher: Dispatcher;
+    readonly clock: Clock;
+    readonly log: EventLog;
+    readonly metrics: Metrics;
+    private readonly random: RandomSource;
     private readonly queues = new Map<string, PlaceQueue>();
     private readonly models = new Map<string, LatencyModel>();
     private readonly budgets = new Map<string, RetryBudget>();
@@ -82,19 +87,26 @@
         readonly view: FleetView,
         readonly wire: RequestWire,
         private readonly options: IngressOptions,
-        readonly clock: Clock,
-        private readonly random: RandomSource,
-        readonly log: EventLog,
+        base: { clock: Clock; random: RandomSource; log: EventLog; metrics: Metrics; },
         /** Time after the start of a planned stop from which new requests are refused, in milliseconds. */
         private readonly refuseAfterMs: number,
     ) {
-        this.dispatcher = new Dispatcher(view.board, view.health, random);
+        this.clock = base.clock;
+        this.random = base.random;
+        this.log = base.log;
+        this.metrics = base.metrics;
+        this.dispatcher = new Dispatcher(view.board, view.health, base.random);
     }
 
     get requestsInProgress(): number {
         return this.inProgress;
     }
 
+    /** Requests that wait for a place, over all services. */
+    get waiting(): number {
+        return [...this.queues.values()].reduce((sum, queue) => sum + queue.size, 0);
+    }
+
     startDraining(): void {
         this.drainingSince = this.clock.now();
     }
@@ -290,6 +302,7 @@
 
     /** Answers a request of this ingress's own accord. The body is read first, so that the connection can be kept. */
     private async refuse(req: IncomingMessage, res: ServerResponse, refusal: Refusal): Promise<void> {
+        this.metrics.count("refusals", 1, { reason: refusal.reason });
         this.log.info("request.refused", {
             id: this.wire.readCaller(req.headers).attemptId,
             status: refusal.status,
--- a/packages/ingress/src/relayed-call.ts
+++ b/packages/ingress/src/relayed-call.ts
@@ -1,5 +1,6 @@
 import { type Choice, expectedPlaceMs, ServiceModel } from "@lentilramp/dispatch";
 import type { Endpoint } from "@lentilramp/fleet";
+import murmurhash from "murmurhash";
 import type { IncomingMessage } from "node:http";
 import { AnswerWriter, type BodyEnd } from "./answer-writer.ts";
 import { Attempt, type AttemptOutcome } from "./attempt.ts";
@@ -16,6 +17,8 @@
 /** Times the longest pause on time after which a resumable stream is continued elsewhere. */
 const stalledPauses = 3;
 const defaultPauseMs = 300;
+/** Requests for each line about an answer; chosen by the id, so that all processes keep the same ones. */
+const answeredPerLine = 16;
 /** Time after which a caller may come back when an endpoint refused, in milliseconds. */
 const endpointRefusedReturnMs = 100;
 
@@ -39,6 +42,8 @@
     private withdraw: () => void = () => undefined;
     private readonly writer: AnswerWriter;
     private lastFailure = "";
+    private outcome: "answered" | "refused" | "failed" | "cut" = "answered";
+    private firstByteAt: number | undefined;
     /** The next send is already in the budget, or the last one never reached an endpoint. */
     private resendPaid = false;
 
@@ -68,6 +73,7 @@
         finally {
             timer.cancel();
             this.finished = true;
+            this.measure();
         }
     }
 
@@ -251,6 +257,7 @@
         const end = await this.relayBody(sent, res, status);
         this.recordHealth(sent.endpoint, end === "complete" && !serverError);
         if (end === "complete") {
+            this.ctx.metrics.count("sends", 1, { outcome: "answered" });
             const model = this.ctx.model(dispatch.service);
             if (model instanceof ServiceModel && !serverError) {
                 model.observe(clock.now() - sent.sentAt);
@@ -279,6 +286,7 @@
             return await this.writer.whole(res, broke);
         }
         const onFirst = (): void => {
+            this.firstByteAt ??= this.ctx.clock.now();
             this.start(sent);
             this.recordUsage(this.ctx.clock.now());
         };
@@ -346,6 +354,7 @@
             waiting: this.ctx.queue(dispatch.service).size,
         });
         this.finished = true;
+        this.outcome = this.writer.started ? "cut" : notRun ? "refused" : "failed";
         if (this.writer.started) {
             res.destroy();
             return;
@@ -390,7 +399,31 @@
         }
     }
 
+    private measure(): void {
+        const { route, dispatch, res } = this.admitted;
+        const { metrics, clock } = this.ctx;
+        const execution = route.execution;
+        const outcome = this.left ? "left" : this.outcome;
+        if (murmurhash.v3(dispatch.id) % answeredPerLine === 0) {
+            this.ctx.log.info("request.done", {
+                id: dispatch.id,
+                outcome,
+                status: res.statusCode,
+                endpoint: this.current?.endpoint.id,
+                runs: this.runs,
+                ageMs: Math.round(clock.now() - dispatch.arrivedAt),
+            });
+        }
+        metrics.count("requests", 1, { execution, outcome });
+        if (outcome === "answered" && res.statusCode < 500) {
+            const now = clock.now();
+            metrics.timing("first_byte", (this.firstByteAt ?? now) - dispatch.arrivedAt, { execution });
+            metrics.timing("whole_answer", now - dispatch.arrivedAt, { execution });
+        }
+    }
+
     private logSend(sent: Sent, outcome: string, reason: string): void {
+        this.ctx.metrics.count("sends", 1, { outcome });
         this.ctx.log.info("request.send-failed", {
             id: this.admitted.dispatch.id,
             endpoint: sent.endpoint.id,
--- a/packages/ingress/tests/ingress-harness.ts
+++ b/packages/ingress/tests/ingress-harness.ts
@@ -2,7 +2,7 @@
 import type { Endpoint } from "@lentilramp/fleet";
 import { CallerServer, FleetView, type IngressOptions, Relay } from "@lentilramp/ingress";
 import { PlatformHeaders } from "@lentilramp/platform";
-import { MemoryEventLog, SeededRandom, SystemClock } from "@lentilramp/runtime";
+import { MemoryEventLog, MemoryMetrics, SeededRandom, SystemClock } from "@lentilramp/runtime";
 import { once } from "node:events";
 import { createServer, type IncomingHttpHeaders, type IncomingMessage, request, type ServerResponse } from "node:http";
 import type { AddressInfo } from "node:net";
@@ -146,7 +146,8 @@
             }, this.clock.now());
         }
         const random = new SeededRandom(3);
-        this.relay = new Relay(this.view, new PlatformHeaders(), options, this.clock, random, this.log, 100);
+        const base = { clock: this.clock, random, log: this.log, metrics: new MemoryMetrics() };
+        this.relay = new Relay(this.view, new PlatformHeaders(), options, base, 100);
         this.server = new CallerServer(
             this.relay,
             options,
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -5,6 +5,7 @@
 export * from "./line-sink.ts";
 export * from "./metrics.ts";
 export * from "./periodic-component.ts";
+export * from "./prometheus-metrics.ts";
 export * from "./random-source.ts";
 export * from "./state-dump.ts";
 export * from "./throttled-event-log.ts";
