--- a/packages/ingress/src/relayed-call.ts
+++ b/packages/ingress/src/relayed-call.ts
@@ -42,6 +42,7 @@
     private withdraw: () => void = () => undefined;
     private readonly writer: AnswerWriter;
     private lastFailure = "";
+    private usageRecorded = false;
     private outcome: "answered" | "refused" | "failed" | "cut" = "answered";
     private firstByteAt: number | undefined;
     /** The next send is already in the budget, or the last one never reached an endpoint. */
@@ -231,7 +232,7 @@
         const { clock } = this.ctx;
         const status = res.statusCode ?? 0;
         this.runs++;
-        if (route.execution !== "stream") {
+        if (route.execution !== "stream" || status !== 200) {
             this.recordUsage(sent.sentAt);
         }
         const serverError = status >= 500;
@@ -383,9 +384,11 @@
         this.ctx.addDemand(dispatch.service, unreadTokens, expectedPlaceMs(work, unreadTokens));
     }
 
+    /** Counts the request once, when it first began to run, however often it is sent. */
     private recordUsage(at: number): void {
         const { workspace } = this.admitted;
-        if (workspace !== undefined) {
+        if (workspace !== undefined && !this.usageRecorded) {
+            this.usageRecorded = true;
             const { view, clock } = this.ctx;
             view.usage.record(workspace.name, view.trueTime() - (clock.now() - at));
         }
--- a/packages/ingress/tests/relay.test.ts
+++ b/packages/ingress/tests/relay.test.ts
@@ -75,6 +75,22 @@
         }
     });
 
+    // Usage reports were off by 18 in 100 while endpoints failed: repeated requests counted twice, failed streams not.
+    it("counts a request once in the usage of its workspace, also when it is repeated or fails as a stream", async () => {
+        const first = await startBound([sealed(500, "broken"), sealed(200, "ok")]);
+        for (let i = 0; i < 4; i++) {
+            await first.call({});
+        }
+        const counted = (harness: IngressHarness): number =>
+            Object.values(harness.view.usage.snapshot()).reduce((sum, counts) => sum + (counts.w ?? 0), 0);
+        expect(sends()).to.be.above(4);
+        expect(counted(first.harness)).to.equal(4);
+        await first.harness.close();
+        const second = await startBound([sealed(500, "broken")], { execution: "stream" });
+        await second.call({ method: "POST", body: "x" });
+        expect(counted(second.harness)).to.equal(1);
+    });
+
     it("does not turn a status that promises 'not run' into such a promise for a request that has run", async () => {
         const { call } = await startBound([sealed(503, "ran")], { execution: "at-most-once" });
         expect((await call({ method: "POST", body: "x" })).status).to.equal(502);
