--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -34,7 +34,13 @@
     | { kind: "send"; choice: Choice<C>; }
     /** Worth another look when something ends, until the instant `until`. */
     | { kind: "wait"; until: number; }
-    | { kind: "refuse"; reason: "no-endpoint" | "overload"; retryAfterMs: number; };
+    | {
+        kind: "refuse";
+        reason: "no-endpoint" | "overload";
+        retryAfterMs: number;
+        /** The best endpoint that was not good enough. */
+        best?: Choice<C>;
+    };
 
 /** Differences below this are noise of the prediction, in milliseconds; ties are broken at random. */
 const tieMs = 3;
@@ -74,7 +80,7 @@
         if (now + waitMs < latestStart && now < latestStart) {
             return { kind: "wait", until: latestStart };
         }
-        return { kind: "refuse", reason: "overload", retryAfterMs: this.spread(Math.max(waitMs, 0)) };
+        return { kind: "refuse", reason: "overload", retryAfterMs: this.spread(Math.max(waitMs, 0)), best: choice };
     }
 
     /** The endpoint with the earliest predicted first byte. */
--- /dev/null
+++ b/packages/ingress/src/call-record.ts
@@ -0,0 +1,89 @@
+import { expectedPlaceMs } from "@lentilramp/dispatch";
+import type { Endpoint } from "@lentilramp/fleet";
+import murmurhash from "murmurhash";
+import type { AdmittedRequest, RelayContext } from "./relay.ts";
+
+/** Requests for each line about an answer; chosen by the id, so that all processes keep the same ones. */
+const answeredPerLine = 16;
+
+/** How a request ended for its caller. */
+export type CallOutcome = "answered" | "refused" | "failed" | "cut" | "left";
+
+/** Accounts for one request: demand, usage of its workspace, health of endpoints, metrics and log. */
+export class CallRecord {
+    private usageRecorded = false;
+    private firstByteAt: number | undefined;
+
+    constructor(private readonly admitted: AdmittedRequest, private readonly ctx: RelayContext) {}
+
+    /** Counts the work that the request brings, whether it will be served or not. */
+    demand(): void {
+        const { dispatch } = this.admitted;
+        const { work } = dispatch;
+        if (work === undefined) {
+            return;
+        }
+        const { dispatcher, clock } = this.ctx;
+        const candidates = this.ctx.candidates(dispatch.service);
+        const choice = dispatcher.choose(dispatch, candidates, this.ctx.model(dispatch.service), clock.now());
+        const unreadTokens = choice?.prediction.unreadTokens ?? work.promptTokens;
+        this.ctx.addDemand(dispatch.service, unreadTokens, expectedPlaceMs(work, unreadTokens));
+    }
+
+    /** Counts the request once, when it first began to run, however often it is sent. */
+    usage(at: number): void {
+        const { workspace } = this.admitted;
+        if (workspace !== undefined && !this.usageRecorded) {
+            this.usageRecorded = true;
+            const { view, clock } = this.ctx;
+            view.usage.record(workspace.name, view.trueTime() - (clock.now() - at));
+        }
+    }
+
+    /** Notes what an endpoint made of a send. */
+    health(endpoint: Endpoint, ok: boolean): void {
+        const { view, clock, log } = this.ctx;
+        const siblings = view.endpoints.ready(endpoint.service).map(other => other.id);
+        if (view.health.record(endpoint.id, siblings, ok, clock.now())) {
+            log.warn("endpoint.ejected", { endpoint: endpoint.id, service: endpoint.service });
+        }
+    }
+
+    firstByte(): void {
+        this.firstByteAt ??= this.ctx.clock.now();
+    }
+
+    sendFailed(sent: { endpoint: Endpoint; sentAt: number; }, outcome: string, reason: string): void {
+        this.ctx.metrics.count("sends", 1, { outcome });
+        this.ctx.log.info("request.send-failed", {
+            id: this.admitted.dispatch.id,
+            endpoint: sent.endpoint.id,
+            outcome,
+            reason,
+            afterMs: Math.round(this.ctx.clock.now() - sent.sentAt),
+        });
+    }
+
+    /** Notes the final outcome. */
+    done(outcome: CallOutcome, endpoint: string | undefined, runs: number): void {
+        const { route, dispatch, res } = this.admitted;
+        const { metrics, clock, log } = this.ctx;
+        const now = clock.now();
+        const execution = route.execution;
+        if (murmurhash.v3(dispatch.id) % answeredPerLine === 0) {
+            log.info("request.done", {
+                id: dispatch.id,
+                outcome,
+                status: res.statusCode,
+                endpoint,
+                runs,
+                ageMs: Math.round(now - dispatch.arrivedAt),
+            });
+        }
+        metrics.count("requests", 1, { execution, outcome });
+        if (outcome === "answered" && res.statusCode < 500) {
+            metrics.timing("first_byte", (this.firstByteAt ?? now) - dispatch.arrivedAt, { execution });
+            metrics.timing("whole_answer", now - dispatch.arrivedAt, { execution });
+        }
+    }
+}
--- a/packages/ingress/src/place-queue.ts
+++ b/packages/ingress/src/place-queue.ts
@@ -7,7 +7,7 @@
 
 export type PlaceOutcome =
     | { kind: "send"; choice: Choice<Endpoint>; }
-    | { kind: "refuse"; reason: string; retryAfterMs: number; }
+    | { kind: "refuse"; reason: string; retryAfterMs: number; best?: Choice<Endpoint>; }
     | { kind: "left"; };
 
 interface Waiter {
--- a/packages/ingress/src/relayed-call.ts
+++ b/packages/ingress/src/relayed-call.ts
@@ -1,9 +1,9 @@
-import { type Choice, expectedPlaceMs, ServiceModel } from "@lentilramp/dispatch";
+import { type Choice, ServiceModel } from "@lentilramp/dispatch";
 import type { Endpoint } from "@lentilramp/fleet";
-import murmurhash from "murmurhash";
 import type { IncomingMessage } from "node:http";
 import { AnswerWriter, type BodyEnd } from "./answer-writer.ts";
 import { Attempt, type AttemptOutcome } from "./attempt.ts";
+import { CallRecord } from "./call-record.ts";
 import type { PlaceOutcome } from "./place-queue.ts";
 import { type AdmittedRequest, type RelayContext, sendRefusal } from "./relay.ts";
 
@@ -17,8 +17,6 @@
 /** Times the longest pause on time after which a resumable stream is continued elsewhere. */
 const stalledPauses = 3;
 const defaultPauseMs = 300;
-/** Requests for each line about an answer; chosen by the id, so that all processes keep the same ones. */
-const answeredPerLine = 16;
 /** Time after which a caller may come back when an endpoint refused, in milliseconds. */
 const endpointRefusedReturnMs = 100;
 
@@ -41,14 +39,14 @@
     private finished = false;
     private withdraw: () => void = () => undefined;
     private readonly writer: AnswerWriter;
+    private readonly record: CallRecord;
     private lastFailure = "";
-    private usageRecorded = false;
     private outcome: "answered" | "refused" | "failed" | "cut" = "answered";
-    private firstByteAt: number | undefined;
     /** The next send is already in the budget, or the last one never reached an endpoint. */
     private resendPaid = false;
 
     constructor(private readonly admitted: AdmittedRequest, private readonly ctx: RelayContext) {
+        this.record = new CallRecord(admitted, ctx);
         this.writer = new AnswerWriter(admitted.res, () => ctx.draining());
     }
 
@@ -67,14 +65,14 @@
         });
         const timer = clock.schedule(dispatch.deadline, () => this.onDeadline());
         this.ctx.budget(dispatch.service).recordRequest(clock.now());
-        this.recordDemand();
+        this.record.demand();
         try {
             await this.relay();
         }
         finally {
             timer.cancel();
             this.finished = true;
-            this.measure();
+            this.record.done(this.left ? "left" : this.outcome, this.current?.endpoint.id, this.runs);
         }
     }
 
@@ -85,7 +83,7 @@
                 return;
             }
             if (place.kind === "refuse") {
-                this.giveUp(place.reason, place.retryAfterMs);
+                this.giveUp(place.reason, place.retryAfterMs, place.best);
                 return;
             }
             const sent = this.current;
@@ -212,13 +210,13 @@
         this.excluded.add(sent.endpoint.id);
         const rejected = outcome.kind === "not-run" && outcome.arrived;
         if (!rejected) {
-            this.recordHealth(sent.endpoint, false);
+            this.record.health(sent.endpoint, false);
         }
         this.resendPaid = outcome.kind === "not-run" && !outcome.arrived;
-        this.logSend(sent, outcome.kind, outcome.reason);
+        this.record.sendFailed(sent, outcome.kind, outcome.reason);
         if (outcome.kind === "unknown") {
             this.runs++;
-            this.recordUsage(sent.sentAt);
+            this.record.usage(sent.sentAt);
             if (!this.repeatable) {
                 this.giveUp(outcome.reason, undefined);
                 return true;
@@ -233,7 +231,7 @@
         const status = res.statusCode ?? 0;
         this.runs++;
         if (route.execution !== "stream" || status !== 200) {
-            this.recordUsage(sent.sentAt);
+            this.record.usage(sent.sentAt);
         }
         const serverError = status >= 500;
         const mayRepeat = this.repeatable && this.runs < route.maxAttempts
@@ -242,9 +240,9 @@
             res.on("error", () => undefined);
             res.resume();
             this.resendPaid = true;
-            this.recordHealth(sent.endpoint, false);
+            this.record.health(sent.endpoint, false);
             this.excluded.add(sent.endpoint.id);
-            this.logSend(sent, "failed", `status ${status}`);
+            this.record.sendFailed(sent, "failed", `status ${status}`);
             this.lastFailure = `status ${status}`;
             return false;
         }
@@ -256,7 +254,7 @@
             return true;
         }
         const end = await this.relayBody(sent, res, status);
-        this.recordHealth(sent.endpoint, end === "complete" && !serverError);
+        this.record.health(sent.endpoint, end === "complete" && !serverError);
         if (end === "complete") {
             this.ctx.metrics.count("sends", 1, { outcome: "answered" });
             const model = this.ctx.model(dispatch.service);
@@ -270,7 +268,7 @@
         }
         this.excluded.add(sent.endpoint.id);
         this.lastFailure = `answer ${end}`;
-        this.logSend(sent, "cut", end);
+        this.record.sendFailed(sent, "cut", end);
         // What the caller has got can be continued only after a whole event.
         const continuable = !this.writer.started || route.execution === "stream" && route.resumable;
         if (continuable && this.repeatable && this.runs < route.maxAttempts) {
@@ -287,9 +285,9 @@
             return await this.writer.whole(res, broke);
         }
         const onFirst = (): void => {
-            this.firstByteAt ??= this.ctx.clock.now();
+            this.record.firstByte();
             this.start(sent);
-            this.recordUsage(this.ctx.clock.now());
+            this.record.usage(this.ctx.clock.now());
         };
         const end = route.resumable
             ? await this.writer.events(res, {
@@ -341,7 +339,7 @@
     }
 
     /** Sends the final answer. What was never run, or is proved not to have run, may come back. */
-    private giveUp(reason: string, retryAfterMs: number | undefined): void {
+    private giveUp(reason: string, retryAfterMs: number | undefined, best?: Choice<Endpoint>): void {
         const { res, workspace, units, dispatch } = this.admitted;
         const notRun = this.runs === 0
             && (this.current === undefined || this.current.ended || retryAfterMs !== undefined);
@@ -353,6 +351,11 @@
             runs: this.runs,
             ageMs: Math.round(this.ctx.clock.now() - dispatch.arrivedAt),
             waiting: this.ctx.queue(dispatch.service).size,
+            best: best?.endpoint.id,
+            predictedMs: best === undefined ? undefined : Math.round(best.prediction.firstByteMs),
+            running: best?.running,
+            slots: best?.endpoint.slots,
+            listAgeMs: Math.round(this.ctx.view.endpoints.age(this.ctx.clock.now())),
         });
         this.finished = true;
         this.outcome = this.writer.started ? "cut" : notRun ? "refused" : "failed";
@@ -369,70 +372,4 @@
         }
         sendRefusal(res, reason === "time is up" ? 504 : 502, reason, undefined, this.ctx.draining());
     }
-
-    /** Counts the work that the request brings, whether it will be served or not. */
-    private recordDemand(): void {
-        const { dispatch } = this.admitted;
-        const { work } = dispatch;
-        if (work === undefined) {
-            return;
-        }
-        const { dispatcher, clock } = this.ctx;
-        const candidates = this.ctx.candidates(dispatch.service);
-        const choice = dispatcher.choose(dispatch, candidates, this.ctx.model(dispatch.service), clock.now());
-        const unreadTokens = choice?.prediction.unreadTokens ?? work.promptTokens;
-        this.ctx.addDemand(dispatch.service, unreadTokens, expectedPlaceMs(work, unreadTokens));
-    }
-
-    /** Counts the request once, when it first began to run, however often it is sent. */
-    private recordUsage(at: number): void {
-        const { workspace } = this.admitted;
-        if (workspace !== undefined && !this.usageRecorded) {
-            this.usageRecorded = true;
-            const { view, clock } = this.ctx;
-            view.usage.record(workspace.name, view.trueTime() - (clock.now() - at));
-        }
-    }
-
-    private recordHealth(endpoint: Endpoint, ok: boolean): void {
-        const { view, clock, log } = this.ctx;
-        const siblings = view.endpoints.ready(endpoint.service).map(other => other.id);
-        if (view.health.record(endpoint.id, siblings, ok, clock.now())) {
-            log.warn("endpoint.ejected", { endpoint: endpoint.id, service: endpoint.service });
-        }
-    }
-
-    private measure(): void {
-        const { route, dispatch, res } = this.admitted;
-        const { metrics, clock } = this.ctx;
-        const execution = route.execution;
-        const outcome = this.left ? "left" : this.outcome;
-        if (murmurhash.v3(dispatch.id) % answeredPerLine === 0) {
-            this.ctx.log.info("request.done", {
-                id: dispatch.id,
-                outcome,
-                status: res.statusCode,
-                endpoint: this.current?.endpoint.id,
-                runs: this.runs,
-                ageMs: Math.round(clock.now() - dispatch.arrivedAt),
-            });
-        }
-        metrics.count("requests", 1, { execution, outcome });
-        if (outcome === "answered" && res.statusCode < 500) {
-            const now = clock.now();
-            metrics.timing("first_byte", (this.firstByteAt ?? now) - dispatch.arrivedAt, { execution });
-            metrics.timing("whole_answer", now - dispatch.arrivedAt, { execution });
-        }
-    }
-
-    private logSend(sent: Sent, outcome: string, reason: string): void {
-        this.ctx.metrics.count("sends", 1, { outcome });
-        this.ctx.log.info("request.send-failed", {
-            id: this.admitted.dispatch.id,
-            endpoint: sent.endpoint.id,
-            outcome,
-            reason,
-            afterMs: Math.round(this.ctx.clock.now() - sent.sentAt),
-        });
-    }
 }
--- a/packages/runtime/src/line-sink.ts
+++ b/packages/runtime/src/line-sink.ts
@@ -22,6 +22,7 @@
     private waitingChars = 0;
     private writing = false;
     private dropped = 0;
+    private reported = 0;
 
     constructor(private readonly writeText: WriteText = writeToDescriptor(1)) {}
 
@@ -44,7 +45,6 @@
     }
 
     private async flush(): Promise<void> {
-        let reported = this.dropped;
         while (this.waiting.length > 0) {
             const text = this.waiting.join("");
             this.waiting = [];
@@ -56,9 +56,9 @@
                 // Nobody reads any more; there is no other place to report this.
                 this.dropped++;
             }
-            if (this.dropped > reported) {
-                this.waiting.push(`level=warn event=log.dropped lines=${this.dropped - reported}\n`);
-                reported = this.dropped;
+            if (this.dropped > this.reported) {
+                this.waiting.push(`level=warn event=log.dropped lines=${this.dropped - this.reported}\n`);
+                this.reported = this.dropped;
             }
         }
         this.writing = false;
