--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -1,20 +1,13 @@
 import { cac } from "cac";
-import { approve } from "./commands/approve.ts";
-import { check } from "./commands/check.ts";
-import { drain, type DrainOptions, handOver, type HandOverOptions } from "./commands/drain.ts";
-import { dump } from "./commands/dump.ts";
-import { fleet } from "./commands/fleet.ts";
-import { generate, type GenerateOptions } from "./commands/generate.ts";
-import { lookup } from "./commands/lookup.ts";
-import { serve } from "./commands/serve.ts";
-import { status } from "./commands/status.ts";
-import { trace } from "./commands/trace.ts";
+import type { DrainOptions, HandOverOptions } from "./commands/drain.ts";
+import type { GenerateOptions } from "./commands/generate.ts";
 import { CommandError, type ExitCode, exitCodes } from "./exit-codes.ts";
 import type { ConnectionOptions } from "./operator-client.ts";
 import { Output } from "./output.ts";
 
 const version = process.env.LENTILRAMP_VERSION ?? "development";
 
+// Each command is loaded when it is run, so that a process of a fleet starts without the modules of the others.
 interface CommonOptions {
     json?: boolean;
 }
@@ -41,59 +34,73 @@
 cli.command("serve", "Run one process")
     .option("--settings <file>", "Settings of the process")
     .action((options: { settings?: string; }) =>
-        run(() => {
+        run(async () => {
             if (options.settings === undefined) {
                 throw new CommandError(exitCodes.usage, "give --settings FILE");
             }
-            return serve(options.settings);
+            return (await import("./commands/serve.ts")).serve(options.settings);
         })
     );
 cli.command("fleet", "Run one process on the platform that started this command")
-    .action((options: { key?: string; }) => run(() => fleet(options.key ?? "deploy/process.key")));
+    .action((options: { key?: string; }) =>
+        run(async () => (await import("./commands/fleet.ts")).fleet(options.key ?? "deploy/process.key"))
+    );
 cli.command("check [...files]", "Check settings and questionnaires without any effect")
     .action((files: string[], options: CommonOptions) =>
-        run(() => {
+        run(async () => {
             if (files.length === 0) {
                 throw new CommandError(exitCodes.usage, "name at least one file or deployment folder");
             }
-            return check(files, new Output(options.json === true));
+            return (await import("./commands/check.ts")).check(files, new Output(options.json === true));
         })
     );
 cli.command("generate <questionnaire>", "Generate the configuration and show what would change")
     .option("--out <file>", "Write the proposal for approve")
     .action((file: string, options: GenerateOptions & CommonOptions) =>
-        run(() => generate(file, options, new Output(options.json === true)))
+        run(async () =>
+            (await import("./commands/generate.ts")).generate(file, options, new Output(options.json === true))
+        )
     );
 cli.command("approve <proposal>", "Approve a proposal and wait until it is in force")
     .action((file: string, options: ConnectionOptions & CommonOptions) =>
-        run(() => approve(file, options, new Output(options.json === true)))
+        run(async () =>
+            (await import("./commands/approve.ts")).approve(file, options, new Output(options.json === true))
+        )
     );
 cli.command("status", "Show the state of a deployment")
     .action((options: ConnectionOptions & CommonOptions) =>
-        run(() => status(options, new Output(options.json === true)))
+        run(async () => (await import("./commands/status.ts")).status(options, new Output(options.json === true)))
     );
 cli.command("dump <address>", "Print the state of one process (HOST:PORT)")
-    .action((address: string, options: ConnectionOptions) => run(() => dump(address, options.key ?? "process.key")));
+    .action((address: string, options: ConnectionOptions) =>
+        run(async () => (await import("./commands/dump.ts")).dump(address, options.key ?? "process.key"))
+    );
 cli.command("drain <endpoint>", "Stop new work to an endpoint")
     .option("--operation-id <id>", "Repeat an earlier operation")
     .option("--wait <seconds>", "Wait until the requests in flight have ended")
     .action((endpoint: string, options: DrainOptions & CommonOptions) =>
-        run(() => drain(endpoint, options, new Output(options.json === true)))
+        run(async () =>
+            (await import("./commands/drain.ts")).drain(endpoint, options, new Output(options.json === true))
+        )
     );
 cli.command("hand-over <kind> <id> <step>", "Take one step of a hand-over: planned, draining, released, transferred")
     .option("--operation-id <id>", "Repeat an earlier operation")
     .action((kind: string, id: string, step: string, options: HandOverOptions & CommonOptions) =>
-        run(() => handOver(kind, id, step, options, new Output(options.json === true)))
+        run(async () =>
+            (await import("./commands/drain.ts")).handOver(kind, id, step, options, new Output(options.json === true))
+        )
     );
 cli.command("lookup <address>", "Ask an entry which addresses callers should use (HOST:PORT)")
-    .action((address: string, options: CommonOptions) => run(() => lookup(address, new Output(options.json === true))));
+    .action((address: string, options: CommonOptions) =>
+        run(async () => (await import("./commands/lookup.ts")).lookup(address, new Output(options.json === true)))
+    );
 cli.command("trace <id> [...files]", "Tell what the logs of several processes say of one request")
     .action((id: string, files: string[], options: CommonOptions) =>
-        run(() => {
+        run(async () => {
             if (files.length === 0) {
                 throw new CommandError(exitCodes.usage, "name at least one log file");
             }
-            return trace(id, files, new Output(options.json === true));
+            return (await import("./commands/trace.ts")).trace(id, files, new Output(options.json === true));
         })
     );
 cli.help();
