--- /dev/null
+++ b/packages/cli/tests/fleet-harness.ts
@@ -0,0 +1,203 @@
+import { build } from "esbuild";
+import { type ChildProcess, spawn } from "node:child_process";
+import { once } from "node:events";
+import { mkdirSync, mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { createServer, request, type Server } from "node:http";
+import type { AddressInfo } from "node:net";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+
+const innerPort = 7_600;
+export const ports = { front: 8_001, ready: 8_002, control: 8_003, directory: 8_004 } as const;
+
+export interface Answer {
+    status: number;
+    headers: Record<string, string | string[] | undefined>;
+    body: string;
+}
+
+/** One HTTP exchange; rejects when the connection fails. */
+export async function exchange(
+    host: string,
+    port: number,
+    path: string,
+    options: { method?: string; headers?: Record<string, string>; body?: string; } = {},
+): Promise<Answer> {
+    return await new Promise((resolve, reject) => {
+        const req = request({ host, port, path, agent: false, timeout: 4_000, ...options }, res => {
+            let body = "";
+            res.setEncoding("utf8").on("data", (part: string) => body += part);
+            res.on("end", () => resolve({ status: res.statusCode ?? 0, headers: res.headers, body }));
+            res.on("error", reject);
+        });
+        req.on("timeout", () => req.destroy(new Error("no answer")));
+        req.on("error", reject);
+        req.end(options.body);
+    });
+}
+
+/** Waits until `check` holds; a check that throws does not hold. */
+export async function until(what: string, check: () => Promise<boolean>): Promise<void> {
+    const deadline = Date.now() + 30_000;
+    while (!await check().catch(() => false)) {
+        if (Date.now() > deadline) {
+            throw new Error(`did not happen: ${what}`);
+        }
+        await new Promise(resolve => setTimeout(resolve, 50));
+    }
+}
+
+/** The platform's list and duties, and the endpoints on it, in the platform's format. */
+export class PlatformStandIn {
+    readonly orders: { path: string; holder: string; fence: number; body: Record<string, unknown>; }[] = [];
+    readonly runs: { id: string; tenant: string; }[] = [];
+    private readonly cloud: Server = createServer((req, res) => {
+        let body = "";
+        req.on("data", (part: Buffer) => body += part.toString());
+        req.on("end", () => {
+            res.setHeader("content-type", "application/json");
+            if (req.method === "GET") {
+                res.end(JSON.stringify({ instances: [...this.entries, { id: 7, state: "later" }] }));
+                return;
+            }
+            this.orders.push({
+                path: req.url ?? "",
+                holder: String(req.headers["x-duty-holder"]),
+                fence: Number(req.headers["x-fencing-token"]),
+                body: JSON.parse(body) as Record<string, unknown>,
+            });
+            res.end("{}");
+        });
+    });
+    private readonly endpoints = ["app", "model"].map(service => ({ service, server: this.endpoint(service) }));
+
+    private get entries(): unknown[] {
+        return this.endpoints.map(({ service, server }) => ({
+            id: `i-${service}`,
+            service,
+            address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
+            zone: "a",
+            slots: 8,
+            state: "ready",
+        }));
+    }
+
+    async start(): Promise<string> {
+        for (const server of [this.cloud, ...this.endpoints.map(endpoint => endpoint.server)]) {
+            server.listen(0, "127.0.0.1");
+            await once(server, "listening");
+        }
+        return `127.0.0.1:${(this.cloud.address() as AddressInfo).port}`;
+    }
+
+    close(): void {
+        for (const server of [this.cloud, ...this.endpoints.map(endpoint => endpoint.server)]) {
+            server.close();
+            server.closeAllConnections();
+        }
+    }
+
+    private endpoint(service: string): Server {
+        return createServer((req, res) => {
+            req.resume();
+            req.on("end", () => {
+                const id = String(req.headers["x-attempt-id"]);
+                this.runs.push({ id, tenant: String(req.headers["x-tenant"]) });
+                res.writeHead(200, { "x-attempt-id": id, "x-response-seal": "s" });
+                res.end(service === "model" ? "id: 1\ndata: a\n\nid: 2\ndata: b\n\n" : "done");
+            });
+        });
+    }
+}
+
+/** Processes of a fleet on loopback addresses of this test alone. */
+export class FleetProcesses {
+    readonly stewards: readonly string[];
+    readonly ingresses: readonly string[];
+    private readonly folder = mkdtempSync(join(tmpdir(), "lentilramp-fleet-"));
+    private readonly running = new Map<string, ChildProcess>();
+    private started = false;
+
+    constructor(private readonly cloudAddress: string, stewards: number, ingresses: number) {
+        const net = `127.${1 + process.pid % 250}`;
+        this.stewards = Array.from({ length: stewards }, (...[, i]) => `${net}.1.${i + 1}`);
+        this.ingresses = Array.from({ length: ingresses }, (...[, i]) => `${net}.2.${i + 1}`);
+    }
+
+    async start(): Promise<void> {
+        await build({
+            entryPoints: ["packages/cli/src/main.ts"],
+            outfile: join(this.folder, "lentilramp.cjs"),
+            bundle: true,
+            platform: "node",
+            format: "cjs",
+            external: ["unix-dgram"],
+            mainFields: ["module", "main"],
+            logLevel: "silent",
+        });
+        writeFileSync(join(this.folder, "key"), "a key of this test alone");
+        [...this.stewards, ...this.ingresses].forEach(host => this.run(host));
+        this.started = true;
+    }
+
+    /** Starts the process of a host, as the platform does after it has ended. */
+    run(host: string): void {
+        const steward = this.stewards.includes(host);
+        const data = join(this.folder, `data-${host}`);
+        mkdirSync(data, { recursive: true });
+        const settings = join(this.folder, `settings-${host}`);
+        writeFileSync(
+            settings,
+            [
+                `node_name=${steward ? "core" : "front"}-${host}`,
+                `serves=${steward ? "control,directory" : "front"}`,
+                `ip_address=${host}`,
+                "zone=a",
+                "region=r",
+                "zones.a=r",
+                ...steward
+                    ? [
+                        `listen_addresses.control=${host}:${ports.control}`,
+                        `listen_addresses.directory=${host}:${ports.directory}`,
+                    ]
+                    : [
+                        `listen_addresses.front=${host}:${ports.front}`,
+                        `listen_addresses.ready=${host}:${ports.ready}`,
+                    ],
+                `internal_port_range=${innerPort},${innerPort + 15}`,
+                `seeds=${this.stewards.slice(0, 3).map(seed => `${seed}:${ports.control}`).join(",")}`,
+                `bootstrap=${!this.started}`,
+                ...steward ? [`data_directory=${data}`] : [],
+                "fault_tolerance.machines=1",
+                "bounds.grace_s=8",
+                "bounds.usage_window_s=2",
+                `cloud.address=${this.cloudAddress}`,
+                "cloud.duties=usage_reporting,autoscaling",
+            ].join("\n"),
+        );
+        const child = spawn(
+            process.execPath,
+            [join(this.folder, "lentilramp.cjs"), "fleet", "--key", join(this.folder, "key")],
+            { env: { ...process.env, NODE_OPTIONS: "", LENTILRAMP_BOOT: settings }, stdio: "ignore" },
+        );
+        this.running.set(host, child);
+    }
+
+    /** Sends a signal to the process of a host and resolves when it has ended. */
+    async end(host: string, signal: NodeJS.Signals): Promise<number | null> {
+        const child = this.running.get(host);
+        if (child === undefined) {
+            throw new Error(`no process runs at ${host}`);
+        }
+        this.running.delete(host);
+        const exited = once(child, "exit");
+        child.kill(signal);
+        const [code] = await exited as [number | null];
+        return code;
+    }
+
+    async close(): Promise<void> {
+        await Promise.all([...this.running.keys()].map(host => this.end(host, "SIGKILL")));
+        rmSync(this.folder, { recursive: true, force: true });
+    }
+}
