Eject endpoints only for failures well above those of their siblings

An endpoint's own errors now weigh half of broken answers, and the share must exceed that of the siblings by 0.35. Ruled out: a grey replica (each of the three was ejected, with the same share).

--- a/packages/dispatch/src/endpoint-health.ts
+++ b/packages/dispatch/src/endpoint-health.ts
@@ -1,10 +1,21 @@
+/** What an endpoint made of a request. */
+export type EndpointOutcome =
+    | "answered"
+    /** It answered with a server error of its own; a sound service does so now and then. */
+    | "error"
+    /** It broke off, stayed silent, could not be reached, or gave an answer that is none. */
+    | "broken";
+
+/** What one outcome weighs against an endpoint. */
+const outcomeWeights: Readonly<Record<EndpointOutcome, number>> = { answered: 0, error: 1, broken: 2 };
+
 export interface HealthOptions {
     /** Outcomes that count, in milliseconds. */
     windowMs: number;
-    /** Failures below which an endpoint is never ejected. */
-    minFailures: number;
-    /** Share of failures above which an endpoint is ejected, when its siblings are below half of it. */
-    failureShare: number;
+    /** Weight of failures below which an endpoint is never ejected. */
+    minWeight: number;
+    /** Share of failures by which an endpoint must exceed its siblings to be ejected. */
+    excessShare: number;
     /** First ejection, in milliseconds; each failed trial doubles it. */
     baseMs: number;
     maxMs: number;
@@ -13,16 +24,18 @@
 }
 
 export const healthDefaults: HealthOptions = {
-    windowMs: 3_000,
-    minFailures: 2,
-    failureShare: 0.3,
+    windowMs: 4_000,
+    // Four errors or two broken answers.
+    minWeight: 4,
+    // Of nine answers of a service that fails one in seven, five are errors in fewer than 1 of 100 windows.
+    excessShare: 0.35,
     baseMs: 1_000,
     maxMs: 8_000,
     maxShare: 0.5,
 };
 
 interface State {
-    outcomes: { at: number; ok: boolean; }[];
+    outcomes: { at: number; outcome: EndpointOutcome; }[];
     ejectedUntil: number;
     ejections: number;
     trialAt: number | undefined;
@@ -38,10 +51,11 @@
     constructor(private readonly options: HealthOptions = healthDefaults) {}
 
     /** Records an outcome that the endpoint answers for; a rejection under load is none. Returns true on ejection. */
-    record(endpoint: string, siblings: readonly string[], ok: boolean, now: number): boolean {
+    record(endpoint: string, siblings: readonly string[], outcome: EndpointOutcome, now: number): boolean {
+        const ok = outcome === "answered";
         const state = this.state(endpoint);
-        state.outcomes = state.outcomes.filter(outcome => now - outcome.at < this.options.windowMs);
-        state.outcomes.push({ at: now, ok });
+        state.outcomes = state.outcomes.filter(({ at }) => now - at < this.options.windowMs);
+        state.outcomes.push({ at: now, outcome });
         if (state.trialAt !== undefined) {
             state.trialAt = undefined;
             if (ok) {
@@ -54,14 +68,17 @@
         if (ok || now < state.ejectedUntil) {
             return false;
         }
-        const failures = state.outcomes.filter(outcome => !outcome.ok).length;
-        const share = failures / state.outcomes.length;
-        if (failures < this.options.minFailures || share < this.options.failureShare) {
+        const weight = state.outcomes.reduce((sum, past) => sum + outcomeWeights[past.outcome], 0);
+        const share = state.outcomes.filter(past => past.outcome !== "answered").length / state.outcomes.length;
+        if (weight < this.options.minWeight || share < this.options.excessShare) {
             return false;
         }
         const others = siblings.filter(id => id !== endpoint);
         const ejected = others.filter(id => this.isEjected(id, now)).length;
-        if (ejected + 1 > siblings.length * this.options.maxShare || this.failureShare(others, now) > share / 2) {
+        if (
+            ejected + 1 > siblings.length * this.options.maxShare
+            || share < this.failureShare(others, now) + this.options.excessShare
+        ) {
             return false;
         }
         return this.eject(state, now);
@@ -102,9 +119,11 @@
 
     private failureShare(endpoints: readonly string[], now: number): number {
         const outcomes = endpoints.flatMap(id =>
-            (this.states.get(id)?.outcomes ?? []).filter(outcome => now - outcome.at < this.options.windowMs)
+            (this.states.get(id)?.outcomes ?? []).filter(({ at }) => now - at < this.options.windowMs)
         );
-        return outcomes.length === 0 ? 0 : outcomes.filter(outcome => !outcome.ok).length / outcomes.length;
+        return outcomes.length === 0
+            ? 0
+            : outcomes.filter(({ outcome }) => outcome !== "answered").length / outcomes.length;
     }
 
     private state(endpoint: string): State {
--- a/packages/ingress/src/call-record.ts
+++ b/packages/ingress/src/call-record.ts
@@ -1,4 +1,4 @@
-import { expectedPlaceMs } from "@lentilramp/dispatch";
+import { type EndpointOutcome, expectedPlaceMs } from "@lentilramp/dispatch";
 import type { Endpoint } from "@lentilramp/fleet";
 import murmurhash from "murmurhash";
 import type { AdmittedRequest, RelayContext } from "./relay.ts";
@@ -41,11 +41,11 @@
     }
 
     /** Notes what an endpoint made of a send. */
-    health(endpoint: Endpoint, ok: boolean): void {
+    health(endpoint: Endpoint, outcome: EndpointOutcome): void {
         const { view, clock, log } = this.ctx;
         const siblings = view.endpoints.ready(endpoint.service).map(other => other.id);
-        if (view.health.record(endpoint.id, siblings, ok, clock.now())) {
-            log.warn("endpoint.ejected", { endpoint: endpoint.id, service: endpoint.service });
+        if (view.health.record(endpoint.id, siblings, outcome, clock.now())) {
+            log.warn("endpoint.ejected", { endpoint: endpoint.id, service: endpoint.service, outcome });
         }
     }
 
--- a/packages/ingress/src/relayed-call.ts
+++ b/packages/ingress/src/relayed-call.ts
@@ -210,7 +210,7 @@
         this.excluded.add(sent.endpoint.id);
         const rejected = outcome.kind === "not-run" && outcome.arrived;
         if (!rejected) {
-            this.record.health(sent.endpoint, false);
+            this.record.health(sent.endpoint, "broken");
         }
         this.resendPaid = outcome.kind === "not-run" && !outcome.arrived;
         this.record.sendFailed(sent, outcome.kind, outcome.reason);
@@ -240,7 +240,7 @@
             res.on("error", () => undefined);
             res.resume();
             this.resendPaid = true;
-            this.record.health(sent.endpoint, false);
+            this.record.health(sent.endpoint, "error");
             this.excluded.add(sent.endpoint.id);
             this.record.sendFailed(sent, "failed", `status ${status}`);
             this.lastFailure = `status ${status}`;
@@ -254,7 +254,9 @@
             return true;
         }
         const end = await this.relayBody(sent, res, status);
-        this.record.health(sent.endpoint, end === "complete" && !serverError);
+        if (end !== "left") {
+            this.record.health(sent.endpoint, end !== "complete" ? "broken" : serverError ? "error" : "answered");
+        }
         if (end === "complete") {
             this.ctx.metrics.count("sends", 1, { outcome: "answered" });
             const model = this.ctx.model(dispatch.service);
