--- a/packages/cli/src/wire-fleet.ts
+++ b/packages/cli/src/wire-fleet.ts
@@ -78,7 +78,7 @@
     const { callers, readiness, operators, lookups, dataFolder } = settings;
     if (callers !== undefined && readiness !== undefined) {
         wireIngress(
-            { ...settings, callers, readiness, stewardPort: settings.innerPort },
+            { ...settings, callers, readiness },
             seeds,
             cloud,
             lookupMs,
--- a/packages/cli/src/wire-ingress.ts
+++ b/packages/cli/src/wire-ingress.ts
@@ -57,6 +57,7 @@
         describe,
         (answer, sentAt) => view.apply(answer, sentAt),
         clock,
+        random,
         log,
     );
     base.gauges.push(() => {
--- a/packages/ingress/src/endpoint-pool.ts
+++ b/packages/ingress/src/endpoint-pool.ts
@@ -7,11 +7,6 @@
 /** Idle time of connections to an endpoint that announces none, in milliseconds. */
 const defaultIdleMs = 2_000;
 
-interface AgentInternals {
-    keepSocketAlive(socket: Socket): boolean;
-    reuseSocket(socket: Socket, req: ClientRequest): void;
-}
-
 /**
  * Connections to one endpoint. A connection on which data arrives while no request is in progress is closed, because
  * the bytes belong to no request.
@@ -28,10 +23,10 @@
     ): boolean {
         const announced = /timeout=(\d+)/.exec(socket._httpMessage?.res?.headers["keep-alive"] ?? "")?.[1];
         const idleMs = announced === undefined ? defaultIdleMs : Number(announced) * 1_000 * keptPart;
-        const kept = (Agent.prototype as unknown as AgentInternals).keepSocketAlive.call(this, socket);
-        if (!kept || idleMs === 0 || socket.readableLength > 0) {
+        if (idleMs === 0 || socket.readableLength > 0) {
             return false;
         }
+        super.keepSocketAlive(socket);
         socket.setTimeout(idleMs);
         const onData = (): void => void socket.destroy();
         socket.once("data", onData);
@@ -46,7 +41,7 @@
             socket.off("data", onData);
             this.unexpected.delete(socket);
         }
-        (Agent.prototype as unknown as AgentInternals).reuseSocket.call(this, socket, req);
+        super.reuseSocket(socket, req);
     }
 }
 
--- a/packages/ingress/src/fleet-link.ts
+++ b/packages/ingress/src/fleet-link.ts
@@ -1,5 +1,5 @@
 import type { PeerAddress, RpcClient } from "@lentilramp/protocol";
-import { type Clock, type EventLog, PeriodicComponent } from "@lentilramp/runtime";
+import { type Clock, type EventLog, PeriodicComponent, type RandomSource } from "@lentilramp/runtime";
 import { type SyncAnswer, syncAnswerSchema, type SyncRequest } from "./fleet-messages.ts";
 
 /** Time between two syncs; the load of the others is at most this old, and a change is in force within it. */
@@ -29,6 +29,7 @@
         private readonly request: (elapsedMs: number) => SyncRequest,
         private readonly onAnswer: (answer: SyncAnswer, sentAt: number) => void,
         clock: Clock,
+        private readonly random: RandomSource,
         private readonly log: EventLog,
     ) {
         super(clock, syncMs);
@@ -94,7 +95,7 @@
         const keys = [...known.keys()];
         const index = current === undefined ? -1 : keys.indexOf(addressKey(current));
         const next = current === undefined
-            ? keys[Math.floor(Math.random() * keys.length)]
+            ? keys[this.random.nextInt(keys.length)]
             : keys[(index + 1) % keys.length];
         return next === undefined ? undefined : known.get(next);
     }
--- a/packages/ingress/src/ingress-options.ts
+++ b/packages/ingress/src/ingress-options.ts
@@ -9,10 +9,6 @@
     callers: { host: string; port: number; };
     /** Where the platform asks whether this ingress takes callers. */
     readiness: { host: string; port: number; };
-    /** Hosts of the stewards known at start. */
-    seedHosts: readonly string[];
-    /** Port on which every steward takes calls of other processes. */
-    stewardPort: number;
     /** Longest time from a planned stop to the end of the process. */
     graceMs: number;
     retryRatio: number;
--- a/packages/ingress/tests/ingress-harness.ts
+++ b/packages/ingress/tests/ingress-harness.ts
@@ -115,8 +115,6 @@
             failureDomain: "a",
             callers: { host: "127.0.0.1", port: ports.callers },
             readiness: { host: "127.0.0.1", port: ports.readiness },
-            seedHosts: [],
-            stewardPort: 1,
             graceMs: 2_000,
             retryRatio: 0.5,
             retryWindowMs: 10_000,
--- a/packages/steward/src/steward-options.ts
+++ b/packages/steward/src/steward-options.ts
@@ -1,7 +1,6 @@
 /** Settings of a steward, whatever platform it runs on. Durations are in milliseconds. */
 export interface StewardOptions {
     name: string;
-    failureDomain: string;
     failureDomains: readonly string[];
     /** Where other processes call. */
     inner: { host: string; port: number; };
