Never write another answer behind the events of a cut stream

Found by reading: when a resumable stream was cut and the next endpoint answered with an error, the error's body was written behind the events that the caller had, and the answer looked whole. Its test failed first.

--- a/packages/ingress/src/relayed-call.ts
+++ b/packages/ingress/src/relayed-call.ts
@@ -233,6 +233,10 @@
         if (route.execution !== "stream" || status !== 200) {
             this.record.usage(sent.sentAt);
         }
+        if (this.writer.started && status !== 200) {
+            // Nothing but the rest of the stream may follow what the caller already has.
+            return this.onFailedContinuation(sent, res, status);
+        }
         const serverError = status >= 500;
         const mayRepeat = this.repeatable && this.runs < route.maxAttempts
             && !this.writer.started;
@@ -280,6 +284,21 @@
         return true;
     }
 
+    /** Drops an answer that does not continue a cut stream; returns whether the request is finished. */
+    private onFailedContinuation(sent: Sent, res: IncomingMessage, status: number): boolean {
+        res.on("error", () => undefined);
+        res.resume();
+        this.excluded.add(sent.endpoint.id);
+        this.lastFailure = `status ${status}`;
+        this.record.health(sent.endpoint, status >= 500 ? "error" : "answered");
+        this.record.sendFailed(sent, "failed", this.lastFailure);
+        if (this.runs < this.admitted.route.maxAttempts) {
+            return false;
+        }
+        this.giveUp(this.lastFailure, undefined);
+        return true;
+    }
+
     private async relayBody(sent: Sent, res: IncomingMessage, status: number): Promise<BodyEnd> {
         const { route } = this.admitted;
         const broke = (): Promise<boolean> => sent.attempt.broke();
--- a/packages/ingress/tests/relay.test.ts
+++ b/packages/ingress/tests/relay.test.ts
@@ -174,6 +174,21 @@
         expect(sends()).to.equal(2);
     });
 
+    // The body of the error was written behind the events that the caller already had, and the answer looked whole.
+    it("does not join an error of the next endpoint to the events of a cut stream", async () => {
+        const answer: Answer = (req, res, seen) => {
+            if (req.headers["last-event-id"] !== undefined) {
+                void sealed(500, "broken")(req, res, seen);
+                return;
+            }
+            res.writeHead(200, streamHead);
+            res.write(events(1, 3), () => setTimeout(() => req.socket.resetAndDestroy(), 30));
+        };
+        const { call } = await startBound([answer, answer], { execution: "stream", resumable: true });
+        const result = await call({ method: "POST", body: "x" });
+        expect(result).to.include({ status: 200, complete: false, body: events(1, 3) });
+    });
+
     it("closes the caller's connection when a stream that must not be repeated is cut", async () => {
         const { call } = await startBound([(req, res) => {
             res.writeHead(200, streamHead);
