Learn the previous holder of the duties from the office entry itself

Found by reading: a leader that came back read the holder before the entries of the leader between were applied, took itself for the holder and would have acted at once (A, B, A within the lease). The result of the office entry now says who held it before. Tests of the replicated state and of founding are new; the one for this failed before, since the result named no holder.

--- a/packages/steward/src/catalog-state.ts
+++ b/packages/steward/src/catalog-state.ts
@@ -35,6 +35,8 @@
     /** The number of the catalog in force. */
     version: number;
     fence: number;
+    /** Who held the office before, for a command `office`. */
+    previousHolder?: string;
     /** The decided report, for a command `usage`. */
     report?: UsageReport;
 }
@@ -77,6 +79,7 @@
     }
 
     apply(text: string, index: number): CommandOutcome {
+        const previousHolder = this.state.office?.holder;
         const command = commandSchema.parse(JSON.parse(text));
         switch (command.type) {
             case "catalog":
@@ -103,6 +106,7 @@
         return {
             version: this.state.version,
             fence: this.state.office?.fence ?? 0,
+            previousHolder,
             report: command.type === "usage" ? this.report(command.report.window) : undefined,
         };
     }
--- a/packages/steward/src/platform-duties.ts
+++ b/packages/steward/src/platform-duties.ts
@@ -109,16 +109,16 @@
         this.takingOffice = true;
         try {
             const term = this.core.state.currentTerm;
-            const previous = this.core.state.office;
-            const { fence } = await this.core.propose({ type: "office", holder: this.options.name });
+            // The holder before this entry, which a new leader can learn only when all entries before it are applied.
+            const { fence, previousHolder } = await this.core.propose({ type: "office", holder: this.options.name });
             const since = this.clock.now();
-            const same = previous === undefined || previous.holder === this.options.name;
+            const same = previousHolder === undefined || previousHolder === this.options.name;
             const actFrom = same ? since : since + this.options.dutyLeaseMs + leaseMarginMs;
             this.office = { term, fence, since, actFrom };
             this.log.info("duty.taken", {
                 fence,
                 term,
-                previous: previous?.holder,
+                previous: previousHolder,
                 waitMs: Math.round(actFrom - since),
             });
         }
--- /dev/null
+++ b/packages/steward/tests/catalog-state.test.ts
@@ -0,0 +1,46 @@
+import { CatalogState, type StewardCommand } from "@lentilramp/steward";
+import { expect } from "chai";
+
+function apply(state: CatalogState, command: StewardCommand, index: number) {
+    return state.apply(JSON.stringify(command), index);
+}
+
+describe("CatalogState", () => {
+    const create = (): CatalogState => new CatalogState(() => undefined, () => undefined);
+    const catalog = (version: number): StewardCommand => ({ type: "catalog", version, text: `text ${version}` });
+
+    it("keeps the catalog with the highest number, whatever the order of arrival", () => {
+        const state = create();
+        [3, 9, 5].forEach((version, i) => apply(state, catalog(version), i + 1));
+        expect(state.catalog).to.deep.equal({ version: 9, text: "text 9" });
+        expect(apply(state, { type: "catalog", version: 9, text: "other" }, 4).version).to.equal(9);
+        expect(state.catalog?.text).to.equal("text 9");
+    });
+
+    it("decides what is reported of a window once, so that a new leader repeats it exactly", () => {
+        const state = create();
+        apply(state, { type: "usage", report: { window: 7, counts: { w: 3 } } }, 1);
+        const { report } = apply(state, { type: "usage", report: { window: 7, counts: { w: 4 } } }, 2);
+        expect(report).to.deep.equal({ window: 7, counts: { w: 3 } });
+    });
+
+    // A leader that came back read the holder before the entries of the leader between had been applied, took itself for
+    // the holder, and would have acted at once: A, B, A within the lease.
+    it("tells who held the office just before an entry, not before it was proposed", () => {
+        const state = create();
+        apply(state, { type: "office", holder: "a" }, 1);
+        apply(state, { type: "office", holder: "b" }, 5);
+        expect(apply(state, { type: "office", holder: "a" }, 9)).to.include({ fence: 9, previousHolder: "b" });
+    });
+
+    it("comes back from a snapshot with everything that was decided", () => {
+        const state = create();
+        apply(state, catalog(4), 1);
+        apply(state, { type: "office", holder: "a" }, 2);
+        apply(state, { type: "members", count: 8 }, 3);
+        const restored = create();
+        restored.restore(state.snapshot());
+        expect(JSON.parse(restored.snapshot())).to.deep.equal(JSON.parse(state.snapshot()));
+        expect(restored.members).to.equal(8);
+    });
+});
