--- a/packages/ingress/tests/ingress-harness.ts
+++ b/packages/ingress/tests/ingress-harness.ts
@@ -5,7 +5,7 @@
 import { MemoryEventLog, MemoryMetrics, SeededRandom, SystemClock } from "@lentilramp/runtime";
 import { once } from "node:events";
 import { createServer, type IncomingHttpHeaders, type IncomingMessage, request, type ServerResponse } from "node:http";
-import type { AddressInfo } from "node:net";
+import { type AddressInfo, connect } from "node:net";
 import { Err, Ok, type Result } from "ts-results-es";
 import { testCatalog } from "../../catalog/tests/fixtures.ts";
 
@@ -175,6 +175,17 @@
         return (await this.call({ port: this.ports.readiness, path: "/" })).status;
     }
 
+    /** Sends bytes as they are and resolves with all that comes back until the connection ends. */
+    async raw(text: string): Promise<string> {
+        return await new Promise((resolve, reject) => {
+            let answer = "";
+            const socket = connect(this.ports.callers, "127.0.0.1", () => socket.write(text));
+            socket.setEncoding("latin1").on("data", (part: string) => answer += part);
+            socket.on("close", () => resolve(answer));
+            socket.on("error", reject);
+        });
+    }
+
     async call(
         { method = "GET", path = "/x", headers = {}, body = "", port = this.ports.callers, onData = () => undefined }: {
             method?: string;
--- a/packages/ingress/tests/relay.test.ts
+++ b/packages/ingress/tests/relay.test.ts
@@ -228,6 +228,20 @@
         }
     });
 
+    // Requests with two framings are how one request is hidden inside another.
+    it("refuses ambiguous framing and oversized heads, logs them, and goes on serving others", async () => {
+        const { call, harness } = await startBound([sealed(200, "ok")]);
+        const head = "POST /x HTTP/1.1\r\nHost: desk.example\r\nApi-Key: key-1\r\n";
+        const hidden = "0\r\n\r\nGET /hidden HTTP/1.1\r\nHost: desk.example\r\nApi-Key: key-1\r\n\r\n";
+        const both = await harness.raw(`${head}Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n${hidden}`);
+        const twice = await harness.raw(`${head}Content-Length: 4\r\nContent-Length: 5\r\n\r\nabcde`);
+        const large = await harness.raw(`${head}X-Large: ${"x".repeat(70_000)}\r\n\r\n`);
+        expect([both, twice, large].map(answer => answer.slice(9, 12))).to.deep.equal(["400", "400", "431"]);
+        expect(harness.log.events.filter(({ name }) => name === "caller.bad-request")).to.have.length(3);
+        expect(endpoints[0]?.seen.filter(({ target }) => target === "/hidden")).to.deep.equal([]);
+        expect(await call({})).to.include({ status: 200, body: "ok" });
+    });
+
     it("refuses what is over the cap of a workspace and says when to come back", async () => {
         endpoints = [new ScriptedEndpoint("e1", sealed(200, "ok"))];
         await endpoints[0]?.start();
