--- a/packages/control/src/agreement-storage.ts
+++ b/packages/control/src/agreement-storage.ts
@@ -3,8 +3,8 @@
 import { decode, encode } from "@msgpack/msgpack";
 import { setTimeout as sleep } from "node:timers/promises";
 
-/** Journal records after which the whole stored state is written as one snapshot, which bounds a restart. */
-const recordsPerSnapshot = 1_000;
+/** Writes after which the whole stored state is written as one snapshot, which bounds a restart. */
+const writesPerSnapshot = 1_000;
 
 /** Writes that go into one journal record at most. */
 const writesPerRecord = 64;
@@ -15,15 +15,17 @@
     return encode(value, { ignoreUndefined: true });
 }
 
-function recover(contents: JournalContents, initial: StoredState): StoredState {
+function recover(contents: JournalContents, initial: StoredState): { state: StoredState; writes: number; } {
+    let writes = 0;
     let state = contents.snapshot === undefined ? initial : decode(contents.snapshot.payload) as StoredState;
     for (const record of contents.records) {
         const decoded = decode(record.payload) as Write | Write[];
         for (const write of Array.isArray(decoded) ? decoded : [decoded]) {
             state = applyWrite(state, write);
+            writes++;
         }
     }
-    return state;
+    return { state, writes };
 }
 
 interface WaitingSync {
@@ -38,7 +40,7 @@
  * either all of them or none is found after a restart. A full disk delays writes; nothing is lost or reordered.
  */
 export class AgreementStorage {
-    private recordsSinceSnapshot: number;
+    private writesSinceSnapshot: number;
     private pending: Write[] = [];
     private accepted = 0;
     private durable = 0;
@@ -47,22 +49,24 @@
     private failure: unknown;
     private closing = false;
 
-    private constructor(private readonly journal: Journal, private current: StoredState, records: number) {
-        this.recordsSinceSnapshot = records;
+    private constructor(private readonly journal: Journal, private current: StoredState, writes: number) {
+        this.writesSinceSnapshot = writes;
     }
 
     /** Recovers the stored state; `initial` is that of a member that has stored nothing. */
     static async open(folder: DataFolder, initial: StoredState): Promise<AgreementStorage> {
         const { journal, contents } = await folder.openJournal("agreement");
-        return new AgreementStorage(journal, recover(contents, initial), contents.records.length);
+        const { state, writes } = recover(contents, initial);
+        return new AgreementStorage(journal, state, writes);
     }
 
     get stored(): StoredState {
         return this.current;
     }
 
-    get recordCount(): number {
-        return this.recordsSinceSnapshot;
+    /** Writes since the last snapshot. */
+    get writeCount(): number {
+        return this.writesSinceSnapshot;
     }
 
     /** Queues a write; `sync` waits for it. */
@@ -98,7 +102,7 @@
             const group = this.pending.slice(0, writesPerRecord);
             try {
                 await this.journal.append(encodeRecord(group));
-                this.recordsSinceSnapshot++;
+                this.writesSinceSnapshot += group.length;
                 this.pending.splice(0, group.length);
                 this.settle(this.durable + group.length);
                 await this.compactIfDue();
@@ -136,11 +140,11 @@
 
     /** Writes the whole state as a snapshot once enough records have gathered and no write is on its way. */
     private async compactIfDue(): Promise<void> {
-        if (this.recordsSinceSnapshot < recordsPerSnapshot || this.pending.length > 0) {
+        if (this.writesSinceSnapshot < writesPerSnapshot || this.pending.length > 0) {
             return;
         }
         const state = encodeRecord(this.current);
         await this.journal.saveSnapshot(state, this.journal.lastIndex);
-        this.recordsSinceSnapshot = 0;
+        this.writesSinceSnapshot = 0;
     }
 }
