Rank the home of a prompt once a decision, and drop what nothing reads

The prediction of each endpoint hashed the prompt against every endpoint, n times n hashes for each look at a waiting request. The home is now kept for the request that is being decided. Behaviour is unchanged; checked with formatter, linter, compiler and the tests of the packages touched and of the real processes.

--- a/packages/control/src/agreement-storage.ts
+++ b/packages/control/src/agreement-storage.ts
@@ -64,11 +64,6 @@
         return this.current;
     }
 
-    /** Writes since the last snapshot. */
-    get writeCount(): number {
-        return this.writesSinceSnapshot;
-    }
-
     /** Queues a write; `sync` waits for it. */
     write(write: Write): void {
         this.current = applyWrite(this.current, write);
--- a/packages/ingress/src/place-queue.ts
+++ b/packages/ingress/src/place-queue.ts
@@ -15,7 +15,6 @@
     decide: (ahead: number) => Decision<Endpoint>;
     /** Called in the same turn in which the place was chosen, so that the next decision sees it taken. */
     settle: (outcome: PlaceOutcome) => void;
-    until: number;
 }
 
 /** Requests of one service that wait for a place. */
@@ -41,7 +40,7 @@
             settle(decision);
             return () => undefined;
         }
-        const waiter: Waiter = { req, decide, settle, until: decision.until };
+        const waiter: Waiter = { req, decide, settle };
         this.queue.push(waiter);
         this.schedule();
         return () => {
--- a/packages/ingress/src/relay.ts
+++ b/packages/ingress/src/relay.ts
@@ -80,6 +80,7 @@
     private readonly models = new Map<string, LatencyModel>();
     private readonly budgets = new Map<string, RetryBudget>();
     private demand: Record<string, { unreadTokens: number; placeMs: number; }> = {};
+    private lastHome: { req: DispatchRequest; endpoints: readonly Endpoint[]; id: string | undefined; } | undefined;
     private inProgress = 0;
     private drainingSince: number | undefined;
 
@@ -203,20 +204,12 @@
 
     /** Requests with the same shared parts rank the endpoints alike in every process. */
     private home(req: DispatchRequest): string | undefined {
-        const key = sharedKey(req);
-        if (key === undefined) {
-            return undefined;
-        }
-        let best: string | undefined;
-        let bestScore = -1;
-        for (const { id } of this.view.endpoints.ready(req.service)) {
-            const score = murmurhash.v3(`${key}@${id}`);
-            if (score > bestScore) {
-                bestScore = score;
-                best = id;
-            }
+        const endpoints = this.view.endpoints.ready(req.service);
+        // A decision predicts the request at every endpoint in turn, and its home is the same for all of them.
+        if (this.lastHome?.req !== req || this.lastHome.endpoints !== endpoints) {
+            this.lastHome = { req, endpoints, id: rankFirst(req, endpoints) };
         }
-        return best;
+        return this.lastHome.id;
     }
 
     /** Holds a request that came while this process starts; it is ready within a fraction of a second as a rule. */
@@ -320,6 +313,24 @@
     }
 }
 
+/** The endpoint that every process ranks first for the shared parts of a prompt, by rendezvous hashing. */
+function rankFirst(req: DispatchRequest, endpoints: readonly Endpoint[]): string | undefined {
+    const key = sharedKey(req);
+    if (key === undefined) {
+        return undefined;
+    }
+    let best: string | undefined;
+    let bestScore = -1;
+    for (const { id } of endpoints) {
+        const score = murmurhash.v3(`${key}@${id}`);
+        if (score > bestScore) {
+            bestScore = score;
+            best = id;
+        }
+    }
+    return best;
+}
+
 /** Sends an answer of the ingress's own, with the time after which to come back. */
 export function sendRefusal(
     res: ServerResponse,
