Keep the reserve of repetitions in step with the number of ingresses

Cause: Relay fixed the reserve of a service when the first request came. An ingress that had only heard a steward that does not lead counted one ingress, and kept the reserve of two for its lifetime, so that several such ingresses could overdraw the shared budget. Ruled out: the ratio of the budget, which is bound to the own requests. Conclusion: shares of a shared limit follow the count, never the start.

--- a/packages/ingress/src/fleet-view.ts
+++ b/packages/ingress/src/fleet-view.ts
@@ -54,6 +54,10 @@
             this.applyCatalog(answer.catalog.version, answer.catalog.text);
         }
         if (!answer.leading) {
+            // The count that was last recorded; a leader's own, when there is one, is newer.
+            if (!this.synced && answer.members > 0) {
+                this.members = answer.members;
+            }
             if (answer.floorShare > 0) {
                 this.caps.offerFloor(answer.cappedWorkspaces ?? [], answer.floorShare);
             }
--- a/packages/ingress/src/relay.ts
+++ b/packages/ingress/src/relay.ts
@@ -173,17 +173,19 @@
     }
 
     budget(service: string): RetryBudget {
+        const { retryRatio, retryWindowMs, retryReserve } = this.options;
+        const reserve = retryReserve * spentBudgetPart / Math.max(2, this.view.members);
         let budget = this.budgets.get(service);
         if (budget === undefined) {
-            const { retryRatio, retryWindowMs, retryReserve } = this.options;
             budget = new RetryBudget({
                 ratio: retryRatio * spentBudgetPart,
                 windowMs: retryWindowMs,
                 buckets: 20,
-                reserve: retryReserve * spentBudgetPart / Math.max(2, this.view.members),
+                reserve,
             });
             this.budgets.set(service, budget);
         }
+        budget.setReserve(reserve);
         return budget;
     }
 
--- a/packages/ingress/tests/ingress-harness.ts
+++ b/packages/ingress/tests/ingress-harness.ts
@@ -104,6 +104,7 @@
     readonly clock = new SystemClock();
     readonly view: FleetView;
     readonly relay: Relay;
+    readonly options: IngressOptions;
     private readonly server: CallerServer;
     private readonly ports: { callers: number; readiness: number; };
 
@@ -123,6 +124,7 @@
             usageWindowMs: 5_000,
             drainBoundMs: 3_000,
         };
+        this.options = options;
         const codec = new FixedCatalog(catalog ?? testCatalog());
         this.view = new FleetView(
             codec,
--- a/packages/ingress/tests/relay.test.ts
+++ b/packages/ingress/tests/relay.test.ts
@@ -75,6 +75,24 @@
         }
     });
 
+    // An ingress that started while nobody led kept the reserve of two ingresses for its lifetime.
+    it("keeps to its part of the shared reserve of repetitions when it learns how many ingresses there are", async () => {
+        const { harness } = await startBound([sealed(200, "ok")]);
+        const taken = (): number => {
+            let count = 0;
+            while (harness.relay.budget("app").tryWithdraw(harness.clock.now())) {
+                count++;
+            }
+            return count;
+        };
+        harness.relay.budget("app");
+        harness.view.apply(
+            { leading: false, stewards: [], shares: {}, floorShare: 0.1, peers: {}, members: 5 },
+            harness.clock.now(),
+        );
+        expect(taken()).to.be.within(1, harness.options.retryReserve / 5);
+    });
+
     // Usage reports were off by 18 in 100 while endpoints failed: repeated requests counted twice, failed streams not.
     it("counts a request once in the usage of its workspace, also when it is repeated or fails as a stream", async () => {
         const first = await startBound([sealed(500, "broken"), sealed(200, "ok")]);
--- a/packages/retries/src/retry-budget.ts
+++ b/packages/retries/src/retry-budget.ts
@@ -19,13 +19,20 @@
     private readonly withdrawals: number[];
     private readonly bucketMs: number;
     private latest = -Infinity;
+    private reserve: number;
 
     constructor(private readonly options: RetryBudgetOptions = retryBudgetDefaults) {
+        this.reserve = options.reserve;
         this.requests = Array(options.buckets).fill(0);
         this.withdrawals = Array(options.buckets).fill(0);
         this.bucketMs = options.windowMs / options.buckets;
     }
 
+    /** Changes the reserve, for a budget that several processes share. */
+    setReserve(reserve: number): void {
+        this.reserve = reserve;
+    }
+
     /** Records the first dispatch of a request; retries and hedges are not recorded here. */
     recordRequest(now: number): void {
         const bucket = this.advance(now);
@@ -35,7 +42,7 @@
     /** Takes one retry or hedge from the budget; false when it is used up. */
     tryWithdraw(now: number): boolean {
         const bucket = this.advance(now);
-        if (sum(this.withdrawals) + 1 >= this.options.ratio * sum(this.requests) + this.options.reserve) {
+        if (sum(this.withdrawals) + 1 >= this.options.ratio * sum(this.requests) + this.reserve) {
             return false;
         }
         this.withdrawals[bucket] = (this.withdrawals[bucket] ?? 0) + 1;
