Let ingresses follow each other's load, and believe measured waits first

Change: each ingress serves a feed of its load changes on its inner port and follows those of the others; the wait that the own requests see at an endpoint counts before reports.

--- a/packages/bench/src/registry.ts
+++ b/packages/bench/src/registry.ts
@@ -6,6 +6,7 @@
 import { ElectionExperiment } from "./experiments/election.ts";
 import { MembershipExperiment } from "./experiments/membership.ts";
 import { OnceExperiment } from "./experiments/once/once.ts";
+import { OverloadPlatformExperiment } from "./experiments/overload-platform/overload-platform.ts";
 import { OverloadExperiment } from "./experiments/overload.ts";
 import { ReclaimExperiment } from "./experiments/reclaim.ts";
 import { RecoveryExperiment } from "./experiments/recovery.ts";
@@ -26,6 +27,7 @@
     new ControlExperiment(),
     new CostExperiment(),
     new OverloadExperiment(),
+    new OverloadPlatformExperiment(),
     new RetriesExperiment(),
     new MembershipExperiment(),
 ];
--- a/packages/cli/src/wire-fleet.ts
+++ b/packages/cli/src/wire-fleet.ts
@@ -75,10 +75,11 @@
     }
     const cloud = new CloudClient(settings.cloud, clock, log);
     const seeds = (): PeerAddress[] => reload().seedHosts.map(host => ({ host, port: settings.innerPort }));
+    const inner = { host: settings.host, port: settings.innerPort };
     const { callers, readiness, operators, lookups, dataFolder } = settings;
     if (callers !== undefined && readiness !== undefined) {
         wireIngress(
-            { ...settings, callers, readiness },
+            { ...settings, callers, readiness, inner },
             seeds,
             cloud,
             lookupMs,
@@ -89,7 +90,7 @@
         wireSteward(
             {
                 ...settings,
-                inner: { host: settings.host, port: settings.innerPort },
+                inner,
                 seedHosts: () => reload().seedHosts,
                 dataFolder,
             },
--- a/packages/cli/src/wire-ingress.ts
+++ b/packages/cli/src/wire-ingress.ts
@@ -1,7 +1,16 @@
-import { CallerServer, describeIngress, FleetLink, FleetView, ListFallback, Relay } from "@lentilramp/ingress";
+import {
+    CallerServer,
+    describeIngress,
+    FleetLink,
+    FleetView,
+    ListFallback,
+    LoadFeed,
+    LoadFollower,
+    Relay,
+} from "@lentilramp/ingress";
 import type { EndpointSource, IngressOptions, SyncRequest } from "@lentilramp/ingress";
 import { JsonCatalogCodec, PlatformHeaders } from "@lentilramp/platform";
-import type { PeerAddress } from "@lentilramp/protocol";
+import { defaultHttpServerOptions, HttpServer, type PeerAddress } from "@lentilramp/protocol";
 import { randomUUID } from "node:crypto";
 import type { FleetProcess } from "./wire-fleet.ts";
 
@@ -47,6 +56,8 @@
         catalogVersion: view.catalog?.version ?? -1,
         listNumber: view.listNumber,
         load: view.board.snapshot(),
+        heardFrom: view.board.heardFrom,
+        rosterTag: view.rosterTag,
         asked: view.caps.takeAsked(),
         usage: view.usage.snapshot(),
         demand: relay.takeDemand(),
@@ -69,8 +80,14 @@
         metrics.gauge("sync_age", (clock.now() - link.answeredAt) / 1_000);
         metrics.gauge("members", view.members);
     });
+    const inner = new HttpServer({ ...options.inner, ...defaultHttpServerOptions }, log);
+    const feed = new LoadFeed(view.board, clock);
+    feed.attach(inner, base.key);
     lifecycle.register(client);
+    lifecycle.register(inner);
+    lifecycle.register(feed);
     lifecycle.register(link);
+    lifecycle.register(new LoadFollower(options.name, view.board, () => view.roster, base.key, clock, log));
     lifecycle.register(new ListFallback(view, source, options.drainBoundMs * listAgePart, clock, log));
     lifecycle.register(new CallerServer(relay, options, accepting, lingerMs, clock, log));
 }
--- a/packages/dispatch/src/engine-model.ts
+++ b/packages/dispatch/src/engine-model.ts
@@ -1,6 +1,7 @@
 import { LatencyModel, type Prediction } from "./latency-model.ts";
-import type { EndpointLoad } from "./load-board.ts";
-import { chainKeys, type PrefixMemory } from "./prefix-memory.ts";
+import type { KnownLoad } from "./load-board.ts";
+import type { PrefixMemory } from "./prefix-memory.ts";
+import type { PromptHome } from "./prompt-home.ts";
 import type { Candidate, DispatchRequest, EngineWork } from "./types.ts";
 
 /** Speed of an engine; the defaults are those that the users' sheets give for their engines. */
@@ -27,12 +28,6 @@
     linkMs: 10,
 };
 
-/** Ranks endpoints for a prompt; all processes get the same order without talking to each other. */
-export abstract class PromptHome {
-    /** The endpoint at which requests with the same shared parts meet, or undefined without shared parts. */
-    abstract home(req: DispatchRequest): string | undefined;
-}
-
 /** Time to the first event of an engine: uncached prompt, prompts that wait before it, and a place. */
 export class EngineModel extends LatencyModel {
     constructor(
@@ -43,7 +38,7 @@
         super();
     }
 
-    override predict(req: DispatchRequest, endpoint: Candidate, load: EndpointLoad): Prediction {
+    override predict(req: DispatchRequest, endpoint: Candidate, load: KnownLoad): Prediction {
         const { speed } = this;
         const work = req.work ?? { parts: [], promptTokens: 0, maxOutputTokens: 0, outputTokens: 0 };
         const unreadTokens = Math.max(0, work.promptTokens - this.cached(req, endpoint));
@@ -53,7 +48,9 @@
         const excess = Math.max(0, load.running + 1 - endpoint.slots);
         // A place becomes free each time one of the running requests ends.
         const placeMs = excess === 0 ? 0 : excess * work.outputTokens * step / endpoint.slots;
-        const firstByteMs = speed.linkMs + speed.firstEventMs + (unreadTokens + load.unreadTokens) * perToken + placeMs;
+        // Reports of the others are old; what the own requests wait there shows what has been sent since.
+        const waitMs = Math.max(load.unreadTokens * perToken + placeMs, load.lateMs);
+        const firstByteMs = speed.linkMs + speed.firstEventMs + unreadTokens * perToken + waitMs;
         return { firstByteMs, idleMs, unreadTokens };
     }
 
@@ -76,9 +73,3 @@
 export function expectedPlaceMs(work: EngineWork, unreadTokens: number, speed = engineSpeedDefaults): number {
     return speed.firstEventMs + unreadTokens / speed.prefillTokensPerMs + work.outputTokens * busyStepMs;
 }
-
-/** Key of the parts that a prompt shares with others, or undefined when it has one part only. */
-export function sharedKey(req: DispatchRequest): string | undefined {
-    const keys = chainKeys(req.work?.parts ?? []);
-    return keys.at(-2);
-}
--- a/packages/dispatch/src/latency-model.ts
+++ b/packages/dispatch/src/latency-model.ts
@@ -1,4 +1,4 @@
-import type { EndpointLoad } from "./load-board.ts";
+import type { KnownLoad } from "./load-board.ts";
 import type { Candidate, DispatchRequest } from "./types.ts";
 
 /** Expected time to the first byte at one endpoint, in milliseconds. */
@@ -13,5 +13,5 @@
 
 /** Predicts how soon an endpoint would answer a request. */
 export abstract class LatencyModel {
-    abstract predict(req: DispatchRequest, endpoint: Candidate, load: EndpointLoad): Prediction;
+    abstract predict(req: DispatchRequest, endpoint: Candidate, load: KnownLoad): Prediction;
 }
--- a/packages/ingress/src/place-queue.ts
+++ b/packages/dispatch/src/place-queue.ts
@@ -1,25 +1,26 @@
-import { type Choice, type Decision, type DispatchRequest, WaitQueue } from "@lentilramp/dispatch";
-import type { Endpoint } from "@lentilramp/fleet";
 import type { Clock, Timer } from "@lentilramp/runtime";
+import type { Choice, Decision } from "./dispatcher.ts";
+import type { Candidate, DispatchRequest } from "./types.ts";
+import { WaitQueue } from "./wait-queue.ts";
 
 /** Waiting requests are looked at again at least this often, in milliseconds, since others' load changes unseen. */
 const lookAgainMs = 15;
 
-export type PlaceOutcome =
-    | { kind: "send"; choice: Choice<Endpoint>; }
-    | { kind: "refuse"; reason: string; retryAfterMs: number; best?: Choice<Endpoint>; }
+export type PlaceOutcome<C extends Candidate> =
+    | { kind: "send"; choice: Choice<C>; }
+    | { kind: "refuse"; reason: string; retryAfterMs: number; best?: Choice<C>; }
     | { kind: "left"; };
 
-interface Waiter {
+interface Waiter<C extends Candidate> {
     req: DispatchRequest;
-    decide: (ahead: number) => Decision<Endpoint>;
+    decide: (ahead: number) => Decision<C>;
     /** Called in the same turn in which the place was chosen, so that the next decision sees it taken. */
-    settle: (outcome: PlaceOutcome) => void;
+    settle: (outcome: PlaceOutcome<C>) => void;
 }
 
 /** Requests of one service that wait for a place. */
-export class PlaceQueue {
-    private readonly queue = new WaitQueue<Waiter>();
+export class PlaceQueue<C extends Candidate> {
+    private readonly queue = new WaitQueue<Waiter<C>>();
     private timer: Timer | undefined;
     private pumping = false;
 
@@ -32,15 +33,15 @@
     /** Calls `settle` at once or later, exactly once; returns a function that withdraws the request. */
     enter(
         req: DispatchRequest,
-        decide: (ahead: number) => Decision<Endpoint>,
-        settle: (outcome: PlaceOutcome) => void,
+        decide: (ahead: number) => Decision<C>,
+        settle: (outcome: PlaceOutcome<C>) => void,
     ): () => void {
         const decision = decide(this.queue.ahead(req));
         if (decision.kind !== "wait") {
             settle(decision);
             return () => undefined;
         }
-        const waiter: Waiter = { req, decide, settle };
+        const waiter: Waiter<C> = { req, decide, settle };
         this.queue.push(waiter);
         this.schedule();
         return () => {
--- a/packages/dispatch/src/service-model.ts
+++ b/packages/dispatch/src/service-model.ts
@@ -1,5 +1,5 @@
 import { LatencyModel, type Prediction } from "./latency-model.ts";
-import type { EndpointLoad } from "./load-board.ts";
+import type { KnownLoad } from "./load-board.ts";
 import type { Candidate, DispatchRequest } from "./types.ts";
 
 /** Assumed time of a plain call before any was measured, in milliseconds. */
@@ -16,7 +16,7 @@
         this.workMs += (workMs - this.workMs) * sampleWeight;
     }
 
-    override predict(req: DispatchRequest, endpoint: Candidate, load: EndpointLoad): Prediction {
+    override predict(req: DispatchRequest, endpoint: Candidate, load: KnownLoad): Prediction {
         void req;
         const excess = Math.max(0, load.running + 1 - endpoint.slots);
         return {
--- a/packages/dispatch/tests/dispatch.test.ts
+++ b/packages/dispatch/tests/dispatch.test.ts
@@ -68,7 +68,7 @@
         const world = new World();
         world.home = "e3";
         for (let i = 0; i < 5; i++) {
-            world.board.sent("e3", 500);
+            world.board.book("e3", { firstByteMs: 0, idleMs: 1_000, unreadTokens: 500 }, 0);
         }
         const decision = world.decide(prompt());
         expect(decision.kind === "send" && decision.choice.endpoint.id).to.not.equal("e3");
@@ -76,10 +76,38 @@
 
     it("counts the load that the others reported, and forgets it when it is old", () => {
         const world = new World();
-        world.board.setPeers({ e1: { running: 9, unreadTokens: 0 } }, 0);
+        world.board.setOthers({ e1: { running: 9, unreadTokens: 0 } }, 0);
         expect(world.board.load("e1", 500).running).to.equal(9);
         expect(world.board.load("e1", 1_500).running).to.equal(0);
     });
+
+    it("keeps the sum of what it hears from others through changes, and drops what a lost one said", () => {
+        const { board } = new World();
+        board.hear("p1", [["e1", { running: 2, unreadTokens: 700 }], ["e2", { running: 1, unreadTokens: 0 }]], true);
+        board.hear("p2", [["e1", { running: 3, unreadTokens: 100 }]], true);
+        board.hear("p1", [["e1", { running: 1, unreadTokens: 0 }]], false);
+        expect(board.load("e1", 0)).to.deep.equal({ running: 4, unreadTokens: 100, lateMs: 0 });
+        board.hear("p1", [["e1", { running: 5, unreadTokens: 0 }]], true);
+        expect(board.load("e2", 0).running).to.equal(0);
+        board.lose("p1");
+        expect(board.load("e1", 0).running).to.equal(3);
+        expect(board.heardFrom).to.deep.equal(["p2"]);
+    });
+
+    // With reports of 250 ms, each process sent its prompts to engines that the others had filled meanwhile.
+    it("believes what its own requests wait at an engine before what is reported of it", () => {
+        const world = new World();
+        const idle = { firstByteMs: 100, idleMs: 100, unreadTokens: 0 };
+        const waiting = world.board.book("e1", idle, 0);
+        expect(world.board.load("e1", 350).lateMs).to.equal(250);
+        waiting.start(400);
+        expect(world.board.load("e1", 400).lateMs).to.equal(300);
+        expect(world.board.load("e1", 600).lateMs).to.equal(100);
+        expect(world.board.load("e1", 900).lateMs).to.equal(0);
+        world.board.book("e2", idle, 0);
+        const decision = world.decide(prompt({ targetAt: 650 }), 350);
+        expect(decision.kind === "send" && decision.choice.endpoint.id).to.equal("e3");
+    });
 });
 
 describe("PrefixMemory", () => {
@@ -102,7 +130,7 @@
     function fill(world: World, running: number, unreadTokens: number): void {
         for (const { id } of world.engines) {
             for (let i = 0; i < running; i++) {
-                world.board.sent(id, unreadTokens / running);
+                world.board.book(id, { firstByteMs: 0, idleMs: 1_000, unreadTokens: unreadTokens / running }, 0);
             }
         }
     }
@@ -163,8 +191,8 @@
     it("predicts waiting once the places of an endpoint are taken", () => {
         const model = new ServiceModel();
         const req = prompt({ work: undefined });
-        const free = model.predict(req, engine("e"), { running: 3, unreadTokens: 0 });
-        const full = model.predict(req, engine("e"), { running: 8, unreadTokens: 0 });
+        const free = model.predict(req, engine("e"), { running: 3, unreadTokens: 0, lateMs: 0 });
+        const full = model.predict(req, engine("e"), { running: 8, unreadTokens: 0, lateMs: 0 });
         expect(full.firstByteMs).to.be.above(free.firstByteMs);
         expect(full.idleMs).to.equal(free.idleMs);
     });
--- a/packages/fleet/src/roster.ts
+++ b/packages/fleet/src/roster.ts
@@ -6,6 +6,8 @@
     /** Where callers connect. */
     host: z.string(),
     port: z.int(),
+    /** Where other processes of the fleet connect. */
+    inner: z.object({ host: z.string(), port: z.int() }),
     region: z.string(),
     failureDomain: z.string(),
     /** False while it starts, has no catalog, or is about to stop. */
--- a/packages/fleet/tests/fleet.test.ts
+++ b/packages/fleet/tests/fleet.test.ts
@@ -149,7 +149,15 @@
 });
 
 describe("Roster", () => {
-    const description = { name: "i1", host: "10.0.0.1", port: 80, region: "r", failureDomain: "a", accepting: true };
+    const description = {
+        name: "i1",
+        host: "10.0.0.1",
+        port: 80,
+        inner: { host: "10.0.0.1", port: 81 },
+        region: "r",
+        failureDomain: "a",
+        accepting: true,
+    };
 
     it("leaves silent and stopping ingresses out of lookups but reserves their part of the caps", () => {
         const roster = new Roster(1_000, 30_000);
--- a/packages/ingress/src/call-record.ts
+++ b/packages/ingress/src/call-record.ts
@@ -1,4 +1,4 @@
-import { type EndpointOutcome, expectedPlaceMs } from "@lentilramp/dispatch";
+import { type Choice, type EndpointOutcome, expectedPlaceMs } from "@lentilramp/dispatch";
 import type { Endpoint } from "@lentilramp/fleet";
 import murmurhash from "murmurhash";
 import type { AdmittedRequest, RelayContext } from "./relay.ts";
@@ -13,6 +13,8 @@
 export class CallRecord {
     private usageRecorded = false;
     private firstByteAt: number | undefined;
+    /** What the last send was decided on. */
+    private sent: { at: number; predictedMs: number; unread: number; queued: number; running: number; } | undefined;
 
     constructor(private readonly admitted: AdmittedRequest, private readonly ctx: RelayContext) {}
 
@@ -49,6 +51,17 @@
         }
     }
 
+    /** Notes the inputs of the decision to send; `queued` are the unread prompt tokens before this request. */
+    decided({ prediction, running }: Choice<Endpoint>, queued: number): void {
+        this.sent = {
+            at: this.ctx.clock.now(),
+            predictedMs: Math.round(prediction.firstByteMs),
+            unread: prediction.unreadTokens,
+            queued,
+            running,
+        };
+    }
+
     firstByte(): void {
         this.firstByteAt ??= this.ctx.clock.now();
     }
@@ -78,6 +91,13 @@
                 endpoint,
                 runs,
                 ageMs: Math.round(now - dispatch.arrivedAt),
+                firstByteMs: this.firstByteAt === undefined || this.sent === undefined
+                    ? undefined
+                    : Math.round(this.firstByteAt - this.sent.at),
+                predictedMs: this.sent?.predictedMs,
+                unread: this.sent?.unread,
+                queued: this.sent?.queued,
+                running: this.sent?.running,
             });
         }
         metrics.count("requests", 1, { execution, outcome });
--- a/packages/ingress/src/fleet-messages.ts
+++ b/packages/ingress/src/fleet-messages.ts
@@ -18,6 +18,10 @@
     listNumber: z.number(),
     /** Own load by endpoint. */
     load: z.record(z.string(), loadSchema),
+    /** Ingresses whose load the sender hears directly. */
+    heardFrom: z.array(z.string()),
+    /** Tag of the roster that the sender holds; 0 for none. */
+    rosterTag: z.number(),
     /** Cap units asked for since the last sync, by workspace. */
     asked: z.record(z.string(), z.number()),
     /** Requests begun, by window and workspace. */
@@ -47,12 +51,12 @@
     floorShare: z.number(),
     /** Workspaces for which only the floor is known, in the answer of a steward that does not lead. */
     cappedWorkspaces: z.array(z.string()).optional(),
-    /** Load of all other ingresses by endpoint. */
-    peers: z.record(z.string(), loadSchema),
+    /** Load by endpoint of all other ingresses that the asker does not hear directly. */
+    others: z.record(z.string(), loadSchema),
     members: z.number(),
     /** Time of day by the median of the members' clocks. */
     trueMs: z.number().optional(),
-    /** Ingresses in contact, for address lookups. */
-    roster: z.array(ingressDescriptionSchema).optional(),
+    /** Ingresses in contact, when they differ from those that the asker knows. */
+    roster: z.object({ tag: z.number(), ingresses: z.array(ingressDescriptionSchema) }).optional(),
 });
 export type SyncAnswer = z.infer<typeof syncAnswerSchema>;
--- a/packages/ingress/src/fleet-view.ts
+++ b/packages/ingress/src/fleet-view.ts
@@ -1,6 +1,12 @@
 import { type Catalog, type CatalogCodec, RouteTable, WorkspaceKeys } from "@lentilramp/catalog";
 import { EndpointHealth, LoadBoard, PrefixMemory } from "@lentilramp/dispatch";
-import { CapMeter, type CapTolerance, EndpointDirectory, UsageLedger } from "@lentilramp/fleet";
+import {
+    CapMeter,
+    type CapTolerance,
+    EndpointDirectory,
+    type IngressDescription,
+    UsageLedger,
+} from "@lentilramp/fleet";
 import type { Clock, EventLog } from "@lentilramp/runtime";
 import type { SyncAnswer } from "./fleet-messages.ts";
 
@@ -19,6 +25,9 @@
     readonly caps: CapMeter;
     readonly usage: UsageLedger;
     listNumber = 0;
+    /** The ingresses in contact with the leading steward, this one included. */
+    roster: readonly IngressDescription[] = [];
+    rosterTag = 0;
     private synced = false;
     /** Ingresses that may be at work, this one included. */
     members = 1;
@@ -69,7 +78,11 @@
         if (answer.trueMs !== undefined) {
             this.trueOffset = answer.trueMs - (sentAt + now) / 2;
         }
-        this.board.setPeers(answer.peers, now);
+        this.board.setOthers(answer.others, now);
+        if (answer.roster !== undefined) {
+            this.rosterTag = answer.roster.tag;
+            this.roster = answer.roster.ingresses;
+        }
         for (const [workspace, share] of Object.entries(answer.shares)) {
             this.caps.setShare(workspace, { share, floor: answer.floorShare, expiresAt: sentAt + shareLifetimeMs });
         }
@@ -92,6 +105,7 @@
         const held = new Set(this.endpoints.all.map(endpoint => endpoint.id));
         for (const { id } of before) {
             if (!held.has(id)) {
+                this.board.forget(id);
                 this.memory.forget(id);
                 this.health.forget(id);
                 this.onEndpointGone(id);
--- a/packages/ingress/src/index.ts
+++ b/packages/ingress/src/index.ts
@@ -10,5 +10,7 @@
 export * from "./hop-headers.ts";
 export * from "./ingress-options.ts";
 export * from "./list-fallback.ts";
+export * from "./load-feed.ts";
+export * from "./load-follower.ts";
 export * from "./relay.ts";
 export * from "./wire.ts";
--- a/packages/ingress/src/ingress-options.ts
+++ b/packages/ingress/src/ingress-options.ts
@@ -9,6 +9,8 @@
     callers: { host: string; port: number; };
     /** Where the platform asks whether this ingress takes callers. */
     readiness: { host: string; port: number; };
+    /** Where other processes of the fleet connect. */
+    inner: { host: string; port: number; };
     /** Longest time from a planned stop to the end of the process. */
     graceMs: number;
     retryRatio: number;
@@ -23,6 +25,6 @@
 
 /** How an ingress describes itself to the stewards. */
 export function describeIngress(options: IngressOptions, accepting: boolean): IngressDescription {
-    const { name, region, failureDomain, callers } = options;
-    return { name, region, failureDomain, accepting, ...callers };
+    const { name, region, failureDomain, callers, inner } = options;
+    return { name, region, failureDomain, accepting, inner, ...callers };
 }
--- a/packages/ingress/src/relay.ts
+++ b/packages/ingress/src/relay.ts
@@ -4,19 +4,18 @@
     type DispatchRequest,
     EngineModel,
     type LatencyModel,
+    PlaceQueue,
+    RendezvousHome,
     ServiceModel,
-    sharedKey,
 } from "@lentilramp/dispatch";
 import { CapMeter, type Endpoint } from "@lentilramp/fleet";
 import { BodyCutError, BodyTooLargeError, readBody } from "@lentilramp/protocol";
 import { RetryBudget } from "@lentilramp/retries";
 import type { Clock, EventLog, Metrics, RandomSource } from "@lentilramp/runtime";
-import murmurhash from "murmurhash";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { EndpointPool } from "./endpoint-pool.ts";
 import type { FleetView } from "./fleet-view.ts";
 import type { IngressOptions } from "./ingress-options.ts";
-import { PlaceQueue } from "./place-queue.ts";
 import { RelayedCall } from "./relayed-call.ts";
 import type { CallerHead, RequestWire } from "./wire.ts";
 
@@ -52,7 +51,7 @@
     clock: Clock;
     log: EventLog;
     metrics: Metrics;
-    queue(service: string): PlaceQueue;
+    queue(service: string): PlaceQueue<Endpoint>;
     model(service: string): LatencyModel;
     budget(service: string): RetryBudget;
     candidates(service: string): readonly Endpoint[];
@@ -76,11 +75,11 @@
     readonly log: EventLog;
     readonly metrics: Metrics;
     private readonly random: RandomSource;
-    private readonly queues = new Map<string, PlaceQueue>();
+    private readonly queues = new Map<string, PlaceQueue<Endpoint>>();
     private readonly models = new Map<string, LatencyModel>();
     private readonly budgets = new Map<string, RetryBudget>();
     private demand: Record<string, { unreadTokens: number; placeMs: number; }> = {};
-    private lastHome: { req: DispatchRequest; endpoints: readonly Endpoint[]; id: string | undefined; } | undefined;
+    private readonly home: RendezvousHome;
     private inProgress = 0;
     private drainingSince: number | undefined;
 
@@ -96,6 +95,7 @@
         this.random = base.random;
         this.log = base.log;
         this.metrics = base.metrics;
+        this.home = new RendezvousHome(service => view.endpoints.ready(service));
         this.dispatcher = new Dispatcher(view.board, view.health, base.random);
     }
 
@@ -155,8 +155,8 @@
         }
     }
 
-    queue(service: string): PlaceQueue {
-        const queue = this.queues.get(service) ?? new PlaceQueue(this.clock);
+    queue(service: string): PlaceQueue<Endpoint> {
+        const queue = this.queues.get(service) ?? new PlaceQueue<Endpoint>(this.clock);
         this.queues.set(service, queue);
         return queue;
     }
@@ -166,7 +166,7 @@
         if (model === undefined) {
             model = this.view.catalog?.services.get(service)?.engine === undefined
                 ? new ServiceModel()
-                : new EngineModel(this.view.memory, { home: req => this.home(req) });
+                : new EngineModel(this.view.memory, this.home);
             this.models.set(service, model);
         }
         return model;
@@ -204,16 +204,6 @@
         return Math.max(2, Math.floor(limit * 0.9 / this.view.members));
     }
 
-    /** Requests with the same shared parts rank the endpoints alike in every process. */
-    private home(req: DispatchRequest): string | undefined {
-        const endpoints = this.view.endpoints.ready(req.service);
-        // A decision predicts the request at every endpoint in turn, and its home is the same for all of them.
-        if (this.lastHome?.req !== req || this.lastHome.endpoints !== endpoints) {
-            this.lastHome = { req, endpoints, id: rankFirst(req, endpoints) };
-        }
-        return this.lastHome.id;
-    }
-
     /** Holds a request that came while this process starts; it is ready within a fraction of a second as a rule. */
     private async untilReady(res: ServerResponse, until: number): Promise<void> {
         while (!this.view.ready && !res.destroyed && this.clock.now() < until) {
@@ -315,24 +305,6 @@
     }
 }
 
-/** The endpoint that every process ranks first for the shared parts of a prompt, by rendezvous hashing. */
-function rankFirst(req: DispatchRequest, endpoints: readonly Endpoint[]): string | undefined {
-    const key = sharedKey(req);
-    if (key === undefined) {
-        return undefined;
-    }
-    let best: string | undefined;
-    let bestScore = -1;
-    for (const { id } of endpoints) {
-        const score = murmurhash.v3(`${key}@${id}`);
-        if (score > bestScore) {
-            bestScore = score;
-            best = id;
-        }
-    }
-    return best;
-}
-
 /** Sends an answer of the ingress's own, with the time after which to come back. */
 export function sendRefusal(
     res: ServerResponse,
--- a/packages/ingress/src/relayed-call.ts
+++ b/packages/ingress/src/relayed-call.ts
@@ -1,10 +1,9 @@
-import { type Choice, ServiceModel } from "@lentilramp/dispatch";
+import { type Booking, type Choice, type PlaceOutcome, ServiceModel } from "@lentilramp/dispatch";
 import type { Endpoint } from "@lentilramp/fleet";
 import type { IncomingMessage } from "node:http";
 import { AnswerWriter, type BodyEnd } from "./answer-writer.ts";
 import { Attempt, type AttemptOutcome } from "./attempt.ts";
 import { CallRecord } from "./call-record.ts";
-import type { PlaceOutcome } from "./place-queue.ts";
 import { type AdmittedRequest, type RelayContext, sendRefusal } from "./relay.ts";
 
 /** Part of the time to the target after which an idempotent call without an answer is tried elsewhere. */
@@ -23,9 +22,8 @@
 interface Sent {
     attempt: Attempt;
     endpoint: Endpoint;
-    unreadTokens: number;
+    booking: Booking;
     sentAt: number;
-    started: boolean;
     ended: boolean;
 }
 
@@ -110,7 +108,7 @@
     }
 
     /** Waits for a place. The load is booked in the same turn in which the place is chosen. */
-    private place(first: boolean): Promise<PlaceOutcome> {
+    private place(first: boolean): Promise<PlaceOutcome<Endpoint>> {
         const { dispatch } = this.admitted;
         const { dispatcher, clock } = this.ctx;
         const model = this.ctx.model(dispatch.service);
@@ -124,7 +122,7 @@
                 ahead,
             );
         return new Promise(resolve => {
-            const settle = (outcome: PlaceOutcome): void => {
+            const settle = (outcome: PlaceOutcome<Endpoint>): void => {
                 if (outcome.kind === "send") {
                     this.book(outcome.choice);
                 }
@@ -155,7 +153,8 @@
         const { endpoint, prediction } = choice;
         const now = ctx.clock.now();
         const { dispatch } = admitted;
-        ctx.view.board.sent(endpoint.id, prediction.unreadTokens);
+        this.record.decided(choice, ctx.view.board.load(endpoint.id, now).unreadTokens);
+        const booking = ctx.view.board.book(endpoint.id, prediction, now);
         ctx.view.health.dispatched(endpoint.id, now);
         const service = ctx.view.catalog?.services.get(dispatch.service);
         if (dispatch.work !== undefined && service?.engine !== undefined) {
@@ -185,9 +184,8 @@
         this.current = {
             attempt,
             endpoint,
-            unreadTokens: prediction.unreadTokens,
+            booking,
             sentAt: now,
-            started: false,
             ended: false,
         };
     }
@@ -325,20 +323,14 @@
     }
 
     private start(sent: Sent): void {
-        if (!sent.started) {
-            sent.started = true;
-            this.ctx.view.board.started(sent.endpoint.id, sent.unreadTokens);
-            this.ctx.queue(this.admitted.dispatch.service).pump();
-        }
+        sent.booking.start(this.ctx.clock.now());
+        this.ctx.queue(this.admitted.dispatch.service).pump();
     }
 
     private end(sent: Sent): void {
         if (!sent.ended) {
             sent.ended = true;
-            if (!sent.started) {
-                this.ctx.view.board.started(sent.endpoint.id, sent.unreadTokens);
-            }
-            this.ctx.view.board.ended(sent.endpoint.id);
+            sent.booking.end();
             this.ctx.queue(this.admitted.dispatch.service).pump();
         }
     }
--- a/packages/ingress/tests/ingress-harness.ts
+++ b/packages/ingress/tests/ingress-harness.ts
@@ -116,6 +116,7 @@
             failureDomain: "a",
             callers: { host: "127.0.0.1", port: ports.callers },
             readiness: { host: "127.0.0.1", port: ports.readiness },
+            inner: { host: "127.0.0.1", port: 0 },
             graceMs: 2_000,
             retryRatio: 0.5,
             retryWindowMs: 10_000,
@@ -141,7 +142,7 @@
                 catalog: { version: catalog.version, text: "" },
                 shares: {},
                 floorShare: 0,
-                peers: {},
+                others: {},
                 members: 1,
             }, this.clock.now());
         }
--- a/packages/ingress/tests/relay.test.ts
+++ b/packages/ingress/tests/relay.test.ts
@@ -87,7 +87,7 @@
         };
         harness.relay.budget("app");
         harness.view.apply(
-            { leading: false, stewards: [], shares: {}, floorShare: 0.1, peers: {}, members: 5 },
+            { leading: false, stewards: [], shares: {}, floorShare: 0.1, others: {}, members: 5 },
             harness.clock.now(),
         );
         expect(taken()).to.be.within(1, harness.options.retryReserve / 5);
--- a/packages/steward/src/fleet-coordinator.ts
+++ b/packages/steward/src/fleet-coordinator.ts
@@ -13,6 +13,7 @@
 } from "@lentilramp/fleet";
 import type { SyncAnswer, SyncRequest } from "@lentilramp/ingress";
 import type { Clock } from "@lentilramp/runtime";
+import murmurhash from "murmurhash";
 
 /** Silence after which an ingress is left out of address lookups, in milliseconds; three syncs and a lost one. */
 const silenceMs = 1_200;
@@ -82,7 +83,8 @@
                 workspaces.map(workspace => [workspace, this.shares.share(name, workspace, live, members)]),
             ),
             floorShare: CapShares.floor(members),
-            peers: this.peersOf(name, live),
+            others: this.othersOf(new Set([name, ...req.heardFrom]), live),
+            roster: this.rosterFor(req.rosterTag),
             members,
             trueMs: this.trueTime.at(now),
         };
@@ -116,16 +118,22 @@
         }
     }
 
-    private peersOf(own: string, live: readonly string[]): Record<string, EndpointLoad> {
-        const peers: Record<string, EndpointLoad> = {};
+    private othersOf(known: ReadonlySet<string>, live: readonly string[]): Record<string, EndpointLoad> {
+        const others: Record<string, EndpointLoad> = {};
         for (const name of live) {
-            const state = name === own ? undefined : this.ingresses.get(name);
+            const state = known.has(name) ? undefined : this.ingresses.get(name);
             for (const [endpoint, load] of Object.entries(state?.load ?? {})) {
-                const sum = peers[endpoint] ??= { running: 0, unreadTokens: 0 };
+                const sum = others[endpoint] ??= { running: 0, unreadTokens: 0 };
                 sum.running += load.running;
                 sum.unreadTokens += load.unreadTokens;
             }
         }
-        return peers;
+        return others;
+    }
+
+    private rosterFor(tag: number): SyncAnswer["roster"] {
+        const ingresses = this.roster.live(this.clock.now());
+        const present = murmurhash.v3(JSON.stringify(ingresses));
+        return present === tag ? undefined : { tag: present, ingresses };
     }
 }
--- a/packages/steward/src/steward-methods.ts
+++ b/packages/steward/src/steward-methods.ts
@@ -88,7 +88,7 @@
                 // Floors never expire, so that an ingress that starts while nobody leads can serve.
                 floorShare: CapShares.floor(state.members),
                 cappedWorkspaces: [...parts.cappedWorkspaces()],
-                peers: {},
+                others: {},
                 members: state.members,
             };
         }
--- a/scripts/package-layers.mjs
+++ b/scripts/package-layers.mjs
@@ -47,6 +47,6 @@
     ],
     "stand-ins": ["runtime"],
     "model-check": ["runtime", "agreement", ...decisions],
-    bench: ["runtime", "agreement", "journal", "protocol", "entry", "stand-ins", ...decisions],
+    bench: ["runtime", "agreement", "journal", "protocol", "entry", "stand-ins", "dispatch", ...decisions],
     demo: ["runtime", "protocol", "questionnaire", "configuration", "stand-ins"],
 };
