Let a new holder of the duties act 1.35 s after the change of leader

Cause: a steward that follows another in office waited for the whole lease and 0.3 s, 3.3 s without an order, although only a holder that comes back can make the order A, B, A. Change: a call rests on a proof of leadership that is at most 250 ms old and ends 800 ms later, with a reset, so that nothing of it arrives afterwards; a new holder waits for that long, one that held the office before also for the lease since its own last call. Orders after a long batch take a new proof. Ruled out: no wait at all (a call of the old holder may still be under way); trusting the clock over a suspension (the proof is taken again instead).

--- a/packages/protocol/src/json-client.ts
+++ b/packages/protocol/src/json-client.ts
@@ -65,7 +65,11 @@
                 reject(new PlatformError(undefined, `${method} ${url.pathname}: ${reason}`));
                 req.destroy();
             };
-            const timer = this.clock.schedule(deadline, () => fail("no answer before the deadline"));
+            const timer = this.clock.schedule(deadline, () => {
+                // Bytes that were not delivered yet must not arrive after the caller has been told that it failed.
+                req.socket?.resetAndDestroy();
+                fail("no answer before the deadline");
+            });
             req.on("error", err => fail(err.message));
             req.on("response", res => {
                 readBody(res, answerLimitBytes).then(answer => {
--- a/packages/steward/src/catalog-state.ts
+++ b/packages/steward/src/catalog-state.ts
@@ -28,6 +28,8 @@
     office: z.object({ fence: z.number(), holder: z.string() }).optional(),
     reports: z.array(reportSchema),
     members: z.number().default(0),
+    /** Everyone who ever held the office; absent in states of versions that did not keep it. */
+    holders: z.array(z.string()).optional(),
 });
 
 /** Result of a command. */
@@ -37,13 +39,21 @@
     fence: number;
     /** Who held the office before, for a command `office`. */
     previousHolder?: string;
+    /** Whether the holder of a command `office` may have held it at an earlier time. */
+    heldBefore?: boolean;
     /** The decided report, for a command `usage`. */
     report?: UsageReport;
 }
 
 /** The replicated state of the stewards. */
 export class CatalogState implements StateMachine {
-    private state: z.infer<typeof stateSchema> = { version: -1, text: "", reports: [], members: 0 };
+    private state: z.infer<typeof stateSchema> = {
+        version: -1,
+        text: "",
+        reports: [],
+        members: 0,
+        holders: [],
+    };
     private role: Role = "follower";
     private term = 0;
 
@@ -80,6 +90,7 @@
 
     apply(text: string, index: number): CommandOutcome {
         const previousHolder = this.state.office?.holder;
+        let heldBefore: boolean | undefined;
         const command = commandSchema.parse(JSON.parse(text));
         switch (command.type) {
             case "catalog":
@@ -90,7 +101,9 @@
                 }
                 break;
             case "office":
+                heldBefore = this.state.holders?.includes(command.holder) ?? true;
                 this.state.office = { fence: index, holder: command.holder };
+                this.state.holders = this.state.holders && [...new Set([...this.state.holders, command.holder])];
                 break;
             case "usage":
                 if (this.report(command.report.window) === undefined) {
@@ -107,6 +120,7 @@
             version: this.state.version,
             fence: this.state.office?.fence ?? 0,
             previousHolder,
+            heldBefore,
             report: command.type === "usage" ? this.report(command.report.window) : undefined,
         };
     }
--- a/packages/steward/src/index.ts
+++ b/packages/steward/src/index.ts
@@ -3,6 +3,7 @@
  */
 export * from "./catalog-state.ts";
 export * from "./duty-calls.ts";
+export * from "./duty-tenure.ts";
 export * from "./fleet-coordinator.ts";
 export * from "./founding.ts";
 export * from "./member-retirement.ts";
--- a/packages/steward/src/platform-duties.ts
+++ b/packages/steward/src/platform-duties.ts
@@ -5,6 +5,7 @@
 import { type Clock, type EventLog, PeriodicComponent } from "@lentilramp/runtime";
 import type { UsageReport } from "./catalog-state.ts";
 import type { DutyCalls, DutyHolder } from "./duty-calls.ts";
+import { DutyTenure } from "./duty-tenure.ts";
 import type { FleetCoordinator } from "./fleet-coordinator.ts";
 import { describe, type StewardCore } from "./steward-core.ts";
 import type { StewardOptions } from "./steward-options.ts";
@@ -12,19 +13,18 @@
 const tickMs = 200;
 /** Time between two reads of the list of endpoints; with a sync it stays well under the bound for leaving ones. */
 const listMs = 450;
-const callMs = 1_000;
+const readMs = 1_000;
 /** Time after the end of a usage window until the ingresses' counts are complete, in milliseconds. */
 const settleMs = 3_000;
 /** Time after taking office until a lower number of ingresses is believed, in milliseconds. */
 const membersSettleMs = 5_000;
 /** Time between two plans of the numbers of replicas. */
 const planMs = 250;
-/** Added to the lease of a duty for the time that a call is on its way, in milliseconds. */
-const leaseMarginMs = 300;
 
 /** The duties of the steward in office: reads the list, reports usage, and orders replicas. */
 export class PlatformDuties extends PeriodicComponent {
     readonly name = "platform-duties";
+    private readonly tenure: DutyTenure;
     private readonly planners = new Map<string, ReplicaPlanner>();
     private readonly reported = new Set<number>();
     /** Term and instant in which this steward took office. */
@@ -47,6 +47,7 @@
         private readonly log: EventLog,
     ) {
         super(clock, tickMs);
+        this.tenure = new DutyTenure(options.dutyLeaseMs, clock.now());
     }
 
     /** Whether this steward holds the office of the present term. */
@@ -110,10 +111,12 @@
         try {
             const term = this.core.state.currentTerm;
             // The holder before this entry, which a new leader can learn only when all entries before it are applied.
-            const { fence, previousHolder } = await this.core.propose({ type: "office", holder: this.options.name });
+            const { fence, previousHolder, heldBefore = true } = await this.core.propose({
+                type: "office",
+                holder: this.options.name,
+            });
             const since = this.clock.now();
-            const same = previousHolder === undefined || previousHolder === this.options.name;
-            const actFrom = same ? since : since + this.options.dutyLeaseMs + leaseMarginMs;
+            const actFrom = this.tenure.actFrom(since, { previousHolder, heldBefore }, this.options.name);
             this.office = { term, fence, since, actFrom };
             this.log.info("duty.taken", {
                 fence,
@@ -130,6 +133,19 @@
         }
     }
 
+    /** Whether a call may be made whose proof of leadership was begun at `provenAt`. */
+    private mayCall(provenAt: number, holder: DutyHolder): boolean {
+        const may = this.inOffice && this.office?.fence === holder.fence
+            && this.tenure.covers(provenAt, this.clock.now());
+        if (!may) {
+            this.log.info("duty.call-withheld", {
+                fence: holder.fence,
+                proofAgeMs: Math.round(this.clock.now() - provenAt),
+            });
+        }
+        return may;
+    }
+
     private async readList(): Promise<void> {
         const now = this.clock.now();
         if (now - this.listReadAt < listMs) {
@@ -137,7 +153,7 @@
         }
         this.listReadAt = now;
         try {
-            const endpoints = await this.source.read(now + callMs);
+            const endpoints = await this.source.read(now + readMs);
             const number = this.core.state.currentTerm * 1_000_000 + ++this.listNumber;
             const changed = this.coordinator.takeList(endpoints, now, number);
             if (changed || this.listFailed) {
@@ -178,9 +194,13 @@
                 continue;
             }
             const report: UsageReport = { window, counts: this.coordinator.usage.total(window) };
+            const provenAt = this.clock.now();
             const outcome = await this.core.propose({ type: "usage", report });
             const decided = outcome.report ?? report;
-            await this.calls.reportUsage(decided, holder, this.clock.now() + callMs);
+            if (!this.mayCall(provenAt, holder)) {
+                return;
+            }
+            await this.calls.reportUsage(decided, holder, this.tenure.call(this.clock.now()));
             this.reported.add(window);
             this.log.info("usage.reported", {
                 window,
@@ -216,12 +236,19 @@
                 prefillPerSecond: engineSpeedDefaults.prefillTokensPerMs * 1_000,
             };
             const orders = planner.plan(endpoints, scaling, this.options.failureDomains, capacity, now);
-            if (orders.length > 0) {
-                await this.core.propose({ type: "barrier" });
-            }
+            let provenAt = -Infinity;
             for (const order of orders) {
                 try {
-                    const outcome = await this.calls.orderReplicas(order, holder, this.clock.now() + callMs);
+                    if (!this.tenure.covers(provenAt, this.clock.now())) {
+                        provenAt = this.clock.now();
+                        await this.core.propose({ type: "barrier" });
+                    }
+                    if (!this.mayCall(provenAt, holder)) {
+                        planner.forget(order);
+                        continue;
+                    }
+                    const deadline = this.tenure.call(this.clock.now());
+                    const outcome = await this.calls.orderReplicas(order, holder, deadline);
                     if (outcome !== "accepted") {
                         planner.refused(order, now);
                     }
--- a/packages/steward/tests/catalog-state.test.ts
+++ b/packages/steward/tests/catalog-state.test.ts
@@ -33,6 +33,18 @@
         expect(apply(state, { type: "office", holder: "a" }, 9)).to.include({ fence: 9, previousHolder: "b" });
     });
 
+    it("knows who held the office before, also after a snapshot, and takes everyone for it when that was not kept", () => {
+        const state = create();
+        expect(apply(state, { type: "office", holder: "a" }, 1).heldBefore).to.equal(false);
+        const restored = create();
+        restored.restore(state.snapshot());
+        expect(apply(restored, { type: "office", holder: "b" }, 2).heldBefore).to.equal(false);
+        expect(apply(restored, { type: "office", holder: "a" }, 3).heldBefore).to.equal(true);
+        const older = create();
+        older.restore(JSON.stringify({ version: 1, text: "t", reports: [], members: 2 }));
+        expect(apply(older, { type: "office", holder: "c" }, 4).heldBefore).to.equal(true);
+    });
+
     it("comes back from a snapshot with everything that was decided", () => {
         const state = create();
         apply(state, catalog(4), 1);
