Leave no listener behind on a kept connection to an endpoint

Cause: EndpointAgent added a listener to the socket each time that it became idle, to forget it on close, and never took it away; a connection that carries a request a second held one closure more each second. Seen as MaxListenersExceededWarning in a new test of the sampled log lines. Ruled out: the second warning came from the test's own endpoint, mended too. Change: the sockets are kept in a WeakMap, which needs no listener. Conclusion: mended; no other use of the map needed its size.

--- a/packages/ingress/src/endpoint-pool.ts
+++ b/packages/ingress/src/endpoint-pool.ts
@@ -12,7 +12,7 @@
  * the bytes belong to no request.
  */
 class EndpointAgent extends Agent {
-    private readonly unexpected = new Map<Socket, () => void>();
+    private readonly unexpected = new WeakMap<Socket, () => void>();
 
     constructor(options: AgentOptions) {
         super({ ...options, keepAlive: true, scheduling: "lifo", noDelay: true } as AgentOptions);
@@ -31,7 +31,6 @@
         const onData = (): void => void socket.destroy();
         socket.once("data", onData);
         this.unexpected.set(socket, onData);
-        socket.once("close", () => this.unexpected.delete(socket));
         return true;
     }
 
--- a/packages/ingress/tests/ingress-harness.ts
+++ b/packages/ingress/tests/ingress-harness.ts
@@ -5,7 +5,7 @@
 import { MemoryEventLog, MemoryMetrics, SeededRandom, SystemClock } from "@lentilramp/runtime";
 import { once } from "node:events";
 import { createServer, type IncomingHttpHeaders, type IncomingMessage, request, type ServerResponse } from "node:http";
-import { type AddressInfo, connect } from "node:net";
+import { type AddressInfo, connect, type Socket } from "node:net";
 import { Err, Ok, type Result } from "ts-results-es";
 import { testCatalog } from "../../catalog/tests/fixtures.ts";
 
@@ -24,6 +24,7 @@
 /** An endpoint that answers as the test says. */
 export class ScriptedEndpoint {
     readonly seen: SeenRequest[] = [];
+    private readonly sockets = new WeakMap<Socket, Promise<unknown>>();
     readonly server = createServer((req, res) => void this.handle(req, res));
 
     constructor(readonly id: string, public answer: Answer) {}
@@ -51,6 +52,13 @@
         };
     }
 
+    /** One promise for each connection, since many requests come on the same one. */
+    private closed(socket: Socket): Promise<unknown> {
+        const closed = this.sockets.get(socket) ?? once(socket, "close");
+        this.sockets.set(socket, closed);
+        return closed;
+    }
+
     private async handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
         const parts: Buffer[] = [];
         for await (const part of req) {
@@ -61,7 +69,7 @@
             target: req.url ?? "",
             headers: req.headers,
             body: Buffer.concat(parts).toString("latin1"),
-            closed: once(req.socket, "close"),
+            closed: this.closed(req.socket),
         };
         this.seen.push(seen);
         await this.answer(req, res, seen);
--- a/packages/ingress/tests/relay.test.ts
+++ b/packages/ingress/tests/relay.test.ts
@@ -1,6 +1,6 @@
 import type { CatalogRoute } from "@lentilramp/catalog";
 import { expect } from "chai";
-import type { IncomingMessage } from "node:http";
+import type { Agent, IncomingMessage } from "node:http";
 import { testCatalog, testRoute, testWorkspace } from "../../catalog/tests/fixtures.ts";
 import { type Answer, IngressHarness, ScriptedEndpoint, sealed } from "./ingress-harness.ts";
 
@@ -93,6 +93,27 @@
         expect(taken()).to.be.within(1, harness.options.retryReserve / 5);
     });
 
+    // Each request left a listener on the kept connection for as long as that lived.
+    it("leaves nothing behind on a kept connection", async () => {
+        const { call, harness } = await startBound([sealed(200, "ok")]);
+        const listeners = (): number[] => {
+            const [endpoint] = harness.view.endpoints.all;
+            const { agent } = harness.relay.pool.options(endpoint!, 4);
+            const sockets = Object.values((agent as Agent).freeSockets).flatMap(free => free ?? []);
+            return sockets.map(socket => socket.listenerCount("close") + socket.listenerCount("data"));
+        };
+        const callOften = async (times: number): Promise<void> => {
+            for (let i = 0; i < times; i++) {
+                await call({});
+            }
+        };
+        await callOften(2);
+        const before = listeners();
+        await callOften(20);
+        expect(before).to.have.length(1);
+        expect(listeners()).to.deep.equal(before);
+    });
+
     // Usage reports were off by 18 in 100 while endpoints failed: repeated requests counted twice, failed streams not.
     it("counts a request once in the usage of its workspace, also when it is repeated or fails as a stream", async () => {
         const first = await startBound([sealed(500, "broken"), sealed(200, "ok")]);
