--- a/packages/bench/src/registry.ts
+++ b/packages/bench/src/registry.ts
@@ -4,6 +4,7 @@
 import { ControlExperiment } from "./experiments/control/control.ts";
 import { CostExperiment } from "./experiments/cost/cost.ts";
 import { ElectionExperiment } from "./experiments/election.ts";
+import { LogCostExperiment } from "./experiments/logs/log-cost.ts";
 import { MembershipExperiment } from "./experiments/membership.ts";
 import { OnceExperiment } from "./experiments/once/once.ts";
 import { OverloadPlatformExperiment } from "./experiments/overload-platform/overload-platform.ts";
@@ -30,4 +31,5 @@
     new OverloadPlatformExperiment(),
     new RetriesExperiment(),
     new MembershipExperiment(),
+    new LogCostExperiment(),
 ];
--- a/packages/cli/tests/fleet-harness.ts
+++ b/packages/cli/tests/fleet-harness.ts
@@ -6,6 +6,8 @@
 import type { AddressInfo } from "node:net";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
+// @ts-expect-error The build scripts are plain JavaScript without declarations.
+import { bundleOptions } from "../../../scripts/bundle-options.mjs";
 
 const innerPort = 7_600;
 export const ports = { front: 8_001, ready: 8_002, control: 8_003, directory: 8_004 } as const;
@@ -126,14 +128,9 @@
 
     async start(): Promise<void> {
         await build({
+            ...bundleOptions("0.0.0-test"),
             entryPoints: ["packages/cli/src/main.ts"],
             outfile: join(this.folder, "lentilramp.cjs"),
-            bundle: true,
-            platform: "node",
-            format: "cjs",
-            external: ["unix-dgram"],
-            mainFields: ["module", "main"],
-            logLevel: "silent",
         });
         writeFileSync(join(this.folder, "key"), "a key of this test alone");
         [...this.stewards, ...this.ingresses].forEach(host => this.run(host));
