--- a/packages/cli/tests/fleet-harness.ts
+++ b/packages/cli/tests/fleet-harness.ts
@@ -130,6 +130,7 @@
     readonly ingresses: readonly string[];
     private readonly folder = mkdtempSync(join(tmpdir(), "lentilramp-fleet-"));
     private readonly running = new Map<string, ChildProcess>();
+    private readonly ending = new Set<string>();
     private started = false;
 
     constructor(private readonly cloudAddress: string, stewards: number, ingresses: number) {
@@ -192,9 +193,9 @@
         this.running.set(host, child);
     }
 
-    /** Whether a process runs at a host. */
+    /** Whether a process runs at a host that was not told to end. */
     runs(host: string): boolean {
-        return this.running.has(host);
+        return this.running.has(host) && !this.ending.has(host);
     }
 
     /** Sends a signal that does not end the process. */
@@ -208,10 +209,13 @@
         if (child === undefined) {
             throw new Error(`no process runs at ${host}`);
         }
-        this.running.delete(host);
+        this.ending.add(host);
         const exited = once(child, "exit");
         child.kill(signal);
         const [code] = await exited as [number | null];
+        // A process that is paused ends only when it is resumed, so that it has to be known until then.
+        this.running.delete(host);
+        this.ending.delete(host);
         return code;
     }
 
--- a/packages/cli/tests/soak/soak.test.ts
+++ b/packages/cli/tests/soak/soak.test.ts
@@ -1,4 +1,5 @@
 import { expect } from "chai";
+import { FleetProcesses } from "../fleet-harness.ts";
 import { brokenDuties, brokenPromises, type CallSeen } from "./promises.ts";
 import { schedule } from "./schedule.ts";
 import { type Run, wholeBody } from "./soak-endpoint.ts";
@@ -52,6 +53,24 @@
         expect(brokenDuties([duty, other]).join("\n")).to.contain("reported as");
     });
 
+    // With seed 8 a stop met a paused process; it was forgotten, never resumed, and the run did not end.
+    it("can still resume a paused process that was told to end", async function() {
+        this.timeout(20_000);
+        const fleet = new FleetProcesses("127.0.0.1:9", 1, 0);
+        try {
+            await fleet.start();
+            const [host = ""] = fleet.stewards;
+            fleet.signal(host, "SIGSTOP");
+            const ended = fleet.end(host, "SIGTERM");
+            expect(fleet.runs(host)).to.equal(false);
+            fleet.signal(host, "SIGCONT");
+            await ended;
+        }
+        finally {
+            await fleet.close();
+        }
+    });
+
     for (const seed of [1, ...failedSeeds]) {
         it(`keeps every promise under the faults of seed ${seed}`, async function() {
             this.timeout(90_000);
