--- a/packages/fleet/src/replica-planner.ts
+++ b/packages/fleet/src/replica-planner.ts
@@ -172,7 +172,7 @@
         ]));
         const counts = [...reclaimable.values()];
         const reclaimableReady = counts.reduce((sum, count) => sum + count, 0);
-        const left = reclaimableReady - Math.max(0, ...counts);
+        const leftAfterLoss = reclaimableReady - Math.max(0, ...counts);
         const refused = domains.some(domain => now < (this.refusedUntil.get(domain) ?? 0));
         // Without demand nobody is hurt while reclaimable replicas still start.
         const wanted = demanded === undefined
@@ -180,7 +180,7 @@
             : Math.max(
                 Math.ceil(needed * onDemandPart),
                 needed - reclaimableReady,
-                Math.ceil(needed * leftAfterLossPart) - left,
+                Math.ceil(needed * leftAfterLossPart) - leftAfterLoss,
             );
         const onDemand = this.onDemandCounts(wanted, reclaimable, range);
         const mayOrder = demanded !== undefined || this.installed.settled(now);
--- a/packages/steward/src/duty-tenure.ts
+++ b/packages/steward/src/duty-tenure.ts
@@ -24,8 +24,8 @@
         if (previousHolder === undefined || previousHolder === own) {
             return since;
         }
-        const overtaking = since + proofMs + callMs + marginMs;
-        return heldBefore ? Math.max(overtaking, this.lastCallAt + this.leaseMs + marginMs) : overtaking;
+        const afterOldCalls = since + proofMs + callMs + marginMs;
+        return heldBefore ? Math.max(afterOldCalls, this.lastCallAt + this.leaseMs + marginMs) : afterOldCalls;
     }
 
     /** Whether a call may still rest on a proof of leadership that was begun at `provenAt`. */
