--- a/packages/bench/src/experiments/overload-platform/overload-platform.ts
+++ b/packages/bench/src/experiments/overload-platform/overload-platform.ts
@@ -9,6 +9,7 @@
 import { SeededRandom } from "@lentilramp/runtime";
 import { atLeast, Experiment, type ExperimentResult, type SeriesPoint } from "../../experiment.ts";
 import { EventQueue } from "../../fakes/event-queue.ts";
+import { mean } from "../../statistics.ts";
 import { type FleetModelOptions, type FleetPolicy, IngressFleet, type PromptOutcome } from "./ingress-fleet.ts";
 import { type PromptArrival, promptArrivals, type PromptLoadOptions, requestKinds } from "./prompt-load.ts";
 
@@ -167,10 +168,6 @@
     }
 }
 
-function mean(values: readonly number[]): number {
-    return values.reduce((sum, value) => sum + value, 0) / Math.max(1, values.length);
-}
-
 /** Half of the width of the 95% interval of the mean, by the normal approximation. */
 function halfWidth(values: readonly number[]): number {
     const center = mean(values);
--- a/packages/bench/src/experiments/relay/relay.ts
+++ b/packages/bench/src/experiments/relay/relay.ts
@@ -2,6 +2,7 @@
 import { once } from "node:events";
 import { atLeast, atMost, Experiment, type ExperimentResult, type SeriesPoint } from "../../experiment.ts";
 import { forkModule, forkScript } from "../../processes/fork-module.ts";
+import { mean } from "../../statistics.ts";
 import type { LoadOptions, LoadResult } from "./load-generator.ts";
 import { BareRelay, EntryRelay, type MeasuredSystem } from "./measured-systems.ts";
 
@@ -27,10 +28,6 @@
     firstTokenP99Ms: number;
 }
 
-function mean(values: readonly number[]): number {
-    return values.reduce((sum, value) => sum + value, 0) / values.length;
-}
-
 function average(measurements: readonly Measurement[]): Measurement {
     const of = (pick: (m: Measurement) => number): number => mean(measurements.map(pick));
     return {
--- a/packages/cli/tests/soak/soak-endpoint.ts
+++ b/packages/cli/tests/soak/soak-endpoint.ts
@@ -1,5 +1,6 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { AddressInfo } from "node:net";
+import { setTimeout as sleep } from "node:timers/promises";
 
 /** Events of a whole stream. */
 export const streamEvents = 6;
@@ -78,7 +79,3 @@
         res.end();
     }
 }
-
-export function sleep(ms: number): Promise<void> {
-    return new Promise(resolve => setTimeout(resolve, ms));
-}
--- a/packages/cli/tests/soak/soak-run.ts
+++ b/packages/cli/tests/soak/soak-run.ts
@@ -1,9 +1,10 @@
 import { Agent, request } from "node:http";
+import { setTimeout as sleep } from "node:timers/promises";
 import { exchange, FleetProcesses, PlatformStandIn, ports, until } from "../fleet-harness.ts";
 import { ChaosProxy } from "./chaos-proxy.ts";
 import { brokenDuties, brokenPromises, type CallKind, type CallSeen, type DutySeen } from "./promises.ts";
 import { describeFault, type Fault, schedule } from "./schedule.ts";
-import { type Run, sleep, SoakEndpoint } from "./soak-endpoint.ts";
+import { type Run, SoakEndpoint } from "./soak-endpoint.ts";
 
 export interface SoakOptions {
     seed: number;
--- a/packages/entry/src/chat-body.ts
+++ b/packages/entry/src/chat-body.ts
@@ -1,3 +1,4 @@
+import { formatIssues } from "@lentilramp/protocol";
 import { z } from "zod";
 import { CallerError } from "./caller-error.ts";
 
@@ -16,10 +17,7 @@
 export function parseChatBody(value: unknown): ChatBody {
     const parsed = chatBodySchema.safeParse(value);
     if (!parsed.success) {
-        const details = parsed.error.issues.map(issue => `${issue.path.join(".") || "body"}: ${issue.message}`).join(
-            "; ",
-        );
-        throw new CallerError(400, "malformed-request", details, "not-run");
+        throw new CallerError(400, "malformed-request", formatIssues(parsed.error, "body"), "not-run");
     }
     return parsed.data;
 }
--- a/packages/fleet/src/cap-meter.ts
+++ b/packages/fleet/src/cap-meter.ts
@@ -1,11 +1,5 @@
 import type { CatalogWorkspace } from "@lentilramp/catalog";
-
-/** The part of a cap that an ingress uses when it has no valid share from the steward. */
-interface Bucket {
-    /** Units that may be used now. */
-    level: number;
-    filledAt: number;
-}
+import { CapBucket, type CapVerdict } from "./cap-bucket.ts";
 
 /** Part of a workspace's cap that one ingress may use. */
 export interface CapShare {
@@ -35,14 +29,11 @@
     return usedTolerance * (overshoot * (capPerSecond * windowMs / 1_000 + capBurst) + units);
 }
 
-/** Answer of the meter: admitted, or the instant at which there is room. */
-export type CapVerdict = { admitted: true; } | { admitted: false; retryAt: number; };
-
 /** Enforces this ingress's part of each workspace's cap with one token bucket a workspace. */
 export class CapMeter {
     constructor(private readonly tolerance: CapTolerance = { overshoot: 0, windowMs: 0, units: 0 }) {}
 
-    private readonly buckets = new Map<string, Bucket>();
+    private readonly buckets = new Map<string, CapBucket>();
     private readonly shares = new Map<string, CapShare>();
     private readonly asked = new Map<string, number>();
 
@@ -74,28 +65,16 @@
             return { admitted: true };
         }
         const share = this.shareOf(workspace.name, now);
-        const rate = workspace.capPerSecond * share / 1_000;
         const size = (workspace.capBurst + capSlack(workspace, this.tolerance)) * share;
         // A process that starts has used nothing; while it was away, neither had the one before it.
-        const bucket = this.buckets.get(workspace.name) ?? { level: size, filledAt: now };
-        bucket.level = Math.min(size, bucket.level + (now - bucket.filledAt) * rate);
-        bucket.filledAt = now;
+        const bucket = this.buckets.get(workspace.name) ?? new CapBucket(size, now);
         this.buckets.set(workspace.name, bucket);
-        // A request larger than the whole bucket is admitted from a full one and leaves a debt.
-        if (bucket.level >= Math.min(units, size) && size > 0) {
-            bucket.level -= units;
-            return { admitted: true };
-        }
-        const missing = Math.min(units, size) - bucket.level;
-        return { admitted: false, retryAt: rate > 0 ? now + missing / rate : Infinity };
+        return bucket.take(units, { size, ratePerMs: workspace.capPerSecond * share / 1_000 }, now);
     }
 
     /** Gives back units of a request that was not sent to any endpoint. */
     refund(workspace: CatalogWorkspace, units: number): void {
-        const bucket = this.buckets.get(workspace.name);
-        if (bucket !== undefined) {
-            bucket.level += units;
-        }
+        this.buckets.get(workspace.name)?.giveBack(units);
     }
 
     /** Units asked for since the last call, by workspace. */
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -1,6 +1,7 @@
 /**
  * What a fleet of ingresses shares: endpoints, roster, usage caps, retry budgets, usage windows, numbers of replicas.
  */
+export * from "./cap-bucket.ts";
 export * from "./cap-meter.ts";
 export * from "./cap-pool.ts";
 export * from "./cap-shares.ts";
--- a/packages/ingress/src/attempt.ts
+++ b/packages/ingress/src/attempt.ts
@@ -33,6 +33,13 @@
     maxFree: number;
 }
 
+/** Reads an answer to its end without using it, so that its connection can be kept. */
+export function discardAnswer(res: IncomingMessage): void {
+    // A cut in what nobody uses is no failure.
+    res.on("error", () => undefined);
+    res.resume();
+}
+
 /** One send of a request to one endpoint, up to the head of the answer. */
 export class Attempt {
     private readonly timers: Timer[] = [];
@@ -159,8 +166,7 @@
             return refuse("answer to another request");
         }
         if (head.notRun) {
-            res.on("error", () => undefined);
-            res.resume();
+            discardAnswer(res);
             return { kind: "not-run", reason: `status ${status}`, arrived: true };
         }
         if (status >= 200 && status < 300 && !head.sealed) {
--- a/packages/ingress/src/relay.ts
+++ b/packages/ingress/src/relay.ts
@@ -9,7 +9,7 @@
     ServiceModel,
 } from "@lentilramp/dispatch";
 import { CapMeter, type CapVerdict, type Endpoint } from "@lentilramp/fleet";
-import { BodyCutError, BodyTooLargeError, readBody } from "@lentilramp/protocol";
+import { BodyCutError, BodyTooLargeError, readBody, sendJson } from "@lentilramp/protocol";
 import { RetryBudget } from "@lentilramp/retries";
 import type { Clock, EventLog, Metrics, RandomSource } from "@lentilramp/runtime";
 import type { IncomingMessage, ServerResponse } from "node:http";
@@ -315,17 +315,8 @@
     retryAfterMs: number | undefined,
     close: boolean,
 ): void {
-    if (res.headersSent || res.destroyed) {
-        return;
-    }
-    const body = Buffer.from(JSON.stringify({ error: reason }));
-    const headers = ["Content-Type", "application/json", "Content-Length", String(body.length)];
-    if (retryAfterMs !== undefined) {
-        headers.push("Retry-After", (retryAfterMs / 1_000).toFixed(3));
-    }
-    if (close) {
-        headers.push("Connection", "close");
-    }
-    res.writeHead(status, headers);
-    res.end(body);
+    sendJson(res, status, { error: reason }, {
+        ...retryAfterMs === undefined ? {} : { "retry-after": (retryAfterMs / 1_000).toFixed(3) },
+        ...close ? { connection: "close" } : {},
+    });
 }
--- a/packages/ingress/src/relayed-call.ts
+++ b/packages/ingress/src/relayed-call.ts
@@ -2,7 +2,7 @@
 import type { Endpoint } from "@lentilramp/fleet";
 import type { IncomingMessage } from "node:http";
 import { AnswerWriter, type BodyEnd } from "./answer-writer.ts";
-import { Attempt, type AttemptOutcome } from "./attempt.ts";
+import { Attempt, type AttemptOutcome, discardAnswer } from "./attempt.ts";
 import { CallRecord } from "./call-record.ts";
 import { type AdmittedRequest, type RelayContext, sendRefusal } from "./relay.ts";
 
@@ -239,8 +239,7 @@
         const mayRepeat = this.repeatable && this.runs < route.maxAttempts
             && !this.writer.started;
         if (serverError && mayRepeat && this.ctx.budget(dispatch.service).tryWithdraw(clock.now())) {
-            res.on("error", () => undefined);
-            res.resume();
+            discardAnswer(res);
             this.resendPaid = true;
             this.record.health(sent.endpoint, "error");
             this.excluded.add(sent.endpoint.id);
@@ -250,8 +249,7 @@
         }
         if (!this.repeatable && (status === 503 || status === 429 || status === 408 || status === 421)) {
             // These statuses promise that the request has not run, and the endpoint has not said so.
-            res.on("error", () => undefined);
-            res.resume();
+            discardAnswer(res);
             this.giveUp(`status ${status} without a statement that the request has not run`, undefined);
             return true;
         }
@@ -284,8 +282,7 @@
 
     /** Drops an answer that does not continue a cut stream; returns whether the request is finished. */
     private onFailedContinuation(sent: Sent, res: IncomingMessage, status: number): boolean {
-        res.on("error", () => undefined);
-        res.resume();
+        discardAnswer(res);
         this.excluded.add(sent.endpoint.id);
         this.lastFailure = `status ${status}`;
         this.record.health(sent.endpoint, status >= 500 ? "error" : "answered");
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -1,4 +1,5 @@
 /** Messages and transport between the processes of the system. */
+export * from "./format-issues.ts";
 export * from "./http-server.ts";
 export * from "./json-client.ts";
 export * from "./messages/claim-wire.ts";
--- a/packages/protocol/src/rpc-server.ts
+++ b/packages/protocol/src/rpc-server.ts
@@ -1,6 +1,7 @@
 import type { EventLog } from "@lentilramp/runtime";
 import { createJSONRPCErrorResponse, JSONRPCErrorCode, JSONRPCServer } from "json-rpc-2.0";
 import type { z } from "zod";
+import { formatIssues } from "./format-issues.ts";
 import { type HttpServer, sendJson } from "./http-server.ts";
 import type { ProcessKey } from "./process-key.ts";
 import { RpcError, rpcErrorCodes } from "./protocol-error.ts";
@@ -25,12 +26,9 @@
         this.server.addMethod(name, async (value: unknown) => {
             const parsed = params.safeParse(value);
             if (!parsed.success) {
-                const details = parsed.error.issues.map(issue => `${issue.path.join(".")}: ${issue.message}`).join(
-                    "; ",
-                );
                 throw new RpcError(
                     "rejected",
-                    `invalid parameters of ${name}: ${details}`,
+                    `invalid parameters of ${name}: ${formatIssues(parsed.error)}`,
                     rpcErrorCodes.invalidRequest,
                 );
             }
--- a/packages/steward/src/steward-core.ts
+++ b/packages/steward/src/steward-core.ts
@@ -1,5 +1,5 @@
 import { type CatalogCodec, checkCatalog } from "@lentilramp/catalog";
-import { type AgreementDriver, ControlError } from "@lentilramp/control";
+import type { AgreementDriver } from "@lentilramp/control";
 import type { Clock, EventLog } from "@lentilramp/runtime";
 import { type CatalogState, type CommandOutcome, type StewardCommand } from "./catalog-state.ts";
 
@@ -56,5 +56,5 @@
 }
 
 export function describe(err: unknown): string {
-    return err instanceof ControlError || err instanceof Error ? err.message : String(err);
+    return err instanceof Error ? err.message : String(err);
 }
