Do once what was done twice for each request; behaviour unchanged

A request's best endpoint was predicted at every endpoint for the account of demand and at once again for the decision: the decision now gives its choice to the account. The head of a refused request was decoded a second time for its log line. A catalog handed to the leader itself was parsed and checked twice. A follower of the load feed cost a second copy of the load. Tests unchanged.

--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -33,7 +33,7 @@
 export type Decision<C extends Candidate> =
     | { kind: "send"; choice: Choice<C>; }
     /** Worth another look when something ends, until the instant `until`. */
-    | { kind: "wait"; until: number; }
+    | { kind: "wait"; until: number; best: Choice<C>; }
     | {
         kind: "refuse";
         reason: "no-endpoint" | "overload";
@@ -42,6 +42,11 @@
         best?: Choice<C>;
     };
 
+/** The endpoint that a decision found best, whether it was good enough or not. */
+export function bestChoice<C extends Candidate>(decision: Decision<C>): Choice<C> | undefined {
+    return decision.kind === "send" ? decision.choice : decision.best;
+}
+
 /** Differences below this are noise of the prediction, in milliseconds; ties are broken at random. */
 const tieMs = 3;
 
@@ -78,7 +83,7 @@
         }
         const waitMs = choice.prediction.firstByteMs - this.allowedMs(req, now);
         if (now + waitMs < latestStart && now < latestStart) {
-            return { kind: "wait", until: latestStart };
+            return { kind: "wait", until: latestStart, best: choice };
         }
         return { kind: "refuse", reason: "overload", retryAfterMs: this.spread(Math.max(waitMs, 0)), best: choice };
     }
--- a/packages/ingress/src/call-record.ts
+++ b/packages/ingress/src/call-record.ts
@@ -19,17 +19,12 @@
     constructor(private readonly admitted: AdmittedRequest, private readonly ctx: RelayContext) {}
 
     /** Counts the work that the request brings, whether it will be served or not. */
-    demand(): void {
-        const { dispatch } = this.admitted;
-        const { work } = dispatch;
-        if (work === undefined) {
-            return;
+    demand(best: Choice<Endpoint> | undefined): void {
+        const { service, work } = this.admitted.dispatch;
+        if (work !== undefined) {
+            const unreadTokens = best?.prediction.unreadTokens ?? work.promptTokens;
+            this.ctx.addDemand(service, unreadTokens, expectedPlaceMs(work, unreadTokens));
         }
-        const { dispatcher, clock } = this.ctx;
-        const candidates = this.ctx.candidates(dispatch.service);
-        const choice = dispatcher.choose(dispatch, candidates, this.ctx.model(dispatch.service), clock.now());
-        const unreadTokens = choice?.prediction.unreadTokens ?? work.promptTokens;
-        this.ctx.addDemand(dispatch.service, unreadTokens, expectedPlaceMs(work, unreadTokens));
     }
 
     /** Counts the request once, when it first began to run, however often it is sent. */
--- a/packages/ingress/src/load-feed.ts
+++ b/packages/ingress/src/load-feed.ts
@@ -50,12 +50,11 @@
             res.writeHead(200, { "content-type": "application/x-ndjson" });
             res.on("error", () => this.followers.delete(res));
             res.on("close", () => this.followers.delete(res));
-            const load = new Map(Object.entries(this.board.snapshot()));
-            // Later lines name only what changed since the last line, so this one must not be newer.
-            res.write(encode(true, this.followers.size === 0 ? load : this.told));
             if (this.followers.size === 0) {
-                this.told = load;
+                this.told = new Map(Object.entries(this.board.snapshot()));
             }
+            // Later lines name only what changed since the last line, so this one must not be newer.
+            res.write(encode(true, this.told));
             this.followers.add(res);
             this.schedule(this.clock.now() + minGapMs);
         });
--- a/packages/ingress/src/relay.ts
+++ b/packages/ingress/src/relay.ts
@@ -218,19 +218,21 @@
         res: ServerResponse,
         arrivedAt: number,
     ): Promise<AdmittedRequest | undefined> {
-        const checked = this.check(req);
+        const head = this.wire.readCaller(req.headers);
+        const refuse = (refusal: Refusal): Promise<void> => this.refuse(req, res, head, refusal);
+        const checked = this.check(req, head);
         if ("status" in checked) {
-            await this.refuse(req, res, checked);
+            await refuse(checked);
             return undefined;
         }
-        const { route, workspace, head } = checked;
+        const { route, workspace } = checked;
         let body: Buffer;
         try {
             body = await readBody(req, this.view.catalog?.limits.maxBodyBytes ?? 0);
         }
         catch (err) {
             if (err instanceof BodyTooLargeError) {
-                await this.refuse(req, res, { status: 413, reason: "body too large" });
+                await refuse({ status: 413, reason: "body too large" });
                 return undefined;
             }
             throw err;
@@ -242,7 +244,7 @@
             const verdict = await this.useCap(workspace, units);
             if (!verdict.admitted) {
                 const retryAfterMs = Math.min(verdict.retryAt - now, 2_000) * (1 + this.random.next() * 0.5);
-                await this.refuse(req, res, { status: 429, reason: "usage cap", retryAfterMs });
+                await refuse({ status: 429, reason: "usage cap", retryAfterMs });
                 return undefined;
             }
         }
@@ -267,7 +269,7 @@
         };
     }
 
-    private check(req: IncomingMessage): Refusal | Pick<AdmittedRequest, "route" | "workspace" | "head"> {
+    private check(req: IncomingMessage, head: CallerHead): Refusal | Pick<AdmittedRequest, "route" | "workspace"> {
         const { catalog, routes, keys } = this.view;
         if (catalog === undefined || routes === undefined || keys === undefined) {
             return { status: 503, reason: "no catalog yet", retryAfterMs: notReadyReturnMs };
@@ -279,19 +281,23 @@
         if (route === undefined) {
             return { status: 404, reason: "no route" };
         }
-        const head = this.wire.readCaller(req.headers);
         if (route.public || catalog.workspaces.length === 0) {
-            return { route, workspace: undefined, head };
+            return { route, workspace: undefined };
         }
         const workspace = keys.find(head.key);
-        return workspace === undefined ? { status: 401, reason: "unknown key" } : { route, workspace, head };
+        return workspace === undefined ? { status: 401, reason: "unknown key" } : { route, workspace };
     }
 
     /** Answers a request of this ingress's own accord. The body is read first, so that the connection can be kept. */
-    private async refuse(req: IncomingMessage, res: ServerResponse, refusal: Refusal): Promise<void> {
+    private async refuse(
+        req: IncomingMessage,
+        res: ServerResponse,
+        head: CallerHead,
+        refusal: Refusal,
+    ): Promise<void> {
         this.metrics.count("refusals", 1, { reason: refusal.reason });
         this.log.info("request.refused", {
-            id: this.wire.readCaller(req.headers).attemptId,
+            id: head.attemptId,
             status: refusal.status,
             reason: refusal.reason,
             catalog: this.view.catalog?.version,
--- a/packages/ingress/src/relayed-call.ts
+++ b/packages/ingress/src/relayed-call.ts
@@ -1,4 +1,4 @@
-import { type Booking, type Choice, type PlaceOutcome, ServiceModel } from "@lentilramp/dispatch";
+import { bestChoice, type Booking, type Choice, type PlaceOutcome, ServiceModel } from "@lentilramp/dispatch";
 import type { Endpoint } from "@lentilramp/fleet";
 import type { IncomingMessage } from "node:http";
 import { AnswerWriter, type BodyEnd } from "./answer-writer.ts";
@@ -63,7 +63,6 @@
         });
         const timer = clock.schedule(dispatch.deadline, () => this.onDeadline());
         this.ctx.budget(dispatch.service).recordRequest(clock.now());
-        this.record.demand();
         try {
             await this.relay();
         }
@@ -109,18 +108,8 @@
 
     /** Waits for a place. The load is booked in the same turn in which the place is chosen. */
     private place(first: boolean): Promise<PlaceOutcome<Endpoint>> {
-        const { dispatch } = this.admitted;
-        const { dispatcher, clock } = this.ctx;
-        const model = this.ctx.model(dispatch.service);
-        const decide = (ahead: number) =>
-            dispatcher.decide(
-                dispatch,
-                this.ctx.candidates(dispatch.service),
-                model,
-                clock.now(),
-                this.excluded,
-                ahead,
-            );
+        const { admitted: { dispatch }, ctx, excluded } = this;
+        const model = ctx.model(dispatch.service);
         return new Promise(resolve => {
             const settle = (outcome: PlaceOutcome<Endpoint>): void => {
                 if (outcome.kind === "send") {
@@ -128,15 +117,10 @@
                 }
                 resolve(outcome);
             };
+            const candidates = (): readonly Endpoint[] => ctx.candidates(dispatch.service);
             if (!first) {
                 // A request that was sent once goes on at once wherever there is an endpoint; its caller has waited.
-                const choice = dispatcher.choose(
-                    dispatch,
-                    this.ctx.candidates(dispatch.service),
-                    model,
-                    clock.now(),
-                    this.excluded,
-                );
+                const choice = ctx.dispatcher.choose(dispatch, candidates(), model, ctx.clock.now(), excluded);
                 settle(
                     choice === undefined
                         ? { kind: "refuse", reason: "no-endpoint", retryAfterMs: endpointRefusedReturnMs }
@@ -144,7 +128,22 @@
                 );
                 return;
             }
-            this.withdraw = this.ctx.queue(dispatch.service).enter(dispatch, decide, settle);
+            let counted = false;
+            this.withdraw = ctx.queue(dispatch.service).enter(dispatch, ahead => {
+                const decision = ctx.dispatcher.decide(
+                    dispatch,
+                    candidates(),
+                    model,
+                    ctx.clock.now(),
+                    excluded,
+                    ahead,
+                );
+                if (!counted) {
+                    counted = true;
+                    this.record.demand(bestChoice(decision));
+                }
+                return decision;
+            }, settle);
         });
     }
 
--- a/packages/steward/src/operator-interface.ts
+++ b/packages/steward/src/operator-interface.ts
@@ -27,7 +27,7 @@
         }
         const outcome = await this.atLeader<SubmitOutcome>(
             async () => {
-                const result = await this.core.submit(text);
+                const result = await this.core.store(checked.version, text);
                 return result.kind === "unavailable" ? undefined : result;
             },
             async (leader, deadline) => {
--- a/packages/steward/src/steward-core.ts
+++ b/packages/steward/src/steward-core.ts
@@ -33,14 +33,18 @@
         return reason === undefined ? { version: decoded.value.version } : { reason };
     }
 
-    /** Stores an operator's text under its number; resolves when it survives the tolerated losses. */
+    /** Checks and stores an operator's text. */
     async submit(text: string): Promise<SubmitOutcome> {
         const checked = this.check(text);
-        if ("reason" in checked) {
-            return { kind: "invalid", reason: checked.reason };
-        }
+        return "reason" in checked
+            ? { kind: "invalid", reason: checked.reason }
+            : await this.store(checked.version, text);
+    }
+
+    /** Stores a checked text under its number; resolves when it survives the tolerated losses. */
+    async store(number: number, text: string): Promise<SubmitOutcome> {
         try {
-            const { version } = await this.propose({ type: "catalog", version: checked.version, text });
+            const { version } = await this.propose({ type: "catalog", version: number, text });
             return { kind: "accepted", version };
         }
         catch (err) {
