--- a/packages/bench/src/experiments/overload-platform/ingress-fleet.ts
+++ b/packages/bench/src/experiments/overload-platform/ingress-fleet.ts
@@ -117,7 +117,7 @@
     private report(ingress: ModelIngress, at: number): void {
         this.clock.schedule(at, () => {
             const { reportMs, reportDelayMs } = this.options.policy;
-            const load = Object.entries(ingress.board.snapshot());
+            const load = [...ingress.board.ownLoad()];
             const name = String(this.ingresses.indexOf(ingress));
             for (const other of this.ingresses.filter(candidate => candidate !== ingress)) {
                 this.clock.schedule(at + reportDelayMs, () => other.board.hear(name, load, true));
--- a/packages/cli/src/wire-ingress.ts
+++ b/packages/cli/src/wire-ingress.ts
@@ -1,12 +1,11 @@
 import {
     CallerServer,
-    CapDraws,
     describeIngress,
+    ExchangeFeed,
+    ExchangeFollower,
     FleetLink,
     FleetView,
     ListFallback,
-    LoadFeed,
-    LoadFollower,
     Relay,
 } from "@lentilramp/ingress";
 import type { EndpointSource, IngressOptions, SyncRequest } from "@lentilramp/ingress";
@@ -31,7 +30,7 @@
     base: FleetProcess,
 ): void {
     const { clock, log, random, client, lifecycle, metrics } = base;
-    const lifetime = randomUUID();
+    const runName = `${options.name}/${randomUUID()}`;
     const view: FleetView = new FleetView(
         new JsonCatalogCodec(),
         clock,
@@ -39,6 +38,7 @@
         options.usageWindowMs,
         options.capTolerance,
         id => relay.pool.forget(id),
+        () => follower.covered("fleet"),
     );
     const lingerMs = lookupMs * keptAnswers;
     const relay = new Relay(
@@ -47,21 +47,18 @@
         options,
         { clock, random, log, metrics },
         lingerMs * servedPart,
-        (workspace, units) => draws.use(workspace, units),
     );
-    const draws: CapDraws = new CapDraws(view.caps, client, () => link.leader, clock, log);
     const accepting = (): boolean => view.ready && lifecycle.state === "ready" && !relay.draining();
     const describe = (elapsedMs: number): SyncRequest => ({
         ingress: describeIngress(options, accepting()),
-        lifetime: `${options.name}/${lifetime}`,
+        lifetime: runName,
         wallMs: Date.now(),
         elapsedMs,
         catalogVersion: view.catalog?.version ?? -1,
         listNumber: view.listNumber,
-        load: view.board.snapshot(),
-        heardFrom: view.board.heardFrom,
+        load: Object.fromEntries(view.board.ownLoad()),
+        followsOthers: follower.hearsOthers,
         rosterTag: view.rosterTag,
-        asked: view.caps.takeAsked(),
         usage: view.usage.snapshot(),
         demand: relay.takeDemand(),
     });
@@ -70,6 +67,7 @@
         seeds,
         describe,
         (answer, sentAt) => view.apply(answer, sentAt),
+        () => view.members,
         clock,
         random,
         log,
@@ -84,13 +82,31 @@
         metrics.gauge("members", view.members);
     });
     const inner = new HttpServer({ ...options.inner, ...defaultHttpServerOptions }, log);
-    const feed = new LoadFeed(view.board, clock);
+    const feed = new ExchangeFeed(
+        view.board,
+        view.caps,
+        runName,
+        (scope, name) => follower.covered(scope, name),
+        clock,
+    );
     feed.attach(inner, base.key);
+    const follower: ExchangeFollower = new ExchangeFollower(
+        options.name,
+        {
+            board: view.board,
+            caps: view.caps,
+            onMemberChange: name => feed.noteBusy(name),
+        },
+        () => view.roster,
+        base.key,
+        clock,
+        log,
+    );
     lifecycle.register(client);
     lifecycle.register(inner);
     lifecycle.register(feed);
     lifecycle.register(link);
-    lifecycle.register(new LoadFollower(options.name, view.board, () => view.roster, base.key, clock, log));
+    lifecycle.register(follower);
     lifecycle.register(new ListFallback(view, source, options.drainBoundMs * listAgePart, clock, log));
     lifecycle.register(new CallerServer(relay, options, accepting, lingerMs, clock, log));
 }
--- a/packages/cli/src/wire-steward.ts
+++ b/packages/cli/src/wire-steward.ts
@@ -85,7 +85,7 @@
         const transport = new RpcTransport(own, client, clock);
         const driver = new AgreementDriver(id, storage, replicated, transport, clock, random, log, agreementTiming);
         const core = new StewardCore(driver, replicated, codec, clock, log);
-        const coordinator = new FleetCoordinator(clock, options.usageWindowMs, options.capTolerance);
+        const coordinator = new FleetCoordinator(clock, options.usageWindowMs);
         const duties = new PlatformDuties(
             core,
             coordinator,
@@ -106,7 +106,6 @@
             repair,
             retirement,
             transport,
-            cappedWorkspaces: () => (catalog?.workspaces ?? []).filter(workspace => workspace.capPerSecond > 0),
             inOffice: () => duties.inOffice,
         });
         base.gauges.push(() => {
--- a/packages/dispatch/src/load-board.ts
+++ b/packages/dispatch/src/load-board.ts
@@ -91,14 +91,16 @@
 export class LoadBoard {
     private readonly own = new Map<string, BoardEntry>();
     private changed: () => void = () => undefined;
-    /** Load of each process that is heard directly. */
-    private readonly heard = new Map<string, Map<string, EndpointLoad>>();
-    /** Sum over `heard`, by endpoint. */
-    private readonly heardSum = new Map<string, EndpointLoad>();
+    /** Load of each process that is heard directly, and whether it speaks for itself alone. */
+    private readonly heard = new Map<string, { load: Map<string, EndpointLoad>; member: boolean; }>();
+    /** Sum over `heard`. */
+    private readonly heardSum = new LoadSum();
+    /** Sum over the members in `heard`. */
+    private readonly memberSum = new LoadSum();
     private others: Readonly<Record<string, EndpointLoad>> = {};
     private othersAt = -Infinity;
 
-    /** Names `run` as what is called when the own load has changed. */
+    /** Names `run` as what is called when the known load has changed. */
     onChange(run: () => void): void {
         this.changed = run;
     }
@@ -110,32 +112,49 @@
         return new Booking(entry, unreadTokens, () => this.changed(), now + idleMs);
     }
 
-    /** Takes the load of all other processes that are not heard directly. */
+    /** Takes the load of all other processes, which counts while none of them is heard directly. */
     setOthers(others: Readonly<Record<string, EndpointLoad>>, now: number): void {
         this.others = others;
         this.othersAt = now;
     }
 
-    /** Takes what another process says of its load: what changed, or all of it. */
-    hear(peer: string, load: Iterable<readonly [string, EndpointLoad]>, whole: boolean): void {
+    /**
+     * Takes what another process says of the load that it knows: what changed, or all of it. `member` says that it
+     * speaks for itself alone.
+     */
+    hear(peer: string, load: Iterable<readonly [string, EndpointLoad]>, whole: boolean, member = true): void {
         if (whole) {
             this.lose(peer);
         }
-        const held = this.heard.get(peer) ?? new Map<string, EndpointLoad>();
+        const held = this.heard.get(peer) ?? { load: new Map<string, EndpointLoad>(), member };
         this.heard.set(peer, held);
         for (const [endpoint, next] of load) {
-            this.add(endpoint, held.get(endpoint), -1);
-            this.add(endpoint, next, 1);
-            held.set(endpoint, next);
+            for (const sum of held.member ? [this.heardSum, this.memberSum] : [this.heardSum]) {
+                sum.replace(endpoint, held.load.get(endpoint), next);
+            }
+            if (next.running === 0 && next.unreadTokens === 0) {
+                held.load.delete(endpoint);
+            }
+            else {
+                held.load.set(endpoint, next);
+            }
         }
+        this.changed();
     }
 
     /** Drops what another process said, because it is not heard any more. */
     lose(peer: string): void {
-        for (const [endpoint, load] of this.heard.get(peer) ?? []) {
-            this.add(endpoint, load, -1);
+        const held = this.heard.get(peer);
+        if (held === undefined) {
+            return;
+        }
+        for (const [endpoint, load] of held.load) {
+            for (const sum of held.member ? [this.heardSum, this.memberSum] : [this.heardSum]) {
+                sum.replace(endpoint, load, undefined);
+            }
         }
         this.heard.delete(peer);
+        this.changed();
     }
 
     /** The processes that are heard directly. */
@@ -145,11 +164,11 @@
 
     load(endpoint: string, now: number): KnownLoad {
         const own = this.own.get(endpoint);
-        const heard = this.heardSum.get(endpoint);
-        const other = now - this.othersAt < othersLifetimeMs ? this.others[endpoint] : undefined;
+        const useOthers = this.heard.size === 0 && now - this.othersAt < othersLifetimeMs;
+        const other = useOthers ? this.others[endpoint] : this.heardSum.get(endpoint);
         return {
-            running: (own?.running ?? 0) + (heard?.running ?? 0) + (other?.running ?? 0),
-            unreadTokens: (own?.unreadTokens ?? 0) + (heard?.unreadTokens ?? 0) + (other?.unreadTokens ?? 0),
+            running: (own?.running ?? 0) + (other?.running ?? 0),
+            unreadTokens: (own?.unreadTokens ?? 0) + (other?.unreadTokens ?? 0),
             lateMs: own?.lateMs(now) ?? 0,
         };
     }
@@ -163,20 +182,69 @@
         this.own.delete(endpoint);
     }
 
-    private add(endpoint: string, load: EndpointLoad | undefined, sign: 1 | -1): void {
-        if (load !== undefined) {
-            const sum = this.heardSum.get(endpoint) ?? { running: 0, unreadTokens: 0 };
-            sum.running += sign * load.running;
-            sum.unreadTokens += sign * load.unreadTokens;
-            this.heardSum.set(endpoint, sum);
+    /** The own load. */
+    ownLoad(): Map<string, EndpointLoad> {
+        return this.sumWith([]);
+    }
+
+    /** The load of this process and of the members that it hears. */
+    groupLoad(): Map<string, EndpointLoad> {
+        return this.sumWith([this.memberSum.all]);
+    }
+
+    /** All load that is known, less what `peer` told. */
+    fleetLoadWithout(peer: string): Map<string, EndpointLoad> {
+        const sum = this.sumWith([this.heardSum.all]);
+        for (const [endpoint, load] of this.heard.get(peer)?.load ?? []) {
+            addLoad(sum, endpoint, load, -1);
         }
+        return sum;
     }
 
-    /** The own load, for the others. */
-    snapshot(): Record<string, EndpointLoad> {
-        return Object.fromEntries(
-            [...this.own].filter(([, entry]) => entry.running > 0)
-                .map(([endpoint, { running, unreadTokens }]) => [endpoint, { running, unreadTokens }]),
-        );
+    private sumWith(parts: readonly ReadonlyMap<string, EndpointLoad>[]): Map<string, EndpointLoad> {
+        const sum = new Map<string, EndpointLoad>();
+        for (const [endpoint, entry] of this.own) {
+            if (entry.running > 0) {
+                addLoad(sum, endpoint, entry, 1);
+            }
+        }
+        for (const part of parts) {
+            for (const [endpoint, load] of part) {
+                addLoad(sum, endpoint, load, 1);
+            }
+        }
+        return sum;
+    }
+}
+
+/** Load by endpoint over several processes. */
+class LoadSum {
+    readonly all = new Map<string, EndpointLoad>();
+
+    get(endpoint: string): EndpointLoad | undefined {
+        return this.all.get(endpoint);
+    }
+
+    /** Takes that the part `before` of the load of an endpoint has become `after`. */
+    replace(endpoint: string, before: EndpointLoad | undefined, after: EndpointLoad | undefined): void {
+        if (before !== undefined) {
+            addLoad(this.all, endpoint, before, -1);
+        }
+        if (after !== undefined) {
+            addLoad(this.all, endpoint, after, 1);
+        }
+    }
+}
+
+/** Adds a load to a sum; an endpoint without any load left is dropped. */
+function addLoad(sum: Map<string, EndpointLoad>, endpoint: string, load: EndpointLoad, sign: 1 | -1): void {
+    const held = sum.get(endpoint);
+    const running = (held?.running ?? 0) + sign * load.running;
+    const unreadTokens = (held?.unreadTokens ?? 0) + sign * load.unreadTokens;
+    if (running === 0 && unreadTokens === 0) {
+        sum.delete(endpoint);
+    }
+    else {
+        sum.set(endpoint, { running, unreadTokens });
     }
 }
--- a/packages/fleet/src/cap-meter.ts
+++ b/packages/fleet/src/cap-meter.ts
@@ -1,15 +1,7 @@
 import type { CatalogWorkspace } from "@lentilramp/catalog";
-import { CapBucket, type CapVerdict } from "./cap-bucket.ts";
-
-/** Part of a workspace's cap that one ingress may use. */
-export interface CapShare {
-    /** Between 0 and 1. */
-    share: number;
-    /** Instant from which only `floor` is left. */
-    expiresAt: number;
-    /** The part that stays when the share has expired. */
-    floor: number;
-}
+import { type BucketLimits, CapBucket, type CapVerdict } from "./cap-bucket.ts";
+import type { ExchangeScope } from "./exchange-topology.ts";
+import { type UseCounts, UseTotals } from "./use-totals.ts";
 
 /** By how much the use of a cap over all ingresses may exceed the cap in a window. */
 export interface CapTolerance {
@@ -20,38 +12,60 @@
     units: number;
 }
 
-/** Part of the tolerance that is used to absorb uneven arrivals; the rest covers shares that are being moved. */
+/** Part of the tolerance that absorbs uneven arrivals; the rest covers what the others use before it is heard of. */
 const usedTolerance = 0.5;
 
-/** Units beyond the burst that all buckets of a workspace may hold together. */
+/**
+ * Part of a bucket that large requests leave to small ones, which serve more callers for the same units. It is taken
+ * from the slack only, so that the burst of a workspace is there for whatever it sends.
+ */
+const smallReservePart = 0.3;
+/** Units from which a request counts as large, relative to the bucket. */
+const largeRequestPart = 0.02;
+/** Part of what silent ingresses may use that is handed to those in contact with the leader. */
+const releasedPart = 0.7;
+/** Time without an answer of the leader after which an ingress counts as silent itself, in milliseconds. */
+const contactMs = 2_000;
+/** Silence at the leader after which the part of an ingress is handed on, in milliseconds; later than `contactMs`. */
+export const releaseAfterMs = 3_000;
+
+/** What an ingress knows of the fleet over which a cap holds. */
+export interface CapCoverage {
+    /** Ingresses of which the use is known here, this one included. */
+    covered: number;
+    /** Ingresses that may be at work, this one included; 0 when not known. */
+    members: number;
+    /** Ingresses that the leader has not heard of for long. */
+    silent: number;
+    /** Instant of the last answer of the leader. */
+    answeredAt: number;
+}
+
+/** Units beyond the burst that the bucket of a workspace may hold. */
 export function capSlack({ capPerSecond, capBurst }: CatalogWorkspace, tolerance: CapTolerance): number {
     const { overshoot, windowMs, units } = tolerance;
     return usedTolerance * (overshoot * (capPerSecond * windowMs / 1_000 + capBurst) + units);
 }
 
-/** Enforces this ingress's part of each workspace's cap with one token bucket a workspace. */
+/**
+ * Enforces the caps of workspaces over all ingresses without a call for a request. Each ingress has one bucket a
+ * workspace from which it also takes what the others say that they have used. An ingress that hears of a part of the
+ * fleet only uses that part of the cap, so that parts that do not hear of each other never use more than the whole.
+ */
 export class CapMeter {
-    constructor(private readonly tolerance: CapTolerance = { overshoot: 0, windowMs: 0, units: 0 }) {}
-
+    readonly totals = new UseTotals();
     private readonly buckets = new Map<string, CapBucket>();
-    private readonly shares = new Map<string, CapShare>();
-    private readonly asked = new Map<string, number>();
+    private readonly catalogWorkspaces = new Map<string, CatalogWorkspace>();
 
-    setShare(workspace: string, share: CapShare): void {
-        this.shares.set(workspace, share);
-    }
+    constructor(
+        private readonly tolerance: CapTolerance,
+        private readonly coverage: () => CapCoverage,
+        private readonly startedAt: number,
+    ) {}
 
-    /** Takes a floor for workspaces of which no share is known. */
-    offerFloor(workspaces: readonly string[], floor: number): void {
-        for (const workspace of workspaces) {
-            if (!this.shares.has(workspace)) {
-                this.shares.set(workspace, { share: floor, floor, expiresAt: Infinity });
-            }
-        }
-    }
-
-    get knowsAny(): boolean {
-        return this.shares.size > 0;
+    /** Whether the number of ingresses is known; without it nothing can be admitted. */
+    get knowsFleet(): boolean {
+        return this.coverage().members > 0;
     }
 
     /** Units of a request under the rule of its workspace. */
@@ -60,35 +74,89 @@
     }
 
     tryUse(workspace: CatalogWorkspace, units: number, now: number): CapVerdict {
-        this.asked.set(workspace.name, (this.asked.get(workspace.name) ?? 0) + units);
         if (workspace.capPerSecond <= 0) {
             return { admitted: true };
         }
-        const share = this.shareOf(workspace.name, now);
-        const size = (workspace.capBurst + capSlack(workspace, this.tolerance)) * share;
-        // A process that starts has used nothing; while it was away, neither had the one before it.
-        const bucket = this.buckets.get(workspace.name) ?? new CapBucket(size, now);
-        this.buckets.set(workspace.name, bucket);
-        return bucket.take(units, { size, ratePerMs: workspace.capPerSecond * share / 1_000 }, now);
+        const limits = this.limits(workspace, this.part(now));
+        const verdict = this.bucket(workspace).take(units, { ...limits, reserve: reserveFor(units, limits) }, now);
+        if (verdict.admitted) {
+            this.totals.use(workspace.name, units);
+        }
+        return verdict;
     }
 
     /** Gives back units of a request that was not sent to any endpoint. */
     refund(workspace: CatalogWorkspace, units: number): void {
-        this.buckets.get(workspace.name)?.giveBack(units);
+        if (workspace.capPerSecond > 0) {
+            this.buckets.get(workspace.name)?.add(units);
+            this.totals.use(workspace.name, -units);
+        }
+    }
+
+    /** Takes the sums that a peer told, which contain what its scope says. */
+    hear(peer: string, lifetime: string, counts: UseCounts, scope: ExchangeScope, now: number): void {
+        const part = this.part(now);
+        for (const [name, units] of this.totals.hear(peer, lifetime, counts, scope)) {
+            const workspace = this.catalogWorkspaces.get(name);
+            if (workspace !== undefined) {
+                const bucket = this.bucket(workspace);
+                bucket.settle(this.limits(workspace, part), now);
+                bucket.add(-units);
+            }
+        }
     }
 
-    /** Units asked for since the last call, by workspace. */
-    takeAsked(): Record<string, number> {
-        const asked = Object.fromEntries(this.asked);
-        this.asked.clear();
-        return asked;
+    /** Takes the caps in force. */
+    setWorkspaces(workspaces: readonly CatalogWorkspace[]): void {
+        this.catalogWorkspaces.clear();
+        for (const workspace of workspaces) {
+            if (workspace.capPerSecond > 0) {
+                this.catalogWorkspaces.set(workspace.name, workspace);
+            }
+        }
     }
 
-    private shareOf(workspace: string, now: number): number {
-        const share = this.shares.get(workspace);
-        if (share === undefined) {
+    /**
+     * Part of each cap that this ingress may use at present. What a silent minority may use is mostly handed to those
+     * in contact with the leader; one that hears neither the leader nor half of the fleet may belong to that minority.
+     */
+    part(now: number): number {
+        const { covered, members, silent, answeredAt } = this.coverage();
+        if (members === 0) {
             return 0;
         }
-        return now < share.expiresAt ? share.share : share.floor;
+        if (now - answeredAt < contactMs) {
+            const released = silent * 2 < members ? silent * releasedPart : 0;
+            return Math.min(1, (covered + released) / members);
+        }
+        return Math.min(1, covered / members) * (covered * 2 < members ? 1 - releasedPart : 1);
+    }
+
+    private limits({ capPerSecond, capBurst, ...rest }: CatalogWorkspace, part: number): CapLimits {
+        const slack = capSlack({ capPerSecond, capBurst, ...rest }, this.tolerance);
+        return { size: (capBurst + slack) * part, slack: slack * part, ratePerMs: capPerSecond * part / 1_000 };
     }
+
+    private bucket(workspace: CatalogWorkspace): CapBucket {
+        let bucket = this.buckets.get(workspace.name);
+        if (bucket === undefined) {
+            // What the others had used before the start is not known, so a new process begins with its own part.
+            const { members } = this.coverage();
+            const { size } = this.limits(workspace, members > 0 ? 1 / members : 0);
+            bucket = new CapBucket(size, this.startedAt);
+            this.buckets.set(workspace.name, bucket);
+        }
+        return bucket;
+    }
+}
+
+interface CapLimits extends BucketLimits {
+    /** Part of the size that lies beyond the burst. */
+    slack: number;
+}
+
+/** Units that a request of `units` must leave in the bucket. */
+function reserveFor(units: number, { size, slack }: CapLimits): number {
+    const most = Math.min(slack, size * smallReservePart);
+    return most * Math.min(1, units / (size * largeRequestPart));
 }
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -3,11 +3,13 @@
  */
 export * from "./cap-bucket.ts";
 export * from "./cap-meter.ts";
-export * from "./cap-pool.ts";
-export * from "./cap-shares.ts";
 export * from "./endpoint-directory.ts";
+export * from "./exchange-topology.ts";
+export * from "./lookup-set.ts";
 export * from "./replica-planner.ts";
 export * from "./roster.ts";
+export * from "./sync-timing.ts";
 export * from "./true-time.ts";
 export * from "./usage-ledger.ts";
 export * from "./usage-windows.ts";
+export * from "./use-totals.ts";
--- a/packages/fleet/src/roster.ts
+++ b/packages/fleet/src/roster.ts
@@ -1,3 +1,4 @@
+import { isDeepStrictEqual } from "node:util";
 import { z } from "zod";
 
 /** An ingress as it describes itself with each sync. */
@@ -23,29 +24,45 @@
 /** The ingresses that were heard of, and when. */
 export class Roster {
     private readonly entries = new Map<string, RosterEntry>();
+    private refreshedAt = -Infinity;
 
     constructor(
-        /** Silence after which an ingress counts as lost, in milliseconds. */
-        private readonly silenceMs: number,
+        /** Silence after which an ingress counts as lost, in milliseconds; it depends on how often they speak. */
+        private readonly silenceMs: (members: number) => number,
         /** Silence after which an ingress is forgotten, in milliseconds. */
         private readonly forgetMs: number,
     ) {}
 
     seen(description: IngressDescription, now: number): void {
         const held = this.entries.get(description.name);
-        if (held === undefined || held.seenAt <= now) {
+        if (held === undefined || !isDeepStrictEqual(held.description, description)) {
             this.entries.set(description.name, { description, seenAt: now });
         }
+        else {
+            // The same object, so that an unchanged roster can be told without a look at all of it.
+            held.seenAt = Math.max(held.seenAt, now);
+        }
+        this.refreshedAt = Math.max(this.refreshedAt, now);
+    }
+
+    /** Counts all that are known as seen at `now`: while nobody led, they had nobody to speak to. */
+    renew(now: number): void {
+        for (const entry of this.entries.values()) {
+            if (now - entry.seenAt <= this.forgetMs) {
+                entry.seenAt = now;
+            }
+        }
     }
 
     /** Those in contact. */
     live(now: number): IngressDescription[] {
-        return this.select(entry => now - entry.seenAt < this.silenceMs);
+        return this.select(now - this.silenceMs(this.entries.size));
     }
 
-    /** Those in contact that take new work. */
-    accepting(now: number): IngressDescription[] {
-        return this.live(now).filter(description => description.accepting);
+    /** Those in contact that take new work, as of the last time that anybody was heard of. */
+    accepting(): IngressDescription[] {
+        return this.select(this.refreshedAt - this.silenceMs(this.entries.size))
+            .filter(description => description.accepting);
     }
 
     /** All that may still be at work, in contact or not. */
@@ -58,8 +75,14 @@
         return this.entries.size;
     }
 
-    private select(keep: (entry: RosterEntry) => boolean): IngressDescription[] {
-        return [...this.entries.values()].filter(keep).map(entry => entry.description)
+    /** Members that have not been heard of for `silenceMs`. */
+    silent(now: number, silenceMs: number): number {
+        return [...this.entries.values()].filter(({ seenAt }) => now - seenAt > silenceMs).length;
+    }
+
+    private select(seenAfter: number): IngressDescription[] {
+        return [...this.entries.values()].filter(({ seenAt }) => seenAt > seenAfter)
+            .map(entry => entry.description)
             .sort((a, b) => a.name < b.name ? -1 : 1);
     }
 }
--- /dev/null
+++ b/packages/fleet/src/sync-timing.ts
@@ -0,0 +1,17 @@
+/** Least time between two syncs of an ingress, in milliseconds. */
+const minSyncMs = 250;
+/** Part of the time between two syncs for each ingress, in milliseconds; it bounds the rate at the leader. */
+const syncMsPerMember = 5;
+/** Syncs that an ingress may miss before it counts as lost, and the time for one that failed, in milliseconds. */
+const missedSyncs = 2;
+const failedSyncMs = 700;
+
+/** Time between two syncs of one of `members` ingresses, in milliseconds; the leader gets at most 200 a second. */
+export function syncIntervalMs(members: number): number {
+    return Math.max(minSyncMs, members * syncMsPerMember);
+}
+
+/** Silence after which one of `members` ingresses counts as lost, in milliseconds. */
+export function syncSilenceMs(members: number): number {
+    return syncIntervalMs(members) * missedSyncs + failedSyncMs;
+}
--- a/packages/fleet/tests/fleet.test.ts
+++ b/packages/fleet/tests/fleet.test.ts
@@ -1,20 +1,19 @@
 import {
-    CapMeter,
-    CapPool,
-    capPoolPart,
-    CapShares,
     type Endpoint,
     EndpointDirectory,
+    type IngressDescription,
+    lookupSet,
     type ReplicaOrder,
     ReplicaPlanner,
     Roster,
+    syncIntervalMs,
+    syncSilenceMs,
     TrueTime,
     UsageLedger,
     UsageWindows,
 } from "@lentilramp/fleet";
 import { expect } from "chai";
-import fc from "fast-check";
-import { testWorkspace } from "../../catalog/tests/fixtures.ts";
+import { fleetRoster } from "./fleet-roster.ts";
 
 /** Shows the planner a steady demand until the average has settled at the instant 0. */
 function settle(planner: ReplicaPlanner, places: number): void {
@@ -54,176 +53,88 @@
     });
 });
 
-describe("CapMeter", () => {
-    const workspace = testWorkspace({ capPerSecond: 1_000, capBurst: 500, countsTokens: true, plainTokens: 10 });
-
-    it("never admits more than burst, rate and one request over, whatever the arrivals", () => {
-        fc.assert(
-            fc.property(
-                fc.array(fc.tuple(fc.nat(200), fc.integer({ min: 1, max: 400 })), { maxLength: 200 }),
-                arrivals => {
-                    const meter = new CapMeter();
-                    meter.setShare("w", { share: 0.5, floor: 0.1, expiresAt: Infinity });
-                    let now = 0;
-                    let used = 0;
-                    for (const [gap, units] of arrivals) {
-                        now += gap;
-                        used += meter.tryUse(workspace, units, now).admitted ? units : 0;
-                    }
-                    expect(used).to.be.at.most(250 + now * 0.5 + 400);
-                },
-            ),
-        );
-    });
+describe("Roster", () => {
+    const description = {
+        name: "i1",
+        host: "10.0.0.1",
+        port: 80,
+        inner: { host: "10.0.0.1", port: 81 },
+        region: "r",
+        failureDomain: "a",
+        accepting: true,
+    };
 
-    it("stays within the tolerance over all ingresses in every window, and absorbs a clump of arrivals with it", () => {
-        const tolerance = { overshoot: 0.1, windowMs: 8_000, units: 100 };
-        const meters = [0, 1, 2, 3].map(() => new CapMeter(tolerance));
-        for (const meter of meters) {
-            meter.setShare("w", { share: 0.25, floor: 0.1, expiresAt: Infinity });
-            meter.tryUse(workspace, 0, 0);
-        }
-        const admitted: { at: number; units: number; }[] = [];
-        for (let now = 0; now < 40_000; now += 10) {
-            // Quiet first, so that every bucket is full when the clump comes.
-            const meter = meters[now / 10 % 4];
-            if (now >= 10_000 && meter?.tryUse(workspace, 20, now).admitted === true) {
-                admitted.push({ at: now, units: 20 });
-            }
-        }
-        for (let from = 10_000; from < 32_000; from += 100) {
-            const used = admitted.filter(({ at }) => at >= from && at < from + 8_000)
-                .reduce((sum, { units }) => sum + units, 0);
-            expect(used).to.be.at.most((8_000 + 500) * 1.1 + 100);
-        }
-        expect(admitted.filter(({ at }) => at < 18_000).reduce((sum, { units }) => sum + units, 0)).to.be.above(8_500);
+    it("leaves silent and stopping ingresses out of lookups but reserves their part of the caps", () => {
+        const roster = new Roster(() => 1_000, 30_000);
+        roster.seen(description, 0);
+        roster.seen({ ...description, name: "i2", accepting: false }, 900);
+        expect(roster.accepting().map(({ name }) => name)).to.deep.equal(["i1"]);
+        roster.seen({ ...description, name: "i2", accepting: false }, 1_500);
+        expect(roster.accepting()).to.deep.equal([]);
+        expect(roster.live(1_500).map(({ name }) => name)).to.deep.equal(["i2"]);
+        expect(roster.members(1_500)).to.equal(2);
     });
 
-    it("falls back to the floor when the share has expired, because the others may use the rest", () => {
-        const meter = new CapMeter();
-        meter.setShare("w", { share: 1, floor: 0.1, expiresAt: 100 });
-        expect(meter.tryUse(workspace, 400, 0).admitted).to.equal(true);
-        // A request larger than the bucket of the floor leaves a debt, which the floor's rate has to pay first.
-        expect(meter.tryUse(workspace, 400, 200).admitted).to.equal(true);
-        expect(meter.tryUse(workspace, 40, 1_000).admitted).to.equal(false);
-        expect(meter.tryUse(workspace, 40, 5_000).admitted).to.equal(true);
+    // 559 of 775 lookups failed: stewards that heard of no leader for 1.2 s knew no ingress any more.
+    it("answers lookups from the last known state while nobody tells it anything", () => {
+        const roster = new Roster(() => 1_000, 30_000);
+        roster.seen(description, 0);
+        expect(roster.live(20_000)).to.deep.equal([]);
+        expect(roster.accepting().map(({ name }) => name)).to.deep.equal(["i1"]);
     });
 
-    it("admits nothing without any share and says when there is room otherwise", () => {
-        const meter = new CapMeter();
-        expect(meter.tryUse(workspace, 1, 0)).to.deep.equal({ admitted: false, retryAt: Infinity });
-        meter.setShare("w", { share: 1, floor: 0.1, expiresAt: Infinity });
-        meter.tryUse(workspace, 500, 1_000);
-        const verdict = meter.tryUse(workspace, 300, 1_500);
-        expect(verdict).to.deep.equal({ admitted: true });
+    // After each change of leader all feeds were torn down, because the first roster named few ingresses.
+    it("keeps those that had nobody to speak to while nobody led", () => {
+        const roster = new Roster(() => 1_000, 30_000);
+        roster.seen(description, 0);
+        roster.seen({ ...description, name: "i2" }, 0);
+        roster.renew(2_000);
+        roster.seen({ ...description, name: "i2" }, 2_050);
+        expect(roster.live(2_100).map(({ name }) => name)).to.deep.equal(["i1", "i2"]);
+        expect(roster.live(3_001).map(({ name }) => name)).to.deep.equal(["i2"]);
     });
 
-    it("counts a plain request as the stated number of tokens", () => {
-        expect(CapMeter.units(workspace, undefined)).to.equal(10);
-        expect(CapMeter.units(workspace, 70)).to.equal(70);
-        expect(CapMeter.units({ ...workspace, countsTokens: false }, 70)).to.equal(1);
+    it("hands out the same object for an ingress that says the same again, so that an unchanged roster is cheap", () => {
+        const roster = new Roster(() => 1_000, 30_000);
+        roster.seen(description, 0);
+        const [before] = roster.live(10);
+        roster.seen(structuredClone(description), 100);
+        expect(roster.live(110)[0]).to.equal(before);
+        roster.seen({ ...description, accepting: false }, 200);
+        expect(roster.live(210)[0]?.accepting).to.equal(false);
     });
 });
 
-describe("CapPool", () => {
-    const workspace = testWorkspace({ capPerSecond: 29_000, capBurst: 29_000, countsTokens: true });
-    const tolerance = { overshoot: 0.1, windowMs: 8_000, units: 110_000 };
-
-    // On a calm day 7 in 100 of the long prompts of small workspaces were refused below the cap: split over eight
-    // ingresses, it was less than one such prompt in each.
-    it("admits a clump of large requests below the cap, wherever they arrive", () => {
-        const pool = new CapPool(tolerance, 0);
-        const now = 20_000;
-        expect([9_000, 9_000, 9_000].map(units => pool.draw(workspace, units, now).admitted)).to.deep.equal([
-            true,
-            true,
-            true,
-        ]);
-    });
+describe("lookupSet", () => {
+    const roster = fleetRoster(191, 5);
 
-    it("keeps, together with the shares of all ingresses, within the tolerance in every window", () => {
-        const pool = new CapPool(tolerance, 0);
-        const shares = new CapShares();
-        const live = ["i0", "i1", "i2", "i3"];
-        const meters = live.map(name => {
-            const meter = new CapMeter(tolerance);
-            const share = shares.share(name, workspace.name, live, live.length);
-            meter.setShare(workspace.name, { share, floor: CapShares.floor(live.length), expiresAt: Infinity });
-            meter.tryUse(workspace, 0, 0);
-            return meter;
-        });
-        const admitted: { at: number; units: number; }[] = [];
-        for (let now = 10_000; now < 40_000; now += 10) {
-            const own = meters[now / 10 % meters.length]?.tryUse(workspace, 3_000, now).admitted === true;
-            if (own || pool.draw(workspace, 3_000, now).admitted) {
-                admitted.push({ at: now, units: 3_000 });
-            }
-        }
-        const { capPerSecond, capBurst } = workspace;
-        const most = (capPerSecond * 8 + capBurst) * 1.1 + tolerance.units;
-        for (let from = 10_000; from < 32_000; from += 100) {
-            const used = admitted.filter(({ at }) => at >= from && at < from + 8_000)
-                .reduce((sum, { units }) => sum + units, 0);
-            expect(used).to.be.at.most(most);
+    // Sorted by name and cut at 64, lookups named two of five domains, and two thirds of the fleet got no caller.
+    it("names as many from each domain, the same ones in any order of the roster", () => {
+        const picked = lookupSet(roster, 64);
+        const counts = new Map<string, number>();
+        for (const { failureDomain } of picked) {
+            counts.set(failureDomain, (counts.get(failureDomain) ?? 0) + 1);
         }
-        const later = admitted.filter(({ at }) => at >= 20_000).reduce((sum, { units }) => sum + units, 0);
-        expect(later).to.be.above(capPerSecond * 20 * 0.95);
+        expect(picked).to.have.length(64);
+        expect(Math.max(...counts.values()) - Math.min(...counts.values())).to.be.at.most(1);
+        const names = (list: readonly IngressDescription[]) => list.map(({ name }) => name).sort();
+        expect(names(lookupSet([...roster].reverse(), 64))).to.deep.equal(names(picked));
     });
 
-    it("starts empty at a new leader, which does not know what the one before gave out", () => {
-        const pool = new CapPool(tolerance, 0);
-        expect(pool.draw(workspace, 9_000, 20_000).admitted).to.equal(true);
-        pool.restart(20_000);
-        const verdict = pool.draw(workspace, 9_000, 20_100);
-        expect(verdict.admitted).to.equal(false);
-        expect(!verdict.admitted && verdict.retryAt).to.be.within(20_200, 21_000);
+    it("replaces one that goes by one other, so that callers keep their connections", () => {
+        const before = lookupSet(roster, 64).map(({ name }) => name);
+        const after = lookupSet(roster.filter(({ name }) => name !== before[7]), 64).map(({ name }) => name);
+        expect(after.filter(name => !before.includes(name))).to.have.length(1);
+        expect(lookupSet(roster.slice(0, 9), 64)).to.have.length(9);
     });
 });
 
-describe("CapShares", () => {
-    it("gives out no more than the whole cap, also with the floors of silent ingresses and the pool", () => {
-        const demands = fc.array(fc.nat(10_000), { minLength: 1, maxLength: 12 });
-        fc.assert(fc.property(demands, fc.nat(4), (asked, silent) => {
-            const shares = new CapShares();
-            const live = asked.map((units, i) => {
-                shares.observe(`i${i}`, { w: units }, 250);
-                return `i${i}`;
-            });
-            const members = live.length + silent;
-            const sum = live.reduce((total, name) => total + shares.share(name, "w", live, members), 0);
-            expect(sum + silent * CapShares.floor(members) + capPoolPart).to.be.at.most(1 + 1e-9);
-        }));
-    });
-
-    it("moves the cap to where the load is", () => {
-        const shares = new CapShares();
-        for (let i = 0; i < 10; i++) {
-            shares.observe("busy", { w: 900 }, 250);
-            shares.observe("idle", { w: 100 }, 250);
+describe("syncIntervalMs", () => {
+    it("keeps the calls at the leader below 200 a second, whatever the size of the fleet", () => {
+        for (const members of [1, 8, 65, 191, 400]) {
+            expect(members * 1_000 / syncIntervalMs(members)).to.be.at.most(200);
+            expect(syncSilenceMs(members)).to.be.at.least(2 * syncIntervalMs(members) + 600);
         }
-        const live = ["busy", "idle"];
-        expect(shares.share("busy", "w", live, 2)).to.be.above(2 * shares.share("idle", "w", live, 2));
-    });
-});
-
-describe("Roster", () => {
-    const description = {
-        name: "i1",
-        host: "10.0.0.1",
-        port: 80,
-        inner: { host: "10.0.0.1", port: 81 },
-        region: "r",
-        failureDomain: "a",
-        accepting: true,
-    };
-
-    it("leaves silent and stopping ingresses out of lookups but reserves their part of the caps", () => {
-        const roster = new Roster(1_000, 30_000);
-        roster.seen(description, 0);
-        roster.seen({ ...description, name: "i2", accepting: false }, 900);
-        expect(roster.accepting(900).map(({ name }) => name)).to.deep.equal(["i1"]);
-        expect(roster.accepting(1_500)).to.deep.equal([]);
-        expect(roster.members(1_500)).to.equal(2);
     });
 });
 
--- a/packages/ingress/src/fleet-link.ts
+++ b/packages/ingress/src/fleet-link.ts
@@ -1,9 +1,8 @@
+import { syncIntervalMs } from "@lentilramp/fleet";
 import type { PeerAddress, RpcClient } from "@lentilramp/protocol";
 import { type Clock, type EventLog, PeriodicComponent, type RandomSource } from "@lentilramp/runtime";
 import { type SyncAnswer, syncAnswerSchema, type SyncRequest } from "./fleet-messages.ts";
 
-/** Time between two syncs; the load of the others is at most this old, and a change is in force within it. */
-const syncMs = 250;
 /** A steward that has not answered by then is passed over. */
 const callMs = 600;
 /** Pause after a failed sync. */
@@ -28,11 +27,13 @@
         private readonly seeds: () => readonly PeerAddress[],
         private readonly request: (elapsedMs: number) => SyncRequest,
         private readonly onAnswer: (answer: SyncAnswer, sentAt: number) => void,
+        /** Ingresses among which the leader's time is shared. */
+        private readonly members: () => number,
         clock: Clock,
         private readonly random: RandomSource,
         private readonly log: EventLog,
     ) {
-        super(clock, syncMs);
+        super(clock, syncIntervalMs(1));
         this.lastAnswerAt = clock.now();
     }
 
@@ -47,7 +48,7 @@
     }
 
     protected override nextDelayMs(): number {
-        return this.failed ? failurePauseMs : syncMs;
+        return this.failed ? failurePauseMs : syncIntervalMs(this.members());
     }
 
     protected override async runOnce(): Promise<void> {
--- a/packages/ingress/src/fleet-messages.ts
+++ b/packages/ingress/src/fleet-messages.ts
@@ -18,12 +18,10 @@
     listNumber: z.number(),
     /** Own load by endpoint. */
     load: z.record(z.string(), loadSchema),
-    /** Ingresses whose load the sender hears directly. */
-    heardFrom: z.array(z.string()),
+    /** Whether the sender follows the load of the others itself. */
+    followsOthers: z.boolean(),
     /** Tag of the roster that the sender holds; 0 for none. */
     rosterTag: z.number(),
-    /** Cap units asked for since the last sync, by workspace. */
-    asked: z.record(z.string(), z.number()),
     /** Requests begun, by window and workspace. */
     usage: z.record(z.string(), z.record(z.string(), z.number())),
     /**
@@ -34,6 +32,8 @@
 });
 export type SyncRequest = z.infer<typeof syncRequestSchema>;
 
+export const rosterSchema = z.object({ tag: z.number(), ingresses: z.array(ingressDescriptionSchema) });
+
 /** Answer of a steward. One that does not lead gives what it knows of the catalog and names the leader. */
 export const syncAnswerSchema = z.object({
     leading: z.boolean(),
@@ -46,28 +46,15 @@
     /** Number and age of the leader's list in milliseconds; undefined when it has none. */
     listNumber: z.number().optional(),
     listAgeMs: z.number().optional(),
-    /** Share of each workspace's cap, and the part that remains without contact. */
-    shares: z.record(z.string(), z.number()),
-    floorShare: z.number(),
-    /** Workspaces for which only the floor is known, in the answer of a steward that does not lead. */
-    cappedWorkspaces: z.array(z.string()).optional(),
-    /** Load by endpoint of all other ingresses that the asker does not hear directly. */
-    others: z.record(z.string(), loadSchema),
+    /** Load by endpoint of all other ingresses, for one that does not follow them. */
+    others: z.record(z.string(), loadSchema).optional(),
+    /** Ingresses that may be at work, the asker included; 0 when not known. */
     members: z.number(),
+    /** Those among them that the leader has not heard of for long. */
+    silent: z.number().optional(),
     /** Time of day by the median of the members' clocks. */
     trueMs: z.number().optional(),
     /** Ingresses in contact, when they differ from those that the asker knows. */
-    roster: z.object({ tag: z.number(), ingresses: z.array(ingressDescriptionSchema) }).optional(),
+    roster: rosterSchema.optional(),
 });
 export type SyncAnswer = z.infer<typeof syncAnswerSchema>;
-
-/** Asks the leading steward with `caps.draw` for units of a workspace's cap beyond the own share. */
-export const drawRequestSchema = z.object({ workspace: z.string(), units: z.number() });
-
-export const drawAnswerSchema = z.object({
-    leading: z.boolean(),
-    admitted: z.boolean(),
-    /** Time after which there is room, in milliseconds, when that is known. */
-    retryMs: z.number().optional(),
-});
-export type DrawAnswer = z.infer<typeof drawAnswerSchema>;
--- a/packages/ingress/src/fleet-view.ts
+++ b/packages/ingress/src/fleet-view.ts
@@ -10,9 +10,6 @@
 import type { Clock, EventLog } from "@lentilramp/runtime";
 import type { SyncAnswer } from "./fleet-messages.ts";
 
-/** Time for which a share of a cap stays valid after the sync that gave it, in milliseconds; four syncs. */
-const shareLifetimeMs = 1_000;
-
 /** Everything that this ingress believes about the fleet. */
 export class FleetView {
     catalog: Catalog | undefined;
@@ -29,9 +26,11 @@
     roster: readonly IngressDescription[] = [];
     rosterTag = 0;
     private synced = false;
-    /** Ingresses that may be at work, this one included. */
-    members = 1;
+    /** Ingresses that may be at work, this one included; 0 before any steward has said so. */
+    knownMembers = 0;
     private trueOffset: number | undefined;
+    private silentMembers = 0;
+    private answeredAt = -Infinity;
 
     constructor(
         private readonly codec: CatalogCodec,
@@ -40,9 +39,20 @@
         usageWindowMs: number,
         tolerance: CapTolerance,
         private readonly onEndpointGone: (id: string) => void,
+        /** Ingresses of which the use of caps is known here, this one included. */
+        private readonly covered: () => number = () => 1,
     ) {
         this.usage = new UsageLedger(usageWindowMs);
-        this.caps = new CapMeter(tolerance);
+        this.caps = new CapMeter(
+            tolerance,
+            () => ({
+                covered: this.covered(),
+                members: this.knownMembers,
+                silent: this.silentMembers,
+                answeredAt: this.answeredAt,
+            }),
+            clock.now(),
+        );
     }
 
     /** Time of day by the fleet's clocks; by the own clock before the first sync. */
@@ -50,11 +60,15 @@
         return this.clock.now() + (this.trueOffset ?? Date.now() - this.clock.now());
     }
 
+    /** Ingresses that may be at work, this one included; 1 while the number is not known. */
+    get members(): number {
+        return Math.max(1, this.knownMembers);
+    }
+
     /** Whether requests can be served: routes, endpoints and a part of the caps are known. */
     get ready(): boolean {
         return this.catalog !== undefined && this.endpoints.all.length > 0
-            && (this.synced || this.caps.knowsAny
-                || this.catalog.workspaces.every(({ capPerSecond }) => capPerSecond <= 0));
+            && (this.caps.knowsFleet || this.catalog.workspaces.every(({ capPerSecond }) => capPerSecond <= 0));
     }
 
     /** Takes an answer to a sync that was sent at `sentAt`. */
@@ -62,30 +76,27 @@
         if (answer.catalog !== undefined) {
             this.applyCatalog(answer.catalog.version, answer.catalog.text);
         }
+        // The count that was last recorded; a leader's own, when there is one, is newer.
+        if (answer.members > 0 && (answer.leading || !this.synced)) {
+            this.knownMembers = answer.members;
+        }
         if (!answer.leading) {
-            // The count that was last recorded; a leader's own, when there is one, is newer.
-            if (!this.synced && answer.members > 0) {
-                this.members = answer.members;
-            }
-            if (answer.floorShare > 0) {
-                this.caps.offerFloor(answer.cappedWorkspaces ?? [], answer.floorShare);
-            }
             return;
         }
         this.synced = true;
+        this.silentMembers = answer.silent ?? 0;
+        this.answeredAt = sentAt;
         const now = this.clock.now();
-        this.members = Math.max(1, answer.members);
         if (answer.trueMs !== undefined) {
             this.trueOffset = answer.trueMs - (sentAt + now) / 2;
         }
-        this.board.setOthers(answer.others, now);
+        if (answer.others !== undefined) {
+            this.board.setOthers(answer.others, now);
+        }
         if (answer.roster !== undefined) {
             this.rosterTag = answer.roster.tag;
             this.roster = answer.roster.ingresses;
         }
-        for (const [workspace, share] of Object.entries(answer.shares)) {
-            this.caps.setShare(workspace, { share, floor: answer.floorShare, expiresAt: sentAt + shareLifetimeMs });
-        }
         if (answer.listAgeMs !== undefined) {
             const readAt = sentAt - answer.listAgeMs;
             if (answer.list !== undefined) {
@@ -125,6 +136,7 @@
         this.catalog = decoded.value;
         this.routes = new RouteTable(decoded.value);
         this.keys = new WorkspaceKeys(decoded.value);
+        this.caps.setWorkspaces(decoded.value.workspaces);
         this.log.info("catalog.in-force", {
             version,
             routes: decoded.value.routes.length,
--- a/packages/ingress/src/relay.ts
+++ b/packages/ingress/src/relay.ts
@@ -8,10 +8,10 @@
     RendezvousHome,
     ServiceModel,
 } from "@lentilramp/dispatch";
-import { CapMeter, type CapVerdict, type Endpoint } from "@lentilramp/fleet";
+import { CapMeter, type Endpoint } from "@lentilramp/fleet";
 import { BodyCutError, BodyTooLargeError, readBody, sendJson } from "@lentilramp/protocol";
 import { RetryBudget } from "@lentilramp/retries";
-import type { Clock, EventLog, Metrics, RandomSource } from "@lentilramp/runtime";
+import type { Clock, EventFields, EventLog, Metrics, RandomSource } from "@lentilramp/runtime";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { EndpointPool } from "./endpoint-pool.ts";
 import type { FleetView } from "./fleet-view.ts";
@@ -65,6 +65,8 @@
     status: number;
     reason: string;
     retryAfterMs?: number;
+    /** What decided it, for the log. */
+    inputs?: EventFields;
 }
 
 /** Takes requests from callers, checks route, key and cap, and relays them. */
@@ -90,8 +92,6 @@
         base: { clock: Clock; random: RandomSource; log: EventLog; metrics: Metrics; },
         /** Time after the start of a planned stop from which new requests are refused, in milliseconds. */
         private readonly refuseAfterMs: number,
-        /** Takes units of a workspace's cap for a request. */
-        private readonly useCap: (workspace: CatalogWorkspace, units: number) => Promise<CapVerdict>,
     ) {
         this.clock = base.clock;
         this.random = base.random;
@@ -241,10 +241,21 @@
         const units = workspace === undefined ? 0 : CapMeter.units(workspace, declared);
         const now = this.clock.now();
         if (workspace !== undefined) {
-            const verdict = await this.useCap(workspace, units);
+            const verdict = this.view.caps.tryUse(workspace, units, now);
             if (!verdict.admitted) {
                 const retryAfterMs = Math.min(verdict.retryAt - now, 2_000) * (1 + this.random.next() * 0.5);
-                await refuse({ status: 429, reason: "usage cap", retryAfterMs });
+                await refuse({
+                    status: 429,
+                    reason: "usage cap",
+                    retryAfterMs,
+                    inputs: {
+                        workspace: workspace.name,
+                        units,
+                        level: Math.round(verdict.level),
+                        capPerSecond: workspace.capPerSecond,
+                        part: this.view.caps.part(now).toFixed(2),
+                    },
+                });
                 return undefined;
             }
         }
@@ -301,6 +312,7 @@
             status: refusal.status,
             reason: refusal.reason,
             catalog: this.view.catalog?.version,
+            ...refusal.inputs,
         });
         if (!req.complete) {
             req.resume();
--- a/packages/ingress/tests/exchange.test.ts
+++ b/packages/ingress/tests/exchange.test.ts
@@ -1,31 +1,61 @@
 import { LoadBoard } from "@lentilramp/dispatch";
-import type { IngressDescription } from "@lentilramp/fleet";
+import { type CapCoverage, CapMeter, type ExchangeScope, type IngressDescription } from "@lentilramp/fleet";
 import { defaultHttpServerOptions, HttpServer, ProcessKey } from "@lentilramp/protocol";
 import { MemoryEventLog, SystemClock } from "@lentilramp/runtime";
 import { expect } from "chai";
-import { LoadFeed, LoadFollower } from "../src/index.ts";
+import { createServer, type Server } from "node:http";
+import type { AddressInfo } from "node:net";
+import { testWorkspace } from "../../catalog/tests/fixtures.ts";
+import { ExchangeFeed, ExchangeFollower } from "../src/index.ts";
 
+const workspace = testWorkspace({ capPerSecond: 1, capBurst: 1_000 });
 const idle = { firstByteMs: 10, idleMs: 10, unreadTokens: 300 };
 
-/** The parts of one ingress that exchange load. */
+/** The parts of one ingress that exchange what they know. */
 class Exchange {
     readonly board = new LoadBoard();
+    readonly caps: CapMeter;
     readonly log = new MemoryEventLog();
     private readonly clock = new SystemClock();
     private readonly key = new ProcessKey("k".repeat(32));
-    private readonly http = new HttpServer({ host: "127.0.0.1", port: 0, ...defaultHttpServerOptions }, this.log);
-    readonly feed = new LoadFeed(this.board, this.clock);
-    private readonly follower: LoadFollower;
+    readonly http = new HttpServer({ host: "127.0.0.1", port: 0, ...defaultHttpServerOptions }, this.log);
+    readonly feed: ExchangeFeed;
+    readonly follower: ExchangeFollower;
     private inner = { host: "127.0.0.1", port: 0 };
 
-    constructor(readonly name: string, roster: () => readonly IngressDescription[]) {
+    constructor(
+        readonly name: string,
+        private readonly failureDomain: string,
+        roster: () => readonly IngressDescription[],
+    ) {
+        const coverage = (): CapCoverage => ({
+            covered: this.follower.covered("fleet"),
+            members: roster().length,
+            silent: 0,
+            answeredAt: Infinity,
+        });
+        this.caps = new CapMeter({ overshoot: 0, windowMs: 0, units: 0 }, coverage, this.clock.now());
+        this.caps.setWorkspaces([workspace]);
+        this.follower = new ExchangeFollower(
+            name,
+            {
+                board: this.board,
+                caps: this.caps,
+                onMemberChange: peer => this.feed.noteBusy(peer),
+            },
+            roster,
+            this.key,
+            this.clock,
+            this.log,
+        );
+        const covered = (scope: ExchangeScope, asker: string): number => this.follower.covered(scope, asker);
+        this.feed = new ExchangeFeed(this.board, this.caps, `${name}/run`, covered, this.clock);
         this.feed.attach(this.http, this.key);
-        this.follower = new LoadFollower(name, this.board, roster, this.key, this.clock, this.log);
     }
 
     get description(): IngressDescription {
-        const { inner } = this;
-        return { name: this.name, ...inner, inner, region: "r", failureDomain: "a", accepting: true };
+        const { inner, failureDomain } = this;
+        return { name: this.name, ...inner, inner, region: "r", failureDomain, accepting: true };
     }
 
     async start(): Promise<void> {
@@ -49,7 +79,7 @@
     expect(check(), `not within ${withinMs} ms`).to.equal(true);
 }
 
-describe("LoadFeed", () => {
+describe("ExchangeFeed", () => {
     let exchanges: Exchange[] = [];
 
     afterEach(async () => {
@@ -59,7 +89,7 @@
 
     async function startPair(): Promise<[Exchange, Exchange]> {
         const roster = () => exchanges.map(exchange => exchange.description);
-        const pair: [Exchange, Exchange] = [new Exchange("i1", roster), new Exchange("i2", roster)];
+        const pair: [Exchange, Exchange] = [new Exchange("i1", "a", roster), new Exchange("i2", "a", roster)];
         exchanges = pair;
         await Promise.all(pair.map(exchange => exchange.start()));
         await until(() => pair.every(({ board }) => board.heardFrom.length === 1), 2_000);
@@ -81,7 +111,7 @@
         const roster = () => exchanges.map(exchange => exchange.description);
         const [one] = await startPair();
         one.board.book("e1", idle, 0);
-        const third = new Exchange("i3", roster);
+        const third = new Exchange("i3", "a", roster);
         await third.start();
         exchanges.push(third);
         await until(() => third.board.load("e1", 0).running === 1, 2_000);
@@ -93,6 +123,78 @@
         await until(() => two.board.load("e1", 0).running === 1, 1_000);
         await one.close();
         await until(() => two.board.load("e1", 0).running === 0, 3_000);
-        expect(two.log.events.filter(({ name }) => name === "load-feed.lost")).to.not.have.length(0);
+        expect(two.log.events.filter(({ name }) => name === "exchange.lost")).to.not.have.length(0);
+    });
+
+    it("takes from the caps what the others have used", async () => {
+        const [one, two] = await startPair();
+        one.caps.tryUse(workspace, 400, Date.now());
+        one.board.book("e1", idle, 0);
+        await until(() => two.caps.totals.fleetUseWithout("").get("w") === 400, 500);
+    });
+
+    // Pattern: a fleet of three domains, in which members learn of others over two hubs.
+    it("passes load and use on over the hubs of a larger fleet, and goes on when a hub is lost", async () => {
+        let held: IngressDescription[] = [];
+        exchanges = Array.from({ length: 15 }, (unused, i) => {
+            void unused;
+            return new Exchange(`i${i}`, "abc"[i % 3] ?? "a", () => held);
+        });
+        await Promise.all(exchanges.map(exchange => exchange.start()));
+        held = exchanges.map(({ description }) => description);
+        await until(() => exchanges.every(({ follower }) => follower.covered("fleet") === 15), 4_000);
+        const isHub = ({ follower }: Exchange): boolean => follower.covered("group") > 1;
+        const sender = exchanges.find(exchange => !isHub(exchange))!;
+        sender.caps.tryUse(workspace, 50, Date.now());
+        const booking = sender.board.book("e1", idle, 0);
+        const others = exchanges.filter(exchange => exchange !== sender);
+        await until(() => others.every(({ board }) => board.load("e1", 0).running === 1), 1_000);
+        expect(others.map(({ caps }) => caps.totals.fleetUseWithout("").get("w"))).to.deep.equal(Array(14).fill(50));
+        booking.end();
+        await until(() => others.every(({ board }) => board.load("e1", 0).running === 0), 1_000);
+        // Half of the connections were reset, and every hub was suspected by somebody for five seconds.
+        for (const { http } of exchanges) {
+            (http as unknown as { server: Server; }).server.closeAllConnections();
+        }
+        await until(() => exchanges.every(({ log }) => log.events.some(({ name }) => name === "exchange.lost")), 1_000);
+        await until(() => exchanges.every(({ follower }) => follower.covered("fleet") === 15), 1_000);
+        expect(exchanges.flatMap(({ log }) => log.events).filter(({ fields }) => fields.suspected === true))
+            .to.deep.equal([]);
+        const hub = exchanges.find(isHub)!;
+        await hub.close();
+        exchanges = exchanges.filter(exchange => exchange !== hub);
+        await until(() => exchanges.every(({ follower }) => follower.covered("fleet") === 14), 4_000);
+        sender.board.book("e2", idle, 0);
+        const left = exchanges.filter(exchange => exchange !== sender);
+        await until(() => left.every(({ board }) => board.load("e2", 0).running === 1), 1_000);
+    });
+
+    it("drops a feed whose lines cannot be read or never end, and says so", async () => {
+        const [one] = await startPair();
+        for (const answer of ["not a line\n", '{"covered":1}\n', "x".repeat(70_000)]) {
+            const server = createServer((req, res) => {
+                void req;
+                res.writeHead(200);
+                res.write(answer);
+            });
+            await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+            const inner = { host: "127.0.0.1", port: (server.address() as AddressInfo).port };
+            const peer = { ...one.description, name: "i9", inner };
+            const log = new MemoryEventLog();
+            const follower = new ExchangeFollower(
+                "i0",
+                { board: new LoadBoard(), caps: one.caps, onMemberChange: () => undefined },
+                () => [peer],
+                new ProcessKey("k".repeat(32)),
+                new SystemClock(),
+                log,
+            );
+            await follower.start();
+            await until(() => log.events.some(({ name }) => name === "exchange.lost"), 2_000);
+            expect(follower.covered("fleet")).to.equal(1);
+            await follower.close();
+            server.closeAllConnections();
+            server.close();
+        }
     });
 });
--- a/packages/ingress/tests/ingress-harness.ts
+++ b/packages/ingress/tests/ingress-harness.ts
@@ -148,9 +148,6 @@
                 leading: false,
                 stewards: [],
                 catalog: { version: catalog.version, text: "" },
-                shares: {},
-                floorShare: 0,
-                others: {},
                 members: 1,
             }, this.clock.now());
         }
@@ -162,7 +159,6 @@
             options,
             base,
             100,
-            async (workspace, units) => this.view.caps.tryUse(workspace, units, this.clock.now()),
         );
         this.server = new CallerServer(
             this.relay,
--- a/packages/ingress/tests/relay.test.ts
+++ b/packages/ingress/tests/relay.test.ts
@@ -87,7 +87,7 @@
         };
         harness.relay.budget("app");
         harness.view.apply(
-            { leading: false, stewards: [], shares: {}, floorShare: 0.1, others: {}, members: 5 },
+            { leading: false, stewards: [], members: 5 },
             harness.clock.now(),
         );
         expect(taken()).to.be.within(1, harness.options.retryReserve / 5);
@@ -286,7 +286,6 @@
         await endpoints[0]?.start();
         const workspaces = [testWorkspace({ capPerSecond: 1, capBurst: 2 })];
         ingress = await IngressHarness.start(testCatalog({ workspaces }), endpoints);
-        ingress.view.caps.setShare("w", { share: 1, floor: 1, expiresAt: Infinity });
         const harness = ingress;
         const answers = [];
         for (let i = 0; i < 3; i++) {
--- a/packages/steward/src/fleet-coordinator.ts
+++ b/packages/steward/src/fleet-coordinator.ts
@@ -1,14 +1,13 @@
 import type { EndpointLoad } from "@lentilramp/dispatch";
 import {
-    CapPool,
-    CapShares,
-    type CapTolerance,
     type Endpoint,
     EndpointDirectory,
     type EndpointList,
     type IngressDescription,
+    releaseAfterMs,
     Roster,
     type ServiceDemand,
+    syncSilenceMs,
     TrueTime,
     type UsageCounts,
     UsageWindows,
@@ -17,32 +16,41 @@
 import type { Clock } from "@lentilramp/runtime";
 import murmurhash from "murmurhash";
 
-/** Silence after which an ingress is left out of address lookups, in milliseconds; three syncs and a lost one. */
-const silenceMs = 1_200;
+/** Age up to which what was worked out over all ingresses is used again, in milliseconds. */
+const overviewMs = 100;
 /** Silence after which the floor share of an ingress is given to others, in milliseconds; it may have been cut off. */
 const forgetMs = 30_000;
 
+/** What is the same in every answer; worked out once for many syncs. */
+interface Overview {
+    at: number;
+    live: readonly IngressDescription[];
+    /** Of `live`. */
+    rosterTag: number;
+    members: number;
+    silent: number;
+    /** Load over all ingresses in contact. */
+    load: ReadonlyMap<string, EndpointLoad>;
+}
+
 interface IngressState {
     load: SyncRequest["load"];
     demand: SyncRequest["demand"];
     elapsedMs: number;
-    at: number;
 }
 
 /** What the leading steward gathers from the ingresses and tells each of them. */
 export class FleetCoordinator {
-    readonly roster = new Roster(silenceMs, forgetMs);
+    readonly roster = new Roster(syncSilenceMs, forgetMs);
     readonly trueTime = new TrueTime();
     readonly usage: UsageWindows;
-    readonly capPool: CapPool;
-    private readonly shares = new CapShares();
     private readonly ingresses = new Map<string, IngressState>();
     private readonly directory = new EndpointDirectory();
     private list: EndpointList | undefined;
     private listText = "";
+    private held: Overview | undefined;
 
-    constructor(private readonly clock: Clock, usageWindowMs: number, tolerance: CapTolerance) {
-        this.capPool = new CapPool(tolerance, clock.now());
+    constructor(private readonly clock: Clock, usageWindowMs: number) {
         this.usage = new UsageWindows(usageWindowMs);
     }
 
@@ -67,33 +75,36 @@
         return changed;
     }
 
-    /** Takes what an ingress says and answers with what it needs; `workspaces` are those that have a cap. */
-    sync(req: SyncRequest, workspaces: readonly string[]): Omit<SyncAnswer, "leading" | "stewards" | "catalog"> {
+    /** Takes what an ingress says and answers with what it needs. */
+    sync(req: SyncRequest): Omit<SyncAnswer, "leading" | "stewards" | "catalog"> {
         const now = this.clock.now();
         const { name } = req.ingress;
         this.roster.seen(req.ingress, now);
         this.trueTime.observe(name, req.wallMs, now);
-        this.shares.observe(name, req.asked, req.elapsedMs);
         this.usage.observe(req.lifetime, req.usage as Record<string, UsageCounts>);
-        this.ingresses.set(name, { load: req.load, demand: req.demand, elapsedMs: req.elapsedMs, at: now });
-        const live = this.roster.live(now).map(description => description.name);
-        const members = this.roster.members(now);
+        this.ingresses.set(name, { load: req.load, demand: req.demand, elapsedMs: req.elapsedMs });
+        const overview = this.overview(now);
         const sendList = this.list !== undefined && req.listNumber !== this.list.readNumber;
         return {
             list: sendList ? this.list : undefined,
             listNumber: this.list?.readNumber,
             listAgeMs: this.list === undefined ? undefined : this.listAgeMs,
-            shares: Object.fromEntries(
-                workspaces.map(workspace => [workspace, this.shares.share(name, workspace, live, members)]),
-            ),
-            floorShare: CapShares.floor(members),
-            others: this.othersOf(new Set([name, ...req.heardFrom]), live),
-            roster: this.rosterFor(req.rosterTag),
-            members,
+            others: req.followsOthers ? undefined : without(overview.load, req.load),
+            roster: overview.rosterTag === req.rosterTag
+                ? undefined
+                : { tag: overview.rosterTag, ingresses: [...overview.live] },
+            members: overview.members,
+            silent: overview.silent,
             trueMs: this.trueTime.at(now),
         };
     }
 
+    /** The ingresses in contact, for the other stewards; undefined when the asker holds the same. */
+    rosterFor(tag: number): SyncAnswer["roster"] {
+        const { rosterTag, live } = this.overview(this.clock.now());
+        return rosterTag === tag ? undefined : { tag: rosterTag, ingresses: [...live] };
+    }
+
     /** Demand on each engine service over all ingresses in contact. */
     demand(): Map<string, ServiceDemand> {
         const total = new Map<string, ServiceDemand>();
@@ -101,7 +112,6 @@
         for (const [name, state] of this.ingresses) {
             if (!live.has(name)) {
                 this.ingresses.delete(name);
-                this.shares.forget(name);
                 continue;
             }
             for (const [service, { unreadTokens, placeMs }] of Object.entries(state.demand)) {
@@ -122,22 +132,46 @@
         }
     }
 
-    private othersOf(known: ReadonlySet<string>, live: readonly string[]): Record<string, EndpointLoad> {
-        const others: Record<string, EndpointLoad> = {};
-        for (const name of live) {
-            const state = known.has(name) ? undefined : this.ingresses.get(name);
-            for (const [endpoint, load] of Object.entries(state?.load ?? {})) {
-                const sum = others[endpoint] ??= { running: 0, unreadTokens: 0 };
-                sum.running += load.running;
-                sum.unreadTokens += load.unreadTokens;
+    private overview(now: number): Overview {
+        if (this.held !== undefined && now - this.held.at < overviewMs) {
+            return this.held;
+        }
+        const live = this.roster.live(now);
+        const same = this.held?.live.length === live.length
+            && live.every((description, i) => description === this.held?.live[i]);
+        const load = new Map<string, EndpointLoad>();
+        for (const { name } of live) {
+            for (const [endpoint, { running, unreadTokens }] of Object.entries(this.ingresses.get(name)?.load ?? {})) {
+                const sum = load.get(endpoint);
+                load.set(endpoint, {
+                    running: (sum?.running ?? 0) + running,
+                    unreadTokens: (sum?.unreadTokens ?? 0) + unreadTokens,
+                });
             }
         }
-        return others;
+        this.held = {
+            at: now,
+            live,
+            rosterTag: same && this.held !== undefined ? this.held.rosterTag : murmurhash.v3(JSON.stringify(live)),
+            members: this.roster.members(now),
+            silent: this.roster.silent(now, releaseAfterMs),
+            load,
+        };
+        return this.held;
     }
+}
 
-    private rosterFor(tag: number): SyncAnswer["roster"] {
-        const ingresses = this.roster.live(this.clock.now());
-        const present = murmurhash.v3(JSON.stringify(ingresses));
-        return present === tag ? undefined : { tag: present, ingresses };
+/** Load of all but the one that has `own`. */
+function without(
+    load: ReadonlyMap<string, EndpointLoad>,
+    own: Readonly<Record<string, EndpointLoad>>,
+): Record<string, EndpointLoad> {
+    const others: Record<string, EndpointLoad> = {};
+    for (const [endpoint, { running, unreadTokens }] of load) {
+        others[endpoint] = {
+            running: Math.max(0, running - (own[endpoint]?.running ?? 0)),
+            unreadTokens: Math.max(0, unreadTokens - (own[endpoint]?.unreadTokens ?? 0)),
+        };
     }
+    return others;
 }
--- a/packages/steward/src/operator-interface.ts
+++ b/packages/steward/src/operator-interface.ts
@@ -1,4 +1,4 @@
-import type { IngressDescription } from "@lentilramp/fleet";
+import { type IngressDescription, lookupSet } from "@lentilramp/fleet";
 import type { RpcClient } from "@lentilramp/protocol";
 import type { FleetCoordinator } from "./fleet-coordinator.ts";
 import { describe, type StewardCore, type SubmitOutcome } from "./steward-core.ts";
@@ -49,9 +49,9 @@
         );
     }
 
-    /** Ingresses to which callers may connect. */
-    lookUp(): readonly IngressDescription[] {
-        return this.coordinator.roster.accepting(this.core.clock.now());
+    /** Ingresses to which callers may connect, at most `most`. */
+    lookUp(most: number): readonly IngressDescription[] {
+        return lookupSet(this.coordinator.roster.accepting(), most);
     }
 
     private async atLeader<T>(
--- a/packages/steward/src/platform-duties.ts
+++ b/packages/steward/src/platform-duties.ts
@@ -118,7 +118,8 @@
             const since = this.clock.now();
             const actFrom = this.tenure.actFrom(since, { previousHolder, heldBefore }, this.options.name);
             this.office = { term, fence, since, actFrom };
-            this.coordinator.capPool.restart(since);
+            // Without it, the first roster would leave out all that could not speak to the leader before.
+            this.coordinator.roster.renew(since);
             this.log.info("duty.taken", {
                 fence,
                 term,
--- a/packages/steward/src/roster-follower.ts
+++ b/packages/steward/src/roster-follower.ts
@@ -1,3 +1,4 @@
+import type { IngressDescription } from "@lentilramp/fleet";
 import type { RpcClient } from "@lentilramp/protocol";
 import { type Clock, PeriodicComponent } from "@lentilramp/runtime";
 import type { FleetCoordinator } from "./fleet-coordinator.ts";
@@ -6,6 +7,8 @@
 
 const intervalMs = 400;
 const callMs = 500;
+/** Time between two copies of the usage counts for each ingress, in milliseconds; they grow with the fleet. */
+const usageMsPerMember = 10;
 
 /**
  * Keeps a copy of the leader's roster and usage counts, so that every steward answers lookups and a new leader also
@@ -13,6 +16,8 @@
  */
 export class RosterFollower extends PeriodicComponent {
     readonly name = "roster-follower";
+    private held: { tag: number; ingresses: readonly IngressDescription[]; } = { tag: 0, ingresses: [] };
+    private usageReadAt = -Infinity;
 
     constructor(
         private readonly core: StewardCore,
@@ -28,10 +33,17 @@
         if (this.core.state.leads || leader === undefined) {
             return;
         }
-        const deadline = this.clock.now() + callMs;
-        const answer = await this.client.call(leader, "fleet.roster", {}, rosterAnswerSchema, deadline);
-        if (answer.leading) {
-            this.coordinator.takeRoster(answer.roster);
+        const now = this.clock.now();
+        const usage = now - this.usageReadAt >= this.held.ingresses.length * usageMsPerMember;
+        const params = { tag: this.held.tag, usage };
+        const answer = await this.client.call(leader, "fleet.roster", params, rosterAnswerSchema, now + callMs);
+        if (!answer.leading) {
+            return;
+        }
+        this.held = answer.roster ?? this.held;
+        this.coordinator.takeRoster(this.held.ingresses);
+        if (usage) {
+            this.usageReadAt = now;
             for (const [lifetime, windows] of Object.entries(answer.usage)) {
                 this.coordinator.usage.observe(lifetime, windows);
             }
--- a/packages/steward/src/steward-methods.ts
+++ b/packages/steward/src/steward-methods.ts
@@ -1,9 +1,7 @@
 import { type Message } from "@lentilramp/agreement";
-import type { CatalogWorkspace } from "@lentilramp/catalog";
 import { addressOf, memberAddressSchema, type MembershipRepair, type RpcTransport } from "@lentilramp/control";
 import { decodeMemberAddress } from "@lentilramp/control";
-import { CapShares, ingressDescriptionSchema } from "@lentilramp/fleet";
-import { type DrawAnswer, drawRequestSchema, type SyncAnswer, syncRequestSchema } from "@lentilramp/ingress";
+import { rosterSchema, type SyncAnswer, syncRequestSchema } from "@lentilramp/ingress";
 import type { PeerAddress, RpcServer } from "@lentilramp/protocol";
 import { z } from "zod";
 import type { CatalogState } from "./catalog-state.ts";
@@ -28,7 +26,8 @@
 });
 export const rosterAnswerSchema = z.object({
     leading: z.boolean(),
-    roster: z.array(ingressDescriptionSchema),
+    /** Left out when the asker holds it. */
+    roster: rosterSchema.optional(),
     /** Usage counted so far, by lifetime of an ingress and window. */
     usage: z.record(z.string(), z.record(z.string(), z.record(z.string(), z.number()))),
 });
@@ -41,8 +40,6 @@
     repair: MembershipRepair;
     retirement: MemberRetirement;
     transport: RpcTransport;
-    /** Workspaces that have a cap. */
-    cappedWorkspaces: () => readonly CatalogWorkspace[];
     /** Whether this steward holds the office of the present term. */
     inOffice: () => boolean;
 }
@@ -85,35 +82,21 @@
                 ...common,
                 leading: false,
                 leader: state.leads ? undefined : leaderAddress(core),
-                shares: {},
-                // Floors never expire, so that an ingress that starts while nobody leads can serve.
-                floorShare: CapShares.floor(state.members),
-                cappedWorkspaces: parts.cappedWorkspaces().map(({ name }) => name),
-                others: {},
+                // Lets an ingress that starts while nobody leads use its part of the caps.
                 members: state.members,
             };
         }
-        const workspaces = parts.cappedWorkspaces().map(({ name }) => name);
-        return { ...common, leading: true, ...coordinator.sync(req, workspaces) };
+        return { ...common, leading: true, ...coordinator.sync(req) };
     });
-    server.method("caps.draw", drawRequestSchema, async ({ workspace, units }): Promise<DrawAnswer> => {
-        const capped = parts.cappedWorkspaces().find(({ name }) => name === workspace);
-        if (!parts.inOffice() || capped === undefined) {
-            return { leading: parts.inOffice(), admitted: false };
-        }
-        const now = core.clock.now();
-        const verdict = coordinator.capPool.draw(capped, units, now);
-        return {
-            leading: true,
-            admitted: verdict.admitted,
-            retryMs: verdict.admitted ? undefined : verdict.retryAt - now,
-        };
-    });
-    server.method("fleet.roster", z.object({}), async (): Promise<z.infer<typeof rosterAnswerSchema>> => ({
-        leading: parts.inOffice(),
-        roster: coordinator.roster.live(core.clock.now()),
-        usage: coordinator.usage.newest(),
-    }));
+    const rosterRequest = z.object({ tag: z.number(), usage: z.boolean() });
+    server.method(
+        "fleet.roster",
+        rosterRequest,
+        async ({ tag, usage }): Promise<z.infer<typeof rosterAnswerSchema>> =>
+            parts.inOffice()
+                ? { leading: true, roster: coordinator.rosterFor(tag), usage: usage ? coordinator.usage.newest() : {} }
+                : { leading: false, usage: {} },
+    );
     server.method("catalog.submit", z.object({ text: z.string() }), ({ text }) => core.submit(text));
     server.method("catalog.read", z.object({}), async (): Promise<z.infer<typeof readAnswerSchema>> => {
         try {
