Heed what endpoints say of themselves, and bound what they send

Cause: Server-Leaving and the Retry-After of a 503 were not read; an endpoint that starts anew under its id kept what was known of the lifetime before; the ingress's own end of a request was logged as a reset by the endpoint and counted towards its ejection; bytes counted as progress of a stream, so that a stalled one which sends a byte now and then never ended; unused answers, interim answers and partial events had no bound, and a partial event above 1 MiB raised an exception in a socket's listener, which ends the process.

Change: an endpoint that says it leaves gets no new request in this lifetime, one that wants a pause gets none until its end, and neither is a failure. A resumable stream must bring events; unused answers end after 64 KiB or a second, interim answers after eight, partial events at 256 KiB.

--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -70,7 +70,9 @@
     ): Decision<C> {
         const choice = this.choose(req, candidates, model, now, excluded);
         if (choice === undefined) {
-            return { kind: "refuse", reason: "no-endpoint", retryAfterMs: this.spread(this.options.minReturnMs * 4) };
+            const pausedMs = Math.min(...candidates.map(({ id }) => this.health.pausedUntil(id))) - now;
+            const returnMs = Math.max(this.options.minReturnMs * 4, Number.isFinite(pausedMs) ? pausedMs : 0);
+            return { kind: "refuse", reason: "no-endpoint", retryAfterMs: this.spread(returnMs) };
         }
         const free = choice.running < choice.endpoint.slots + this.options.overbooking;
         if (free && choice.onTime && ahead === 0) {
--- a/packages/dispatch/src/endpoint-health.ts
+++ b/packages/dispatch/src/endpoint-health.ts
@@ -39,6 +39,8 @@
     ejectedUntil: number;
     ejections: number;
     trialAt: number | undefined;
+    /** The endpoint asked for no request until then; that is no failure. */
+    pausedUntil: number;
 }
 
 /**
@@ -87,10 +89,25 @@
     /** Whether a request may be sent there now. */
     usable(endpoint: string, now: number): boolean {
         const state = this.states.get(endpoint);
-        if (state === undefined || state.ejections === 0) {
+        if (state === undefined) {
             return true;
         }
-        return now >= state.ejectedUntil && (state.trialAt === undefined || now - state.trialAt > this.options.maxMs);
+        if (now < state.pausedUntil) {
+            return false;
+        }
+        return state.ejections === 0 || now >= state.ejectedUntil
+                && (state.trialAt === undefined || now - state.trialAt > this.options.maxMs);
+    }
+
+    /** Sends nothing to an endpoint until it is ready for more, as it said itself. */
+    pause(endpoint: string, until: number): void {
+        const state = this.state(endpoint);
+        state.pausedUntil = Math.max(state.pausedUntil, until);
+    }
+
+    /** The instant from which an endpoint may be sent requests as far as it has said so itself. */
+    pausedUntil(endpoint: string): number {
+        return this.states.get(endpoint)?.pausedUntil ?? -Infinity;
     }
 
     /** Notes a request sent to an endpoint that had been ejected; it is the trial. */
@@ -128,7 +145,7 @@
 
     private state(endpoint: string): State {
         const state = this.states.get(endpoint)
-            ?? { outcomes: [], ejectedUntil: -Infinity, ejections: 0, trialAt: undefined };
+            ?? { outcomes: [], ejectedUntil: -Infinity, ejections: 0, trialAt: undefined, pausedUntil: -Infinity };
         this.states.set(endpoint, state);
         return state;
     }
--- a/packages/fleet/src/endpoint-directory.ts
+++ b/packages/fleet/src/endpoint-directory.ts
@@ -12,6 +12,8 @@
     /** False when the replica leaves or its state is unknown. */
     ready: z.boolean(),
     reclaimable: z.boolean(),
+    /** Time of day at which this lifetime began, in milliseconds; a later one under the same id knows nothing. */
+    startedAt: z.number().optional(),
 });
 export type Endpoint = z.infer<typeof endpointSchema>;
 
@@ -28,6 +30,19 @@
     private list: readonly Endpoint[] = [];
     private byService = new Map<string, Endpoint[]>();
     private readAt: number | undefined;
+    /** Endpoints that said themselves that they leave, with the start of that lifetime. */
+    private readonly leaving = new Map<string, number | undefined>();
+
+    /** Notes that an endpoint leaves. A list that shows it ready is older than that, until it starts anew. */
+    leave(id: string): boolean {
+        const endpoint = this.list.find(entry => entry.id === id);
+        if (endpoint === undefined || this.leaving.has(id)) {
+            return false;
+        }
+        this.leaving.set(id, endpoint.startedAt);
+        this.group();
+        return true;
+    }
 
     /** Takes a list read at the instant `readAt`; an older one than the held one is ignored. */
     update(endpoints: readonly Endpoint[], readAt: number): void {
@@ -36,9 +51,19 @@
         }
         this.readAt = readAt;
         this.list = endpoints;
+        const startedAt = new Map(endpoints.map(endpoint => [endpoint.id, endpoint.startedAt]));
+        for (const [id, leavingSince] of this.leaving) {
+            if (!startedAt.has(id) || startedAt.get(id) !== leavingSince) {
+                this.leaving.delete(id);
+            }
+        }
+        this.group();
+    }
+
+    private group(): void {
         this.byService = new Map();
-        for (const endpoint of endpoints) {
-            if (endpoint.ready) {
+        for (const endpoint of this.list) {
+            if (endpoint.ready && !this.leaving.has(endpoint.id)) {
                 const group = this.byService.get(endpoint.service) ?? [];
                 group.push(endpoint);
                 this.byService.set(endpoint.service, group);
--- a/packages/ingress/src/answer-writer.ts
+++ b/packages/ingress/src/answer-writer.ts
@@ -15,6 +15,8 @@
 
 /** Answers up to this size are read whole before the caller gets a byte, in bytes, so that a cut one can be replaced. */
 const wholeLimitBytes = 262_144;
+/** Bytes without the end of an event after which a stream is no stream of events. */
+const eventLimitBytes = 262_144;
 
 /** Writes the answers of endpoints to one caller. */
 export class AnswerWriter {
@@ -89,28 +91,43 @@
     /** Relays whole events, so that another endpoint can go on after the last one. */
     async events(
         res: IncomingMessage,
-        options: { clock: Clock; stallMs: number; broke: () => Promise<boolean>; onFirst: () => void; },
+        options: {
+            clock: Clock;
+            /** Instant by which the first event must be there, and the longest pause between two events. */
+            firstBy: number;
+            stallMs: number;
+            broke: () => Promise<boolean>;
+            onFirst: () => void;
+        },
     ): Promise<BodyEnd> {
-        const { clock, stallMs, broke, onFirst } = options;
+        const { clock, firstBy, stallMs, broke, onFirst } = options;
         const splitter = new EventSplitter();
         let timer: Timer | undefined;
         let first = true;
-        const watch = (): void => {
+        const watch = (until: number): void => {
             timer?.cancel();
-            timer = clock.schedule(clock.now() + stallMs, () => this.stop("stalled"));
+            timer = clock.schedule(until, () => this.stop("stalled"));
         };
+        watch(firstBy);
         const end = await this.consume(res, broke, piece => {
-            if (first) {
-                first = false;
-                onFirst();
-            }
-            watch();
             const { whole, lastEventId } = splitter.push(piece);
+            if (splitter.rest.length > eventLimitBytes) {
+                this.stop("cut");
+                return true;
+            }
             if (whole.length === 0) {
                 return true;
             }
+            // Bytes, comments and empty lines are no progress.
+            if (lastEventId !== undefined) {
+                if (first) {
+                    first = false;
+                    onFirst();
+                }
+                watch(clock.now() + stallMs);
+                this.splitLastId = lastEventId;
+            }
             this.writeHead(res);
-            this.splitLastId = lastEventId ?? this.splitLastId;
             return this.out.write(whole);
         });
         timer?.cancel();
--- a/packages/ingress/src/attempt.ts
+++ b/packages/ingress/src/attempt.ts
@@ -16,9 +16,15 @@
         reason: string;
         /** Whether the endpoint received the request and rejected it. */
         arrived: boolean;
+        head?: AnswerHead;
     }
     /** The endpoint may have run the request. */
-    | { kind: "unknown"; reason: string; };
+    | {
+        kind: "unknown";
+        reason: string;
+        /** Nothing came until the ingress itself gave up. */
+        timedOut?: boolean;
+    };
 
 export interface AttemptInput {
     endpoint: Endpoint;
@@ -33,11 +39,26 @@
     maxFree: number;
 }
 
-/** Reads an answer to its end without using it, so that its connection can be kept. */
+/** An unused answer that is longer than this closes its connection, in bytes. */
+const discardLimitBytes = 65_536;
+/** An unused answer that has not ended by then closes its connection, in milliseconds. */
+const discardMs = 1_000;
+/** Interim answers to one request; a sound endpoint sends one or two. */
+const maxInterimAnswers = 8;
+
+/** Reads a short answer to its end without using it, so that its connection can be kept. */
 export function discardAnswer(res: IncomingMessage): void {
+    let bytes = 0;
+    const timer = setTimeout(() => res.destroy(), discardMs);
     // A cut in what nobody uses is no failure.
     res.on("error", () => undefined);
-    res.resume();
+    res.on("close", () => clearTimeout(timer));
+    res.on("data", (piece: Buffer) => {
+        bytes += piece.length;
+        if (bytes > discardLimitBytes) {
+            res.destroy();
+        }
+    });
 }
 
 /** One send of a request to one endpoint, up to the head of the answer. */
@@ -116,7 +137,7 @@
         this.timers.push(this.clock.schedule(headDeadline, () => {
             settle(
                 this.connected
-                    ? { kind: "unknown", reason: "no answer in time" }
+                    ? { kind: "unknown", reason: "no answer in time", timedOut: true }
                     : { kind: "not-run", reason: "connection not opened in time", arrived: false },
             );
             req.destroy();
@@ -131,6 +152,13 @@
                     : { kind: "not-run", reason, arrived: false },
             );
         });
+        let interimAnswers = 0;
+        req.on("information", () => {
+            if (++interimAnswers > maxInterimAnswers) {
+                settle({ kind: "unknown", reason: "interim answers without end" });
+                req.destroy();
+            }
+        });
         req.on("upgrade", (res, socket) => {
             socket.destroy();
             settle({ kind: "unknown", reason: `unexpected status ${res.statusCode}` });
@@ -167,7 +195,7 @@
         }
         if (head.notRun) {
             discardAnswer(res);
-            return { kind: "not-run", reason: `status ${status}`, arrived: true };
+            return { kind: "not-run", reason: `status ${status}`, arrived: true, head };
         }
         if (status >= 200 && status < 300 && !head.sealed) {
             return refuse("success without a seal");
--- a/packages/ingress/src/event-splitter.ts
+++ b/packages/ingress/src/event-splitter.ts
@@ -5,22 +5,16 @@
     lastEventId: string | undefined;
 }
 
-/** Longest partial event that is kept, in bytes; a longer one is an error of the endpoint. */
-const maxPartialBytes = 1_048_576;
-
 /** Cuts a stream of server-sent events at the ends of events, so that a cut stream can go on without a gap. */
 export class EventSplitter {
     private partial: Buffer = Buffer.alloc(0);
 
-    /** Takes a piece of the stream. Throws RangeError when an event is too long. */
+    /** Takes a piece of the stream. */
     push(piece: Buffer): SplitEvents {
         const data = this.partial.length === 0 ? piece : Buffer.concat([this.partial, piece]);
         const end = endOfLastEvent(data);
         const whole = data.subarray(0, end);
         this.partial = data.subarray(end);
-        if (this.partial.length > maxPartialBytes) {
-            throw new RangeError(`an event exceeds ${maxPartialBytes} bytes`);
-        }
         return { whole, lastEventId: end === 0 ? undefined : lastIdOf(whole) };
     }
 
--- a/packages/ingress/src/fleet-view.ts
+++ b/packages/ingress/src/fleet-view.ts
@@ -113,9 +113,9 @@
         const before = this.endpoints.all;
         this.endpoints.update(endpoints, readAt);
         this.listNumber = number;
-        const held = new Set(this.endpoints.all.map(endpoint => endpoint.id));
-        for (const { id } of before) {
-            if (!held.has(id)) {
+        const held = new Map(this.endpoints.all.map(endpoint => [endpoint.id, endpoint.startedAt]));
+        for (const { id, startedAt } of before) {
+            if (!held.has(id) || held.get(id) !== startedAt) {
                 this.board.forget(id);
                 this.memory.forget(id);
                 this.health.forget(id);
--- a/packages/ingress/src/relayed-call.ts
+++ b/packages/ingress/src/relayed-call.ts
@@ -5,6 +5,7 @@
 import { Attempt, type AttemptOutcome, discardAnswer } from "./attempt.ts";
 import { CallRecord } from "./call-record.ts";
 import { type AdmittedRequest, type RelayContext, sendRefusal } from "./relay.ts";
+import type { AnswerHead } from "./wire.ts";
 
 /** Part of the time to the target after which an idempotent call without an answer is tried elsewhere. */
 const slowAnswerPart = 0.75;
@@ -24,6 +25,10 @@
     endpoint: Endpoint;
     booking: Booking;
     sentAt: number;
+    /** Instant by which an answer must have begun. */
+    firstBy: number;
+    /** Instant from which silence is the endpoint's fault and not due to a short time-out of the route. */
+    silentFrom: number;
     ended: boolean;
 }
 
@@ -88,8 +93,12 @@
                 return;
             }
             const outcome = await sent.attempt.run();
+            if (this.left) {
+                this.onLateOutcome(sent, outcome);
+                return;
+            }
             const done = outcome.kind === "answer"
-                ? await this.onAnswer(sent, outcome.res)
+                ? await this.onAnswer(sent, outcome.res, outcome.head)
                 : this.onFailure(sent, outcome);
             this.end(sent);
             if (done || this.left) {
@@ -159,6 +168,7 @@
         if (dispatch.work !== undefined && service?.engine !== undefined) {
             ctx.view.memory.record(endpoint.id, dispatch.work.parts, service.engine.kvCacheTokens, now);
         }
+        const firstBy = this.headDeadline(choice, now);
         const attempt = new Attempt(
             {
                 endpoint,
@@ -173,7 +183,7 @@
                 }),
                 body: admitted.body,
                 attemptId: admitted.head.attemptId,
-                headDeadline: this.headDeadline(choice, now),
+                headDeadline: firstBy,
                 maxFree: ctx.maxFree(dispatch.service),
             },
             ctx.pool,
@@ -185,6 +195,8 @@
             endpoint,
             booking,
             sentAt: now,
+            firstBy,
+            silentFrom: now + choice.prediction.firstByteMs * slowStreamFactor + slowStreamMarginMs,
             ended: false,
         };
     }
@@ -201,14 +213,46 @@
         return Math.min(dispatch.deadline, now + patience);
     }
 
+    /** Accounts for a send that this ingress itself ended; its reset says nothing of the endpoint. */
+    private onLateOutcome(sent: Sent, outcome: AttemptOutcome): void {
+        if (outcome.kind === "answer") {
+            discardAnswer(outcome.res);
+            this.noteHead(sent, outcome.head);
+        }
+        if (outcome.kind !== "not-run") {
+            this.runs++;
+            this.record.usage(sent.sentAt);
+        }
+        this.end(sent);
+    }
+
+    /** Takes what an endpoint says of itself, whatever its answer is. */
+    private noteHead({ endpoint }: Sent, head: AnswerHead | undefined): void {
+        const { view, clock, log } = this.ctx;
+        if (head?.leaving === true && view.endpoints.leave(endpoint.id)) {
+            log.info("endpoint.leaving", { endpoint: endpoint.id, service: endpoint.service });
+        }
+        if (head?.pauseMs !== undefined) {
+            view.health.pause(endpoint.id, clock.now() + head.pauseMs);
+            log.info("endpoint.paused", {
+                endpoint: endpoint.id,
+                service: endpoint.service,
+                pauseMs: Math.round(head.pauseMs),
+            });
+        }
+    }
+
     /** Returns whether the request is finished; otherwise it is to be sent again. */
     private onFailure(sent: Sent, outcome: Exclude<AttemptOutcome, { kind: "answer"; }>): boolean {
         this.lastFailure = outcome.reason;
         this.excluded.add(sent.endpoint.id);
         const rejected = outcome.kind === "not-run" && outcome.arrived;
-        if (!rejected) {
+        const ownTimeOut = outcome.kind === "unknown" && outcome.timedOut === true
+            && this.ctx.clock.now() < sent.silentFrom;
+        if (!rejected && !ownTimeOut) {
             this.record.health(sent.endpoint, "broken");
         }
+        this.noteHead(sent, outcome.kind === "not-run" ? outcome.head : undefined);
         this.resendPaid = outcome.kind === "not-run" && !outcome.arrived;
         this.record.sendFailed(sent, outcome.kind, outcome.reason);
         if (outcome.kind === "unknown") {
@@ -222,8 +266,9 @@
         return false;
     }
 
-    private async onAnswer(sent: Sent, res: IncomingMessage): Promise<boolean> {
+    private async onAnswer(sent: Sent, res: IncomingMessage, head: AnswerHead): Promise<boolean> {
         const { route, dispatch } = this.admitted;
+        this.noteHead(sent, head);
         const { clock } = this.ctx;
         const status = res.statusCode ?? 0;
         this.runs++;
@@ -307,6 +352,7 @@
         const end = route.resumable
             ? await this.writer.events(res, {
                 clock: this.ctx.clock,
+                firstBy: sent.firstBy,
                 stallMs: (route.gapTargetMs ?? defaultPauseMs) * stalledPauses,
                 broke,
                 onFirst,
@@ -343,6 +389,12 @@
     }
 
     private onDeadline(): void {
+        const sent = this.current;
+        const now = this.ctx.clock.now();
+        if (sent !== undefined && !sent.ended && !this.writer.started && now >= sent.silentFrom) {
+            this.record.health(sent.endpoint, "broken");
+            this.record.sendFailed(sent, "unknown", "no answer before the deadline");
+        }
         this.giveUp("time is up", undefined);
         this.leave();
     }
--- a/packages/ingress/src/wire.ts
+++ b/packages/ingress/src/wire.ts
@@ -34,6 +34,10 @@
     sealed: boolean;
     /** The endpoint has not run the request and will not. */
     notRun: boolean;
+    /** The endpoint leaves and wants no new request in this lifetime. */
+    leaving: boolean;
+    /** Time for which the endpoint wants no request, in milliseconds. */
+    pauseMs: number | undefined;
 }
 
 /** Header formats between callers, ingress and endpoints. */
