Learn how fast engines read prompts, and hold on-demand replicas by the number of domains

Cause: predictions and the planner took every engine for one that reads 157 tokens in a millisecond. And the part of on-demand replicas was set for three domains; over five, two lost domains cost two fifths of the reclaimable replicas and not two thirds.

Change: each ingress learns the speed from its own requests that found no prompt before them (lower quartile of the time for a token), tells it with its demand, and the leader plans with the middle one. On-demand replicas are what is missing to 0.78 of the need when two domains lose their reclaimable ones: 0.45 at three domains as before, 0.18 at five.

Ruled out: rounding up reclaimable replicas in each domain as the cause of the price; they cost a fifth of the others.

--- a/packages/dispatch/src/engine-model.ts
+++ b/packages/dispatch/src/engine-model.ts
@@ -1,45 +1,22 @@
+import { engineSpeedDefaults, EngineSpeedEstimate } from "./engine-speed.ts";
 import { LatencyModel, type Prediction } from "./latency-model.ts";
 import type { KnownLoad } from "./load-board.ts";
 import type { PrefixMemory } from "./prefix-memory.ts";
 import type { PromptHome } from "./prompt-home.ts";
 import type { Candidate, DispatchRequest, EngineWork } from "./types.ts";
 
-/** Speed of an engine; the defaults are those that the users' sheets give for their engines. */
-export interface EngineSpeed {
-    prefillTokensPerMs: number;
-    /** Time of a step without any request. */
-    stepMs: number;
-    /** Time that each running request adds to a step. */
-    stepMsPerRequest: number;
-    /** Prompt tokens read in one step. */
-    chunkTokens: number;
-    /** Time from the end of the prompt to the first event. */
-    firstEventMs: number;
-    /** Time on the way there and back. */
-    linkMs: number;
-}
-
-export const engineSpeedDefaults: EngineSpeed = {
-    prefillTokensPerMs: 157,
-    stepMs: 3.55,
-    stepMsPerRequest: 0.0462,
-    chunkTokens: 2_048,
-    firstEventMs: 45,
-    linkMs: 10,
-};
-
 /** Time to the first event of an engine: uncached prompt, prompts that wait before it, and a place. */
 export class EngineModel extends LatencyModel {
     constructor(
         private readonly memory: PrefixMemory,
         private readonly home: PromptHome,
-        private readonly speed: EngineSpeed = engineSpeedDefaults,
+        readonly estimate = new EngineSpeedEstimate(),
     ) {
         super();
     }
 
     override predict(req: DispatchRequest, endpoint: Candidate, load: KnownLoad): Prediction {
-        const { speed } = this;
+        const { speed } = this.estimate;
         const work = req.work ?? { parts: [], promptTokens: 0, maxOutputTokens: 0, outputTokens: 0 };
         const unreadTokens = Math.max(0, work.promptTokens - this.cached(req, endpoint));
         const step = speed.stepMs + speed.stepMsPerRequest * load.running;
--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -4,6 +4,7 @@
 export * from "./dispatcher.ts";
 export * from "./endpoint-health.ts";
 export * from "./engine-model.ts";
+export * from "./engine-speed.ts";
 export * from "./latency-model.ts";
 export * from "./load-board.ts";
 export * from "./place-queue.ts";
--- a/packages/fleet/src/replica-planner.ts
+++ b/packages/fleet/src/replica-planner.ts
@@ -5,8 +5,8 @@
 const plannedPrefillShare = 0.6;
 /** Share of an engine's slots that is planned for; the rest absorbs bursts between two plans. */
 const plannedSlotShare = 0.72;
-/** Part of what is needed that on-demand replicas give at all times; two domains can lose theirs within a boot. */
-const onDemandPart = 0.45;
+/** Part of what is needed that must be left when two domains lose their reclaimable replicas within a boot. */
+const leftAfterTwoLossesPart = 0.78;
 /** Reclaimable replicas relative to what is needed; they carry bursts for a fraction of the price. */
 const reclaimablePart = 1;
 /** Part of what is needed that must be left when one more domain loses its reclaimable replicas. */
@@ -23,8 +23,8 @@
 const shrinkAfterMs = 3_000;
 /** Time for which the list must name as many replicas before it is believed, in milliseconds; entries come one by one. */
 const installedSettleMs = 1_500;
-/** Part of the installed replicas that is kept on demand before there is any demand. */
-const idleOnDemandPart = 0.4;
+/** On-demand replicas before there is any demand, relative to the same number of needed replicas under demand. */
+const idlePart = 0.9;
 /** The same without any demand, when only the list of endpoints can be wrong, in milliseconds; two reads of it. */
 const idleShrinkAfterMs = 900;
 /** After a refused order for reclaimable replicas, the domain is asked again this much later, in milliseconds. */
@@ -32,6 +32,11 @@
 /** Shortest time between two orders of the same number, in milliseconds; an order can be lost. */
 const repeatMs = 4_000;
 
+/** Part of what is needed that on-demand replicas give at all times: what reclaimable ones in two domains would. */
+function onDemandPartOver(domains: number): number {
+    return Math.max(0, leftAfterTwoLossesPart - reclaimablePart * Math.max(0, 1 - 2 / Math.max(1, domains)));
+}
+
 export interface EngineCapacity {
     slots: number;
     /** Prompt tokens that an engine reads in a second. */
@@ -174,9 +179,10 @@
         const reclaimableReady = counts.reduce((sum, count) => sum + count, 0);
         const leftAfterLoss = reclaimableReady - Math.max(0, ...counts);
         const refused = domains.some(domain => now < (this.refusedUntil.get(domain) ?? 0));
+        const onDemandPart = onDemandPartOver(domains.length);
         // Without demand nobody is hurt while reclaimable replicas still start.
         const wanted = demanded === undefined
-            ? Math.max(Math.ceil(needed * idleOnDemandPart), refused ? needed - reclaimableReady : 0)
+            ? Math.max(Math.ceil(needed * onDemandPart * idlePart), refused ? needed - reclaimableReady : 0)
             : Math.max(
                 Math.ceil(needed * onDemandPart),
                 needed - reclaimableReady,
--- a/packages/fleet/tests/fleet.test.ts
+++ b/packages/fleet/tests/fleet.test.ts
@@ -294,6 +294,30 @@
         expect(needed).to.be.above(5);
     });
 
+    // At five domains the number of on-demand replicas for three was two thirds of the whole price.
+    it("needs few on-demand replicas over five domains to keep four fifths when two of them lose theirs", () => {
+        const five = ["a", "b", "c", "d", "e"];
+        const planner = new ReplicaPlanner("model");
+        const world = new ReplicaWorld(five, { a: 4, b: 4, c: 4, d: 4, e: 4 });
+        let needed = 0;
+        for (let now = 0; now < 36_000; now += 250) {
+            planner.observe({ prefillPerSecond: 0, places: 90 }, now);
+            if (now === 20_000 || now === 21_500) {
+                world.reclaim(now === 20_000 ? "c" : "b", now);
+            }
+            needed = planner.needed(capacity) ?? 0;
+            world.carryOut(planner.plan(world.listed(now), range, five, capacity, now), now, now >= 20_000);
+            if (now > 10_000) {
+                expect(world.ready(now).length, `at ${now} ms`).to.be.at.least(Math.floor(needed * 0.78));
+            }
+            if (now > 10_000 && now < 20_000) {
+                const onDemand = world.ready(now).filter(({ reclaimable }) => !reclaimable);
+                expect(onDemand.length).to.be.at.most(Math.ceil(needed * 0.3));
+            }
+        }
+        expect(needed).to.be.above(10);
+    });
+
     it("fills with on-demand replicas what reclaimable ones do not give, the cheapest domain first", () => {
         const planner = new ReplicaPlanner("model");
         settle(planner, 24);
--- a/packages/ingress/src/call-record.ts
+++ b/packages/ingress/src/call-record.ts
@@ -1,4 +1,10 @@
-import { type Choice, type EndpointOutcome, expectedPlaceMs } from "@lentilramp/dispatch";
+import {
+    type Choice,
+    type EndpointOutcome,
+    EngineModel,
+    engineSpeedDefaults,
+    expectedPlaceMs,
+} from "@lentilramp/dispatch";
 import type { Endpoint } from "@lentilramp/fleet";
 import murmurhash from "murmurhash";
 import type { AdmittedRequest, RelayContext } from "./relay.ts";
@@ -23,7 +29,9 @@
         const { service, work } = this.admitted.dispatch;
         if (work !== undefined) {
             const unreadTokens = best?.prediction.unreadTokens ?? work.promptTokens;
-            this.ctx.addDemand(service, unreadTokens, expectedPlaceMs(work, unreadTokens));
+            const model = this.ctx.model(service);
+            const speed = model instanceof EngineModel ? model.estimate.speed : engineSpeedDefaults;
+            this.ctx.addDemand(service, unreadTokens, expectedPlaceMs(work, unreadTokens, speed));
         }
     }
 
@@ -58,7 +66,12 @@
     }
 
     firstByte(): void {
-        this.firstByteAt ??= this.ctx.clock.now();
+        const now = this.ctx.clock.now();
+        this.firstByteAt ??= now;
+        const model = this.ctx.model(this.admitted.dispatch.service);
+        if (model instanceof EngineModel && this.sent?.queued === 0) {
+            model.estimate.observe(this.sent.unread, now - this.sent.at);
+        }
     }
 
     sendFailed(sent: { endpoint: Endpoint; sentAt: number; }, outcome: string, reason: string): void {
--- a/packages/ingress/src/fleet-messages.ts
+++ b/packages/ingress/src/fleet-messages.ts
@@ -28,7 +28,15 @@
      * Work that arrived for each engine service since the last sync, refused requests included: prompt tokens to be
      * read, and the time for which the requests would take a place.
      */
-    demand: z.record(z.string(), z.object({ unreadTokens: z.number(), placeMs: z.number() })),
+    demand: z.record(
+        z.string(),
+        z.object({
+            unreadTokens: z.number(),
+            placeMs: z.number(),
+            /** How fast the engines read prompts, as the sender has measured it. */
+            prefillTokensPerMs: z.number().optional(),
+        }),
+    ),
 });
 export type SyncRequest = z.infer<typeof syncRequestSchema>;
 
--- a/packages/ingress/src/relay.ts
+++ b/packages/ingress/src/relay.ts
@@ -61,6 +61,13 @@
     addDemand(service: string, unreadTokens: number, placeMs: number): void;
 }
 
+/** Work that arrived for an engine service, and how fast its engines read when that is known. */
+export interface EngineDemand {
+    unreadTokens: number;
+    placeMs: number;
+    prefillTokensPerMs?: number;
+}
+
 interface Refusal {
     status: number;
     reason: string;
@@ -80,7 +87,7 @@
     private readonly queues = new Map<string, PlaceQueue<Endpoint>>();
     private readonly models = new Map<string, LatencyModel>();
     private readonly budgets = new Map<string, RetryBudget>();
-    private demand: Record<string, { unreadTokens: number; placeMs: number; }> = {};
+    private demand: Record<string, EngineDemand> = {};
     private readonly home: RendezvousHome;
     private inProgress = 0;
     private drainingSince: number | undefined;
@@ -119,9 +126,15 @@
     }
 
     /** Demand on engine services since the last call. */
-    takeDemand(): Record<string, { unreadTokens: number; placeMs: number; }> {
-        const demand = this.demand;
+    takeDemand(): Record<string, EngineDemand> {
+        const { demand } = this;
         this.demand = {};
+        for (const [service, model] of this.models) {
+            if (model instanceof EngineModel && model.estimate.measured) {
+                const entry = demand[service] ??= { unreadTokens: 0, placeMs: 0 };
+                entry.prefillTokensPerMs = model.estimate.speed.prefillTokensPerMs;
+            }
+        }
         return demand;
     }
 
--- a/packages/steward/src/fleet-coordinator.ts
+++ b/packages/steward/src/fleet-coordinator.ts
@@ -124,6 +124,13 @@
         return total;
     }
 
+    /** How fast the engines of a service read prompts: the middle of what the ingresses have measured, if any has. */
+    prefillTokensPerMs(service: string): number | undefined {
+        const rates = [...this.ingresses.values()].flatMap(({ demand }) => demand[service]?.prefillTokensPerMs ?? [])
+            .sort((a, b) => a - b);
+        return rates[Math.floor(rates.length / 2)];
+    }
+
     /** Takes the roster of the leader, so that this steward can answer lookups and lead later. */
     takeRoster(descriptions: readonly IngressDescription[]): void {
         const now = this.clock.now();
--- a/packages/steward/src/platform-duties.ts
+++ b/packages/steward/src/platform-duties.ts
@@ -235,7 +235,8 @@
             const endpoints = this.coordinator.endpoints.filter(endpoint => endpoint.service === service.name);
             const capacity = {
                 slots: engine.slots,
-                prefillPerSecond: engineSpeedDefaults.prefillTokensPerMs * 1_000,
+                prefillPerSecond: 1_000
+                    * (this.coordinator.prefillTokensPerMs(service.name) ?? engineSpeedDefaults.prefillTokensPerMs),
             };
             const orders = planner.plan(endpoints, scaling, this.options.failureDomains, capacity, now);
             let provenAt = -Infinity;
