Keep serving caps for a moment after a loss, learn engine speed from long prompts, and wake up for work only

The speed comes from how much longer a token of a long prompt takes than a short prompt. The gauge event_loop_utilization replaces event_loop_delay.

--- a/packages/cli/src/fleet-metrics.ts
+++ b/packages/cli/src/fleet-metrics.ts
@@ -16,9 +16,9 @@
     members: { kind: "gauge", help: "Ingresses among which caps are split" },
     leads: { kind: "gauge", help: "1 when this steward leads" },
     fence: { kind: "gauge", help: "Fencing number of the office" },
-    event_loop_delay: {
+    event_loop_utilization: {
         kind: "gauge",
-        help: "99th percentile of the event loop's delay since the last read, in seconds",
+        help: "Part of the time since the last read in which the process was busy",
     },
     resident_bytes: { kind: "gauge", help: "Resident memory in bytes" },
     log_lines_dropped: { kind: "gauge", help: "Log lines dropped because nobody read them" },
--- a/packages/cli/src/wire-fleet.ts
+++ b/packages/cli/src/wire-fleet.ts
@@ -12,7 +12,7 @@
     SystemRandom,
     ThrottledEventLog,
 } from "@lentilramp/runtime";
-import { monitorEventLoopDelay } from "node:perf_hooks";
+import { performance } from "node:perf_hooks";
 import { fleetMetrics } from "./fleet-metrics.ts";
 import { MetricsServer } from "./metrics-server.ts";
 import { wireIngress } from "./wire-ingress.ts";
@@ -107,11 +107,12 @@
 }
 
 function addProcessGauges({ gauges, metrics }: FleetProcess, sink: LineSink): void {
-    const delay = monitorEventLoopDelay();
-    delay.enable();
+    // A histogram of delays would wake the process a hundred times a second; this is read only when it is asked for.
+    let last = performance.eventLoopUtilization();
     gauges.push(() => {
-        metrics.gauge("event_loop_delay", delay.percentile(99) / 1e9);
-        delay.reset();
+        const present = performance.eventLoopUtilization();
+        metrics.gauge("event_loop_utilization", performance.eventLoopUtilization(present, last).utilization);
+        last = present;
         metrics.gauge("resident_bytes", process.memoryUsage.rss());
         metrics.gauge("log_lines_dropped", sink.droppedLines);
     });
--- a/packages/dispatch/src/engine-speed.ts
+++ b/packages/dispatch/src/engine-speed.ts
@@ -23,25 +23,36 @@
     linkMs: 10,
 };
 
-/** Unread tokens from which a prompt tells how fast an engine reads. */
-const minTellingTokens = 1_500;
-/** Samples from which the estimate is used, and those that are kept. */
+/** Unread tokens up to which the time to the first event shows what an engine takes in any case. */
+const shortTokens = 600;
+/** Unread tokens from which it shows how fast an engine reads. */
+const longTokens = 2_500;
+/** Samples of each kind from which the estimate is used, and those that are kept. */
 const minSamples = 8;
-const keptSamples = 60;
-/** Part of the samples that were faster than the estimate: those that waited for others are slower. */
-const undisturbedPart = 0.25;
+const keptSamples = 40;
+/** Part of the long prompts that were faster than the estimate: waiting makes them slower, a cached prompt faster. */
+const fasterPart = 0.4;
 /** Bounds of the estimate, in tokens for each millisecond. */
 const minTokensPerMs = 5;
 const maxTokensPerMs = 2_000;
 
-/** Learns how fast the engines of a service read prompts, from the requests that found no prompt before them. */
+interface Sample {
+    unreadTokens: number;
+    firstByteMs: number;
+}
+
+/**
+ * Learns how fast the engines of a service read prompts, from the requests that found no prompt before them: by how
+ * much longer a token of a long prompt takes than a short prompt as a whole.
+ */
 export class EngineSpeedEstimate {
-    private samples: number[] = [];
+    private short: number[] = [];
+    private long: Sample[] = [];
     private rate = engineSpeedDefaults.prefillTokensPerMs;
 
     /** Whether the speed rests on enough samples. */
     get measured(): boolean {
-        return this.samples.length >= minSamples;
+        return this.short.length >= minSamples && this.long.length >= minSamples;
     }
 
     get speed(): EngineSpeed {
@@ -50,16 +61,25 @@
 
     /** Takes the time to the first event of a request that had no unread prompt before it. */
     observe(unreadTokens: number, firstByteMs: number): void {
-        if (unreadTokens < minTellingTokens) {
-            return;
+        if (unreadTokens <= shortTokens) {
+            this.short = [...this.short, firstByteMs].slice(-keptSamples);
+        }
+        else if (unreadTokens >= longTokens) {
+            this.long = [...this.long, { unreadTokens, firstByteMs }].slice(-keptSamples);
         }
-        const { firstEventMs, linkMs } = engineSpeedDefaults;
-        const readingMs = Math.max(1, firstByteMs - firstEventMs - linkMs);
-        this.samples = [...this.samples, readingMs / unreadTokens].slice(-keptSamples);
         if (this.measured) {
-            const sorted = [...this.samples].sort((a, b) => a - b);
-            const perToken = sorted[Math.floor(sorted.length * undisturbedPart)] ?? 0;
-            this.rate = Math.min(maxTokensPerMs, Math.max(minTokensPerMs, 1 / perToken));
+            const { stepMs, chunkTokens } = engineSpeedDefaults;
+            const baseMs = quantile(this.short, 0.5);
+            const perToken = quantile(
+                this.long.map(long => (long.firstByteMs - baseMs) / long.unreadTokens),
+                fasterPart,
+            );
+            const rate = 1 / Math.max(1 / maxTokensPerMs, perToken - stepMs / chunkTokens);
+            this.rate = Math.max(minTokensPerMs, rate);
         }
     }
 }
+
+function quantile(values: readonly number[], part: number): number {
+    return [...values].sort((a, b) => a - b)[Math.floor(values.length * part)] ?? 0;
+}
--- a/packages/fleet/src/cap-meter.ts
+++ b/packages/fleet/src/cap-meter.ts
@@ -1,6 +1,8 @@
 import type { CatalogWorkspace } from "@lentilramp/catalog";
 import { type BucketLimits, CapBucket, type CapVerdict } from "./cap-bucket.ts";
 import type { ExchangeScope } from "./exchange-topology.ts";
+import { LostPeers } from "./lost-peers.ts";
+import { contactLossMs } from "./sync-timing.ts";
 import { type UseCounts, UseTotals } from "./use-totals.ts";
 
 /** By how much the use of a cap over all ingresses may exceed the cap in a window. */
@@ -24,11 +26,6 @@
 const largeRequestPart = 0.02;
 /** Part of what silent ingresses may use that is handed to those in contact with the leader. */
 const releasedPart = 0.7;
-/** Time without an answer of the leader after which an ingress counts as silent itself, in milliseconds. */
-const contactMs = 2_000;
-/** Silence at the leader after which the part of an ingress is handed on, in milliseconds; later than `contactMs`. */
-export const releaseAfterMs = 3_000;
-
 /** What an ingress knows of the fleet over which a cap holds. */
 export interface CapCoverage {
     /** Ingresses of which the use is known here, this one included. */
@@ -56,6 +53,7 @@
     readonly totals = new UseTotals();
     private readonly buckets = new Map<string, CapBucket>();
     private readonly catalogWorkspaces = new Map<string, CatalogWorkspace>();
+    private readonly lost = new LostPeers();
 
     constructor(
         private readonly tolerance: CapTolerance,
@@ -77,7 +75,7 @@
         if (workspace.capPerSecond <= 0) {
             return { admitted: true };
         }
-        const limits = this.limits(workspace, this.part(now));
+        const limits = this.limits(workspace, this.part(now), now);
         const verdict = this.bucket(workspace).take(units, { ...limits, reserve: reserveFor(units, limits) }, now);
         if (verdict.admitted) {
             this.totals.use(workspace.name, units);
@@ -100,8 +98,9 @@
             const workspace = this.catalogWorkspaces.get(name);
             if (workspace !== undefined) {
                 const bucket = this.bucket(workspace);
-                bucket.settle(this.limits(workspace, part), now);
+                bucket.settle(this.limits(workspace, part, now), now);
                 bucket.add(-units);
+                this.lost.used(name, units, now);
             }
         }
     }
@@ -118,23 +117,31 @@
 
     /**
      * Part of each cap that this ingress may use at present. What a silent minority may use is mostly handed to those
-     * in contact with the leader; one that hears neither the leader nor half of the fleet may belong to that minority.
+     * in contact with the leader; one that no longer hears the leader nor half of the fleet may belong to that minority.
+     * A process that has not heard a leader since its start has more likely started together with the whole fleet.
      */
     part(now: number): number {
-        const { covered, members, silent, answeredAt } = this.coverage();
+        const { covered: heard, members, silent, answeredAt } = this.coverage();
         if (members === 0) {
             return 0;
         }
-        if (now - answeredAt < contactMs) {
+        const covered = this.lost.cover(heard, now);
+        if (now - answeredAt < contactLossMs(members)) {
             const released = silent * 2 < members ? silent * releasedPart : 0;
             return Math.min(1, (covered + released) / members);
         }
-        return Math.min(1, covered / members) * (covered * 2 < members ? 1 - releasedPart : 1);
+        const mayBeReleased = covered * 2 < members && answeredAt > -Infinity;
+        return Math.min(1, covered / members) * (mayBeReleased ? 1 - releasedPart : 1);
     }
 
-    private limits({ capPerSecond, capBurst, ...rest }: CatalogWorkspace, part: number): CapLimits {
-        const slack = capSlack({ capPerSecond, capBurst, ...rest }, this.tolerance);
-        return { size: (capBurst + slack) * part, slack: slack * part, ratePerMs: capPerSecond * part / 1_000 };
+    private limits(workspace: CatalogWorkspace, part: number, now: number): CapLimits {
+        const { name, capPerSecond, capBurst } = workspace;
+        const slack = capSlack(workspace, this.tolerance);
+        return {
+            size: (capBurst + slack) * part,
+            slack: slack * part,
+            ratePerMs: Math.max(0, capPerSecond * part / 1_000 - this.lost.assumedPerMs(name, now)),
+        };
     }
 
     private bucket(workspace: CatalogWorkspace): CapBucket {
@@ -142,7 +149,7 @@
         if (bucket === undefined) {
             // What the others had used before the start is not known, so a new process begins with its own part.
             const { members } = this.coverage();
-            const { size } = this.limits(workspace, members > 0 ? 1 / members : 0);
+            const { size } = this.limits(workspace, members > 0 ? 1 / members : 0, this.startedAt);
             bucket = new CapBucket(size, this.startedAt);
             this.buckets.set(workspace.name, bucket);
         }
--- a/packages/fleet/src/sync-timing.ts
+++ b/packages/fleet/src/sync-timing.ts
@@ -6,6 +6,10 @@
 const missedSyncs = 2;
 const failedSyncMs = 700;
 
+/** Least time after which contact with the leader counts as lost, and the margin until others rely on it. */
+const minContactLossMs = 1_000;
+const releaseMarginMs = 300;
+
 /** Time between two syncs of one of `members` ingresses, in milliseconds; the leader gets at most 200 a second. */
 export function syncIntervalMs(members: number): number {
     return Math.max(minSyncMs, members * syncMsPerMember);
@@ -15,3 +19,13 @@
 export function syncSilenceMs(members: number): number {
     return syncIntervalMs(members) * missedSyncs + failedSyncMs;
 }
+
+/** Time without an answer of the leader after which one of `members` ingresses has lost contact, in milliseconds. */
+export function contactLossMs(members: number): number {
+    return Math.max(minContactLossMs, syncIntervalMs(members) * missedSyncs + failedSyncMs);
+}
+
+/** Silence at the leader after which the caps of an ingress go to others; it has lost contact by then. */
+export function releaseAfterMs(members: number): number {
+    return contactLossMs(members) + releaseMarginMs;
+}
--- a/packages/steward/src/fleet-coordinator.ts
+++ b/packages/steward/src/fleet-coordinator.ts
@@ -156,12 +156,13 @@
                 });
             }
         }
+        const members = this.roster.members(now);
         this.held = {
             at: now,
             live,
             rosterTag: same && this.held !== undefined ? this.held.rosterTag : murmurhash.v3(JSON.stringify(live)),
-            members: this.roster.members(now),
-            silent: this.roster.silent(now, releaseAfterMs),
+            members,
+            silent: this.roster.silent(now, releaseAfterMs(members)),
             load,
         };
         return this.held;
