--- a/packages/ingress/src/call-record.ts
+++ b/packages/ingress/src/call-record.ts
@@ -8,6 +8,7 @@
 import type { Endpoint } from "@lentilramp/fleet";
 import murmurhash from "murmurhash";
 import type { AdmittedRequest, RelayContext } from "./relay.ts";
+import type { AnswerHead } from "./wire.ts";
 
 /** Requests for each line about an answer; chosen by the id, so that all processes keep the same ones. */
 const answeredPerLine = 16;
@@ -54,6 +55,18 @@
         }
     }
 
+    /** Takes what an endpoint says of itself, whatever its answer is. */
+    heard({ id, service }: Endpoint, { leaving, pauseMs }: AnswerHead): void {
+        const { view, clock, log } = this.ctx;
+        if (leaving && view.endpoints.leave(id)) {
+            log.info("endpoint.leaving", { endpoint: id, service });
+        }
+        if (pauseMs !== undefined) {
+            view.health.pause(id, clock.now() + pauseMs);
+            log.info("endpoint.paused", { endpoint: id, service, pauseMs: Math.round(pauseMs) });
+        }
+    }
+
     /** Notes the inputs of the decision to send; `queued` are the unread prompt tokens before this request. */
     decided({ prediction, running }: Choice<Endpoint>, queued: number): void {
         this.sent = {
@@ -85,6 +98,26 @@
         });
     }
 
+    /** Notes why the request gets no answer of an endpoint; `best` was the best one that was not good enough. */
+    gaveUp(reason: string, runs: number, best: Choice<Endpoint> | undefined): void {
+        const { dispatch } = this.admitted;
+        const { clock, log, view } = this.ctx;
+        log.info("request.given-up", {
+            id: dispatch.id,
+            service: dispatch.service,
+            rank: dispatch.rank,
+            reason,
+            runs,
+            ageMs: Math.round(clock.now() - dispatch.arrivedAt),
+            waiting: this.ctx.queue(dispatch.service).size,
+            best: best?.endpoint.id,
+            predictedMs: best === undefined ? undefined : Math.round(best.prediction.firstByteMs),
+            running: best?.running,
+            slots: best?.endpoint.slots,
+            listAgeMs: Math.round(view.endpoints.age(clock.now())),
+        });
+    }
+
     /** Notes the final outcome. */
     done(outcome: CallOutcome, endpoint: string | undefined, runs: number): void {
         const { route, dispatch, res } = this.admitted;
--- a/packages/ingress/src/relayed-call.ts
+++ b/packages/ingress/src/relayed-call.ts
@@ -5,15 +5,9 @@
 import { Attempt, type AttemptOutcome, discardAnswer } from "./attempt.ts";
 import { CallRecord } from "./call-record.ts";
 import { type AdmittedRequest, type RelayContext, sendRefusal } from "./relay.ts";
+import { answerDeadline, patienceMs } from "./send-timing.ts";
 import type { AnswerHead } from "./wire.ts";
 
-/** Part of the time to the target after which an idempotent call without an answer is tried elsewhere. */
-const slowAnswerPart = 0.75;
-/** Least time that an idempotent call is given before it is tried elsewhere, in milliseconds. */
-const minAnswerMs = 250;
-/** Times the predicted time to the first event after which a resumable stream is tried elsewhere, plus a margin. */
-const slowStreamFactor = 3;
-const slowStreamMarginMs = 400;
 /** Times the longest pause on time after which a resumable stream is continued elsewhere. */
 const stalledPauses = 3;
 const defaultPauseMs = 300;
@@ -168,7 +162,8 @@
         if (dispatch.work !== undefined && service?.engine !== undefined) {
             ctx.view.memory.record(endpoint.id, dispatch.work.parts, service.engine.kvCacheTokens, now);
         }
-        const firstBy = this.headDeadline(choice, now);
+        const mayRepeat = this.repeatable && this.runs + 1 < admitted.route.maxAttempts;
+        const firstBy = answerDeadline(admitted, prediction, now, mayRepeat);
         const attempt = new Attempt(
             {
                 endpoint,
@@ -196,28 +191,16 @@
             booking,
             sentAt: now,
             firstBy,
-            silentFrom: now + choice.prediction.firstByteMs * slowStreamFactor + slowStreamMarginMs,
+            silentFrom: now + patienceMs(prediction),
             ended: false,
         };
     }
 
-    /** Where a repetition is allowed, an endpoint that stays silent is given up before the caller is. */
-    private headDeadline({ prediction }: Choice<Endpoint>, now: number): number {
-        const { dispatch, route } = this.admitted;
-        if (!this.repeatable || this.runs + 1 >= route.maxAttempts) {
-            return dispatch.deadline;
-        }
-        const patience = route.execution === "stream"
-            ? prediction.firstByteMs * slowStreamFactor + slowStreamMarginMs
-            : Math.max(minAnswerMs, (dispatch.targetAt - dispatch.arrivedAt) * slowAnswerPart);
-        return Math.min(dispatch.deadline, now + patience);
-    }
-
     /** Accounts for a send that this ingress itself ended; its reset says nothing of the endpoint. */
     private onLateOutcome(sent: Sent, outcome: AttemptOutcome): void {
         if (outcome.kind === "answer") {
             discardAnswer(outcome.res);
-            this.noteHead(sent, outcome.head);
+            this.record.heard(sent.endpoint, outcome.head);
         }
         if (outcome.kind !== "not-run") {
             this.runs++;
@@ -226,22 +209,6 @@
         this.end(sent);
     }
 
-    /** Takes what an endpoint says of itself, whatever its answer is. */
-    private noteHead({ endpoint }: Sent, head: AnswerHead | undefined): void {
-        const { view, clock, log } = this.ctx;
-        if (head?.leaving === true && view.endpoints.leave(endpoint.id)) {
-            log.info("endpoint.leaving", { endpoint: endpoint.id, service: endpoint.service });
-        }
-        if (head?.pauseMs !== undefined) {
-            view.health.pause(endpoint.id, clock.now() + head.pauseMs);
-            log.info("endpoint.paused", {
-                endpoint: endpoint.id,
-                service: endpoint.service,
-                pauseMs: Math.round(head.pauseMs),
-            });
-        }
-    }
-
     /** Returns whether the request is finished; otherwise it is to be sent again. */
     private onFailure(sent: Sent, outcome: Exclude<AttemptOutcome, { kind: "answer"; }>): boolean {
         this.lastFailure = outcome.reason;
@@ -252,7 +219,9 @@
         if (!rejected && !ownTimeOut) {
             this.record.health(sent.endpoint, "broken");
         }
-        this.noteHead(sent, outcome.kind === "not-run" ? outcome.head : undefined);
+        if (outcome.kind === "not-run" && outcome.head !== undefined) {
+            this.record.heard(sent.endpoint, outcome.head);
+        }
         this.resendPaid = outcome.kind === "not-run" && !outcome.arrived;
         this.record.sendFailed(sent, outcome.kind, outcome.reason);
         if (outcome.kind === "unknown") {
@@ -268,7 +237,7 @@
 
     private async onAnswer(sent: Sent, res: IncomingMessage, head: AnswerHead): Promise<boolean> {
         const { route, dispatch } = this.admitted;
-        this.noteHead(sent, head);
+        this.record.heard(sent.endpoint, head);
         const { clock } = this.ctx;
         const status = res.statusCode ?? 0;
         this.runs++;
@@ -401,23 +370,10 @@
 
     /** Sends the final answer. What was never run, or is proved not to have run, may come back. */
     private giveUp(reason: string, retryAfterMs: number | undefined, best?: Choice<Endpoint>): void {
-        const { res, workspace, units, dispatch } = this.admitted;
+        const { res, workspace, units } = this.admitted;
         const notRun = this.runs === 0
             && (this.current === undefined || this.current.ended || retryAfterMs !== undefined);
-        this.ctx.log.info("request.given-up", {
-            id: dispatch.id,
-            service: dispatch.service,
-            rank: dispatch.rank,
-            reason,
-            runs: this.runs,
-            ageMs: Math.round(this.ctx.clock.now() - dispatch.arrivedAt),
-            waiting: this.ctx.queue(dispatch.service).size,
-            best: best?.endpoint.id,
-            predictedMs: best === undefined ? undefined : Math.round(best.prediction.firstByteMs),
-            running: best?.running,
-            slots: best?.endpoint.slots,
-            listAgeMs: Math.round(this.ctx.view.endpoints.age(this.ctx.clock.now())),
-        });
+        this.record.gaveUp(reason, this.runs, best);
         this.finished = true;
         this.outcome = this.writer.started ? "cut" : notRun ? "refused" : "failed";
         if (this.writer.started) {
