Drop an ingress from lookups and rosters once its peers do not hear it and a sync is overdue

Cause: in large fleets syncs are slow (955 ms at 191 ingresses), so the leader knew of a lost ingress after 2.6 s, while its hub knows after 0.6 s.

Change: ingresses name the peers that do not answer them with their sync; the leader drops one of those when its own sync is overdue too, and the other stewards follow it. A broken path between two ingresses alone drops nobody.

--- a/packages/cli/src/wire-ingress.ts
+++ b/packages/cli/src/wire-ingress.ts
@@ -58,6 +58,7 @@
         listNumber: view.listNumber,
         load: Object.fromEntries(view.board.ownLoad()),
         followsOthers: follower.hearsOthers,
+        suspects: follower.suspectedPeers,
         rosterTag: view.rosterTag,
         usage: view.usage.snapshot(),
         demand: relay.takeDemand(),
--- a/packages/fleet/src/roster.ts
+++ b/packages/fleet/src/roster.ts
@@ -19,6 +19,8 @@
 interface RosterEntry {
     description: IngressDescription;
     seenAt: number;
+    /** Instant at which another ingress last said that this one does not answer it. */
+    suspectedAt: number;
 }
 
 /** The ingresses that were heard of, and when. */
@@ -29,6 +31,8 @@
     constructor(
         /** Silence after which an ingress counts as lost, in milliseconds; it depends on how often they speak. */
         private readonly silenceMs: (members: number) => number,
+        /** The same for one that does not answer other ingresses either, in milliseconds. */
+        private readonly suspectedSilenceMs: (members: number) => number,
         /** Silence after which an ingress is forgotten, in milliseconds. */
         private readonly forgetMs: number,
     ) {}
@@ -36,7 +40,7 @@
     seen(description: IngressDescription, now: number): void {
         const held = this.entries.get(description.name);
         if (held === undefined || !isDeepStrictEqual(held.description, description)) {
-            this.entries.set(description.name, { description, seenAt: now });
+            this.entries.set(description.name, { description, seenAt: now, suspectedAt: -Infinity });
         }
         else {
             // The same object, so that an unchanged roster can be told without a look at all of it.
@@ -45,6 +49,23 @@
         this.refreshedAt = Math.max(this.refreshedAt, now);
     }
 
+    /** Notes that an ingress does not answer another one. By itself that may be the path between the two. */
+    suspect(name: string, now: number): void {
+        const entry = this.entries.get(name);
+        if (entry !== undefined) {
+            entry.suspectedAt = now;
+        }
+    }
+
+    /** Suspects all but those that the leader names as in contact. */
+    suspectOthers(named: ReadonlySet<string>, now: number): void {
+        for (const name of this.entries.keys()) {
+            if (!named.has(name)) {
+                this.suspect(name, now);
+            }
+        }
+    }
+
     /** Counts all that are known as seen at `now`: while nobody led, they had nobody to speak to. */
     renew(now: number): void {
         for (const entry of this.entries.values()) {
@@ -56,13 +77,12 @@
 
     /** Those in contact. */
     live(now: number): IngressDescription[] {
-        return this.select(now - this.silenceMs(this.entries.size));
+        return this.select(now);
     }
 
     /** Those in contact that take new work, as of the last time that anybody was heard of. */
     accepting(): IngressDescription[] {
-        return this.select(this.refreshedAt - this.silenceMs(this.entries.size))
-            .filter(description => description.accepting);
+        return this.select(this.refreshedAt).filter(description => description.accepting);
     }
 
     /** All that may still be at work, in contact or not. */
@@ -80,8 +100,11 @@
         return [...this.entries.values()].filter(({ seenAt }) => now - seenAt > silenceMs).length;
     }
 
-    private select(seenAfter: number): IngressDescription[] {
-        return [...this.entries.values()].filter(({ seenAt }) => seenAt > seenAfter)
+    private select(now: number): IngressDescription[] {
+        const seenAfter = now - this.silenceMs(this.entries.size);
+        const suspectSeenAfter = now - this.suspectedSilenceMs(this.entries.size);
+        return [...this.entries.values()]
+            .filter(({ seenAt, suspectedAt }) => seenAt > (suspectedAt > seenAt ? suspectSeenAfter : seenAfter))
             .map(entry => entry.description)
             .sort((a, b) => a.name < b.name ? -1 : 1);
     }
--- a/packages/fleet/src/sync-timing.ts
+++ b/packages/fleet/src/sync-timing.ts
@@ -6,6 +6,8 @@
 const missedSyncs = 2;
 const failedSyncMs = 700;
 
+/** Time by which a sync may be late, in milliseconds; a slow steward or a long collection of garbage. */
+const overdueMs = 250;
 /** Least time after which contact with the leader counts as lost, and the margin until others rely on it. */
 const minContactLossMs = 1_000;
 const releaseMarginMs = 300;
@@ -20,6 +22,11 @@
     return syncIntervalMs(members) * missedSyncs + failedSyncMs;
 }
 
+/** The same for an ingress that does not answer its peers either: one sync is overdue. */
+export function suspectedSilenceMs(members: number): number {
+    return syncIntervalMs(members) + overdueMs;
+}
+
 /** Time without an answer of the leader after which one of `members` ingresses has lost contact, in milliseconds. */
 export function contactLossMs(members: number): number {
     return Math.max(minContactLossMs, syncIntervalMs(members) * missedSyncs + failedSyncMs);
--- a/packages/fleet/tests/fleet.test.ts
+++ b/packages/fleet/tests/fleet.test.ts
@@ -65,7 +65,7 @@
     };
 
     it("leaves silent and stopping ingresses out of lookups but reserves their part of the caps", () => {
-        const roster = new Roster(() => 1_000, 30_000);
+        const roster = new Roster(() => 1_000, () => 300, 30_000);
         roster.seen(description, 0);
         roster.seen({ ...description, name: "i2", accepting: false }, 900);
         expect(roster.accepting().map(({ name }) => name)).to.deep.equal(["i1"]);
@@ -77,7 +77,7 @@
 
     // 559 of 775 lookups failed: stewards that heard of no leader for 1.2 s knew no ingress any more.
     it("answers lookups from the last known state while nobody tells it anything", () => {
-        const roster = new Roster(() => 1_000, 30_000);
+        const roster = new Roster(() => 1_000, () => 300, 30_000);
         roster.seen(description, 0);
         expect(roster.live(20_000)).to.deep.equal([]);
         expect(roster.accepting().map(({ name }) => name)).to.deep.equal(["i1"]);
@@ -85,7 +85,7 @@
 
     // After each change of leader all feeds were torn down, because the first roster named few ingresses.
     it("keeps those that had nobody to speak to while nobody led", () => {
-        const roster = new Roster(() => 1_000, 30_000);
+        const roster = new Roster(() => 1_000, () => 300, 30_000);
         roster.seen(description, 0);
         roster.seen({ ...description, name: "i2" }, 0);
         roster.renew(2_000);
@@ -94,8 +94,32 @@
         expect(roster.live(3_001).map(({ name }) => name)).to.deep.equal(["i2"]);
     });
 
+    // Half of the ingresses lost power, and callers were sent to them for 2.6 s, a second for each try.
+    it("drops one that does not answer its peers once a sync is overdue, and not for a broken path alone", () => {
+        const roster = new Roster(() => 1_000, () => 300, 30_000);
+        roster.seen(description, 0);
+        roster.seen({ ...description, name: "i2" }, 0);
+        roster.suspect("i1", 100);
+        roster.suspect("i2", 100);
+        roster.seen({ ...description, name: "i2" }, 250);
+        expect(roster.live(299).map(({ name }) => name)).to.deep.equal(["i1", "i2"]);
+        expect(roster.live(301).map(({ name }) => name)).to.deep.equal(["i2"]);
+        expect(roster.live(900).map(({ name }) => name)).to.deep.equal(["i2"]);
+        roster.seen(description, 950);
+        expect(roster.live(1_200).map(({ name }) => name)).to.deep.equal(["i1", "i2"]);
+    });
+
+    it("follows the leader in dropping an ingress", () => {
+        const copy = new Roster(() => 1_000, () => 300, 30_000);
+        copy.seen(description, 0);
+        copy.seen({ ...description, name: "i2" }, 0);
+        copy.seen(description, 400);
+        copy.suspectOthers(new Set(["i1"]), 400);
+        expect(copy.accepting().map(({ name }) => name)).to.deep.equal(["i1"]);
+    });
+
     it("hands out the same object for an ingress that says the same again, so that an unchanged roster is cheap", () => {
-        const roster = new Roster(() => 1_000, 30_000);
+        const roster = new Roster(() => 1_000, () => 300, 30_000);
         roster.seen(description, 0);
         const [before] = roster.live(10);
         roster.seen(structuredClone(description), 100);
--- a/packages/ingress/src/exchange-follower.ts
+++ b/packages/ingress/src/exchange-follower.ts
@@ -54,6 +54,11 @@
         return covered;
     }
 
+    /** Peers that fell silent or could not be reached lately. */
+    get suspectedPeers(): string[] {
+        return [...this.suspects.keys()];
+    }
+
     /** Whether any other ingress is heard. */
     get hearsOthers(): boolean {
         return this.covered("fleet") > 1;
--- a/packages/ingress/src/fleet-messages.ts
+++ b/packages/ingress/src/fleet-messages.ts
@@ -20,6 +20,8 @@
     load: z.record(z.string(), loadSchema),
     /** Whether the sender follows the load of the others itself. */
     followsOthers: z.boolean(),
+    /** Ingresses that fell silent or do not answer the sender. */
+    suspects: z.array(z.string()),
     /** Tag of the roster that the sender holds; 0 for none. */
     rosterTag: z.number(),
     /** Requests begun, by window and workspace. */
--- a/packages/steward/src/fleet-coordinator.ts
+++ b/packages/steward/src/fleet-coordinator.ts
@@ -7,6 +7,7 @@
     releaseAfterMs,
     Roster,
     type ServiceDemand,
+    suspectedSilenceMs,
     syncSilenceMs,
     TrueTime,
     type UsageCounts,
@@ -41,7 +42,7 @@
 
 /** What the leading steward gathers from the ingresses and tells each of them. */
 export class FleetCoordinator {
-    readonly roster = new Roster(syncSilenceMs, forgetMs);
+    readonly roster = new Roster(syncSilenceMs, suspectedSilenceMs, forgetMs);
     readonly trueTime = new TrueTime();
     readonly usage: UsageWindows;
     private readonly ingresses = new Map<string, IngressState>();
@@ -80,6 +81,9 @@
         const now = this.clock.now();
         const { name } = req.ingress;
         this.roster.seen(req.ingress, now);
+        for (const suspect of req.suspects) {
+            this.roster.suspect(suspect, now);
+        }
         this.trueTime.observe(name, req.wallMs, now);
         this.usage.observe(req.lifetime, req.usage as Record<string, UsageCounts>);
         this.ingresses.set(name, { load: req.load, demand: req.demand, elapsedMs: req.elapsedMs });
@@ -137,6 +141,7 @@
         for (const description of descriptions) {
             this.roster.seen(description, now);
         }
+        this.roster.suspectOthers(new Set(descriptions.map(({ name }) => name)), now);
     }
 
     private overview(now: number): Overview {
