Share what lost peers leave of a cap instead of giving it to each that lost them

Cause: with half of the ingresses without power, those that lost their hub as well each went on from the same level of the bucket and at the same rate; over 65 ingresses under a workspace at four times its cap that admitted 1,112,000 units in a window that allows 1,100,000 (caps.test.ts, failed first).

Change: the size of a bucket follows the ingresses that are heard at once; for 1.2 s each gets its share of what the lost ones are assumed to leave of their part, by their use before.

--- a/packages/fleet/src/cap-meter.ts
+++ b/packages/fleet/src/cap-meter.ts
@@ -121,11 +121,11 @@
      * A process that has not heard a leader since its start has more likely started together with the whole fleet.
      */
     part(now: number): number {
-        const { covered: heard, members, silent, answeredAt } = this.coverage();
+        const { covered, members, silent, answeredAt } = this.coverage();
         if (members === 0) {
             return 0;
         }
-        const covered = this.lost.cover(heard, now);
+        this.lost.cover(covered, now);
         if (now - answeredAt < contactLossMs(members)) {
             const released = silent * 2 < members ? silent * releasedPart : 0;
             return Math.min(1, (covered + released) / members);
@@ -135,12 +135,15 @@
     }
 
     private limits(workspace: CatalogWorkspace, part: number, now: number): CapLimits {
-        const { name, capPerSecond, capBurst } = workspace;
+        const { members, silent } = this.coverage();
         const slack = capSlack(workspace, this.tolerance);
+        const capPerMs = workspace.capPerSecond / 1_000;
+        // Once the leader has handed the part of the silent ones on, there is nothing left to assume.
+        const spare = silent > 0 ? 0 : this.lost.sparePerMs(workspace.name, capPerMs, members, now);
         return {
-            size: (capBurst + slack) * part,
+            size: (workspace.capBurst + slack) * part,
             slack: slack * part,
-            ratePerMs: Math.max(0, capPerSecond * part / 1_000 - this.lost.assumedPerMs(name, now)),
+            ratePerMs: capPerMs * part + spare,
         };
     }
 
--- a/packages/fleet/src/lost-peers.ts
+++ b/packages/fleet/src/lost-peers.ts
@@ -23,14 +23,14 @@
 }
 
 /**
- * Bridges the time between the loss of a hub or of many peers and the next view of the fleet: for a moment, those that
- * fell silent are taken to use the caps as they did before, which is closer to the truth than that they use all they may.
+ * Bridges the time between the loss of many peers and the leader's next view of the fleet: for a moment, those that fell
+ * silent are taken to use the caps as they did before, and what that leaves of their part is shared by the others.
  */
 export class LostPeers {
     private readonly rates = new Map<string, UseRate>();
     private covered = 1;
     private coveredBefore = 1;
-    private assumedUntil = -Infinity;
+    private lostAt = -Infinity;
 
     /** Takes units that others have used. */
     used(workspace: string, units: number, now: number): void {
@@ -39,22 +39,22 @@
         rate.add(units, now);
     }
 
-    /** Takes of how many ingresses the use is heard, and returns of how many it is known or assumed. */
-    cover(covered: number, now: number): number {
-        if (covered < this.covered && now >= this.assumedUntil) {
+    /** Takes of how many ingresses the use is heard. */
+    cover(covered: number, now: number): void {
+        if (covered < this.covered && now >= this.lostAt + assumedMs) {
             this.coveredBefore = this.covered;
-            this.assumedUntil = now + assumedMs;
+            this.lostAt = now;
         }
         this.covered = covered;
-        return now < this.assumedUntil ? Math.max(covered, this.coveredBefore) : covered;
     }
 
-    /** Units that those which fell silent are assumed to use in a millisecond. */
-    assumedPerMs(workspace: string, now: number): number {
+    /** This ingress's share, in units a millisecond, of what the lost peers leave of their part of a cap. */
+    sparePerMs(workspace: string, capPerMs: number, members: number, now: number): number {
         const lost = this.coveredBefore - this.covered;
-        if (now >= this.assumedUntil || lost <= 0) {
+        if (now >= this.lostAt + assumedMs || lost <= 0) {
             return 0;
         }
-        return (this.rates.get(workspace)?.perMs(this.assumedUntil - assumedMs) ?? 0) * lost / (this.coveredBefore - 1);
+        const assumed = (this.rates.get(workspace)?.perMs(this.lostAt) ?? 0) * lost / (this.coveredBefore - 1);
+        return Math.max(0, capPerMs * lost / members - assumed) * this.covered / this.coveredBefore;
     }
 }
