--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -1,5 +1,5 @@
 /**
- * What a fleet of ingresses shares: endpoints, roster, usage caps, retry budgets, usage windows, numbers of replicas.
+ * What a fleet of ingresses shares: endpoints, roster and topology, usage caps, usage windows, numbers of replicas.
  */
 export * from "./cap-bucket.ts";
 export * from "./cap-meter.ts";
