Open a feed that ends at once only at the next look, and notice each change of the suspects

Found when reading: a peer that ends each feed after its first line was followed again without a pause (the test counts hundreds of openings without this change), and the topology was worked out anew only when the number of suspects changed, not when one replaced another.

--- a/packages/ingress/src/exchange-follower.ts
+++ b/packages/ingress/src/exchange-follower.ts
@@ -26,9 +26,10 @@
 export class ExchangeFollower extends PeriodicComponent {
     readonly name = "exchange-follower";
     private readonly feeds = new Map<string, FollowedFeed>();
-    private readonly suspects = new Map<string, number>();
+    /** Peers that fell silent, until when; replaced at each change. */
+    private suspects: ReadonlyMap<string, number> = new Map();
     private seenRoster: readonly IngressDescription[] = [];
-    private seenSuspects = 0;
+    private seenSuspects: ReadonlyMap<string, number> | undefined;
     private stopped = false;
     private followed: ReturnType<typeof peersToFollow> = [];
 
@@ -74,10 +75,8 @@
 
     protected override async runOnce(): Promise<void> {
         const now = this.clock.now();
-        for (const [name, until] of this.suspects) {
-            if (now >= until) {
-                this.suspects.delete(name);
-            }
+        if ([...this.suspects.values()].some(until => now >= until)) {
+            this.suspects = new Map([...this.suspects].filter(([, until]) => now < until));
         }
         const wanted = new Map(this.peers().map(followed => [followed.peer.name, followed]));
         for (const [name, feed] of this.feeds) {
@@ -99,9 +98,9 @@
     /** The topology, worked out anew when the roster or the suspects have changed. */
     private peers(): ReturnType<typeof peersToFollow> {
         const roster = this.roster();
-        if (roster !== this.seenRoster || this.suspects.size !== this.seenSuspects) {
+        if (roster !== this.seenRoster || this.suspects !== this.seenSuspects) {
             this.seenRoster = roster;
-            this.seenSuspects = this.suspects.size;
+            this.seenSuspects = this.suspects;
             this.followed = peersToFollow(this.own, roster, new Set(this.suspects.keys()));
         }
         return this.followed;
@@ -122,8 +121,10 @@
             this.clock,
             text => this.take(name, feed, text),
             () => {
-                if (!this.stopped && feed.lifetime !== undefined) {
-                    this.drop(name, feed, false, this.clock.now());
+                // One that ends again and again is left to the next look.
+                const now = this.clock.now();
+                if (!this.stopped && feed.lifetime !== undefined && now - feed.openedAt >= lookMs) {
+                    this.drop(name, feed, false, now);
                     this.openMissing();
                 }
             },
@@ -136,7 +137,7 @@
         this.feeds.delete(name);
         this.listeners.board.lose(name);
         if (lost) {
-            this.suspects.set(name, now + suspectMs);
+            this.suspects = new Map([...this.suspects, [name, now + suspectMs]]);
         }
         if (lost || feed.closed) {
             this.log.info("exchange.lost", {
@@ -197,6 +198,7 @@
 class FollowedFeed {
     closed = false;
     closeReason: string | undefined;
+    readonly openedAt: number;
     heardAt: number;
     lifetime: string | undefined;
     /** Ingresses whose load and use this feed contains. */
@@ -218,7 +220,8 @@
         this.host = host;
         this.port = port;
         this.scope = scope;
-        this.heardAt = clock.now();
+        this.openedAt = clock.now();
+        this.heardAt = this.openedAt;
         this.req = get({
             host,
             port,
--- a/packages/ingress/src/exchange-messages.ts
+++ b/packages/ingress/src/exchange-messages.ts
@@ -11,7 +11,7 @@
     /** Names the run of the process that speaks; in the first line only. */
     lifetime: z.string().optional(),
     /** Ingresses whose load and use are contained. */
-    covered: z.number(),
+    covered: z.int().nonnegative(),
     /** Running requests and unread tokens by endpoint. */
     load: z.record(z.string(), z.tuple([z.number(), z.number()])).optional(),
     /** Units used of caps since the start of the process, by workspace. */
--- a/packages/ingress/tests/exchange.test.ts
+++ b/packages/ingress/tests/exchange.test.ts
@@ -197,4 +197,31 @@
             server.close();
         }
     });
+
+    // Guards against a loop without a pause, in which two processes spend their time on opening a feed.
+    it("does not open a feed that ends at once more often than it looks", async () => {
+        const [one] = await startPair();
+        let opened = 0;
+        const server = createServer((req, res) => {
+            opened++;
+            res.writeHead(200);
+            res.end(`${JSON.stringify({ lifetime: req.url, covered: 1 })}\n`);
+        });
+        await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+        const inner = { host: "127.0.0.1", port: (server.address() as AddressInfo).port };
+        const follower = new ExchangeFollower(
+            "i0",
+            { board: new LoadBoard(), caps: one.caps, onMemberChange: () => undefined },
+            () => [{ ...one.description, name: "i9", inner }],
+            new ProcessKey("k".repeat(32)),
+            new SystemClock(),
+            new MemoryEventLog(),
+        );
+        await follower.start();
+        await new Promise(resolve => setTimeout(resolve, 1_100));
+        await follower.close();
+        server.closeAllConnections();
+        server.close();
+        expect(opened).to.be.within(2, 5);
+    });
 });
