--- a/packages/fleet/src/cap-meter.ts
+++ b/packages/fleet/src/cap-meter.ts
@@ -125,6 +125,7 @@
         if (members === 0) {
             return 0;
         }
+        // A loss is noticed here, because every use and every message asks for the part.
         this.lost.cover(covered, now);
         if (now - answeredAt < contactLossMs(members)) {
             const released = silent * 2 < members ? silent * releasedPart : 0;
--- a/packages/ingress/src/exchange-follower.ts
+++ b/packages/ingress/src/exchange-follower.ts
@@ -137,11 +137,11 @@
         this.feeds.delete(name);
         this.listeners.board.lose(name);
         // A peer that stays away is tried at each look, and reported once.
-        const news = feed.lifetime !== undefined || lost && !this.suspects.has(name);
+        const unreported = feed.lifetime !== undefined || lost && !this.suspects.has(name);
         if (lost) {
             this.suspects = new Map([...this.suspects, [name, now + suspectMs]]);
         }
-        if (news && (lost || feed.closed)) {
+        if (unreported && (lost || feed.closed)) {
             this.log.info("exchange.lost", {
                 ingress: name,
                 scope: feed.scope,
--- a/packages/ingress/src/fleet-link.ts
+++ b/packages/ingress/src/fleet-link.ts
@@ -42,11 +42,6 @@
         return this.lastAnswerAt;
     }
 
-    /** The leading steward, while there is contact with it. */
-    get leader(): PeerAddress | undefined {
-        return this.connected === true ? this.target : undefined;
-    }
-
     protected override nextDelayMs(): number {
         return this.failed ? failurePauseMs : syncIntervalMs(this.members());
     }
