Keep one way of adding a peer's load, and build an engine's speed when it changes; behaviour unchanged

Found when reading the whole change: LoadBoard chose the sums of a peer in two places over a class that only wrapped a map, a prediction for each candidate made a new object of the same speed, and capSlack was exported for nobody.

--- a/packages/dispatch/src/engine-speed.ts
+++ b/packages/dispatch/src/engine-speed.ts
@@ -48,7 +48,7 @@
 export class EngineSpeedEstimate {
     private short: number[] = [];
     private long: Sample[] = [];
-    private rate = engineSpeedDefaults.prefillTokensPerMs;
+    private present: EngineSpeed = engineSpeedDefaults;
 
     /** Whether the speed rests on enough samples. */
     get measured(): boolean {
@@ -56,7 +56,7 @@
     }
 
     get speed(): EngineSpeed {
-        return { ...engineSpeedDefaults, prefillTokensPerMs: this.rate };
+        return this.present;
     }
 
     /** Takes the time to the first event of a request that had no unread prompt before it. */
@@ -75,7 +75,7 @@
                 fasterPart,
             );
             const rate = 1 / Math.max(1 / maxTokensPerMs, perToken - stepMs / chunkTokens);
-            this.rate = Math.max(minTokensPerMs, rate);
+            this.present = { ...engineSpeedDefaults, prefillTokensPerMs: Math.max(minTokensPerMs, rate) };
         }
     }
 }
--- a/packages/dispatch/src/load-board.ts
+++ b/packages/dispatch/src/load-board.ts
@@ -94,9 +94,9 @@
     /** Load of each process that is heard directly, and whether it speaks for itself alone. */
     private readonly heard = new Map<string, { load: Map<string, EndpointLoad>; member: boolean; }>();
     /** Sum over `heard`. */
-    private readonly heardSum = new LoadSum();
+    private readonly heardSum = new Map<string, EndpointLoad>();
     /** Sum over the members in `heard`. */
-    private readonly memberSum = new LoadSum();
+    private readonly memberSum = new Map<string, EndpointLoad>();
     private others: Readonly<Record<string, EndpointLoad>> = {};
     private othersAt = -Infinity;
 
@@ -129,9 +129,7 @@
         const held = this.heard.get(peer) ?? { load: new Map<string, EndpointLoad>(), member };
         this.heard.set(peer, held);
         for (const [endpoint, next] of load) {
-            for (const sum of held.member ? [this.heardSum, this.memberSum] : [this.heardSum]) {
-                sum.replace(endpoint, held.load.get(endpoint), next);
-            }
+            this.replace(endpoint, held.load.get(endpoint), next, held.member);
             if (next.running === 0 && next.unreadTokens === 0) {
                 held.load.delete(endpoint);
             }
@@ -149,9 +147,7 @@
             return;
         }
         for (const [endpoint, load] of held.load) {
-            for (const sum of held.member ? [this.heardSum, this.memberSum] : [this.heardSum]) {
-                sum.replace(endpoint, load, undefined);
-            }
+            this.replace(endpoint, load, undefined, held.member);
         }
         this.heard.delete(peer);
         this.changed();
@@ -184,54 +180,47 @@
 
     /** The own load. */
     ownLoad(): Map<string, EndpointLoad> {
-        return this.sumWith([]);
+        return this.ownLoadAnd(new Map());
     }
 
     /** The load of this process and of the members that it hears. */
     groupLoad(): Map<string, EndpointLoad> {
-        return this.sumWith([this.memberSum.all]);
+        return this.ownLoadAnd(this.memberSum);
     }
 
     /** All load that is known, less what `peer` told. */
     fleetLoadWithout(peer: string): Map<string, EndpointLoad> {
-        const sum = this.sumWith([this.heardSum.all]);
+        const sum = this.ownLoadAnd(this.heardSum);
         for (const [endpoint, load] of this.heard.get(peer)?.load ?? []) {
             addLoad(sum, endpoint, load, -1);
         }
         return sum;
     }
 
-    private sumWith(parts: readonly ReadonlyMap<string, EndpointLoad>[]): Map<string, EndpointLoad> {
-        const sum = new Map<string, EndpointLoad>();
+    private ownLoadAnd(others: ReadonlyMap<string, EndpointLoad>): Map<string, EndpointLoad> {
+        const sum = new Map(others);
         for (const [endpoint, entry] of this.own) {
             if (entry.running > 0) {
                 addLoad(sum, endpoint, entry, 1);
             }
         }
-        for (const part of parts) {
-            for (const [endpoint, load] of part) {
-                addLoad(sum, endpoint, load, 1);
-            }
-        }
         return sum;
     }
-}
-
-/** Load by endpoint over several processes. */
-class LoadSum {
-    readonly all = new Map<string, EndpointLoad>();
 
-    get(endpoint: string): EndpointLoad | undefined {
-        return this.all.get(endpoint);
-    }
-
-    /** Takes that the part `before` of the load of an endpoint has become `after`. */
-    replace(endpoint: string, before: EndpointLoad | undefined, after: EndpointLoad | undefined): void {
-        if (before !== undefined) {
-            addLoad(this.all, endpoint, before, -1);
-        }
-        if (after !== undefined) {
-            addLoad(this.all, endpoint, after, 1);
+    /** Takes that a peer's load of an endpoint has changed. */
+    private replace(
+        endpoint: string,
+        before: EndpointLoad | undefined,
+        after: EndpointLoad | undefined,
+        member: boolean,
+    ): void {
+        for (const sum of member ? [this.heardSum, this.memberSum] : [this.heardSum]) {
+            if (before !== undefined) {
+                addLoad(sum, endpoint, before, -1);
+            }
+            if (after !== undefined) {
+                addLoad(sum, endpoint, after, 1);
+            }
         }
     }
 }
--- a/packages/fleet/src/cap-meter.ts
+++ b/packages/fleet/src/cap-meter.ts
@@ -39,7 +39,7 @@
 }
 
 /** Units beyond the burst that the bucket of a workspace may hold. */
-export function capSlack({ capPerSecond, capBurst }: CatalogWorkspace, tolerance: CapTolerance): number {
+function capSlack({ capPerSecond, capBurst }: CatalogWorkspace, tolerance: CapTolerance): number {
     const { overshoot, windowMs, units } = tolerance;
     return usedTolerance * (overshoot * (capPerSecond * windowMs / 1_000 + capBurst) + units);
 }
