Measure how fast engines read with the fleet as a whole, from a cautious start

Cause: each ingress took the engines for ones that read 157 tokens in a millisecond, a figure of one known deployment, needed eight short and eight long prompts of its own before it knew better, and forgot it at each start.

Ruled out: a smaller start value alone. It costs admission in the first seconds after each start and helps the planner only until the first measurement.

--- a/packages/bench/src/experiments/overload-platform/ingress-fleet.ts
+++ b/packages/bench/src/experiments/overload-platform/ingress-fleet.ts
@@ -16,7 +16,7 @@
 import type { PromptArrival } from "./prompt-load.ts";
 
 /** The engines of the users' sheets: step times, prompt rate and chunk. */
-const engineOptions = {
+export const engineOptions = {
     stepBaseMs: 3.55,
     promptTokenMs: 1 / 157,
     sequenceMs: 0.0462,
--- a/packages/bench/src/experiments/overload-platform/overload-platform.ts
+++ b/packages/bench/src/experiments/overload-platform/overload-platform.ts
@@ -2,15 +2,24 @@
     type Candidate,
     type DispatchRequest,
     EngineModel,
+    EngineSpeedEstimate,
     type KnownLoad,
     LatencyModel,
     type Prediction,
+    type PrefixMemory,
+    type PromptHome,
 } from "@lentilramp/dispatch";
 import { SeededRandom } from "@lentilramp/runtime";
 import { atLeast, Experiment, type ExperimentResult, type SeriesPoint } from "../../experiment.ts";
 import { EventQueue } from "../../fakes/event-queue.ts";
 import { mean } from "../../statistics.ts";
-import { type FleetModelOptions, type FleetPolicy, IngressFleet, type PromptOutcome } from "./ingress-fleet.ts";
+import {
+    engineOptions,
+    type FleetModelOptions,
+    type FleetPolicy,
+    IngressFleet,
+    type PromptOutcome,
+} from "./ingress-fleet.ts";
 import { type PromptArrival, promptArrivals, type PromptLoadOptions, requestKinds } from "./prompt-load.ts";
 
 const seeds = 10;
@@ -23,6 +32,11 @@
 /** Credit of a late answer, from the sheets. */
 const latePart = 0.1;
 
+/** Prediction by an ingress that has measured the engines; learning is not what is compared here. */
+function knownSpeed(memory: PrefixMemory, home: PromptHome): EngineModel {
+    return new EngineModel(memory, home, new EngineSpeedEstimate(1 / engineOptions.promptTokenMs));
+}
+
 /** The policy of the first version: predictions from reported loads only. */
 class ReportedLoadModel extends LatencyModel {
     constructor(private readonly model: LatencyModel) {
@@ -36,13 +50,13 @@
 
 export const policies: Readonly<Record<"first" | "present", FleetPolicy>> = {
     first: {
-        model: (memory, home) => new ReportedLoadModel(new EngineModel(memory, home)),
+        model: (memory, home) => new ReportedLoadModel(knownSpeed(memory, home)),
         // Both the reporter and the reader talk to a steward each 250 ms.
         reportMs: 250,
         reportDelayMs: 135,
     },
     present: {
-        model: (memory, home) => new EngineModel(memory, home),
+        model: (memory, home) => knownSpeed(memory, home),
         reportMs: 30,
         reportDelayMs: 5,
     },
--- a/packages/dispatch/src/engine-speed.ts
+++ b/packages/dispatch/src/engine-speed.ts
@@ -13,9 +13,9 @@
     linkMs: number;
 }
 
-/** What the users' sheets give for most of their engines; assumed until the own requests have shown otherwise. */
+/** Assumed until requests have shown otherwise; reading is assumed to be slow, so that no engine is overloaded. */
 export const engineSpeedDefaults: EngineSpeed = {
-    prefillTokensPerMs: 157,
+    prefillTokensPerMs: 25,
     stepMs: 3.55,
     stepMsPerRequest: 0.0462,
     chunkTokens: 2_048,
@@ -28,7 +28,7 @@
 /** Unread tokens from which it shows how fast an engine reads. */
 const longTokens = 2_500;
 /** Samples of each kind from which the estimate is used, and those that are kept. */
-const minSamples = 8;
+const minSamples = 4;
 const keptSamples = 40;
 /** Part of the long prompts that were faster than the estimate: waiting makes them slower, a cached prompt faster. */
 const fasterPart = 0.4;
@@ -48,15 +48,27 @@
 export class EngineSpeedEstimate {
     private short: number[] = [];
     private long: Sample[] = [];
-    private present: EngineSpeed = engineSpeedDefaults;
+    private own: EngineSpeed | undefined;
+    private assumed: EngineSpeed;
 
-    /** Whether the speed rests on enough samples. */
+    constructor(prefillTokensPerMs = engineSpeedDefaults.prefillTokensPerMs) {
+        this.assumed = { ...engineSpeedDefaults, prefillTokensPerMs };
+    }
+
+    /** Whether the speed rests on enough samples of this process. */
     get measured(): boolean {
-        return this.short.length >= minSamples && this.long.length >= minSamples;
+        return this.own !== undefined;
     }
 
     get speed(): EngineSpeed {
-        return this.present;
+        return this.own ?? this.assumed;
+    }
+
+    /** Takes what other processes have measured, which holds until this one has. */
+    assume(prefillTokensPerMs: number): void {
+        if (prefillTokensPerMs !== this.assumed.prefillTokensPerMs) {
+            this.assumed = { ...engineSpeedDefaults, prefillTokensPerMs };
+        }
     }
 
     /** Takes the time to the first event of a request that had no unread prompt before it. */
@@ -67,15 +79,15 @@
         else if (unreadTokens >= longTokens) {
             this.long = [...this.long, { unreadTokens, firstByteMs }].slice(-keptSamples);
         }
-        if (this.measured) {
-            const { stepMs, chunkTokens } = engineSpeedDefaults;
-            const baseMs = quantile(this.short, 0.5);
+        if (this.long.length >= minSamples) {
+            const { stepMs, chunkTokens, firstEventMs, linkMs } = engineSpeedDefaults;
+            const baseMs = this.short.length >= minSamples ? quantile(this.short, 0.5) : firstEventMs + linkMs;
             const perToken = quantile(
                 this.long.map(long => (long.firstByteMs - baseMs) / long.unreadTokens),
                 fasterPart,
             );
             const rate = 1 / Math.max(1 / maxTokensPerMs, perToken - stepMs / chunkTokens);
-            this.present = { ...engineSpeedDefaults, prefillTokensPerMs: Math.max(minTokensPerMs, rate) };
+            this.own = { ...engineSpeedDefaults, prefillTokensPerMs: Math.max(minTokensPerMs, rate) };
         }
     }
 }
--- a/packages/dispatch/tests/dispatch.test.ts
+++ b/packages/dispatch/tests/dispatch.test.ts
@@ -4,6 +4,7 @@
     type DispatchRequest,
     EndpointHealth,
     EngineModel,
+    EngineSpeedEstimate,
     LoadBoard,
     PrefixMemory,
     ServiceModel,
@@ -35,12 +36,14 @@
     };
 }
 
+const tokensPerMs = 157;
+
 class World {
     readonly board = new LoadBoard();
     readonly health = new EndpointHealth();
     readonly memory = new PrefixMemory();
     home: string | undefined;
-    readonly model = new EngineModel(this.memory, { home: () => this.home });
+    readonly model = new EngineModel(this.memory, { home: () => this.home }, new EngineSpeedEstimate(tokensPerMs));
     readonly dispatcher = new Dispatcher(this.board, this.health, new SeededRandom(1));
     readonly engines = ["e1", "e2", "e3"].map(engine);
 
--- a/packages/dispatch/tests/engine-speed.test.ts
+++ b/packages/dispatch/tests/engine-speed.test.ts
@@ -39,6 +39,18 @@
         }
     });
 
+    // After a loss of everything each process took the engines for three times as fast as they were.
+    it("believes what the fleet has measured until it has measured enough itself", () => {
+        const estimate = new EngineSpeedEstimate();
+        estimate.assume(55);
+        expect(estimate.speed.prefillTokensPerMs).to.equal(55);
+        expect(estimate.measured).to.equal(false);
+        show(estimate, 157);
+        expect(estimate.speed.prefillTokensPerMs).to.be.within(125, 190);
+        estimate.assume(55);
+        expect(estimate.speed.prefillTokensPerMs).to.be.within(125, 190);
+    });
+
     it("learns nothing from short prompts alone, whose time is spent elsewhere", () => {
         const estimate = new EngineSpeedEstimate();
         for (let i = 0; i < 60; i++) {
--- a/packages/ingress/src/fleet-messages.ts
+++ b/packages/ingress/src/fleet-messages.ts
@@ -64,6 +64,8 @@
     silent: z.number().optional(),
     /** Time of day by the median of the members' clocks. */
     trueMs: z.number().optional(),
+    /** How fast the engines of each service read prompts, as the fleet has measured it, in tokens for a millisecond. */
+    engineRates: z.record(z.string(), z.number()).optional(),
     /** Ingresses in contact, when they differ from those that the asker knows. */
     roster: rosterSchema.optional(),
 });
--- a/packages/ingress/src/fleet-view.ts
+++ b/packages/ingress/src/fleet-view.ts
@@ -21,6 +21,8 @@
     readonly memory = new PrefixMemory();
     readonly caps: CapMeter;
     readonly usage: UsageLedger;
+    /** How fast the engines of each service read prompts, as the fleet has measured it, in tokens for a millisecond. */
+    engineRates: Readonly<Record<string, number>> = {};
     listNumber = 0;
     /** The ingresses in contact with the leading steward, this one included. */
     roster: readonly IngressDescription[] = [];
@@ -80,6 +82,7 @@
         if (answer.members > 0 && (answer.leading || !this.synced)) {
             this.knownMembers = answer.members;
         }
+        this.engineRates = answer.engineRates ?? this.engineRates;
         if (!answer.leading) {
             return;
         }
--- a/packages/ingress/src/relay.ts
+++ b/packages/ingress/src/relay.ts
@@ -184,6 +184,10 @@
                 : new EngineModel(this.view.memory, this.home);
             this.models.set(service, model);
         }
+        const rate = this.view.engineRates[service];
+        if (model instanceof EngineModel && rate !== undefined) {
+            model.estimate.assume(rate);
+        }
         return model;
     }
 
--- a/packages/steward/src/catalog-state.ts
+++ b/packages/steward/src/catalog-state.ts
@@ -17,6 +17,8 @@
     z.object({ type: z.literal("usage"), report: reportSchema }),
     /** The number of ingresses among which the caps are split. */
     z.object({ type: z.literal("members"), count: z.number() }),
+    /** How fast the engines of a service read prompts, for processes that start anew. */
+    z.object({ type: z.literal("engine-rate"), service: z.string(), tokensPerMs: z.number() }),
     /** Proves that the holder still leads. */
     z.object({ type: z.literal("barrier") }),
 ]);
@@ -28,6 +30,7 @@
     office: z.object({ fence: z.number(), holder: z.string() }).optional(),
     reports: z.array(reportSchema),
     members: z.number().default(0),
+    engineRates: z.record(z.string(), z.number()).default({}),
     /** Everyone who ever held the office; absent in states of versions that did not keep it. */
     holders: z.array(z.string()).optional(),
 });
@@ -52,6 +55,7 @@
         text: "",
         reports: [],
         members: 0,
+        engineRates: {},
         holders: [],
     };
     private role: Role = "follower";
@@ -76,6 +80,11 @@
         return this.state.members;
     }
 
+    /** How fast the engines of each service read prompts, in tokens for a millisecond. */
+    get engineRates(): Readonly<Record<string, number>> {
+        return this.state.engineRates;
+    }
+
     get leads(): boolean {
         return this.role === "leader";
     }
@@ -113,6 +122,9 @@
             case "members":
                 this.state.members = command.count;
                 break;
+            case "engine-rate":
+                this.state.engineRates = { ...this.state.engineRates, [command.service]: command.tokensPerMs };
+                break;
             case "barrier":
                 break;
         }
--- a/packages/steward/src/steward-methods.ts
+++ b/packages/steward/src/steward-methods.ts
@@ -76,6 +76,7 @@
                 return { host, port };
             }),
             catalog: held !== undefined && held.version > req.catalogVersion ? held : undefined,
+            engineRates: state.engineRates,
         };
         if (!parts.inOffice()) {
             return {
--- a/packages/steward/tests/catalog-state.test.ts
+++ b/packages/steward/tests/catalog-state.test.ts
@@ -50,9 +50,11 @@
         apply(state, catalog(4), 1);
         apply(state, { type: "office", holder: "a" }, 2);
         apply(state, { type: "members", count: 8 }, 3);
+        apply(state, { type: "engine-rate", service: "m", tokensPerMs: 55 }, 4);
         const restored = create();
         restored.restore(state.snapshot());
         expect(JSON.parse(restored.snapshot())).to.deep.equal(JSON.parse(state.snapshot()));
         expect(restored.members).to.equal(8);
+        expect(restored.engineRates).to.deep.equal({ m: 55 });
     });
 });
