Hold as many replicas as cost least together with what their lack would cost

Cause: the planner held fixed shares of the average demand, rounded up by failure domain.

Now the demand of the next boot time is a normal distribution from the level and the spread of the last seconds, the risk of losing a domain's reclaimable replicas follows from the losses that were seen, and the numbers of both kinds in each domain are those for which price and expected shortage are least. Where orders are refused, or a domain has just lost its own, only what is there counts. Replicas at work are kept until those that take their place are ready. Reclaimable ones are given back as much later as they are cheaper.

--- /dev/null
+++ b/packages/fleet/src/demand-forecast.ts
@@ -0,0 +1,85 @@
+import { standardDeviation } from "simple-statistics";
+
+/** Share of an engine's prompt rate that is planned for; above it, waiting grows faster than the load. */
+const plannedPrefillShare = 0.7;
+/** Share of an engine's slots that is planned for; the rest absorbs what is sent by outdated load reports. */
+const plannedSlotShare = 0.8;
+/** Demand of the last this many milliseconds counts; a wave of the load must not shrink the fleet in its trough. */
+const windowMs = 8_000;
+/** Time over which demand is averaged, in milliseconds; arrivals come in clumps that an engine's queue absorbs. */
+const averageMs = 2_000;
+/** Time that the first sample stands for, in milliseconds; one sync. */
+const firstSampleMs = 250;
+/** Time without demand that is assumed before the first sample, in milliseconds, since that can be one clump. */
+const quietStartMs = 750;
+/** Least deviation of the demand in the next boot time, relative to its level. */
+const leastSpread = 0.25;
+
+export interface EngineCapacity {
+    slots: number;
+    /** Prompt tokens that an engine reads in a second. */
+    prefillPerSecond: number;
+}
+
+/** Work that the ingresses offered to a service, all of them together. */
+export interface ServiceDemand {
+    /** Prompt tokens that had to be read, for each second. */
+    prefillPerSecond: number;
+    /** Places that the requests would take on average if all were served. */
+    places: number;
+}
+
+/** Demand in engines that are used as far as planned, as a normal distribution. */
+export interface DemandLevel {
+    mean: number;
+    deviation: number;
+}
+
+interface Sample extends ServiceDemand {
+    at: number;
+}
+
+/** Demand on a service in the next boot time, from that of the last seconds. */
+export class DemandForecast {
+    private samples: Sample[] = [];
+    private average: Sample | undefined;
+    /** Start of the demand that the average rests on. */
+    private seenSince: number | undefined;
+
+    observe(demand: ServiceDemand, now: number): void {
+        if (this.average === undefined && demand.places === 0 && demand.prefillPerSecond === 0) {
+            return;
+        }
+        this.seenSince ??= now - quietStartMs;
+        const last = this.average ?? { prefillPerSecond: 0, places: 0, at: now - firstSampleMs };
+        // The average of a short time is mostly that of the samples so far, not one that starts from nothing.
+        const weight = (1 - Math.exp(-(now - last.at) / averageMs))
+            / (1 - Math.exp(-(now - this.seenSince) / averageMs));
+        this.average = {
+            prefillPerSecond: last.prefillPerSecond + (demand.prefillPerSecond - last.prefillPerSecond) * weight,
+            places: last.places + (demand.places - last.places) * weight,
+            at: now,
+        };
+        this.samples = [...this.samples.filter(sample => now - sample.at < windowMs), this.average];
+    }
+
+    /** Whether there was no demand in the window. */
+    get idle(): boolean {
+        return this.samples.every(sample => sample.places === 0);
+    }
+
+    /** Undefined before there was any demand. */
+    level(capacity: EngineCapacity): DemandLevel | undefined {
+        if (this.idle) {
+            return undefined;
+        }
+        const engines = this.samples.map(({ prefillPerSecond, places }) =>
+            Math.max(
+                prefillPerSecond / (capacity.prefillPerSecond * plannedPrefillShare),
+                places / (capacity.slots * plannedSlotShare),
+            )
+        );
+        const mean = Math.max(...engines);
+        return { mean, deviation: Math.max(standardDeviation(engines), mean * leastSpread) };
+    }
+}
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -3,6 +3,7 @@
  */
 export * from "./cap-bucket.ts";
 export * from "./cap-meter.ts";
+export * from "./demand-forecast.ts";
 export * from "./endpoint-directory.ts";
 export * from "./exchange-topology.ts";
 export * from "./lookup-set.ts";
--- a/packages/fleet/src/replica-planner.ts
+++ b/packages/fleet/src/replica-planner.ts
@@ -1,55 +1,27 @@
 import type { ScalingRange } from "@lentilramp/catalog";
+import { DemandForecast, type DemandLevel, type EngineCapacity, type ServiceDemand } from "./demand-forecast.ts";
 import type { Endpoint } from "./endpoint-directory.ts";
+import { ReclaimRisk } from "./reclaim-risk.ts";
+import { cheapestMix, type DomainRange, type DomainReplicas } from "./replica-mix.ts";
 
-/** Share of an engine's prompt rate that is planned for; above it, waiting grows faster than the load. */
-const plannedPrefillShare = 0.6;
-/** Share of an engine's slots that is planned for; the rest absorbs bursts between two plans. */
-const plannedSlotShare = 0.72;
-/** Part of what is needed that must be left when two domains lose their reclaimable replicas within a boot. */
-const leftAfterTwoLossesPart = 0.78;
-/** Reclaimable replicas relative to what is needed; they carry bursts for a fraction of the price. */
-const reclaimablePart = 1;
-/** Part of what is needed that must be left when one more domain loses its reclaimable replicas. */
-const leftAfterLossPart = 0.8;
-/** Demand of the last this many milliseconds counts; a wave of the load must not shrink the fleet in its trough. */
-const demandWindowMs = 8_000;
-/** Time over which demand is averaged, in milliseconds; arrivals come in clumps that an engine's queue absorbs. */
-const averageMs = 2_000;
-/** Time that the first sample stands for, in milliseconds; one sync. */
-const firstSampleMs = 250;
-/** Time without demand that is assumed before the first sample, in milliseconds, since that can be one clump. */
-const quietStartMs = 750;
-/** A lower number must have been wanted for this long, in milliseconds, before replicas are given back. */
+/**
+ * A lower number must have been wanted for this long, in milliseconds, before on-demand replicas are given back.
+ * Reclaimable ones are held for longer, for the same price.
+ */
 const shrinkAfterMs = 3_000;
 /** Time for which the list must name as many replicas before it is believed, in milliseconds; entries come one by one. */
 const installedSettleMs = 1_500;
-/** On-demand replicas before there is any demand, relative to the same number of needed replicas under demand. */
-const idlePart = 0.9;
-/** The same without any demand, when only the list of endpoints can be wrong, in milliseconds; two reads of it. */
+/** Part of the installed replicas that the first demand is expected to need, and its deviation. */
+const installedLevelPart = 0.5;
+const installedDeviationPart = 0.25;
+/** The same as `shrinkAfterMs` without any demand, when only the list can be wrong; two reads of it. */
 const idleShrinkAfterMs = 900;
 /** After a refused order for reclaimable replicas, the domain is asked again this much later, in milliseconds. */
 const refusedPauseMs = 2_000;
 /** Shortest time between two orders of the same number, in milliseconds; an order can be lost. */
 const repeatMs = 4_000;
-
-/** Part of what is needed that on-demand replicas give at all times: what reclaimable ones in two domains would. */
-function onDemandPartOver(domains: number): number {
-    return Math.max(0, leftAfterTwoLossesPart - reclaimablePart * Math.max(0, 1 - 2 / Math.max(1, domains)));
-}
-
-export interface EngineCapacity {
-    slots: number;
-    /** Prompt tokens that an engine reads in a second. */
-    prefillPerSecond: number;
-}
-
-/** Work that the ingresses offered to a service, all of them together. */
-export interface ServiceDemand {
-    /** Prompt tokens that had to be read, for each second. */
-    prefillPerSecond: number;
-    /** Places that the requests would take on average if all were served. */
-    places: number;
-}
+/** Time until a loss is listed and replicas that take the place of the lost ones are, in milliseconds. */
+const listLagMs = 2_000;
 
 export interface ReplicaOrder {
     service: string;
@@ -58,10 +30,6 @@
     reclaimable: boolean;
 }
 
-interface Sample extends ServiceDemand {
-    at: number;
-}
-
 interface Placed {
     count: number;
     orderedAt: number;
@@ -69,14 +37,19 @@
     lowerSince: number | undefined;
 }
 
+/** Ready replicas of a service in one failure domain. */
+interface Held extends DomainReplicas {
+    failureDomain: string;
+}
+
 /** The on-demand replicas that a fleet has without any demand; nothing else tells what it is meant for. */
 class InstalledCapacity {
     /** The most that the list has named so far. */
-    count = 0;
+    private count = 0;
     private since = Infinity;
 
-    observe(ready: readonly Endpoint[], now: number): void {
-        const count = ready.filter(endpoint => !endpoint.reclaimable).length;
+    observe(held: readonly Held[], now: number): void {
+        const count = held.reduce((sum, { onDemand }) => sum + onDemand, 0);
         if (count > this.count) {
             this.count = count;
             this.since = now;
@@ -87,40 +60,33 @@
     settled(now: number): boolean {
         return now - this.since >= installedSettleMs;
     }
+
+    get level(): DemandLevel {
+        return { mean: this.count * installedLevelPart, deviation: this.count * installedDeviationPart };
+    }
 }
 
 /**
- * Decides how many replicas of a service to hold in each failure domain. Reclaimable ones could carry the whole load,
- * spread over the domains; on-demand ones carry half of it besides, since a reclaim takes every reclaimable one of a
- * domain and replacements can be refused for a while. As domains lose theirs, on-demand ones take their place early
- * enough for the loss of the next domain.
+ * Decides how many replicas of a service to hold in each failure domain: as many, of either kind, as cost least
+ * together with what their lack is expected to cost. Reclaimable replicas are lost by whole domains, and where none
+ * are to be had on-demand ones take their place.
  */
 export class ReplicaPlanner {
-    private samples: Sample[] = [];
-    private average: Sample | undefined;
-    /** Start of the demand that the average rests on. */
-    private seenSince: number | undefined;
+    private readonly forecast = new DemandForecast();
     private readonly installed = new InstalledCapacity();
+    private readonly risk = new ReclaimRisk();
     private readonly placed = new Map<string, Placed>();
+    /** Domains that had no reclaimable replicas to give, with the instant at which they are asked again. */
     private readonly refusedUntil = new Map<string, number>();
+    /** Ready reclaimable replicas of each domain at the last plan. */
+    private readonly reclaimableBefore = new Map<string, number>();
+    /** Domains that lost theirs and have shown no others yet, with the number that was left. */
+    private readonly leftAfterLoss = new Map<string, number>();
 
     constructor(private readonly service: string) {}
 
     observe(demand: ServiceDemand, now: number): void {
-        if (this.average === undefined && demand.places === 0 && demand.prefillPerSecond === 0) {
-            return;
-        }
-        this.seenSince ??= now - quietStartMs;
-        const last = this.average ?? { prefillPerSecond: 0, places: 0, at: now - firstSampleMs };
-        // The average of a short time is mostly that of the samples so far, not one that starts from nothing.
-        const weight = (1 - Math.exp(-(now - last.at) / averageMs))
-            / (1 - Math.exp(-(now - this.seenSince) / averageMs));
-        this.average = {
-            prefillPerSecond: last.prefillPerSecond + (demand.prefillPerSecond - last.prefillPerSecond) * weight,
-            places: last.places + (demand.places - last.places) * weight,
-            at: now,
-        };
-        this.samples = [...this.samples.filter(sample => now - sample.at < demandWindowMs), this.average];
+        this.forecast.observe(demand, now);
     }
 
     /** Notes that the platform had none to give. */
@@ -131,6 +97,13 @@
         }
     }
 
+    /** Notes that the platform carries an order out. */
+    accepted(order: ReplicaOrder): void {
+        if (order.reclaimable) {
+            this.refusedUntil.delete(order.failureDomain);
+        }
+    }
+
     /** Notes that the outcome of an order is unknown, so that it is sent again. */
     forget(order: ReplicaOrder): void {
         this.placed.delete(this.key(order));
@@ -138,13 +111,8 @@
 
     /** Engines needed for the demand of the window; undefined before there was any. */
     needed(capacity: EngineCapacity): number | undefined {
-        const peak = this.samples.reduce((max, sample) =>
-            Math.max(
-                max,
-                sample.prefillPerSecond / (capacity.prefillPerSecond * plannedPrefillShare),
-                sample.places / (capacity.slots * plannedSlotShare),
-            ), 0);
-        return peak > 0 ? Math.max(1, Math.ceil(peak)) : undefined;
+        const level = this.forecast.level(capacity);
+        return level === undefined ? undefined : Math.max(1, Math.ceil(level.mean));
     }
 
     /** Orders to send now. `endpoints` are those of the service, as the platform lists them. */
@@ -155,124 +123,119 @@
         capacity: EngineCapacity,
         now: number,
     ): ReplicaOrder[] {
-        const ready = endpoints.filter(endpoint => endpoint.ready);
-        const demanded = this.needed(capacity);
+        const held = heldIn(domains, endpoints.filter(endpoint => endpoint.ready));
+        this.noteLosses(held, now);
+        const demanded = this.forecast.level(capacity);
         if (demanded === undefined) {
-            this.installed.observe(ready, now);
+            this.installed.observe(held, now);
         }
-        const needed = demanded ?? this.installed.count;
-        if (needed === 0) {
+        const demand = demanded ?? this.installed.level;
+        if (demand.mean === 0) {
             return [];
         }
-        const orders: ReplicaOrder[] = [];
-        const perDomain = range.reclaimablePrice === undefined
-            ? 0
-            : Math.min(
-                range.maxReplicas,
-                Math.ceil(needed * reclaimablePart / Math.max(1, domains.length)),
-            );
-        const reclaimable = new Map(domains.map(domain => [
-            domain,
-            ready.filter(endpoint => endpoint.reclaimable && endpoint.failureDomain === domain).length,
-        ]));
-        const counts = [...reclaimable.values()];
-        const reclaimableReady = counts.reduce((sum, count) => sum + count, 0);
-        const leftAfterLoss = reclaimableReady - Math.max(0, ...counts);
-        const refused = domains.some(domain => now < (this.refusedUntil.get(domain) ?? 0));
-        const onDemandPart = onDemandPartOver(domains.length);
-        // Without demand nobody is hurt while reclaimable replicas still start.
-        const wanted = demanded === undefined
-            ? Math.max(Math.ceil(needed * onDemandPart * idlePart), refused ? needed - reclaimableReady : 0)
-            : Math.max(
-                Math.ceil(needed * onDemandPart),
-                needed - reclaimableReady,
-                Math.ceil(needed * leftAfterLossPart) - leftAfterLoss,
-            );
-        const onDemand = this.onDemandCounts(wanted, reclaimable, range);
+        const mixOver = (limit: (held: Held) => Partial<DomainRange>): DomainReplicas[] =>
+            cheapestMix({
+                demand,
+                domains: held.map(domain => ({ ...domainRange(range, domain), ...limit(domain) })),
+                reclaimablePrice: range.reclaimablePrice ?? 1,
+                lossProbability: this.risk.within(range.bootMs + listLagMs, domains.length, now),
+            });
+        // What has just been taken back is rarely to be had again at once, even if an order for it is accepted.
+        const isDry = ({ failureDomain }: Held): boolean =>
+            this.refusedUntil.has(failureDomain) || this.leftAfterLoss.has(failureDomain);
+        const wished = mixOver(() => ({}));
+        const planned = held.some(isDry)
+            ? mixOver(domain => isDry(domain) ? { maxReclaimable: domain.reclaimable } : {})
+            : wished;
+        // Replicas that still start serve nobody; until then none of those at work is given back.
+        const kept = mixOver(({ onDemand, reclaimable }) => ({
+            minReclaimable: reclaimable,
+            maxReclaimable: reclaimable,
+            maxOnDemand: onDemand,
+        }));
+        const shrinkAfter = (price: number): number => this.forecast.idle ? idleShrinkAfterMs : shrinkAfterMs / price;
         const mayOrder = demanded !== undefined || this.installed.settled(now);
-        for (const failureDomain of domains) {
-            const held = ready.filter(endpoint => endpoint.failureDomain === failureDomain && !endpoint.reclaimable);
-            const count = onDemand.get(failureDomain) ?? 0;
+        const orders: ReplicaOrder[] = [];
+        for (const [i, { failureDomain, onDemand, reclaimable }] of held.entries()) {
+            const count = Math.max(planned[i]?.onDemand ?? 0, kept[i]?.onDemand ?? 0);
             if (mayOrder) {
-                this.add(orders, failureDomain, count, false, now, held.length);
+                this.add(orders, { failureDomain, count, reclaimable: false }, onDemand, shrinkAfter(1), now);
             }
             // The platform's limit is on both kinds together, and a replica that is given back counts until it is gone.
-            const room = Math.max(0, range.maxReplicas - Math.max(count, held.length));
-            if (perDomain > 0 && now >= (this.refusedUntil.get(failureDomain) ?? 0)) {
-                this.add(orders, failureDomain, Math.min(perDomain, room), true, now);
+            const room = Math.max(0, range.maxReplicas - Math.max(count, onDemand));
+            const wanted = Math.min(wished[i]?.reclaimable ?? 0, room);
+            if (range.reclaimablePrice !== undefined && now >= (this.refusedUntil.get(failureDomain) ?? 0)) {
+                const order = { failureDomain, count: wanted, reclaimable: true };
+                this.add(orders, order, reclaimable, shrinkAfter(range.reclaimablePrice), now);
             }
         }
         return orders;
     }
 
-    /** Places on-demand replicas in the cheapest domains first, above the least number of each domain. */
-    private onDemandCounts(
-        wanted: number,
-        reclaimable: ReadonlyMap<string, number>,
-        range: ScalingRange,
-    ): Map<string, number> {
-        const domains = [...reclaimable.keys()];
-        const counts = new Map<string, number>();
-        let left = wanted;
-        for (const [domain, count] of reclaimable) {
-            const least = Math.max(0, range.minReplicas - count);
-            counts.set(domain, least);
-            left -= least;
-        }
-        const byPrice = [...domains].sort((a, b) =>
-            (range.domainPrices.get(a) ?? 1) - (range.domainPrices.get(b) ?? 1)
-        );
-        const hasRoom = (domain: string): boolean =>
-            (counts.get(domain) ?? 0) + (reclaimable.get(domain) ?? 0) < range.maxReplicas;
-        while (left > 0 && byPrice.some(hasRoom)) {
-            for (const domain of byPrice) {
-                const count = counts.get(domain) ?? 0;
-                if (left > 0 && hasRoom(domain)) {
-                    counts.set(domain, count + 1);
-                    left--;
-                }
+    /** Takes a drop of a domain's reclaimable replicas below what was ordered as a loss. */
+    private noteLosses(held: readonly Held[], now: number): void {
+        this.risk.observe(now);
+        for (const { failureDomain, reclaimable } of held) {
+            const ordered = this.placed.get(this.key({ failureDomain, reclaimable: true }))?.count ?? 0;
+            const before = Math.min(ordered, this.reclaimableBefore.get(failureDomain) ?? 0);
+            if (reclaimable < before / 2) {
+                this.risk.lost(now);
+                this.leftAfterLoss.set(failureDomain, reclaimable);
+            }
+            else if (reclaimable > (this.leftAfterLoss.get(failureDomain) ?? Infinity)) {
+                this.leftAfterLoss.delete(failureDomain);
             }
+            this.reclaimableBefore.set(failureDomain, reclaimable);
         }
-        return counts;
     }
 
     private add(
         orders: ReplicaOrder[],
-        failureDomain: string,
-        count: number,
-        reclaimable: boolean,
+        wanted: Omit<ReplicaOrder, "service">,
+        held: number,
+        holdMs: number,
         now: number,
-        held = 0,
     ): void {
-        const order = { service: this.service, failureDomain, count, reclaimable };
-        const key = this.key(order);
+        const { count } = wanted;
+        const key = this.key(wanted);
         const placed = this.placed.get(key) ?? { count: held, orderedAt: -Infinity, lowerSince: undefined };
         this.placed.set(key, placed);
         if (count < placed.count) {
             placed.lowerSince ??= now;
-            if (now - placed.lowerSince < (this.idle ? idleShrinkAfterMs : shrinkAfterMs)) {
+            if (now - placed.lowerSince < holdMs) {
                 return;
             }
         }
         else {
             placed.lowerSince = undefined;
         }
-        if (count === placed.count && now - placed.orderedAt < repeatMs) {
-            return;
-        }
-        if (count === placed.count && count === held && !reclaimable) {
+        if (count === placed.count && (count === held || now - placed.orderedAt < repeatMs)) {
             return;
         }
         this.placed.set(key, { count, orderedAt: now, lowerSince: undefined });
-        orders.push(order);
+        orders.push({ service: this.service, ...wanted });
     }
 
-    /** Whether there was no demand in the window. */
-    private get idle(): boolean {
-        return this.samples.every(sample => sample.places === 0);
+    private key({ failureDomain, reclaimable }: Pick<ReplicaOrder, "failureDomain" | "reclaimable">): string {
+        return `${failureDomain}/${reclaimable}`;
     }
+}
 
-    private key(order: ReplicaOrder): string {
-        return `${order.failureDomain}/${order.reclaimable}`;
-    }
+function heldIn(domains: readonly string[], ready: readonly Endpoint[]): Held[] {
+    return domains.map(failureDomain => {
+        const own = ready.filter(endpoint => endpoint.failureDomain === failureDomain);
+        const reclaimable = own.filter(endpoint => endpoint.reclaimable).length;
+        return { failureDomain, reclaimable, onDemand: own.length - reclaimable };
+    });
+}
+
+function domainRange(range: ScalingRange, { failureDomain }: Held): DomainRange {
+    return {
+        price: range.domainPrices.get(failureDomain) ?? 1,
+        minReplicas: range.minReplicas,
+        maxReplicas: range.maxReplicas,
+        maxOnDemand: range.maxReplicas,
+        minReclaimable: 0,
+        maxReclaimable: range.reclaimablePrice === undefined ? 0 : range.maxReplicas,
+    };
 }
--- /dev/null
+++ b/packages/fleet/tests/demand-forecast.test.ts
@@ -0,0 +1,55 @@
+import { DemandForecast } from "@lentilramp/fleet";
+import { expect } from "chai";
+import { ReclaimRisk } from "../src/reclaim-risk.ts";
+
+const capacity = { slots: 10, prefillPerSecond: 50_000 };
+
+/** Shows a forecast the prompt tokens of each quarter of a second. */
+function shown(tokens: readonly number[]): DemandForecast {
+    const forecast = new DemandForecast();
+    tokens.forEach((prefillPerSecond, i) => forecast.observe({ prefillPerSecond, places: 1 }, i * 250));
+    return forecast;
+}
+
+describe("DemandForecast", () => {
+    it("knows no level before there was demand", () => {
+        const forecast = new DemandForecast();
+        forecast.observe({ prefillPerSecond: 0, places: 0 }, 0);
+        expect(forecast.level(capacity)).to.equal(undefined);
+    });
+
+    // Prompts of very different lengths come in clumps: the same mean needs more engines than an even load.
+    it("expects more deviation of a clumped load than of an even one with the same mean", () => {
+        const even = shown(Array.from({ length: 60 }, () => 100_000)).level(capacity);
+        const clumped = shown([...Array(60).keys()].map(i => i % 12 < 3 ? 400_000 : 0)).level(capacity);
+        expect(even?.mean).to.be.within(2.8, 2.9);
+        expect(clumped?.deviation).to.be.above(1.5 * (even?.deviation ?? Infinity));
+    });
+
+    it("holds the level of a wave through its trough", () => {
+        const wave = shown([...Array(40).keys()].map(i => i < 20 ? 200_000 : 20_000));
+        expect(wave.level(capacity)?.mean).to.be.above(4);
+    });
+});
+
+describe("ReclaimRisk", () => {
+    // Two domains lost their replicas within 1.5 s, and the third followed 4.5 s later.
+    it("takes two losses in short succession for a sign of a third", () => {
+        const risk = new ReclaimRisk();
+        risk.observe(0);
+        const before = risk.within(6_000, 3, 20_000);
+        risk.lost(20_000);
+        risk.lost(21_500);
+        expect(risk.within(6_000, 3, 21_500)).to.be.above(2 * before);
+    });
+
+    it("forgets losses, and is less afraid after a long calm than at the start", () => {
+        const risk = new ReclaimRisk();
+        risk.observe(0);
+        const start = risk.within(6_000, 3, 0);
+        risk.lost(1_000);
+        risk.observe(100_000);
+        expect(risk.within(6_000, 3, 100_000)).to.be.below(start);
+        expect(risk.within(6_000, 3, 100_000)).to.be.above(0);
+    });
+});
--- /dev/null
+++ b/packages/fleet/tests/replica-mix.test.ts
@@ -0,0 +1,86 @@
+import { expect } from "chai";
+import fc from "fast-check";
+import { cheapestMix, type DomainRange, type MixInput } from "../src/replica-mix.ts";
+
+function domain(change: Partial<DomainRange> = {}): DomainRange {
+    return {
+        price: 1,
+        minReplicas: 1,
+        maxReplicas: 6,
+        maxOnDemand: 6,
+        minReclaimable: 0,
+        maxReclaimable: 6,
+        ...change,
+    };
+}
+
+function mixOf(change: Partial<MixInput> = {}) {
+    return cheapestMix({
+        demand: { mean: 4, deviation: 1 },
+        domains: [domain(), domain(), domain()],
+        reclaimablePrice: 0.18,
+        lossProbability: 0.05,
+        ...change,
+    });
+}
+
+const sum = (values: readonly number[]): number => values.reduce((total, value) => total + value, 0);
+
+describe("cheapestMix", () => {
+    // A fleet that was shrunk to the mean of a clumped load served a quarter of the requests late without any fault.
+    it("holds more than the expected demand, so that a clump or the loss of one domain is borne", () => {
+        const mix = mixOf();
+        const counts = mix.map(({ reclaimable, onDemand }) => reclaimable + onDemand);
+        expect(sum(counts) - Math.max(...counts)).to.be.at.least(5);
+    });
+
+    it("buys a reserve of the cheap kind, and little of it where both kinds cost the same", () => {
+        const cheap = mixOf();
+        expect(sum(cheap.map(({ onDemand }) => onDemand))).to.equal(0);
+        const dear = mixOf({ reclaimablePrice: 1 });
+        const total = (mix: typeof cheap) => sum(mix.map(({ reclaimable, onDemand }) => reclaimable + onDemand));
+        expect(total(dear)).to.be.below(total(cheap));
+        expect(total(dear)).to.be.at.least(5);
+    });
+
+    it("holds on-demand replicas once losses are frequent, before the last domain has lost its others", () => {
+        const [a, b] = [domain({ maxReclaimable: 0 }), domain({ maxReclaimable: 0 })];
+        const mix = mixOf({ domains: [a, b, domain()], lossProbability: 0.15 });
+        expect(sum(mix.map(({ onDemand }) => onDemand))).to.be.at.least(4);
+    });
+
+    it("places on-demand replicas in the cheapest domain", () => {
+        const domains = [1.2, 0.85, 1].map(price => domain({ price, maxReclaimable: 0, minReplicas: 0 }));
+        const counts = mixOf({ domains }).map(({ onDemand }) => onDemand);
+        expect(counts[1]).to.be.at.least(counts[2] ?? 0);
+        expect(counts[2]).to.be.at.least(counts[0] ?? 0);
+    });
+
+    it("stays within what each domain allows, whatever is asked of it", () => {
+        const anyDomain = fc.record({
+            price: fc.double({ min: 0.1, max: 3, noNaN: true }),
+            minReplicas: fc.integer({ min: 0, max: 2 }),
+            maxReplicas: fc.integer({ min: 2, max: 8 }),
+            reclaimable: fc.boolean(),
+        }).map(({ reclaimable, ...range }) =>
+            domain({ ...range, maxOnDemand: range.maxReplicas, maxReclaimable: reclaimable ? range.maxReplicas : 0 })
+        );
+        fc.assert(
+            fc.property(
+                fc.array(anyDomain, { minLength: 1, maxLength: 5 }),
+                fc.double({ min: 0, max: 30, noNaN: true }),
+                fc.double({ min: 0, max: 1, noNaN: true }),
+                (domains, mean, lossProbability) => {
+                    const mix = mixOf({ domains, demand: { mean, deviation: mean / 4 }, lossProbability });
+                    for (const [i, range] of domains.entries()) {
+                        const { onDemand = -1, reclaimable = -1 } = mix[i] ?? {};
+                        expect(onDemand).to.be.within(0, range.maxOnDemand);
+                        expect(reclaimable).to.be.within(0, range.maxReclaimable);
+                        expect(onDemand + reclaimable).to.be.within(range.minReplicas, range.maxReplicas);
+                    }
+                },
+            ),
+            { seed: 1, numRuns: 60 },
+        );
+    });
+});
--- a/packages/steward/src/platform-duties.ts
+++ b/packages/steward/src/platform-duties.ts
@@ -20,6 +20,8 @@
 const membersSettleMs = 5_000;
 /** Time between two plans of the numbers of replicas. */
 const planMs = 250;
+/** Relative change of an engine's measured speed from which it is recorded anew. */
+const rateChange = 0.15;
 
 /** The duties of the steward in office: reads the list, reports usage, and orders replicas. */
 export class PlatformDuties extends PeriodicComponent {
@@ -77,6 +79,7 @@
         this.coordinator.trueTime.observe(this.options.name, Date.now(), this.clock.now());
         this.spawn("list", () => this.readList());
         this.spawn("members", () => this.recordMembers());
+        this.spawn("engine-rates", () => this.recordEngineRates());
         const { office } = this;
         if (office === undefined || this.clock.now() < office.actFrom) {
             return;
@@ -184,6 +187,21 @@
         }
     }
 
+    /** Keeps how fast engines read in the replicated state, since a fleet that starts anew has measured nothing. */
+    private async recordEngineRates(): Promise<void> {
+        for (const { name, engine } of this.catalog()?.services.values() ?? []) {
+            const measured = engine === undefined ? undefined : this.coordinator.prefillTokensPerMs(name);
+            const recorded = this.core.state.engineRates[name];
+            if (
+                measured !== undefined
+                && (recorded === undefined || Math.abs(measured - recorded) > recorded * rateChange)
+            ) {
+                await this.core.propose({ type: "engine-rate", service: name, tokensPerMs: measured });
+                this.log.info("engine-rate.recorded", { service: name, tokensPerMs: Math.round(measured) });
+            }
+        }
+    }
+
     private async reportUsage(holder: DutyHolder): Promise<void> {
         const now = this.clock.now();
         const trueMs = this.coordinator.trueTime.at(now);
@@ -236,7 +254,7 @@
             const capacity = {
                 slots: engine.slots,
                 prefillPerSecond: 1_000
-                    * (this.coordinator.prefillTokensPerMs(service.name) ?? engineSpeedDefaults.prefillTokensPerMs),
+                    * (this.core.state.engineRates[service.name] ?? engineSpeedDefaults.prefillTokensPerMs),
             };
             const orders = planner.plan(endpoints, scaling, this.options.failureDomains, capacity, now);
             let provenAt = -Infinity;
@@ -252,7 +270,10 @@
                     }
                     const deadline = this.tenure.call(this.clock.now());
                     const outcome = await this.calls.orderReplicas(order, holder, deadline);
-                    if (outcome !== "accepted") {
+                    if (outcome === "accepted") {
+                        planner.accepted(order);
+                    }
+                    else {
                         planner.refused(order, now);
                     }
                     this.log.info("replicas.ordered", { ...order, outcome, needed: planner.needed(capacity) });
