--- a/packages/cli/src/wire-steward.ts
+++ b/packages/cli/src/wire-steward.ts
@@ -74,13 +74,18 @@
         );
         const storage = await AgreementStorage.open(folder, state);
         const codec = new JsonCatalogCodec();
-        let catalog: Catalog | undefined;
+        let decoded: { text: string; catalog: Catalog | undefined; } | undefined;
+        // Decoded when it is needed: a steward that starts replays every catalog since its snapshot.
+        const catalog = (): Catalog | undefined => {
+            const text = replicated.catalog?.text;
+            if (text !== decoded?.text) {
+                decoded = text === undefined ? undefined : { text, catalog: codec.decode(text).unwrapOr(undefined) };
+            }
+            return decoded?.catalog;
+        };
         const replicated = new CatalogState(
             leads => duties.onLeadership(leads),
-            (version, text) => {
-                catalog = codec.decode(text).unwrapOr(undefined);
-                log.info("catalog.committed", { version });
-            },
+            version => log.info("catalog.committed", { version }),
         );
         const transport = new RpcTransport(own, client, clock);
         const driver = new AgreementDriver(id, storage, replicated, transport, clock, random, log, agreementTiming);
@@ -91,7 +96,7 @@
             coordinator,
             this.source,
             this.calls,
-            () => catalog,
+            catalog,
             options,
             clock,
             log,
--- a/packages/steward/src/catalog-state.ts
+++ b/packages/steward/src/catalog-state.ts
@@ -63,7 +63,7 @@
 
     constructor(
         private readonly onLeadership: (leads: boolean, term: number) => void,
-        private readonly onCatalog: (version: number, text: string) => void,
+        private readonly onCatalog: (version: number) => void,
     ) {}
 
     /** The operator's text in force; undefined before the first. */
@@ -106,7 +106,7 @@
                 if (command.version > this.state.version) {
                     this.state.version = command.version;
                     this.state.text = command.text;
-                    this.onCatalog(command.version, command.text);
+                    this.onCatalog(command.version);
                 }
                 break;
             case "office":
@@ -144,7 +144,7 @@
     restore(state: string): void {
         this.state = stateSchema.parse(JSON.parse(state));
         if (this.state.version >= 0) {
-            this.onCatalog(this.state.version, this.state.text);
+            this.onCatalog(this.state.version);
         }
     }
 
