--- a/scripts/package-layers.mjs
+++ b/scripts/package-layers.mjs
@@ -5,7 +5,7 @@
 const decisions = ["routing", "limits", "retries", "claims", "streams", "membership", "placement", "configuration"];
 
 /** Packages that are not under `packages/`, with their folders. */
-export const packageFolders = { platform: "platform" };
+export const packageFolders = { platform: "platform", "platform-bench": "platform/bench" };
 
 export const packageLayers = {
     runtime: [],
@@ -47,6 +47,17 @@
     ],
     "stand-ins": ["runtime"],
     "model-check": ["runtime", "agreement", ...decisions],
-    bench: ["runtime", "agreement", "journal", "protocol", "entry", "stand-ins", "dispatch", ...decisions],
+    bench: [
+        "runtime",
+        "agreement",
+        "journal",
+        "protocol",
+        "entry",
+        "stand-ins",
+        "dispatch",
+        "platform-bench",
+        ...decisions,
+    ],
+    "platform-bench": [],
     demo: ["runtime", "protocol", "questionnaire", "configuration", "stand-ins"],
 };
