Let an operator switch off each deciding mechanism

An ablation needs one place where a mechanism is on or off. Behaviour with the empty file is unchanged.

--- a/packages/cli/src/commands/check.ts
+++ b/packages/cli/src/commands/check.ts
@@ -3,11 +3,12 @@
 import { existsSync, readdirSync, readFileSync, statSync } from "node:fs";
 import { join } from "node:path";
 import { type ExitCode, exitCodes } from "../exit-codes.ts";
+import { readFleetPolicy } from "../fleet-policy.ts";
 import type { Output } from "../output.ts";
 
 interface CheckedFile {
     file: string;
-    kind: "settings" | "questionnaire";
+    kind: "settings" | "questionnaire" | "policy";
     problems: string[];
 }
 
@@ -22,18 +23,27 @@
     ];
 }
 
-/** Settings have a role; a questionnaire has none. */
-function isSettings(file: string): boolean {
+/** Settings have a role, and a policy has its section; a questionnaire has neither. */
+function kindOf(file: string): CheckedFile["kind"] {
     try {
-        return Object.hasOwn(JSON.parse(readFileSync(file, "utf8")) as object, "role");
+        const document = JSON.parse(readFileSync(file, "utf8")) as object;
+        if (Object.hasOwn(document, "role")) {
+            return "settings";
+        }
+        return Object.hasOwn(document, "policy") ? "policy" : "questionnaire";
     }
     catch {
-        return !file.endsWith("questionnaire.json");
+        return file.endsWith("questionnaire.json") ? "questionnaire" : "settings";
     }
 }
 
 function checkFile(file: string): CheckedFile {
-    if (isSettings(file)) {
+    const kind = kindOf(file);
+    if (kind === "policy") {
+        const policy = readFleetPolicy(file);
+        return { file, kind, problems: policy.isErr() ? [...policy.error.problems] : [] };
+    }
+    if (kind === "settings") {
         const settings = readDocument(file, processSettingsSchema);
         return { file, kind: "settings", problems: settings.isErr() ? [...settings.error.problems] : [] };
     }
--- a/packages/cli/src/commands/fleet.ts
+++ b/packages/cli/src/commands/fleet.ts
@@ -1,5 +1,7 @@
 import { type PlatformSettings, readSettings, settingsPath } from "@lentilramp/platform";
+import { Ok } from "ts-results-es";
 import { CommandError, type ExitCode, exitCodes } from "../exit-codes.ts";
+import { fleetPolicyDefaults, readFleetPolicy } from "../fleet-policy.ts";
 import { wireFleet } from "../wire-fleet.ts";
 
 /** The settings file is looked at again at most this often, in milliseconds. */
@@ -23,7 +25,7 @@
 }
 
 /** Runs one process of a fleet on the platform until it is asked to stop. */
-export async function fleet(keyFile: string): Promise<ExitCode> {
+export async function fleet(keyFile: string, policyFile?: string): Promise<ExitCode> {
     const path = settingsPath(process.env);
     if (path === undefined) {
         throw new CommandError(exitCodes.usage, "this command is started by the platform, which names a settings file");
@@ -32,8 +34,12 @@
     if (settings.isErr()) {
         throw new CommandError(exitCodes.invalidDocument, settings.error);
     }
+    const policy = policyFile === undefined ? Ok(fleetPolicyDefaults) : readFleetPolicy(policyFile);
+    if (policy.isErr()) {
+        throw new CommandError(exitCodes.invalidDocument, policy.error.message);
+    }
     const reader = new SettingsReader(path, settings.value);
-    const { lifecycle, log } = wireFleet(settings.value, keyFile, () => reader.reload());
+    const { lifecycle, log } = wireFleet(settings.value, keyFile, () => reader.reload(), policy.value);
     process.on("SIGHUP", () => {
         log.info("process.reload", { seeds: reader.reload(true).seedHosts.join(",") });
     });
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -42,8 +42,11 @@
         })
     );
 cli.command("fleet", "Run one process on the platform that started this command")
-    .action((options: { key?: string; }) =>
-        run(async () => (await import("./commands/fleet.ts")).fleet(options.key ?? "deploy/process.key"))
+    .option("--policy <file>", "Mechanisms to switch off (default: none)")
+    .action((options: { key?: string; policy?: string; }) =>
+        run(async () =>
+            (await import("./commands/fleet.ts")).fleet(options.key ?? "deploy/process.key", options.policy)
+        )
     );
 cli.command("check [...files]", "Check settings and questionnaires without any effect")
     .action((files: string[], options: CommonOptions) =>
--- a/packages/cli/src/wire-fleet.ts
+++ b/packages/cli/src/wire-fleet.ts
@@ -14,6 +14,7 @@
 } from "@lentilramp/runtime";
 import { performance } from "node:perf_hooks";
 import { fleetMetrics } from "./fleet-metrics.ts";
+import type { FleetPolicy } from "./fleet-policy.ts";
 import { MetricsServer } from "./metrics-server.ts";
 import { wireIngress } from "./wire-ingress.ts";
 import { wireSteward } from "./wire-steward.ts";
@@ -45,6 +46,7 @@
     settings: PlatformSettings,
     keyFile: string,
     reload: () => PlatformSettings,
+    policy: FleetPolicy,
 ): FleetProcess {
     const clock = new SystemClock();
     const sink = new LineSink();
@@ -79,7 +81,7 @@
     const { callers, readiness, operators, lookups, dataFolder } = settings;
     if (callers !== undefined && readiness !== undefined) {
         wireIngress(
-            { ...settings, callers, readiness, inner },
+            { ...settings, callers, readiness, inner, policy: policy.ingress },
             seeds,
             cloud,
             lookupMs,
@@ -93,6 +95,7 @@
                 inner,
                 seedHosts: () => reload().seedHosts,
                 dataFolder,
+                plannerPolicy: policy.planner,
             },
             { operators, lookups, lookupMs },
             cloud,
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -9,6 +9,8 @@
     targetPartByRank: readonly number[];
     /** Requests over the places of an endpoint that may be sent there; it keeps a short queue of its own. */
     overbooking: number;
+    /** Whether a request may wait for a place while its first byte can still be on time. */
+    mayWait: boolean;
     /** Least time after which a refused caller may come back, in milliseconds. */
     minReturnMs: number;
     maxReturnMs: number;
@@ -17,6 +19,7 @@
 export const dispatchDefaults: DispatchOptions = {
     targetPartByRank: [0.95, 0.85, 0.75],
     overbooking: 1,
+    mayWait: true,
     minReturnMs: 60,
     maxReturnMs: 1_500,
 };
@@ -84,7 +87,7 @@
             return { kind: "send", choice };
         }
         const waitMs = choice.prediction.firstByteMs - this.allowedMs(req, now);
-        if (now + waitMs < latestStart && now < latestStart) {
+        if (this.options.mayWait && now + waitMs < latestStart && now < latestStart) {
             return { kind: "wait", until: latestStart, best: choice };
         }
         return { kind: "refuse", reason: "overload", retryAfterMs: this.spread(Math.max(waitMs, 0)), best: choice };
--- a/packages/dispatch/src/load-board.ts
+++ b/packages/dispatch/src/load-board.ts
@@ -100,6 +100,9 @@
     private others: Readonly<Record<string, EndpointLoad>> = {};
     private othersAt = -Infinity;
 
+    /** `heedsOwnWaits` says whether late first bytes of the own requests count besides what is reported. */
+    constructor(private readonly heedsOwnWaits = true) {}
+
     /** Names `run` as what is called when the known load has changed. */
     onChange(run: () => void): void {
         this.changed = run;
@@ -165,7 +168,7 @@
         return {
             running: (own?.running ?? 0) + (other?.running ?? 0),
             unreadTokens: (own?.unreadTokens ?? 0) + (other?.unreadTokens ?? 0),
-            lateMs: own?.lateMs(now) ?? 0,
+            lateMs: this.heedsOwnWaits ? own?.lateMs(now) ?? 0 : 0,
         };
     }
 
--- a/packages/dispatch/src/prefix-memory.ts
+++ b/packages/dispatch/src/prefix-memory.ts
@@ -5,7 +5,7 @@
     usedAt: number;
 }
 
-/** Entries kept for one endpoint; the tokens that they stand for are bounded by the endpoint's cache besides. */
+/** Default number of entries kept for one endpoint; the tokens that they stand for are bounded by the endpoint's cache besides. */
 const maxChains = 4_000;
 
 /** Keys of the chains that a prompt consists of: each covers one more part. */
@@ -21,6 +21,8 @@
 export class PrefixMemory {
     private readonly endpoints = new Map<string, { chains: Map<string, Chain>; tokens: number; }>();
 
+    constructor(private readonly capacity = maxChains) {}
+
     /** Notes that a prompt was read at an endpoint. */
     record(endpoint: string, parts: readonly PromptPart[], cacheTokens: number, now: number): void {
         const memory = this.endpoints.get(endpoint) ?? { chains: new Map<string, Chain>(), tokens: 0 };
@@ -34,7 +36,7 @@
             memory.tokens += tokens;
         }
         for (const [key, chain] of memory.chains) {
-            if (memory.tokens <= cacheTokens && memory.chains.size <= maxChains) {
+            if (memory.tokens <= cacheTokens && memory.chains.size <= this.capacity) {
                 break;
             }
             memory.chains.delete(key);
--- a/packages/dispatch/src/prompt-home.ts
+++ b/packages/dispatch/src/prompt-home.ts
@@ -26,6 +26,13 @@
     }
 }
 
+/** No home: each request goes wherever its first byte is expected first. */
+export class ScatteredHome extends PromptHome {
+    override home(): undefined {
+        return undefined;
+    }
+}
+
 function rankFirst(req: DispatchRequest, endpoints: readonly Candidate[]): string | undefined {
     const key = sharedKey(req);
     if (key === undefined) {
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -8,6 +8,7 @@
 export * from "./exchange-topology.ts";
 export * from "./lookup-set.ts";
 export * from "./lost-peers.ts";
+export * from "./planner-policy.ts";
 export * from "./replica-planner.ts";
 export * from "./roster.ts";
 export * from "./sync-timing.ts";
--- a/packages/fleet/src/replica-planner.ts
+++ b/packages/fleet/src/replica-planner.ts
@@ -1,6 +1,7 @@
 import type { ScalingRange } from "@lentilramp/catalog";
 import { DemandForecast, type DemandLevel, type EngineCapacity, type ServiceDemand } from "./demand-forecast.ts";
 import type { Endpoint } from "./endpoint-directory.ts";
+import { plannerPolicyDefaults } from "./planner-policy.ts";
 import { ReclaimRisk } from "./reclaim-risk.ts";
 import { cheapestMix, type DomainRange, type DomainReplicas } from "./replica-mix.ts";
 
@@ -83,7 +84,7 @@
     /** Domains that lost theirs and have shown no others yet, with the number that was left. */
     private readonly leftAfterLoss = new Map<string, number>();
 
-    constructor(private readonly service: string) {}
+    constructor(private readonly service: string, private readonly policy = plannerPolicyDefaults) {}
 
     observe(demand: ServiceDemand, now: number): void {
         this.forecast.observe(demand, now);
@@ -129,10 +130,11 @@
         if (demanded === undefined) {
             this.installed.observe(held, now);
         }
-        const demand = demanded ?? this.installed.level;
-        if (demand.mean === 0) {
+        const { mean, deviation } = demanded ?? this.installed.level;
+        if (mean === 0) {
             return [];
         }
+        const demand = { mean, deviation: this.policy.reserve ? deviation : 0 };
         const mixOver = (limit: (held: Held) => Partial<DomainRange>): DomainReplicas[] =>
             cheapestMix({
                 demand,
@@ -153,7 +155,8 @@
             maxReclaimable: reclaimable,
             maxOnDemand: onDemand,
         }));
-        const shrinkAfter = (price: number): number => this.forecast.idle ? idleShrinkAfterMs : shrinkAfterMs / price;
+        const shrinkAfter = (price: number): number =>
+            this.forecast.idle ? idleShrinkAfterMs : shrinkAfterMs / (this.policy.patience ? price : 1);
         const mayOrder = demanded !== undefined || this.installed.settled(now);
         const orders: ReplicaOrder[] = [];
         for (const [i, { failureDomain, onDemand, reclaimable }] of held.entries()) {
@@ -179,8 +182,12 @@
             const ordered = this.placed.get(this.key({ failureDomain, reclaimable: true }))?.count ?? 0;
             const before = Math.min(ordered, this.reclaimableBefore.get(failureDomain) ?? 0);
             if (reclaimable < before / 2) {
-                this.risk.lost(now);
-                this.leftAfterLoss.set(failureDomain, reclaimable);
+                if (this.policy.learnedRisk) {
+                    this.risk.lost(now);
+                }
+                if (this.policy.doubtAfterLoss) {
+                    this.leftAfterLoss.set(failureDomain, reclaimable);
+                }
             }
             else if (reclaimable > (this.leftAfterLoss.get(failureDomain) ?? Infinity)) {
                 this.leftAfterLoss.delete(failureDomain);
--- a/packages/ingress/src/fleet-view.ts
+++ b/packages/ingress/src/fleet-view.ts
@@ -1,5 +1,5 @@
 import { type Catalog, type CatalogCodec, RouteTable, WorkspaceKeys } from "@lentilramp/catalog";
-import { EndpointHealth, LoadBoard, PrefixMemory } from "@lentilramp/dispatch";
+import type { EndpointHealth, LoadBoard, PrefixMemory } from "@lentilramp/dispatch";
 import {
     CapMeter,
     type CapTolerance,
@@ -9,6 +9,7 @@
 } from "@lentilramp/fleet";
 import type { Clock, EventLog } from "@lentilramp/runtime";
 import type { SyncAnswer } from "./fleet-messages.ts";
+import { IngressParts, ingressPolicyDefaults } from "./ingress-policy.ts";
 
 /** Everything that this ingress believes about the fleet. */
 export class FleetView {
@@ -16,9 +17,9 @@
     routes: RouteTable | undefined;
     keys: WorkspaceKeys | undefined;
     readonly endpoints = new EndpointDirectory();
-    readonly board = new LoadBoard();
-    readonly health = new EndpointHealth();
-    readonly memory = new PrefixMemory();
+    readonly board: LoadBoard;
+    readonly health: EndpointHealth;
+    readonly memory: PrefixMemory;
     readonly caps: CapMeter;
     readonly usage: UsageLedger;
     /** How fast the engines of each service read prompts, as the fleet has measured it, in tokens for a millisecond. */
@@ -43,7 +44,11 @@
         private readonly onEndpointGone: (id: string) => void,
         /** Ingresses of which the use of caps is known here, this one included. */
         private readonly covered: () => number = () => 1,
+        parts = new IngressParts(ingressPolicyDefaults),
     ) {
+        this.board = parts.board();
+        this.health = parts.health();
+        this.memory = parts.memory();
         this.usage = new UsageLedger(usageWindowMs);
         this.caps = new CapMeter(
             tolerance,
--- a/packages/ingress/src/index.ts
+++ b/packages/ingress/src/index.ts
@@ -12,6 +12,7 @@
 export * from "./fleet-view.ts";
 export * from "./hop-headers.ts";
 export * from "./ingress-options.ts";
+export * from "./ingress-policy.ts";
 export * from "./list-fallback.ts";
 export * from "./relay.ts";
 export * from "./wire.ts";
--- /dev/null
+++ b/packages/ingress/src/ingress-policy.ts
@@ -0,0 +1,65 @@
+import {
+    dispatchDefaults,
+    type DispatchOptions,
+    EndpointHealth,
+    healthDefaults,
+    LoadBoard,
+    PrefixMemory,
+    type PromptHome,
+    RendezvousHome,
+    ScatteredHome,
+} from "@lentilramp/dispatch";
+import type { Endpoint } from "@lentilramp/fleet";
+import { z } from "zod";
+
+const mechanism = (description: string) => z.boolean().default(true).describe(description);
+
+/** Mechanisms of an ingress that can be switched off, to see what each is worth in a deployment. */
+export const ingressPolicySchema = z.strictObject({
+    promptHomes: mechanism("sends prompts with the same shared parts to the same engine"),
+    prefixMemory: mechanism("remembers which prompt parts an engine has read"),
+    ownWaits: mechanism("believes what own requests wait at an engine before what others report of it"),
+    fleetSpeed: mechanism("takes the engine speed that the fleet has measured until the own one is known"),
+    waiting: mechanism("lets a request wait for a place while its first byte can still be on time"),
+    rankedTargets: mechanism("leaves the end of the time to the target to the more urgent ranks"),
+    overbooking: mechanism("sends one request more than an endpoint has places"),
+    ejection: mechanism("sends nothing to endpoints that fail much more often than their siblings"),
+    resumption: mechanism("goes on with a broken stream at another endpoint"),
+});
+export type IngressPolicy = z.infer<typeof ingressPolicySchema>;
+
+export const ingressPolicyDefaults: IngressPolicy = ingressPolicySchema.parse({});
+
+/** Part of the time to the target for all ranks alike. */
+const rankPartWithoutRanks = 0.85;
+
+/** Builds the deciding parts of an ingress as its policy says. */
+export class IngressParts {
+    constructor(private readonly policy: IngressPolicy) {}
+
+    health(): EndpointHealth {
+        return new EndpointHealth(this.policy.ejection ? healthDefaults : { ...healthDefaults, minWeight: Infinity });
+    }
+
+    memory(): PrefixMemory {
+        return new PrefixMemory(this.policy.prefixMemory ? undefined : 0);
+    }
+
+    board(): LoadBoard {
+        return new LoadBoard(this.policy.ownWaits);
+    }
+
+    home(endpoints: (service: string) => readonly Endpoint[]): PromptHome {
+        return this.policy.promptHomes ? new RendezvousHome(endpoints) : new ScatteredHome();
+    }
+
+    dispatch(): DispatchOptions {
+        const { waiting, rankedTargets, overbooking } = this.policy;
+        return {
+            ...dispatchDefaults,
+            mayWait: waiting,
+            targetPartByRank: rankedTargets ? dispatchDefaults.targetPartByRank : [rankPartWithoutRanks],
+            overbooking: overbooking ? dispatchDefaults.overbooking : 0,
+        };
+    }
+}
--- a/packages/ingress/src/relay.ts
+++ b/packages/ingress/src/relay.ts
@@ -5,7 +5,7 @@
     EngineModel,
     type LatencyModel,
     PlaceQueue,
-    RendezvousHome,
+    type PromptHome,
     ServiceModel,
 } from "@lentilramp/dispatch";
 import { CapMeter, type Endpoint } from "@lentilramp/fleet";
@@ -16,6 +16,7 @@
 import { EndpointPool } from "./endpoint-pool.ts";
 import type { FleetView } from "./fleet-view.ts";
 import type { IngressOptions } from "./ingress-options.ts";
+import { IngressParts, type IngressPolicy, ingressPolicyDefaults } from "./ingress-policy.ts";
 import { RelayedCall } from "./relayed-call.ts";
 import type { CallerHead, RequestWire } from "./wire.ts";
 
@@ -58,6 +59,8 @@
     maxFree(service: string): number;
     /** Whether callers' connections are to be closed with their answers. */
     draining(): boolean;
+    /** Whether a broken stream may go on at another endpoint. */
+    readonly resumes: boolean;
     addDemand(service: string, unreadTokens: number, placeMs: number): void;
 }
 
@@ -88,7 +91,8 @@
     private readonly models = new Map<string, LatencyModel>();
     private readonly budgets = new Map<string, RetryBudget>();
     private demand: Record<string, EngineDemand> = {};
-    private readonly home: RendezvousHome;
+    private readonly home: PromptHome;
+    private readonly policy: IngressPolicy;
     private inProgress = 0;
     private drainingSince: number | undefined;
 
@@ -104,8 +108,14 @@
         this.random = base.random;
         this.log = base.log;
         this.metrics = base.metrics;
-        this.home = new RendezvousHome(service => view.endpoints.ready(service));
-        this.dispatcher = new Dispatcher(view.board, view.health, base.random);
+        this.policy = options.policy ?? ingressPolicyDefaults;
+        const parts = new IngressParts(this.policy);
+        this.home = parts.home(service => view.endpoints.ready(service));
+        this.dispatcher = new Dispatcher(view.board, view.health, base.random, parts.dispatch());
+    }
+
+    get resumes(): boolean {
+        return this.policy.resumption;
     }
 
     get requestsInProgress(): number {
@@ -185,7 +195,7 @@
             this.models.set(service, model);
         }
         const rate = this.view.engineRates[service];
-        if (model instanceof EngineModel && rate !== undefined) {
+        if (this.policy.fleetSpeed && model instanceof EngineModel && rate !== undefined) {
             model.estimate.assume(rate);
         }
         return model;
--- a/packages/ingress/src/relayed-call.ts
+++ b/packages/ingress/src/relayed-call.ts
@@ -49,7 +49,7 @@
 
     private get repeatable(): boolean {
         const { execution, resumable } = this.admitted.route;
-        return execution === "idempotent" || execution === "stream" && resumable;
+        return execution === "idempotent" || execution === "stream" && resumable && this.ctx.resumes;
     }
 
     async run(): Promise<void> {
--- a/packages/steward/src/platform-duties.ts
+++ b/packages/steward/src/platform-duties.ts
@@ -247,7 +247,8 @@
             if (scaling === undefined || engine === undefined) {
                 continue;
             }
-            const planner = this.planners.get(service.name) ?? new ReplicaPlanner(service.name);
+            const planner = this.planners.get(service.name)
+                ?? new ReplicaPlanner(service.name, this.options.plannerPolicy);
             this.planners.set(service.name, planner);
             planner.observe(demand.get(service.name) ?? { prefillPerSecond: 0, places: 0 }, now);
             const endpoints = this.coordinator.endpoints.filter(endpoint => endpoint.service === service.name);
--- a/packages/steward/src/steward-options.ts
+++ b/packages/steward/src/steward-options.ts
@@ -1,4 +1,4 @@
-import type { CapTolerance } from "@lentilramp/fleet";
+import type { CapTolerance, PlannerPolicy } from "@lentilramp/fleet";
 
 /** Settings of a steward, whatever platform it runs on. Durations are in milliseconds. */
 export interface StewardOptions {
@@ -23,4 +23,6 @@
     /** Whether the platform takes usage reports and orders for replicas. */
     reportsUsage: boolean;
     ordersReplicas: boolean;
+    /** All mechanisms are on when it is left out. */
+    plannerPolicy?: PlannerPolicy;
 }
