Count why callers were refused, failed or answered late, from the logs

`lentilramp explain [--from T] [--to T] LOG...` counts them with the worst second and the endpoints, workspaces and instances concerned, and says how many lines are missing. Late answers could not be told from the logs, so every one now leaves its `request.done` line, with `late=true`; the limit of 40 lines of an event in a second holds for them too.

--- a/packages/cli/src/commands/trace.ts
+++ b/packages/cli/src/commands/trace.ts
@@ -1,5 +1,6 @@
 import { readFileSync } from "node:fs";
 import { CommandError, type ExitCode, exitCodes } from "../exit-codes.ts";
+import { field } from "../log-line.ts";
 import type { Output } from "../output.ts";
 
 /** One log line about a request. */
@@ -17,10 +18,6 @@
     missing: Readonly<Record<string, number>>;
 }
 
-function field(line: string, name: string): string | undefined {
-    return new RegExp(`(?:^| )${name}=("[^"]*"|\\S*)`).exec(line)?.[1];
-}
-
 /** Joins the lines of several logs that carry the request's id, in the order of their times. */
 export function joinTrace(id: string, logs: readonly string[]): Trace {
     const lines: TraceLine[] = [];
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -97,6 +97,17 @@
     .action((address: string, options: CommonOptions) =>
         run(async () => (await import("./commands/lookup.ts")).lookup(address, new Output(options.json === true)))
     );
+cli.command("explain [...files]", "Count why callers were refused, failed or answered late")
+    .option("--from <time>", "First time of day to count, as the logs write it")
+    .option("--to <time>", "Time of day from which nothing is counted")
+    .action((files: string[], options: CommonOptions & { from?: string; to?: string; }) =>
+        run(async () => {
+            if (files.length === 0) {
+                throw new CommandError(exitCodes.usage, "name at least one log file");
+            }
+            return (await import("./commands/explain.ts")).explain(files, options, new Output(options.json === true));
+        })
+    );
 cli.command("trace <id> [...files]", "Tell what the logs of several processes say of one request")
     .action((id: string, files: string[], options: CommonOptions) =>
         run(async () => {
--- a/packages/ingress/src/call-record.ts
+++ b/packages/ingress/src/call-record.ts
@@ -10,7 +10,7 @@
 import type { AdmittedRequest, RelayContext } from "./relay.ts";
 import type { AnswerHead } from "./wire.ts";
 
-/** Requests for each line about an answer; chosen by the id, so that all processes keep the same ones. */
+/** Requests for each line about an answer on time; chosen by the id, so that all processes keep the same ones. */
 const answeredPerLine = 16;
 
 /** How a request ended for its caller. */
@@ -124,13 +124,15 @@
         const { metrics, clock, log } = this.ctx;
         const now = clock.now();
         const execution = route.execution;
-        if (murmurhash.v3(dispatch.id) % answeredPerLine === 0) {
+        const late = outcome === "answered" && (this.firstByteAt ?? now) > dispatch.targetAt;
+        if (late || murmurhash.v3(dispatch.id) % answeredPerLine === 0) {
             log.info("request.done", {
                 id: dispatch.id,
                 outcome,
                 status: res.statusCode,
                 endpoint,
                 runs,
+                late: late || undefined,
                 ageMs: Math.round(now - dispatch.arrivedAt),
                 firstByteMs: this.firstByteAt === undefined || this.sent === undefined
                     ? undefined
