Give up a connection that does not open within 250 ms

Cause: an endpoint that went dark stays on the list for seconds. A lost opening packet is sent again only after a second, so a longer wait gains nothing; nothing of the request has been sent, so going elsewhere costs no repetition.

Ruled out: ejecting after one such failure; with packet loss it takes out sound endpoints.

--- a/packages/ingress/src/attempt.ts
+++ b/packages/ingress/src/attempt.ts
@@ -3,11 +3,9 @@
 import { type ClientRequest, type IncomingMessage, request } from "node:http";
 import type { Socket } from "node:net";
 import type { EndpointPool } from "./endpoint-pool.ts";
+import { connectDeadline } from "./send-timing.ts";
 import type { AnswerHead, RequestWire } from "./wire.ts";
 
-/** Time in which a connection must be open, in milliseconds; several round trips between failure domains. */
-const connectMs = 700;
-
 export type AttemptOutcome =
     | { kind: "answer"; res: IncomingMessage; head: AnswerHead; }
     /** It is proved that the endpoint has not run the request and will not. */
@@ -124,7 +122,7 @@
                 this.connected = true;
                 return;
             }
-            const timer = this.clock.schedule(this.clock.now() + connectMs, () => {
+            const timer = this.clock.schedule(connectDeadline(this.clock.now()), () => {
                 settle({ kind: "not-run", reason: "connection not opened in time", arrived: false });
                 req.destroy();
             });
--- a/packages/ingress/src/send-timing.ts
+++ b/packages/ingress/src/send-timing.ts
@@ -1,6 +1,8 @@
 import type { Prediction } from "@lentilramp/dispatch";
 import type { AdmittedRequest } from "./relay.ts";
 
+/** Time in which a connection must be open, in milliseconds; a lost opening packet is sent again only after a second. */
+const connectMs = 250;
 /** Part of the time to the target after which an idempotent call without an answer is tried elsewhere. */
 const slowAnswerPart = 0.75;
 /** Least time that an idempotent call is given before it is tried elsewhere, in milliseconds. */
@@ -9,6 +11,11 @@
 const silenceFactor = 3;
 const silenceMarginMs = 400;
 
+/** Instant by which a connection must be open; a request whose connection is not is sent elsewhere. */
+export function connectDeadline(now: number): number {
+    return now + connectMs;
+}
+
 /** Time after which silence is the endpoint's fault, however short the time of the request is. */
 export function patienceMs({ firstByteMs }: Prediction): number {
     return firstByteMs * silenceFactor + silenceMarginMs;
--- a/scripts/settings-reference.ts
+++ b/scripts/settings-reference.ts
@@ -6,6 +6,7 @@
 import { controlSettingsSchema, entrySettingsSchema } from "@lentilramp/settings";
 import { readFileSync, writeFileSync } from "node:fs";
 import { z } from "zod";
+import { fleetPolicySchema } from "../packages/cli/src/fleet-policy.ts";
 
 const file = "docs/operations/settings.md";
 
@@ -79,6 +80,7 @@
     "",
     section("Settings of an entry process", entrySettingsSchema),
     section("Settings of a control process", controlSettingsSchema),
+    section("Policy of a fleet (`deploy/policy.json`)", fleetPolicySchema),
     section("Questionnaire", questionnaireSchema),
 ].join("\n");
 
