Expect prompts that are lost with their engines to be read again, and search the replica mix from both sides

Two of three domains lost their reclaimable replicas within 0.6 s, none were to be had, and the demand that the planner knew was that of engines which kept two thirds of each prompt. What was left read more than twice as much for each request; a fifth of them was late for ten seconds.

The ingresses now report what their prompts would need if no engine kept any of them. A mix is judged with the part of that which a loss brings, and for four seconds after a loss the demand contains it. This showed that the search stopped at a few on-demand replicas where twice as many reclaimable ones are cheaper; it now starts from the least and from the most reclaimable ones, with steps that become smaller.

--- a/packages/dispatch/src/engine-speed.ts
+++ b/packages/dispatch/src/engine-speed.ts
@@ -31,7 +31,7 @@
 const minSamples = 4;
 const keptSamples = 40;
 /** Part of the long prompts that were faster than the estimate: waiting makes them slower, a cached prompt faster. */
-const fasterPart = 0.4;
+const fasterPart = 0.5;
 /** Bounds of the estimate, in tokens for each millisecond. */
 const minTokensPerMs = 5;
 const maxTokensPerMs = 2_000;
--- a/packages/fleet/src/demand-forecast.ts
+++ b/packages/fleet/src/demand-forecast.ts
@@ -1,4 +1,4 @@
-import { standardDeviation } from "simple-statistics";
+import { mean, standardDeviation } from "simple-statistics";
 
 /** Share of an engine's prompt rate that is planned for; above it, waiting grows faster than the load. */
 const plannedPrefillShare = 0.7;
@@ -25,20 +25,33 @@
 export interface ServiceDemand {
     /** Prompt tokens that had to be read, for each second. */
     prefillPerSecond: number;
+    /** The same if no engine kept any of them. */
+    promptPerSecond: number;
     /** Places that the requests would take on average if all were served. */
     places: number;
 }
 
+export function noDemand(): ServiceDemand {
+    return { prefillPerSecond: 0, promptPerSecond: 0, places: 0 };
+}
+
 /** Demand in engines that are used as far as planned, as a normal distribution. */
 export interface DemandLevel {
     mean: number;
     deviation: number;
+    /** Mean once all prompts that engines keep are lost and have to be read again. */
+    coldMean: number;
 }
 
 interface Sample extends ServiceDemand {
     at: number;
 }
 
+/** The level of the window; a rise counts at once, and a fall as the window passes. */
+function levelOf(engines: readonly number[]): number {
+    return Math.max(mean([...engines]), engines.at(-1) ?? 0);
+}
+
 /** Demand on a service in the next boot time, from that of the last seconds. */
 export class DemandForecast {
     private samples: Sample[] = [];
@@ -51,13 +64,15 @@
             return;
         }
         this.seenSince ??= now - quietStartMs;
-        const last = this.average ?? { prefillPerSecond: 0, places: 0, at: now - firstSampleMs };
+        const last = this.average ?? { ...noDemand(), at: now - firstSampleMs };
         // The average of a short time is mostly that of the samples so far, not one that starts from nothing.
         const weight = (1 - Math.exp(-(now - last.at) / averageMs))
             / (1 - Math.exp(-(now - this.seenSince) / averageMs));
+        const towards = (before: number, present: number): number => before + (present - before) * weight;
         this.average = {
-            prefillPerSecond: last.prefillPerSecond + (demand.prefillPerSecond - last.prefillPerSecond) * weight,
-            places: last.places + (demand.places - last.places) * weight,
+            prefillPerSecond: towards(last.prefillPerSecond, demand.prefillPerSecond),
+            promptPerSecond: towards(last.promptPerSecond, demand.promptPerSecond),
+            places: towards(last.places, demand.places),
             at: now,
         };
         this.samples = [...this.samples.filter(sample => now - sample.at < windowMs), this.average];
@@ -73,13 +88,18 @@
         if (this.idle) {
             return undefined;
         }
-        const engines = this.samples.map(({ prefillPerSecond, places }) =>
+        const enginesFor = (readPerSecond: number, places: number): number =>
             Math.max(
-                prefillPerSecond / (capacity.prefillPerSecond * plannedPrefillShare),
+                readPerSecond / (capacity.prefillPerSecond * plannedPrefillShare),
                 places / (capacity.slots * plannedSlotShare),
-            )
-        );
-        const mean = Math.max(...engines);
-        return { mean, deviation: Math.max(standardDeviation(engines), mean * leastSpread) };
+            );
+        const engines = this.samples.map(({ prefillPerSecond, places }) => enginesFor(prefillPerSecond, places));
+        const cold = this.samples.map(({ promptPerSecond, places }) => enginesFor(promptPerSecond, places));
+        const level = levelOf(engines);
+        return {
+            mean: level,
+            deviation: Math.max(standardDeviation(engines), level * leastSpread),
+            coldMean: Math.max(levelOf(cold), level),
+        };
     }
 }
--- a/packages/fleet/src/reclaim-risk.ts
+++ b/packages/fleet/src/reclaim-risk.ts
@@ -1,7 +1,7 @@
 /** Losses of the last this many milliseconds count. */
 const windowMs = 60_000;
 /** What is assumed before anything was seen: one loss in this time, in milliseconds of one failure domain. */
-const priorMs = 120_000;
+const priorMs = 60_000;
 
 /** How likely a failure domain loses its reclaimable replicas, learnt from the losses that were seen. */
 export class ReclaimRisk {
--- a/packages/fleet/src/replica-mix.ts
+++ b/packages/fleet/src/replica-mix.ts
@@ -5,7 +5,10 @@
  * Worth of what an engine serves when it is needed, relative to the price of an on-demand one. Nobody runs engines
  * that earn little more than they cost, and a request that is not served costs more than its own worth.
  */
-const worthOfEngine = 20;
+const worthOfEngine = 10;
+
+/** Difference of two costs that is worth a step, in prices of an on-demand replica. */
+const leastGain = 1e-9;
 
 /** Replicas in one failure domain. */
 export interface DomainReplicas {
@@ -34,8 +37,10 @@
     lossProbability: number;
 }
 
-/** Expected demand above a capacity, in engines. */
-function expectedShortage({ mean, deviation }: DemandLevel, capacity: number): number {
+/** Expected demand above a capacity, in engines, when a part of the prompts that engines kept is lost. */
+function expectedShortage(demand: DemandLevel, capacity: number, lostPart: number): number {
+    const mean = demand.mean + (demand.coldMean - demand.mean) * lostPart;
+    const { deviation } = demand;
     if (deviation <= 0) {
         return Math.max(0, mean - capacity);
     }
@@ -49,21 +54,32 @@
  * reclaimable replicas at once, and the domains are reclaimed independently of each other.
  */
 export function cheapestMix(input: MixInput): DomainReplicas[] {
-    let mix = input.domains.map(leastReplicas);
+    // A reserve of reclaimable replicas pays only as a whole, so the search comes from both sides.
+    const [few, many] = [leastReplicas, mostReclaimable].map(start => improve(input, input.domains.map(start)));
+    return (many?.cost ?? Infinity) < (few?.cost ?? Infinity) ? many?.mix ?? [] : few?.mix ?? [];
+}
+
+/** Improves a mix in steps that become smaller, until no single step makes it cheaper. */
+function improve(input: MixInput, start: DomainReplicas[]): { mix: DomainReplicas[]; cost: number; } {
+    let mix = start;
     let cost = expectedCost(input, mix);
-    for (;;) {
-        let best: { mix: DomainReplicas[]; cost: number; } | undefined;
-        for (const next of neighbours(input.domains, mix)) {
-            const nextCost = expectedCost(input, next);
-            if (nextCost < (best?.cost ?? cost) - 1e-9) {
-                best = { mix: next, cost: nextCost };
+    const most = Math.max(1, ...input.domains.map(({ maxReplicas }) => maxReplicas));
+    for (let step = 2 ** Math.floor(Math.log2(Math.max(1, most / 2))); step >= 1; step /= 2) {
+        for (;;) {
+            let best: { mix: DomainReplicas[]; cost: number; } | undefined;
+            for (const next of neighbours(input.domains, mix, step)) {
+                const nextCost = expectedCost(input, next);
+                if (nextCost < (best?.cost ?? cost) - leastGain) {
+                    best = { mix: next, cost: nextCost };
+                }
             }
+            if (best === undefined) {
+                break;
+            }
+            ({ mix, cost } = best);
         }
-        if (best === undefined) {
-            return mix;
-        }
-        ({ mix, cost } = best);
     }
+    return { mix, cost };
 }
 
 function leastReplicas({ minReplicas, minReclaimable, maxReclaimable, maxOnDemand }: DomainRange): DomainReplicas {
@@ -71,12 +87,23 @@
     return { reclaimable, onDemand: Math.min(maxOnDemand, Math.max(0, minReplicas - reclaimable)) };
 }
 
-/** The mixes that differ by one replica of one domain, or by the kind of one. */
-function* neighbours(domains: readonly DomainRange[], mix: readonly DomainReplicas[]): Generator<DomainReplicas[]> {
+function mostReclaimable({ minReplicas, maxReclaimable, maxOnDemand }: DomainRange): DomainReplicas {
+    return {
+        reclaimable: maxReclaimable,
+        onDemand: Math.min(maxOnDemand, Math.max(0, minReplicas - maxReclaimable)),
+    };
+}
+
+/** The mixes that differ by `step` replicas of one domain, or by the kind of that many. */
+function* neighbours(
+    domains: readonly DomainRange[],
+    mix: readonly DomainReplicas[],
+    step: number,
+): Generator<DomainReplicas[]> {
     for (const [i, range] of domains.entries()) {
         const { onDemand, reclaimable } = mix[i] ?? { onDemand: 0, reclaimable: 0 };
         for (const [more, moreReclaimable] of [[1, 0], [0, 1], [-1, 0], [0, -1], [1, -1], [-1, 1]] as const) {
-            const next = { onDemand: onDemand + more, reclaimable: reclaimable + moreReclaimable };
+            const next = { onDemand: onDemand + more * step, reclaimable: reclaimable + moreReclaimable * step };
             const sum = next.onDemand + next.reclaimable;
             const allowed = next.onDemand >= 0 && next.onDemand <= range.maxOnDemand
                 && next.reclaimable >= range.minReclaimable && next.reclaimable <= range.maxReclaimable
@@ -107,9 +134,10 @@
             left = next;
         }
     }
+    const held = mix.reduce((sum, { onDemand, reclaimable }) => sum + onDemand + reclaimable, 0);
     let shortage = 0;
     for (const [count, probability] of left) {
-        shortage += probability * expectedShortage(demand, count);
+        shortage += probability * expectedShortage(demand, count, 1 - count / Math.max(1, held));
     }
     return price + worthOfEngine * shortage;
 }
--- a/packages/fleet/src/replica-planner.ts
+++ b/packages/fleet/src/replica-planner.ts
@@ -1,8 +1,8 @@
 import type { ScalingRange } from "@lentilramp/catalog";
 import { DemandForecast, type DemandLevel, type EngineCapacity, type ServiceDemand } from "./demand-forecast.ts";
 import type { Endpoint } from "./endpoint-directory.ts";
+import { type HeldReplicas, LossWatch } from "./loss-watch.ts";
 import { plannerPolicyDefaults } from "./planner-policy.ts";
-import { ReclaimRisk } from "./reclaim-risk.ts";
 import { cheapestMix, type DomainRange, type DomainReplicas } from "./replica-mix.ts";
 
 /**
@@ -13,7 +13,7 @@
 /** Time for which the list must name as many replicas before it is believed, in milliseconds; entries come one by one. */
 const installedSettleMs = 1_500;
 /** Part of the installed replicas that the first demand is expected to need, and its deviation. */
-const installedLevelPart = 0.5;
+const installedLevelPart = 0.6;
 const installedDeviationPart = 0.25;
 /** The same as `shrinkAfterMs` without any demand, when only the list can be wrong; two reads of it. */
 const idleShrinkAfterMs = 900;
@@ -38,19 +38,15 @@
     lowerSince: number | undefined;
 }
 
-/** Ready replicas of a service in one failure domain. */
-interface Held extends DomainReplicas {
-    failureDomain: string;
-}
-
 /** The on-demand replicas that a fleet has without any demand; nothing else tells what it is meant for. */
 class InstalledCapacity {
     /** The most that the list has named so far. */
     private count = 0;
     private since = Infinity;
 
-    observe(held: readonly Held[], now: number): void {
-        const count = held.reduce((sum, { onDemand }) => sum + onDemand, 0);
+    /** Takes all that the list names; those that are being given back belong to it too. */
+    observe(endpoints: readonly Endpoint[], now: number): void {
+        const count = endpoints.filter(({ reclaimable }) => !reclaimable).length;
         if (count > this.count) {
             this.count = count;
             this.since = now;
@@ -63,7 +59,11 @@
     }
 
     get level(): DemandLevel {
-        return { mean: this.count * installedLevelPart, deviation: this.count * installedDeviationPart };
+        return {
+            mean: this.count * installedLevelPart,
+            deviation: this.count * installedDeviationPart,
+            coldMean: this.count,
+        };
     }
 }
 
@@ -75,16 +75,13 @@
 export class ReplicaPlanner {
     private readonly forecast = new DemandForecast();
     private readonly installed = new InstalledCapacity();
-    private readonly risk = new ReclaimRisk();
+    private readonly losses: LossWatch;
     private readonly placed = new Map<string, Placed>();
     /** Domains that had no reclaimable replicas to give, with the instant at which they are asked again. */
     private readonly refusedUntil = new Map<string, number>();
-    /** Ready reclaimable replicas of each domain at the last plan. */
-    private readonly reclaimableBefore = new Map<string, number>();
-    /** Domains that lost theirs and have shown no others yet, with the number that was left. */
-    private readonly leftAfterLoss = new Map<string, number>();
-
-    constructor(private readonly service: string, private readonly policy = plannerPolicyDefaults) {}
+    constructor(private readonly service: string, private readonly policy = plannerPolicyDefaults) {
+        this.losses = new LossWatch(policy.learnedRisk, policy.doubtAfterLoss);
+    }
 
     observe(demand: ServiceDemand, now: number): void {
         this.forecast.observe(demand, now);
@@ -125,39 +122,45 @@
         now: number,
     ): ReplicaOrder[] {
         const held = heldIn(domains, endpoints.filter(endpoint => endpoint.ready));
-        this.noteLosses(held, now);
+        this.losses.observe(
+            held,
+            failureDomain => this.placed.get(this.key({ failureDomain, reclaimable: true }))?.count ?? 0,
+            now,
+        );
         const demanded = this.forecast.level(capacity);
         if (demanded === undefined) {
-            this.installed.observe(held, now);
+            this.installed.observe(endpoints, now);
         }
-        const { mean, deviation } = demanded ?? this.installed.level;
-        if (mean === 0) {
+        const level = demanded ?? this.installed.level;
+        if (level.mean === 0) {
             return [];
         }
-        const demand = { mean, deviation: this.policy.reserve ? deviation : 0 };
-        const mixOver = (limit: (held: Held) => Partial<DomainRange>): DomainReplicas[] =>
+        const demand = this.expected(level, now);
+        const mixOver = (limit: (held: HeldReplicas) => Partial<DomainRange>): DomainReplicas[] =>
             cheapestMix({
                 demand,
                 domains: held.map(domain => ({ ...domainRange(range, domain), ...limit(domain) })),
                 reclaimablePrice: range.reclaimablePrice ?? 1,
-                lossProbability: this.risk.within(range.bootMs + listLagMs, domains.length, now),
+                lossProbability: this.losses.riskWithin(range.bootMs + listLagMs, domains.length, now),
             });
-        // What has just been taken back is rarely to be had again at once, even if an order for it is accepted.
-        const isDry = ({ failureDomain }: Held): boolean =>
-            this.refusedUntil.has(failureDomain) || this.leftAfterLoss.has(failureDomain);
+        const isDry = ({ failureDomain }: HeldReplicas): boolean =>
+            this.refusedUntil.has(failureDomain) || this.losses.doubtful(failureDomain);
         const wished = mixOver(() => ({}));
         const planned = held.some(isDry)
             ? mixOver(domain => isDry(domain) ? { maxReclaimable: domain.reclaimable } : {})
             : wished;
-        // Replicas that still start serve nobody; until then none of those at work is given back.
-        const kept = mixOver(({ onDemand, reclaimable }) => ({
-            minReclaimable: reclaimable,
-            maxReclaimable: reclaimable,
-            maxOnDemand: onDemand,
-        }));
+        // Replicas that still start serve nobody; until then those at work are kept, or a first one while all are idle.
+        const kept = demanded === undefined
+            ? held.map(({ onDemand, reclaimable }) => ({ onDemand: reclaimable > 0 ? 0 : Math.min(1, onDemand) }))
+            : mixOver(({ onDemand, reclaimable }) => ({
+                minReclaimable: reclaimable,
+                maxReclaimable: reclaimable,
+                maxOnDemand: onDemand,
+            }));
         const shrinkAfter = (price: number): number =>
             this.forecast.idle ? idleShrinkAfterMs : shrinkAfterMs / (this.policy.patience ? price : 1);
-        const mayOrder = demanded !== undefined || this.installed.settled(now);
+        // While all are idle, what they replace must be known in full before on-demand ones are bought for it.
+        const mayOrder = demanded !== undefined || !held.some(isDry) || this.installed.settled(now);
         const orders: ReplicaOrder[] = [];
         for (const [i, { failureDomain, onDemand, reclaimable }] of held.entries()) {
             const count = Math.max(planned[i]?.onDemand ?? 0, kept[i]?.onDemand ?? 0);
@@ -175,25 +178,14 @@
         return orders;
     }
 
-    /** Takes a drop of a domain's reclaimable replicas below what was ordered as a loss. */
-    private noteLosses(held: readonly Held[], now: number): void {
-        this.risk.observe(now);
-        for (const { failureDomain, reclaimable } of held) {
-            const ordered = this.placed.get(this.key({ failureDomain, reclaimable: true }))?.count ?? 0;
-            const before = Math.min(ordered, this.reclaimableBefore.get(failureDomain) ?? 0);
-            if (reclaimable < before / 2) {
-                if (this.policy.learnedRisk) {
-                    this.risk.lost(now);
-                }
-                if (this.policy.doubtAfterLoss) {
-                    this.leftAfterLoss.set(failureDomain, reclaimable);
-                }
-            }
-            else if (reclaimable > (this.leftAfterLoss.get(failureDomain) ?? Infinity)) {
-                this.leftAfterLoss.delete(failureDomain);
-            }
-            this.reclaimableBefore.set(failureDomain, reclaimable);
-        }
+    /** The demand that replicas ordered now will meet. */
+    private expected({ mean, deviation, coldMean }: DemandLevel, now: number): DemandLevel {
+        return {
+            // What was lost is missing in the demand of the past seconds.
+            mean: mean + (coldMean - mean) * this.losses.coldPart(now),
+            deviation: this.policy.reserve ? deviation : 0,
+            coldMean,
+        };
     }
 
     private add(
@@ -228,7 +220,7 @@
     }
 }
 
-function heldIn(domains: readonly string[], ready: readonly Endpoint[]): Held[] {
+function heldIn(domains: readonly string[], ready: readonly Endpoint[]): HeldReplicas[] {
     return domains.map(failureDomain => {
         const own = ready.filter(endpoint => endpoint.failureDomain === failureDomain);
         const reclaimable = own.filter(endpoint => endpoint.reclaimable).length;
@@ -236,7 +228,7 @@
     });
 }
 
-function domainRange(range: ScalingRange, { failureDomain }: Held): DomainRange {
+function domainRange(range: ScalingRange, { failureDomain }: HeldReplicas): DomainRange {
     return {
         price: range.domainPrices.get(failureDomain) ?? 1,
         minReplicas: range.minReplicas,
--- a/packages/ingress/src/call-record.ts
+++ b/packages/ingress/src/call-record.ts
@@ -32,7 +32,8 @@
             const unreadTokens = best?.prediction.unreadTokens ?? work.promptTokens;
             const model = this.ctx.model(service);
             const speed = model instanceof EngineModel ? model.estimate.speed : engineSpeedDefaults;
-            this.ctx.addDemand(service, unreadTokens, expectedPlaceMs(work, unreadTokens, speed));
+            const placeMs = expectedPlaceMs(work, unreadTokens, speed);
+            this.ctx.addDemand(service, { unreadTokens, promptTokens: work.promptTokens, placeMs });
         }
     }
 
--- a/packages/ingress/src/fleet-messages.ts
+++ b/packages/ingress/src/fleet-messages.ts
@@ -28,12 +28,13 @@
     usage: z.record(z.string(), z.record(z.string(), z.number())),
     /**
      * Work that arrived for each engine service since the last sync, refused requests included: prompt tokens to be
-     * read, and the time for which the requests would take a place.
+     * read, those of the whole prompts, and the time for which the requests would take a place.
      */
     demand: z.record(
         z.string(),
         z.object({
             unreadTokens: z.number(),
+            promptTokens: z.number().default(0),
             placeMs: z.number(),
             /** How fast the engines read prompts, as the sender has measured it. */
             prefillTokensPerMs: z.number().optional(),
--- a/packages/ingress/src/relay.ts
+++ b/packages/ingress/src/relay.ts
@@ -61,12 +61,14 @@
     draining(): boolean;
     /** Whether a broken stream may go on at another endpoint. */
     readonly resumes: boolean;
-    addDemand(service: string, unreadTokens: number, placeMs: number): void;
+    addDemand(service: string, demand: EngineDemand): void;
 }
 
 /** Work that arrived for an engine service, and how fast its engines read when that is known. */
 export interface EngineDemand {
     unreadTokens: number;
+    /** What would have to be read if no engine kept any of it. */
+    promptTokens: number;
     placeMs: number;
     prefillTokensPerMs?: number;
 }
@@ -141,16 +143,17 @@
         this.demand = {};
         for (const [service, model] of this.models) {
             if (model instanceof EngineModel && model.estimate.measured) {
-                const entry = demand[service] ??= { unreadTokens: 0, placeMs: 0 };
+                const entry = demand[service] ??= { unreadTokens: 0, promptTokens: 0, placeMs: 0 };
                 entry.prefillTokensPerMs = model.estimate.speed.prefillTokensPerMs;
             }
         }
         return demand;
     }
 
-    addDemand(service: string, unreadTokens: number, placeMs: number): void {
-        const entry = this.demand[service] ??= { unreadTokens: 0, placeMs: 0 };
+    addDemand(service: string, { unreadTokens, promptTokens, placeMs }: EngineDemand): void {
+        const entry = this.demand[service] ??= { unreadTokens: 0, promptTokens: 0, placeMs: 0 };
         entry.unreadTokens += unreadTokens;
+        entry.promptTokens += promptTokens;
         entry.placeMs += placeMs;
     }
 
--- a/packages/steward/src/fleet-coordinator.ts
+++ b/packages/steward/src/fleet-coordinator.ts
@@ -4,6 +4,7 @@
     EndpointDirectory,
     type EndpointList,
     type IngressDescription,
+    noDemand,
     releaseAfterMs,
     Roster,
     type ServiceDemand,
@@ -118,10 +119,12 @@
                 this.ingresses.delete(name);
                 continue;
             }
-            for (const [service, { unreadTokens, placeMs }] of Object.entries(state.demand)) {
-                const sum = total.get(service) ?? { prefillPerSecond: 0, places: 0 };
-                sum.prefillPerSecond += unreadTokens * 1_000 / Math.max(1, state.elapsedMs);
-                sum.places += placeMs / Math.max(1, state.elapsedMs);
+            for (const [service, { unreadTokens, promptTokens, placeMs }] of Object.entries(state.demand)) {
+                const sum = total.get(service) ?? noDemand();
+                const elapsedMs = Math.max(1, state.elapsedMs);
+                sum.prefillPerSecond += unreadTokens * 1_000 / elapsedMs;
+                sum.promptPerSecond += promptTokens * 1_000 / elapsedMs;
+                sum.places += placeMs / elapsedMs;
                 total.set(service, sum);
             }
         }
--- a/packages/steward/src/platform-duties.ts
+++ b/packages/steward/src/platform-duties.ts
@@ -1,6 +1,6 @@
 import type { Catalog } from "@lentilramp/catalog";
 import { engineSpeedDefaults } from "@lentilramp/dispatch";
-import { ReplicaPlanner } from "@lentilramp/fleet";
+import { noDemand, ReplicaPlanner } from "@lentilramp/fleet";
 import type { EndpointSource } from "@lentilramp/ingress";
 import { type Clock, type EventLog, PeriodicComponent } from "@lentilramp/runtime";
 import type { UsageReport } from "./catalog-state.ts";
@@ -19,7 +19,7 @@
 /** Time after taking office until a lower number of ingresses is believed, in milliseconds. */
 const membersSettleMs = 5_000;
 /** Time between two plans of the numbers of replicas. */
-const planMs = 250;
+const planMs = 400;
 /** Relative change of an engine's measured speed from which it is recorded anew. */
 const rateChange = 0.15;
 
@@ -250,7 +250,7 @@
             const planner = this.planners.get(service.name)
                 ?? new ReplicaPlanner(service.name, this.options.plannerPolicy);
             this.planners.set(service.name, planner);
-            planner.observe(demand.get(service.name) ?? { prefillPerSecond: 0, places: 0 }, now);
+            planner.observe(demand.get(service.name) ?? noDemand(), now);
             const endpoints = this.coordinator.endpoints.filter(endpoint => endpoint.service === service.name);
             const capacity = {
                 slots: engine.slots,
