Let a prompt wait a little for the engine that has read it

Cause: the engine with the earliest first byte was chosen, whatever it had to read.

Among the engines that are on time, the time that an engine itself spends on a request now counts once more, since it delays others there. Where none is on time the earliest first byte decides as before.

Ruled out: a fixed bonus for the home; it would also hold where little is shared.

Test: a prompt of 5,500 tokens goes to its busy home while it is on time there, and elsewhere when it is pressed.

--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -9,6 +9,11 @@
     targetPartByRank: readonly number[];
     /** Requests over the places of an endpoint that may be sent there; it keeps a short queue of its own. */
     overbooking: number;
+    /**
+     * What the time that an endpoint itself spends on a request counts besides the time until the first byte: a prompt
+     * that is read again delays others there.
+     */
+    readingWeight: number;
     /** Whether a request may wait for a place while its first byte can still be on time. */
     mayWait: boolean;
     /** Least time after which a refused caller may come back, in milliseconds. */
@@ -19,6 +24,7 @@
 export const dispatchDefaults: DispatchOptions = {
     targetPartByRank: [0.95, 0.85, 0.75],
     overbooking: 1,
+    readingWeight: 1,
     mayWait: true,
     minReturnMs: 60,
     maxReturnMs: 1_500,
@@ -52,6 +58,9 @@
 
 /** Differences below this are noise of the prediction, in milliseconds; ties are broken at random. */
 const tieMs = 3;
+/** Put an endpoint behind all that are on time, or that have a place, in milliseconds. */
+const latePenaltyMs = 100_000;
+const fullPenaltyMs = 1_000_000;
 
 /** Decides for one request at one instant: send it, let it wait, or refuse it. */
 export class Dispatcher {
@@ -93,7 +102,7 @@
         return { kind: "refuse", reason: "overload", retryAfterMs: this.spread(Math.max(waitMs, 0)), best: choice };
     }
 
-    /** The endpoint with the earliest predicted first byte. */
+    /** The endpoint with the earliest first byte; among those that are on time, reading prompts again counts against it. */
     choose<C extends Candidate>(
         req: DispatchRequest,
         candidates: readonly C[],
@@ -110,11 +119,12 @@
             const load = this.board.load(endpoint.id, now);
             const prediction = model.predict(req, endpoint, load);
             const full = load.running >= endpoint.slots + this.options.overbooking;
+            const onTime = prediction.firstByteMs <= this.allowedMs(req, now);
             const score = prediction.firstByteMs + this.random.next() * tieMs + load.running / endpoint.slots * 10
-                + (full ? 10_000 : 0);
+                + (onTime ? prediction.idleMs * this.options.readingWeight : latePenaltyMs)
+                + (full ? fullPenaltyMs : 0);
             if (score < bestScore) {
                 bestScore = score;
-                const onTime = prediction.firstByteMs <= this.allowedMs(req, now);
                 best = { endpoint, prediction, onTime, running: load.running };
             }
         }
--- a/packages/dispatch/tests/dispatch.test.ts
+++ b/packages/dispatch/tests/dispatch.test.ts
@@ -77,6 +77,22 @@
         expect(decision.kind === "send" && decision.choice.endpoint.id).to.not.equal("e3");
     });
 
+    // A short queue at its home sent one prompt in ten elsewhere, where 5,000 shared tokens were read again.
+    it("lets a prompt wait a little for the engine that has read it, while it is on time there", () => {
+        const world = new World();
+        const parts = [{ id: "shared", tokens: 5_000 }, { id: "own", tokens: 500 }];
+        const long = (change: Partial<DispatchRequest> = {}): DispatchRequest => ({
+            ...prompt(change),
+            work: { parts, promptTokens: 5_500, maxOutputTokens: 80, outputTokens: 40 },
+        });
+        world.memory.record("e2", parts, 100_000, 0);
+        world.board.book("e2", { firstByteMs: 0, idleMs: 1_000, unreadTokens: 7_000 }, 0);
+        const onTime = world.decide(long());
+        expect(onTime.kind === "send" && onTime.choice.endpoint.id).to.equal("e2");
+        const pressed = world.decide(long({ targetAt: 110 }));
+        expect(pressed.kind === "send" && pressed.choice.endpoint.id).to.not.equal("e2");
+    });
+
     it("counts the load that the others reported, and forgets it when it is old", () => {
         const world = new World();
         world.board.setOthers({ e1: { running: 9, unreadTokens: 0 } }, 0);
--- a/packages/ingress/src/ingress-policy.ts
+++ b/packages/ingress/src/ingress-policy.ts
@@ -22,6 +22,7 @@
     fleetSpeed: mechanism("takes the engine speed that the fleet has measured until the own one is known"),
     waiting: mechanism("lets a request wait for a place while its first byte can still be on time"),
     rankedTargets: mechanism("leaves the end of the time to the target to the more urgent ranks"),
+    readingWeight: mechanism("prefers an engine that has read a prompt to one that would answer a little sooner"),
     overbooking: mechanism("sends one request more than an endpoint has places"),
     ejection: mechanism("sends nothing to endpoints that fail much more often than their siblings"),
     resumption: mechanism("goes on with a broken stream at another endpoint"),
@@ -54,11 +55,12 @@
     }
 
     dispatch(): DispatchOptions {
-        const { waiting, rankedTargets, overbooking } = this.policy;
+        const { waiting, rankedTargets, overbooking, readingWeight } = this.policy;
         return {
             ...dispatchDefaults,
             mayWait: waiting,
             targetPartByRank: rankedTargets ? dispatchDefaults.targetPartByRank : [rankPartWithoutRanks],
+            readingWeight: readingWeight ? dispatchDefaults.readingWeight : 0,
             overbooking: overbooking ? dispatchDefaults.overbooking : 0,
         };
     }
