--- a/packages/fleet/src/replica-planner.ts
+++ b/packages/fleet/src/replica-planner.ts
@@ -135,28 +135,9 @@
         if (level.mean === 0) {
             return [];
         }
-        const demand = this.expected(level, now);
-        const mixOver = (limit: (held: HeldReplicas) => Partial<DomainRange>): DomainReplicas[] =>
-            cheapestMix({
-                demand,
-                domains: held.map(domain => ({ ...domainRange(range, domain), ...limit(domain) })),
-                reclaimablePrice: range.reclaimablePrice ?? 1,
-                lossProbability: this.losses.riskWithin(range.bootMs + listLagMs, domains.length, now),
-            });
         const isDry = ({ failureDomain }: HeldReplicas): boolean =>
             this.refusedUntil.has(failureDomain) || this.losses.doubtful(failureDomain);
-        const wished = mixOver(() => ({}));
-        const planned = held.some(isDry)
-            ? mixOver(domain => isDry(domain) ? { maxReclaimable: domain.reclaimable } : {})
-            : wished;
-        // Replicas that still start serve nobody; until then those at work are kept, or a first one while all are idle.
-        const kept = demanded === undefined
-            ? held.map(({ onDemand, reclaimable }) => ({ onDemand: reclaimable > 0 ? 0 : Math.min(1, onDemand) }))
-            : mixOver(({ onDemand, reclaimable }) => ({
-                minReclaimable: reclaimable,
-                maxReclaimable: reclaimable,
-                maxOnDemand: onDemand,
-            }));
+        const { wished, planned, kept } = this.mixes(held, isDry, this.expected(level, now), range, now);
         const shrinkAfter = (price: number): number =>
             this.forecast.idle ? idleShrinkAfterMs : shrinkAfterMs / (this.policy.patience ? price : 1);
         // While all are idle, what they replace must be known in full before on-demand ones are bought for it.
@@ -178,6 +159,44 @@
         return orders;
     }
 
+    /**
+     * The cheapest mixes when reclaimable replicas are to be had everywhere, when none are in domains that are dry, and
+     * when those that serve now are all there is.
+     */
+    private mixes(
+        held: readonly HeldReplicas[],
+        isDry: (held: HeldReplicas) => boolean,
+        demand: DemandLevel,
+        range: ScalingRange,
+        now: number,
+    ): Record<"wished" | "planned" | "kept", readonly DomainReplicas[]> {
+        const mixOver = (limit: (held: HeldReplicas) => Partial<DomainRange>): DomainReplicas[] =>
+            cheapestMix({
+                demand,
+                domains: held.map(domain => ({ ...domainRange(range, domain), ...limit(domain) })),
+                reclaimablePrice: range.reclaimablePrice ?? 1,
+                lossProbability: this.losses.riskWithin(range.bootMs + listLagMs, held.length, now),
+            });
+        const wished = mixOver(() => ({}));
+        return {
+            wished,
+            planned: held.some(isDry)
+                ? mixOver(domain => isDry(domain) ? { maxReclaimable: domain.reclaimable } : {})
+                : wished,
+            // Replicas that still start serve nobody; until then those at work are kept, or a first one while all are idle.
+            kept: this.forecast.idle
+                ? held.map(({ onDemand, reclaimable }) => ({
+                    onDemand: reclaimable > 0 ? 0 : Math.min(1, onDemand),
+                    reclaimable,
+                }))
+                : mixOver(({ onDemand, reclaimable }) => ({
+                    minReclaimable: reclaimable,
+                    maxReclaimable: reclaimable,
+                    maxOnDemand: onDemand,
+                })),
+        };
+    }
+
     /** The demand that replicas ordered now will meet. */
     private expected({ mean, deviation, coldMean }: DemandLevel, now: number): DemandLevel {
         return {
