Build the view and the relay of an ingress from the same policy

The view of an ingress built its board, memory and ejection without the policy, so switching off `prefixMemory`, `ownWaits` or `ejection` did nothing; found while reading the diff. The wiring now builds the parts once and hands them to both, which the compiler checks. Behaviour with the empty policy is unchanged.

Test: both read the same policy.

--- a/packages/cli/src/wire-fleet.ts
+++ b/packages/cli/src/wire-fleet.ts
@@ -1,3 +1,4 @@
+import { IngressParts } from "@lentilramp/ingress";
 import { CloudClient, type PlatformSettings } from "@lentilramp/platform";
 import { type PeerAddress, ProcessKey, RpcClient } from "@lentilramp/protocol";
 import {
@@ -81,10 +82,11 @@
     const { callers, readiness, operators, lookups, dataFolder } = settings;
     if (callers !== undefined && readiness !== undefined) {
         wireIngress(
-            { ...settings, callers, readiness, inner, policy: policy.ingress },
+            { ...settings, callers, readiness, inner },
             seeds,
             cloud,
             lookupMs,
+            new IngressParts(policy.ingress),
             base,
         );
     }
--- a/packages/cli/src/wire-ingress.ts
+++ b/packages/cli/src/wire-ingress.ts
@@ -8,7 +8,7 @@
     ListFallback,
     Relay,
 } from "@lentilramp/ingress";
-import type { EndpointSource, IngressOptions, SyncRequest } from "@lentilramp/ingress";
+import type { EndpointSource, IngressOptions, IngressParts, SyncRequest } from "@lentilramp/ingress";
 import { JsonCatalogCodec, PlatformHeaders } from "@lentilramp/platform";
 import { defaultHttpServerOptions, HttpServer, type PeerAddress } from "@lentilramp/protocol";
 import { randomUUID } from "node:crypto";
@@ -27,6 +27,7 @@
     seeds: () => readonly PeerAddress[],
     source: EndpointSource,
     lookupMs: number,
+    parts: IngressParts,
     base: FleetProcess,
 ): void {
     const { clock, log, random, client, lifecycle, metrics } = base;
@@ -38,6 +39,7 @@
         options.usageWindowMs,
         options.capTolerance,
         id => relay.pool.forget(id),
+        parts,
         () => follower.covered("fleet"),
     );
     const lingerMs = lookupMs * keptAnswers;
@@ -47,6 +49,7 @@
         options,
         { clock, random, log, metrics },
         lingerMs * servedPart,
+        parts,
     );
     const accepting = (): boolean => view.ready && lifecycle.state === "ready" && !relay.draining();
     const describe = (elapsedMs: number): SyncRequest => ({
--- a/packages/dispatch/src/prefix-memory.ts
+++ b/packages/dispatch/src/prefix-memory.ts
@@ -5,7 +5,7 @@
     usedAt: number;
 }
 
-/** Default number of entries kept for one endpoint; the tokens that they stand for are bounded by the endpoint's cache besides. */
+/** Entries kept for one endpoint by default; the tokens that they stand for are bounded by the endpoint's cache besides. */
 const maxChains = 4_000;
 
 /** Keys of the chains that a prompt consists of: each covers one more part. */
--- a/packages/fleet/src/replica-planner.ts
+++ b/packages/fleet/src/replica-planner.ts
@@ -79,6 +79,7 @@
     private readonly placed = new Map<string, Placed>();
     /** Domains that had no reclaimable replicas to give, with the instant at which they are asked again. */
     private readonly refusedUntil = new Map<string, number>();
+
     constructor(private readonly service: string, private readonly policy = plannerPolicyDefaults) {
         this.losses = new LossWatch(policy.learnedRisk, policy.doubtAfterLoss);
     }
--- a/packages/ingress/src/fleet-view.ts
+++ b/packages/ingress/src/fleet-view.ts
@@ -9,7 +9,7 @@
 } from "@lentilramp/fleet";
 import type { Clock, EventLog } from "@lentilramp/runtime";
 import type { SyncAnswer } from "./fleet-messages.ts";
-import { IngressParts, ingressPolicyDefaults } from "./ingress-policy.ts";
+import type { IngressParts } from "./ingress-policy.ts";
 
 /** Everything that this ingress believes about the fleet. */
 export class FleetView {
@@ -42,9 +42,9 @@
         usageWindowMs: number,
         tolerance: CapTolerance,
         private readonly onEndpointGone: (id: string) => void,
+        parts: IngressParts,
         /** Ingresses of which the use of caps is known here, this one included. */
         private readonly covered: () => number = () => 1,
-        parts = new IngressParts(ingressPolicyDefaults),
     ) {
         this.board = parts.board();
         this.health = parts.health();
--- a/packages/ingress/src/ingress-options.ts
+++ b/packages/ingress/src/ingress-options.ts
@@ -1,5 +1,4 @@
 import type { CapTolerance, IngressDescription } from "@lentilramp/fleet";
-import type { IngressPolicy } from "./ingress-policy.ts";
 
 /** Settings of an ingress, whatever platform it runs on. Durations are in milliseconds. */
 export interface IngressOptions {
@@ -22,8 +21,6 @@
     usageWindowMs: number;
     /** Time within which a leaving endpoint must get no new request. */
     drainBoundMs: number;
-    /** All mechanisms are on when it is left out. */
-    policy?: IngressPolicy;
 }
 
 /** How an ingress describes itself to the stewards. */
--- a/packages/ingress/src/ingress-policy.ts
+++ b/packages/ingress/src/ingress-policy.ts
@@ -34,9 +34,9 @@
 /** Part of the time to the target for all ranks alike. */
 const rankPartWithoutRanks = 0.85;
 
-/** Builds the deciding parts of an ingress as its policy says. */
+/** Builds the deciding parts of an ingress as its policy says; one for a process. */
 export class IngressParts {
-    constructor(private readonly policy: IngressPolicy) {}
+    constructor(readonly policy: IngressPolicy) {}
 
     health(): EndpointHealth {
         return new EndpointHealth(this.policy.ejection ? healthDefaults : { ...healthDefaults, minWeight: Infinity });
--- a/packages/ingress/src/relay.ts
+++ b/packages/ingress/src/relay.ts
@@ -16,7 +16,7 @@
 import { EndpointPool } from "./endpoint-pool.ts";
 import type { FleetView } from "./fleet-view.ts";
 import type { IngressOptions } from "./ingress-options.ts";
-import { IngressParts, type IngressPolicy, ingressPolicyDefaults } from "./ingress-policy.ts";
+import type { IngressParts } from "./ingress-policy.ts";
 import { RelayedCall } from "./relayed-call.ts";
 import type { CallerHead, RequestWire } from "./wire.ts";
 
@@ -94,7 +94,6 @@
     private readonly budgets = new Map<string, RetryBudget>();
     private demand: Record<string, EngineDemand> = {};
     private readonly home: PromptHome;
-    private readonly policy: IngressPolicy;
     private inProgress = 0;
     private drainingSince: number | undefined;
 
@@ -105,19 +104,18 @@
         base: { clock: Clock; random: RandomSource; log: EventLog; metrics: Metrics; },
         /** Time after the start of a planned stop from which new requests are refused, in milliseconds. */
         private readonly refuseAfterMs: number,
+        private readonly parts: IngressParts,
     ) {
         this.clock = base.clock;
         this.random = base.random;
         this.log = base.log;
         this.metrics = base.metrics;
-        this.policy = options.policy ?? ingressPolicyDefaults;
-        const parts = new IngressParts(this.policy);
         this.home = parts.home(service => view.endpoints.ready(service));
         this.dispatcher = new Dispatcher(view.board, view.health, base.random, parts.dispatch());
     }
 
     get resumes(): boolean {
-        return this.policy.resumption;
+        return this.parts.policy.resumption;
     }
 
     get requestsInProgress(): number {
@@ -198,7 +196,7 @@
             this.models.set(service, model);
         }
         const rate = this.view.engineRates[service];
-        if (this.policy.fleetSpeed && model instanceof EngineModel && rate !== undefined) {
+        if (this.parts.policy.fleetSpeed && model instanceof EngineModel && rate !== undefined) {
             model.estimate.assume(rate);
         }
         return model;
--- a/packages/ingress/tests/ingress-harness.ts
+++ b/packages/ingress/tests/ingress-harness.ts
@@ -1,6 +1,14 @@
 import { type Catalog, CatalogCodec } from "@lentilramp/catalog";
 import type { Endpoint } from "@lentilramp/fleet";
-import { CallerServer, FleetView, type IngressOptions, Relay } from "@lentilramp/ingress";
+import {
+    CallerServer,
+    FleetView,
+    type IngressOptions,
+    IngressParts,
+    type IngressPolicy,
+    ingressPolicyDefaults,
+    Relay,
+} from "@lentilramp/ingress";
 import { PlatformHeaders } from "@lentilramp/platform";
 import { MemoryEventLog, MemoryMetrics, SeededRandom, SystemClock } from "@lentilramp/runtime";
 import { once } from "node:events";
@@ -116,7 +124,11 @@
     private readonly server: CallerServer;
     private readonly ports: { callers: number; readiness: number; };
 
-    private constructor(catalog: Catalog | undefined, ports: { callers: number; readiness: number; }) {
+    private constructor(
+        catalog: Catalog | undefined,
+        ports: { callers: number; readiness: number; },
+        policy: Partial<IngressPolicy>,
+    ) {
         this.ports = ports;
         const options: IngressOptions = {
             name: "ingress",
@@ -134,6 +146,7 @@
             drainBoundMs: 3_000,
         };
         this.options = options;
+        const parts = new IngressParts({ ...ingressPolicyDefaults, ...policy });
         const codec = new FixedCatalog(catalog ?? testCatalog());
         this.view = new FleetView(
             codec,
@@ -142,6 +155,7 @@
             options.usageWindowMs,
             options.capTolerance,
             () => undefined,
+            parts,
         );
         if (catalog !== undefined) {
             this.view.apply({
@@ -159,6 +173,7 @@
             options,
             base,
             100,
+            parts,
         );
         this.server = new CallerServer(
             this.relay,
@@ -170,8 +185,13 @@
         );
     }
 
-    static async start(catalog: Catalog | undefined, endpoints: readonly ScriptedEndpoint[]): Promise<IngressHarness> {
-        const harness = new IngressHarness(catalog, { callers: await freePort(), readiness: await freePort() });
+    static async start(
+        catalog: Catalog | undefined,
+        endpoints: readonly ScriptedEndpoint[],
+        policy: Partial<IngressPolicy> = {},
+    ): Promise<IngressHarness> {
+        const ports = { callers: await freePort(), readiness: await freePort() };
+        const harness = new IngressHarness(catalog, ports, policy);
         await harness.server.start();
         harness.view.applyList(endpoints.map(({ endpoint }) => endpoint), harness.clock.now(), 1);
         return harness;
--- a/packages/ingress/tests/ingress-policy.test.ts
+++ b/packages/ingress/tests/ingress-policy.test.ts
@@ -2,6 +2,7 @@
 import { IngressParts, ingressPolicyDefaults } from "@lentilramp/ingress";
 import { SeededRandom } from "@lentilramp/runtime";
 import { expect } from "chai";
+import { IngressHarness } from "./ingress-harness.ts";
 
 /** Decides for one prompt with one mechanism switched off; `load` books requests first. */
 function decideWithout(off: keyof typeof ingressPolicyDefaults | undefined, load: { tokens: number; count: number; }) {
@@ -28,6 +29,19 @@
 }
 
 describe("IngressParts", () => {
+    // The first ablation measured nothing: the view of an ingress was built without its policy.
+    it("reach the view and the relay of an ingress", async () => {
+        for (const on of [true, false]) {
+            const harness = await IngressHarness.start(undefined, [], { ejection: on, resumption: on });
+            for (let i = 0; i < 20; i++) {
+                harness.view.health.record("e", ["e", "f", "g"], "broken", i);
+            }
+            expect(harness.view.health.usable("e", 21)).to.equal(!on);
+            expect(harness.relay.resumes).to.equal(on);
+            await harness.close();
+        }
+    });
+
     it("refuses instead of waiting where waiting is off", () => {
         expect(decideWithout(undefined, { tokens: 25_000, count: 2 })).to.equal("wait");
         expect(decideWithout("waiting", { tokens: 25_000, count: 2 })).to.equal("refuse");
