Log the limits that endpoints name, and count the sends to endpoints that have one

An ingress now decodes the header, logs each change of a limit with the endpoint (endpoint.limit), and counts the sends to such endpoints by their path (arrival, queue, retry, resumption). No decision changes.

--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -8,6 +8,7 @@
 export * from "./demand-forecast.ts";
 export * from "./endpoint-directory.ts";
 export * from "./exchange-topology.ts";
+export * from "./limit-register.ts";
 export * from "./lookup-ingresses.ts";
 export * from "./median-clock.ts";
 export * from "./planner-policy.ts";
--- a/packages/ingress/src/call-recorder.ts
+++ b/packages/ingress/src/call-recorder.ts
@@ -60,7 +60,7 @@
     }
 
     /** Applies the state that an endpoint reports about itself in the headers of any answer. */
-    applyAnswerHead({ id, service }: Endpoint, { leaving, pauseMs }: AnswerHead): void {
+    applyAnswerHead({ id, service, startedAt }: Endpoint, { leaving, pauseMs, limitPerSecond }: AnswerHead): void {
         const { view, clock, log } = this.ctx;
         if (leaving && view.endpoints.markLeaving(id)) {
             log.info("endpoint.leaving", { endpoint: id, service });
@@ -69,6 +69,24 @@
             view.health.pause(id, clock.now() + pauseMs);
             log.info("endpoint.paused", { endpoint: id, service, pauseMs: Math.round(pauseMs) });
         }
+        if (limitPerSecond === "unreadable") {
+            log.warn("endpoint.limit-unreadable", { endpoint: id, service });
+        }
+        else if (view.limits.merge(id, { perSecond: limitPerSecond, startedAt, at: clock.now() })) {
+            log.info("endpoint.limit", {
+                endpoint: id,
+                service,
+                perSecond: limitPerSecond ?? "none",
+                source: "answer",
+            });
+        }
+    }
+
+    /** Counts a send to an endpoint that limits its requests; `path` tells why the request is sent now. */
+    recordLimitedSend(endpoint: Endpoint, path: "arrival" | "queue" | "retry" | "resumption"): void {
+        if (this.ctx.view.limits.limitOf(endpoint.id) !== undefined) {
+            this.ctx.metrics.count("limited_sends", 1, { path });
+        }
     }
 
     /** Records the inputs of a dispatch decision; `queued` are the unread prompt tokens ahead of it. */
--- a/packages/ingress/src/fleet-view.ts
+++ b/packages/ingress/src/fleet-view.ts
@@ -5,6 +5,7 @@
     type CapTolerance,
     EndpointDirectory,
     type IngressDescription,
+    LimitRegister,
     UsageLedger,
 } from "@lentilramp/fleet";
 import type { Clock, EventLog } from "@lentilramp/runtime";
@@ -17,6 +18,8 @@
     routes: RouteTable | undefined;
     workspaceKeys: WorkspaceKeys | undefined;
     readonly endpoints = new EndpointDirectory();
+    /** Limits that endpoints named in answers to this ingress. */
+    readonly limits = new LimitRegister();
     readonly loads: LoadTracker;
     readonly health: EndpointHealth;
     readonly prefixMemory: PrefixCacheIndex;
@@ -125,6 +128,7 @@
         const previous = this.endpoints.all;
         this.endpoints.update(endpoints, readAt);
         this.listNumber = number;
+        this.limits.retain(this.endpoints.all);
         const startTimes = new Map(this.endpoints.all.map(endpoint => [endpoint.id, endpoint.startedAt]));
         for (const { id, startedAt } of previous) {
             if (!startTimes.has(id) || startTimes.get(id) !== startedAt) {
--- a/packages/ingress/src/platform-adapter.ts
+++ b/packages/ingress/src/platform-adapter.ts
@@ -38,6 +38,11 @@
     leaving: boolean;
     /** Time for which the endpoint asks for no requests, in milliseconds. */
     pauseMs: number | undefined;
+    /**
+     * Requests per second that the endpoint takes from the whole fleet; undefined if the answer names no limit, and
+     * "unreadable" if it names one that is not a decimal number.
+     */
+    limitPerSecond: number | "unreadable" | undefined;
 }
 
 /** Decodes and encodes the headers that callers, the ingress and endpoints exchange. */
--- a/packages/ingress/src/relayed-call.ts
+++ b/packages/ingress/src/relayed-call.ts
@@ -38,6 +38,8 @@
     /** Number of attempts in which an endpoint ran or may have run the request. */
     private runs = 0;
     private currentAttempt: InFlightAttempt | undefined;
+    /** Instant at which the request was first submitted to the queue of its service. */
+    private queuedSince: number | undefined;
     private callerLeft = false;
     private finished = false;
     private leaveQueue: () => void = () => undefined;
@@ -144,6 +146,7 @@
                 );
                 return;
             }
+            this.queuedSince = ctx.clock.now();
             let demandRecorded = false;
             this.leaveQueue = ctx.queue(dispatch.service).submit(dispatch, ahead => {
                 const decision = ctx.dispatcher.decide(
@@ -168,6 +171,7 @@
         const { endpoint, prediction } = choice;
         const now = ctx.clock.now();
         const { dispatch } = admitted;
+        this.recorder.recordLimitedSend(endpoint, this.sendPath(now));
         this.recorder.recordDecision(choice, ctx.view.loads.load(endpoint.id, now).unreadTokens);
         const booking = ctx.view.loads.trackRequest(endpoint.id, prediction, now);
         ctx.view.health.recordDispatch(endpoint.id, now);
@@ -209,6 +213,13 @@
         };
     }
 
+    private sendPath(now: number): "arrival" | "queue" | "retry" | "resumption" {
+        if (this.currentAttempt !== undefined) {
+            return this.writer.started ? "resumption" : "retry";
+        }
+        return this.queuedSince !== undefined && now > this.queuedSince ? "queue" : "arrival";
+    }
+
     /** Records an attempt that this ingress aborted; the resulting reset does not count against the endpoint. */
     private onAbandonedAttempt(inFlight: InFlightAttempt, outcome: AttemptOutcome): void {
         if (outcome.kind === "answer") {
