--- a/packages/cli/tests/fleet-harness.ts
+++ b/packages/cli/tests/fleet-harness.ts
@@ -1,7 +1,7 @@
 import { build } from "esbuild";
 import { type ChildProcess, spawn } from "node:child_process";
 import { once } from "node:events";
-import { mkdirSync, mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { mkdirSync, mkdtempSync, openSync, rmSync, writeFileSync } from "node:fs";
 import { createServer, request, type Server } from "node:http";
 import type { AddressInfo } from "node:net";
 import { tmpdir } from "node:os";
@@ -9,6 +9,8 @@
 // @ts-expect-error The build scripts are plain JavaScript without declarations.
 import { bundleOptions } from "../../../scripts/bundle-options.mjs";
 
+/** Folder to which the processes of a fleet write their logs; without it they are discarded. */
+const logFolder = process.env.FLEET_LOGS;
 const innerPort = 7_600;
 export const ports = { front: 8_001, ready: 8_002, control: 8_003, directory: 8_004 } as const;
 
@@ -188,7 +190,12 @@
         const child = spawn(
             process.execPath,
             [join(this.folder, "lentilramp.cjs"), "fleet", "--key", join(this.folder, "key")],
-            { env: { ...process.env, NODE_OPTIONS: "", LENTILRAMP_BOOT: settings }, stdio: "ignore" },
+            {
+                env: { ...process.env, NODE_OPTIONS: "", LENTILRAMP_BOOT: settings },
+                stdio: logFolder === undefined
+                    ? "ignore"
+                    : ["ignore", openSync(join(logFolder, `${host}.log`), "a"), "ignore"],
+            },
         );
         this.running.set(host, child);
     }
--- a/packages/cli/tests/soak/schedule.ts
+++ b/packages/cli/tests/soak/schedule.ts
@@ -41,3 +41,38 @@
 export function describeFault({ at, forMs, kind, role, target, mode }: Fault): string {
     return `at=${at} forMs=${forMs} kind=${kind} target=${role}-${target}${mode === undefined ? "" : ` mode=${mode}`}`;
 }
+
+/** A limit that an endpoint names in its answers, from when and for how long, in milliseconds from the start. */
+export interface LimitPhase {
+    at: number;
+    forMs: number;
+    /** Index among the endpoints. */
+    target: number;
+    value: string;
+}
+
+/** Limits that endpoints name, among them values that are no limit. */
+const limitValues: readonly string[] = ["2", "0.5", "3.8", "0", "12", "1000000000", "-3", "many"];
+/** Shortest time for which an endpoint names a limit, in milliseconds; the rule holds for the last part of it. */
+const minLimitMs = 7_000;
+
+/** Returns the limits that endpoints name with a seed; an endpoint names one limit at a time. */
+export function limitSchedule(seed: number, seconds: number, endpoints: number): LimitPhase[] {
+    const random = new SeededRandom(seed + 1_000_003);
+    const phases: LimitPhase[] = [];
+    for (let target = 0; target < endpoints; target++) {
+        for (let at = random.next() * quietMs; at < seconds * 1_000;) {
+            const forMs = minLimitMs + random.next() * 5_000;
+            if (random.next() < 0.6) {
+                const value = limitValues[random.nextInt(limitValues.length)] ?? "2";
+                phases.push({ at: Math.round(at), forMs: Math.round(forMs), target, value });
+            }
+            at += forMs + random.next() * 2_000;
+        }
+    }
+    return phases;
+}
+
+export function describeLimit({ at, forMs, target, value }: LimitPhase): string {
+    return `at=${at} forMs=${forMs} kind=limit target=endpoint-${target} value=${value}`;
+}
--- a/packages/cli/tests/soak/soak-endpoint.ts
+++ b/packages/cli/tests/soak/soak-endpoint.ts
@@ -1,6 +1,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { AddressInfo } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
+import type { Arrival } from "./limits.ts";
 
 /** Events of a whole stream. */
 export const streamEvents = 6;
@@ -24,9 +25,16 @@
 
 /** An endpoint that records what it runs and answers with what belongs to the request. */
 export class SoakEndpoint {
+    /** Value of the limit that all answers name; undefined for answers that name none. */
+    limit: string | undefined;
     private readonly server: Server = createServer((req, res) => void this.handle(req, res));
 
-    constructor(readonly id: string, readonly service: string, private readonly runs: Run[]) {}
+    constructor(
+        readonly id: string,
+        readonly service: string,
+        private readonly runs: Run[],
+        private readonly arrivals: Arrival[],
+    ) {}
 
     get port(): number {
         return (this.server.address() as AddressInfo).port;
@@ -42,7 +50,11 @@
     }
 
     private async handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
+        this.arrivals.push({ at: Date.now(), endpoint: this.id });
         const id = String(req.headers["x-attempt-id"]);
+        if (this.limit !== undefined) {
+            res.setHeader("server-limit", this.limit);
+        }
         let body = "";
         try {
             for await (const part of req) {
--- a/packages/cli/tests/soak/soak-run.ts
+++ b/packages/cli/tests/soak/soak-run.ts
@@ -2,8 +2,9 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { exchange, FleetProcesses, PlatformStandIn, ports, until } from "../fleet-harness.ts";
 import { ChaosProxy } from "./chaos-proxy.ts";
+import { type Arrival, brokenLimits, type LimitNamed } from "./limits.ts";
 import { brokenDuties, brokenPromises, type CallKind, type CallSeen, type DutySeen } from "./promises.ts";
-import { describeFault, type Fault, schedule } from "./schedule.ts";
+import { describeFault, describeLimit, type Fault, type LimitPhase, limitSchedule, schedule } from "./schedule.ts";
 import { type Run, SoakEndpoint } from "./soak-endpoint.ts";
 
 export interface SoakOptions {
@@ -66,9 +67,12 @@
 /** One run of real processes under the faults of a seed, and what was seen of it. */
 class SoakRun {
     private readonly runs: Run[] = [];
+    private readonly arrivals: Arrival[] = [];
+    private readonly limits: LimitNamed[] = [];
     private readonly calls: CallSeen[] = [];
     private readonly broken: string[] = [];
     private readonly faults: Fault[];
+    private readonly limitPhases: LimitPhase[];
     private readonly endpoints: SoakEndpoint[] = [];
     private readonly proxies: ChaosProxy[] = [];
     private readonly platform = new PlatformStandIn(() => this.listed());
@@ -83,7 +87,7 @@
     constructor(private readonly options: SoakOptions) {
         for (const service of ["app", "model"]) {
             for (let i = 0; i < endpointsPerService; i++) {
-                const endpoint = new SoakEndpoint(`i-${service}-${i}`, service, this.runs);
+                const endpoint = new SoakEndpoint(`i-${service}-${i}`, service, this.runs, this.arrivals);
                 this.endpoints.push(endpoint);
                 this.proxies.push(new ChaosProxy(() => endpoint.port));
             }
@@ -93,6 +97,7 @@
             ingress: options.ingresses,
             path: this.proxies.length,
         });
+        this.limitPhases = limitSchedule(options.seed, options.seconds, this.endpoints.length);
     }
 
     async run(): Promise<SoakResult> {
@@ -114,7 +119,10 @@
             });
             this.startedAt = Date.now();
             const work = [...Array.from({ length: callers }, (...[, i]) => this.call(i)), this.operate(), this.read()];
-            await Promise.all(this.faults.map(fault => this.inject(fleet, fault)));
+            await Promise.all([
+                ...this.faults.map(fault => this.inject(fleet, fault)),
+                ...this.limitPhases.map(phase => this.nameLimit(phase)),
+            ]);
             await this.recover(fleet);
             this.ended = true;
             await Promise.all(work);
@@ -131,10 +139,11 @@
         this.broken.push(
             ...brokenPromises(this.calls, this.runs),
             ...brokenDuties(duties),
+            ...brokenLimits(this.limits, this.arrivals),
             ...this.cutByPlannedStops(),
         );
         return {
-            faults: this.faults.map(describeFault),
+            faults: [...this.faults.map(describeFault), ...this.limitPhases.map(describeLimit)],
             broken: this.broken,
             calls: this.calls.length,
             answered: this.calls.filter(({ status, complete }) => status === 200 && complete).length,
@@ -197,6 +206,22 @@
         }
     }
 
+    private async nameLimit({ at, forMs, target, value }: LimitPhase): Promise<void> {
+        await sleep(Math.max(0, this.startedAt + at - Date.now()));
+        const endpoint = this.endpoints[target];
+        if (endpoint === undefined) {
+            return;
+        }
+        const from = Date.now();
+        endpoint.limit = value;
+        await sleep(forMs);
+        endpoint.limit = undefined;
+        const perSecond = /^[\d.]+$/.test(value) ? Number(value) : NaN;
+        if (Number.isFinite(perSecond)) {
+            this.limits.push({ endpoint: endpoint.id, perSecond, from, until: Date.now() });
+        }
+    }
+
     /** Callers keep using open connections until they are closed. */
     private async call(index: number): Promise<void> {
         const agent = new Agent({ keepAlive: true, maxSockets: 1 });
--- a/packages/cli/tests/soak/soak.test.ts
+++ b/packages/cli/tests/soak/soak.test.ts
@@ -1,5 +1,6 @@
 import { expect } from "chai";
 import { FleetProcesses } from "../fleet-harness.ts";
+import { brokenLimits } from "./limits.ts";
 import { brokenDuties, brokenPromises, type CallSeen } from "./promises.ts";
 import { schedule } from "./schedule.ts";
 import { type Run, wholeBody } from "./soak-endpoint.ts";
@@ -53,6 +54,16 @@
         expect(brokenDuties([duty, other]).join("\n")).to.contain("reported as");
     });
 
+    it("finds a limit that was exceeded by the sum of all arrivals, once the ingresses can know it", () => {
+        const limit = { endpoint: "e", perSecond: 2, from: 1_000, until: 20_000 };
+        const arrivals = (count: number, at: number) =>
+            Array.from({ length: count }, (...[, i]) => ({ at: at + i, endpoint: "e" }));
+        expect(brokenLimits([limit], arrivals(17, 6_000))).to.deep.equal([]);
+        expect(brokenLimits([limit], arrivals(18, 6_000)).join()).to.contain("limit exceeded");
+        expect(brokenLimits([limit], [...arrivals(9, 2_000), ...arrivals(9, 5_000)]).join()).to.contain("got 18");
+        expect(brokenLimits([limit], [...arrivals(50, 1_200), ...arrivals(9, 5_000)])).to.deep.equal([]);
+    });
+
     // With seed 8 a stop met a paused process; it was forgotten, never resumed, and the run did not end.
     it("can still resume a paused process that was told to end", async function() {
         this.timeout(20_000);
