--- /dev/null
+++ b/packages/ingress/src/in-flight-attempt.ts
@@ -0,0 +1,69 @@
+import type { EndpointChoice, InFlightRequest } from "@lentilramp/dispatch";
+import type { Endpoint } from "@lentilramp/fleet";
+import { Attempt } from "./attempt.ts";
+import type { AdmittedRequest, RelayContext } from "./relay.ts";
+import { answerDeadline, silenceLimitMs } from "./send-timing.ts";
+
+/** An attempt at an endpoint whose answer has not ended. */
+export interface InFlightAttempt {
+    attempt: Attempt;
+    endpoint: Endpoint;
+    booking: InFlightRequest;
+    sentAt: number;
+    /** Instant by which the answer must have begun. */
+    firstByteDeadline: number;
+    /** Instant from which silence counts as the endpoint's fault and not as the effect of a route's short timeout. */
+    silenceFaultFrom: number;
+    slotReleased: boolean;
+}
+
+/**
+ * Creates an attempt at the chosen endpoint and records it there: as load, as a trial after an ejection, and in the
+ * memory of prompts. `lastEventId` is the position from which a stream is resumed.
+ */
+export function createAttempt(
+    admitted: AdmittedRequest,
+    ctx: RelayContext,
+    { endpoint, prediction }: EndpointChoice<Endpoint>,
+    { lastEventId, mayRetry }: { lastEventId: string | undefined; mayRetry: boolean; },
+): InFlightAttempt {
+    const now = ctx.clock.now();
+    const { dispatch } = admitted;
+    const booking = ctx.view.loads.trackRequest(endpoint.id, prediction, now);
+    ctx.view.health.recordDispatch(endpoint.id, now);
+    const service = ctx.view.catalog?.services.get(dispatch.service);
+    if (dispatch.work !== undefined && service?.engine !== undefined) {
+        ctx.view.prefixMemory.record(endpoint.id, dispatch.work.parts, service.engine.kvCacheTokens, now);
+    }
+    const firstByteDeadline = answerDeadline(admitted, prediction, now, mayRetry);
+    const attempt = new Attempt(
+        {
+            endpoint,
+            method: admitted.req.method ?? "GET",
+            target: admitted.req.url ?? "/",
+            headers: ctx.headerCodec.encodeEndpointHeaders(admitted.req.rawHeaders, {
+                endpointId: endpoint.id,
+                workspace: admitted.workspace?.name,
+                timeLeftMs: Math.max(1, Math.floor(dispatch.deadline - now)),
+                lastEventId,
+                enginePriority: service?.engine === undefined ? undefined : Math.min(9, dispatch.rank + 3),
+            }),
+            body: admitted.body,
+            attemptId: admitted.head.attemptId,
+            headDeadline: firstByteDeadline,
+            maxIdleConnections: ctx.maxIdleConnections(dispatch.service),
+        },
+        ctx.pool,
+        ctx.headerCodec,
+        ctx.clock,
+    );
+    return {
+        attempt,
+        endpoint,
+        booking,
+        sentAt: now,
+        firstByteDeadline,
+        silenceFaultFrom: now + silenceLimitMs(prediction),
+        slotReleased: false,
+    };
+}
--- /dev/null
+++ b/packages/ingress/src/refusal.ts
@@ -0,0 +1,16 @@
+import { sendJson } from "@lentilramp/protocol";
+import type { ServerResponse } from "node:http";
+
+/** Sends a refusal of this ingress with `retryAfterMs` as its `Retry-After` header, unless that is undefined. */
+export function sendRefusal(
+    res: ServerResponse,
+    status: number,
+    reason: string,
+    retryAfterMs: number | undefined,
+    close: boolean,
+): void {
+    sendJson(res, status, { error: reason }, {
+        ...retryAfterMs === undefined ? {} : { "retry-after": (retryAfterMs / 1_000).toFixed(3) },
+        ...close ? { connection: "close" } : {},
+    });
+}
--- a/packages/ingress/src/relay.ts
+++ b/packages/ingress/src/relay.ts
@@ -9,7 +9,7 @@
     ServiceModel,
 } from "@lentilramp/dispatch";
 import { CapMeter, type Endpoint } from "@lentilramp/fleet";
-import { BodyTooLargeError, IncompleteBodyError, readBody, sendJson } from "@lentilramp/protocol";
+import { BodyTooLargeError, IncompleteBodyError, readBody } from "@lentilramp/protocol";
 import { RetryBudget } from "@lentilramp/retries";
 import type { Clock, EventFields, EventLog, Metrics, RandomSource } from "@lentilramp/runtime";
 import type { IncomingMessage, ServerResponse } from "node:http";
@@ -18,6 +18,7 @@
 import type { IngressOptions } from "./ingress-options.ts";
 import type { IngressComponentFactory } from "./ingress-policy.ts";
 import type { CallerHead, HeaderCodec } from "./platform-adapter.ts";
+import { sendRefusal } from "./refusal.ts";
 import { RelayedCall } from "./relayed-call.ts";
 
 /** Retry delay that a caller gets before the first catalog has arrived, in milliseconds. */
@@ -362,17 +363,3 @@
         sendRefusal(res, refusal.status, refusal.reason, refusal.retryAfterMs, this.isDraining());
     }
 }
-
-/** Sends a refusal of this ingress with `retryAfterMs` as its `Retry-After` header, unless that is undefined. */
-export function sendRefusal(
-    res: ServerResponse,
-    status: number,
-    reason: string,
-    retryAfterMs: number | undefined,
-    close: boolean,
-): void {
-    sendJson(res, status, { error: reason }, {
-        ...retryAfterMs === undefined ? {} : { "retry-after": (retryAfterMs / 1_000).toFixed(3) },
-        ...close ? { connection: "close" } : {},
-    });
-}
--- a/packages/ingress/src/relayed-call.ts
+++ b/packages/ingress/src/relayed-call.ts
@@ -1,18 +1,13 @@
-import {
-    bestChoice,
-    type EndpointChoice,
-    type InFlightRequest,
-    type QueueOutcome,
-    ServiceModel,
-} from "@lentilramp/dispatch";
+import { bestChoice, type EndpointChoice, type QueueOutcome, ServiceModel } from "@lentilramp/dispatch";
 import type { Endpoint } from "@lentilramp/fleet";
 import type { IncomingMessage } from "node:http";
 import { AnswerWriter, type BodyEnd } from "./answer-writer.ts";
-import { Attempt, type AttemptOutcome, discardAnswer } from "./attempt.ts";
+import { type AttemptOutcome, discardAnswer } from "./attempt.ts";
 import { CallRecorder } from "./call-recorder.ts";
+import { createAttempt, type InFlightAttempt } from "./in-flight-attempt.ts";
 import type { AnswerHead } from "./platform-adapter.ts";
-import { type AdmittedRequest, type RelayContext, sendRefusal } from "./relay.ts";
-import { answerDeadline, silenceLimitMs } from "./send-timing.ts";
+import { sendRefusal } from "./refusal.ts";
+import type { AdmittedRequest, RelayContext } from "./relay.ts";
 
 /** Multiple of the target gap between events after which a resumable stream is resumed at another endpoint. */
 const stallGapFactor = 3;
@@ -20,18 +15,6 @@
 /** Retry delay that a caller gets when an endpoint refused its request, in milliseconds. */
 const endpointRefusedRetryMs = 100;
 
-interface InFlightAttempt {
-    attempt: Attempt;
-    endpoint: Endpoint;
-    booking: InFlightRequest;
-    sentAt: number;
-    /** Instant by which the answer must have begun. */
-    firstByteDeadline: number;
-    /** Instant from which silence counts as the endpoint's fault and not as the effect of a route's short timeout. */
-    silenceFaultFrom: number;
-    slotReleased: boolean;
-}
-
 /** Relays one admitted request: waits for a slot, sends the request, retries where that is allowed, and answers. */
 export class RelayedCall {
     private readonly excludedEndpoints = new Set<string>();
@@ -168,49 +151,14 @@
 
     private prepareAttempt(choice: EndpointChoice<Endpoint>): void {
         const { admitted, ctx } = this;
-        const { endpoint, prediction } = choice;
+        const { endpoint } = choice;
         const now = ctx.clock.now();
-        const { dispatch } = admitted;
         this.recorder.recordLimitedSend(endpoint, this.sendPath(now));
         this.recorder.recordDecision(choice, ctx.view.loads.load(endpoint.id, now).unreadTokens);
-        const booking = ctx.view.loads.trackRequest(endpoint.id, prediction, now);
-        ctx.view.health.recordDispatch(endpoint.id, now);
-        const service = ctx.view.catalog?.services.get(dispatch.service);
-        if (dispatch.work !== undefined && service?.engine !== undefined) {
-            ctx.view.prefixMemory.record(endpoint.id, dispatch.work.parts, service.engine.kvCacheTokens, now);
-        }
-        const mayRetry = this.retryable && this.runs + 1 < admitted.route.maxAttempts;
-        const firstByteDeadline = answerDeadline(admitted, prediction, now, mayRetry);
-        const attempt = new Attempt(
-            {
-                endpoint,
-                method: admitted.req.method ?? "GET",
-                target: admitted.req.url ?? "/",
-                headers: ctx.headerCodec.encodeEndpointHeaders(admitted.req.rawHeaders, {
-                    endpointId: endpoint.id,
-                    workspace: admitted.workspace?.name,
-                    timeLeftMs: Math.max(1, Math.floor(dispatch.deadline - now)),
-                    lastEventId: this.writer.lastEventId,
-                    enginePriority: service?.engine === undefined ? undefined : Math.min(9, dispatch.rank + 3),
-                }),
-                body: admitted.body,
-                attemptId: admitted.head.attemptId,
-                headDeadline: firstByteDeadline,
-                maxIdleConnections: ctx.maxIdleConnections(dispatch.service),
-            },
-            ctx.pool,
-            ctx.headerCodec,
-            ctx.clock,
-        );
-        this.currentAttempt = {
-            attempt,
-            endpoint,
-            booking,
-            sentAt: now,
-            firstByteDeadline,
-            silenceFaultFrom: now + silenceLimitMs(prediction),
-            slotReleased: false,
-        };
+        this.currentAttempt = createAttempt(admitted, ctx, choice, {
+            lastEventId: this.writer.lastEventId,
+            mayRetry: this.retryable && this.runs + 1 < admitted.route.maxAttempts,
+        });
     }
 
     private sendPath(now: number): "arrival" | "queue" | "retry" | "resumption" {
