Keep the sum of the requests of all ingresses within the limit that an endpoint names

Mend: ingresses report limits to the leading steward with their syncs, the newest statement wins, and the leader grants permits to send in its answers. The permit is taken where an attempt is created, so that arrivals, waiting requests, retries and resumed streams all need one. Without a leader the ingresses send in turns of a common schedule.

--- a/packages/cli/src/fleet-metrics.ts
+++ b/packages/cli/src/fleet-metrics.ts
@@ -12,6 +12,7 @@
     waiting: { kind: "gauge", help: "Requests that wait for a place" },
     catalog_version: { kind: "gauge", help: "Number of the catalog in force here" },
     endpoints_ready: { kind: "gauge", help: "Endpoints that may get requests" },
+    endpoints_limited: { kind: "gauge", help: "Endpoints that limit their requests" },
     list_age: { kind: "gauge", help: "Age of the list of endpoints in seconds" },
     sync_age: { kind: "gauge", help: "Seconds since the last answer of the leading steward" },
     members: { kind: "gauge", help: "Ingresses among which caps are split" },
--- a/packages/cli/src/wire-ingress.ts
+++ b/packages/cli/src/wire-ingress.ts
@@ -38,9 +38,13 @@
         log,
         options.usageWindowMs,
         options.capTolerance,
-        id => relay.pool.remove(id),
         parts,
-        () => follower.countCovered("fleet"),
+        options.name,
+        {
+            onEndpointGone: id => relay.pool.remove(id),
+            countCovered: () => follower.countCovered("fleet"),
+            requestSync: () => link.requestSync(),
+        },
     );
     const lingerMs = lookupMs * keptAnswers;
     const relay = new Relay(
@@ -64,13 +68,15 @@
         suspects: follower.suspectedPeers,
         rosterTag: view.rosterTag,
         usage: view.usage.snapshot(),
+        limits: view.limits.heardReports(clock.now()),
+        permits: view.limits.takeDemand(view.endpoints.all, service => relay.waitingFor(service), clock.now()),
         demand: relay.takeDemand(),
     });
     const link: FleetSync = new FleetSync(
         client,
         seeds,
         describe,
-        (answer, sentAt) => view.applySyncAnswer(answer, sentAt),
+        (answer, req, sentAt) => view.applySyncAnswer(answer, sentAt, req.permits),
         () => view.memberCount,
         clock,
         random,
@@ -81,6 +87,7 @@
         metrics.gauge("waiting", relay.waiting);
         metrics.gauge("catalog_version", view.catalog?.version ?? -1);
         metrics.gauge("endpoints_ready", view.endpoints.all.filter(endpoint => endpoint.ready).length);
+        metrics.gauge("endpoints_limited", view.limits.limitedEndpoints);
         metrics.gauge("list_age", view.endpoints.ageMs(clock.now()) / 1_000);
         metrics.gauge("sync_age", (clock.now() - link.answeredAt) / 1_000);
         metrics.gauge("members", view.memberCount);
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -42,10 +42,15 @@
 export type DispatchDecision<C extends Candidate> =
     | { kind: "send"; choice: EndpointChoice<C>; }
     /** The request stays queued and is reevaluated when load changes, until the instant `waitUntil`. */
-    | { kind: "wait"; waitUntil: number; best: EndpointChoice<C>; }
+    | {
+        kind: "wait";
+        waitUntil: number;
+        /** The best candidate; undefined while there is none. */
+        best?: EndpointChoice<C>;
+    }
     | {
         kind: "refuse";
-        reason: "no-endpoint" | "overload";
+        reason: "no-endpoint" | "endpoint-limit" | "overload";
         retryAfterMs: number;
         /** The best candidate, which did not meet the conditions for dispatch. */
         best?: EndpointChoice<C>;
--- a/packages/fleet/src/cap-bucket.ts
+++ b/packages/fleet/src/cap-bucket.ts
@@ -30,6 +30,18 @@
         return { admitted: false, retryAt, level: this.level };
     }
 
+    /** Units in the bucket at the last refill, less those taken since. */
+    get units(): number {
+        return this.level;
+    }
+
+    /** Takes up to `units` whole units and returns how many there were. */
+    takeUpTo(units: number): number {
+        const taken = Math.max(0, Math.min(units, Math.floor(this.level)));
+        this.level -= taken;
+        return taken;
+    }
+
     /** Refills the bucket for the time since the last refill. */
     refill({ size, ratePerMs }: BucketLimits, now: number): void {
         this.level = Math.min(size, this.level + (now - this.refilledAt) * ratePerMs);
--- a/packages/fleet/src/limit-register.ts
+++ b/packages/fleet/src/limit-register.ts
@@ -1,3 +1,16 @@
+/**
+ * Rate at which an endpoint with a lower limit is still asked, in requests per second; only an answer can tell that the
+ * limit has ended.
+ */
+const minPermittedPerSecond = 0.2;
+/** Limit above which an endpoint counts as limited to this rate, in requests per second; keeps permits countable. */
+const maxPermittedPerSecond = 100_000;
+
+/** Returns the rate at which the fleet may send to an endpoint that names a limit, in requests per second. */
+export function permittedRate(limitPerSecond: number): number {
+    return Math.min(maxPermittedPerSecond, Math.max(minPermittedPerSecond, limitPerSecond));
+}
+
 /** What an endpoint stated about the requests that it takes from the whole fleet. */
 export interface LimitStatement {
     /** Requests per second; undefined if the endpoint states no limit any more. */
@@ -8,6 +21,20 @@
     at: number;
 }
 
+/** A statement as it travels between processes. */
+export interface LimitReport {
+    perSecond?: number;
+    startedAt?: number;
+    /** Age of the statement when the message was sent, in milliseconds. */
+    ageMs: number;
+}
+
+/** A limit that a report has changed. */
+export interface LimitChange {
+    endpoint: string;
+    perSecond: number | undefined;
+}
+
 /** The latest statement of each endpoint about its limit. The newest one wins, in whichever order they arrive. */
 export class LimitRegister {
     private readonly statements = new Map<string, LimitStatement>();
@@ -22,6 +49,26 @@
         return known?.perSecond !== statement.perSecond;
     }
 
+    /** Takes over the statements of a message; `sentAt` is the instant from which their ages count. */
+    mergeReports(reports: Readonly<Record<string, LimitReport>>, sentAt: number): LimitChange[] {
+        const changes: LimitChange[] = [];
+        for (const [endpoint, { perSecond, startedAt, ageMs }] of Object.entries(reports)) {
+            if (this.merge(endpoint, { perSecond, startedAt, at: sentAt - ageMs })) {
+                changes.push({ endpoint, perSecond });
+            }
+        }
+        return changes;
+    }
+
+    /** Returns all statements for a message that is sent now. */
+    reports(now: number): Record<string, LimitReport> {
+        return Object.fromEntries(
+            [...this.statements].map((
+                [id, { perSecond, startedAt, at }],
+            ) => [id, { perSecond, startedAt, ageMs: now - at }]),
+        );
+    }
+
     /** Returns the limit of an endpoint in requests per second, or undefined if it has none. */
     limitOf(endpoint: string): number | undefined {
         return this.statements.get(endpoint)?.perSecond;
@@ -31,13 +78,16 @@
         return this.statements.entries();
     }
 
-    /** Drops the statements of endpoints that `endpoints` does not contain in the lifetime that made them. */
-    retain(endpoints: readonly { id: string; startedAt?: number; }[]): void {
+    /**
+     * Drops the statements of endpoints that `endpoints` does not contain in the lifetime that made them, and returns
+     * their ids.
+     */
+    retain(endpoints: readonly { id: string; startedAt?: number; }[]): string[] {
         const startTimes = new Map(endpoints.map(({ id, startedAt }) => [id, startedAt]));
-        for (const [id, { startedAt }] of this.statements) {
-            if (!startTimes.has(id) || startTimes.get(id) !== startedAt) {
-                this.statements.delete(id);
-            }
-        }
+        const dropped = [...this.statements]
+            .filter(([id, { startedAt }]) => !startTimes.has(id) || startTimes.get(id) !== startedAt)
+            .map(([id]) => id);
+        dropped.forEach(id => this.statements.delete(id));
+        return dropped;
     }
 }
--- a/packages/fleet/src/sync-timing.ts
+++ b/packages/fleet/src/sync-timing.ts
@@ -2,6 +2,8 @@
 const minSyncIntervalMs = 250;
 /** Sync interval per ingress of the fleet, in milliseconds; it bounds the rate of syncs at the leader. */
 const syncIntervalMsPerMember = 5;
+/** Part of the sync interval after which an early sync may follow. */
+const earlySyncPart = 0.25;
 /** Number of syncs that an ingress may miss before it counts as lost. */
 const toleratedMissedSyncs = 2;
 /** Time allowed for a failed sync, in milliseconds. */
@@ -19,6 +21,11 @@
     return Math.max(minSyncIntervalMs, members * syncIntervalMsPerMember);
 }
 
+/** Returns the shortest interval between syncs that an ingress may ask for early, in milliseconds. */
+export function earlySyncIntervalMs(members: number): number {
+    return syncIntervalMs(members) * earlySyncPart;
+}
+
 /** Returns the time without a sync after which one of `members` ingresses counts as lost, in milliseconds. */
 export function syncTimeoutMs(members: number): number {
     return syncIntervalMs(members) * toleratedMissedSyncs + failedSyncMs;
--- a/packages/ingress/src/call-recorder.ts
+++ b/packages/ingress/src/call-recorder.ts
@@ -59,9 +59,13 @@
         }
     }
 
-    /** Applies the state that an endpoint reports about itself in the headers of any answer. */
-    applyAnswerHead({ id, service, startedAt }: Endpoint, { leaving, pauseMs, limitPerSecond }: AnswerHead): void {
+    /**
+     * Applies the state that an endpoint reports about itself in the headers of any answer to a request that was sent
+     * at `sentAt`.
+     */
+    applyAnswerHead(endpoint: Endpoint, { leaving, pauseMs, limitPerSecond }: AnswerHead, sentAt: number): void {
         const { view, clock, log } = this.ctx;
+        const { id, service } = endpoint;
         if (leaving && view.endpoints.markLeaving(id)) {
             log.info("endpoint.leaving", { endpoint: id, service });
         }
@@ -72,7 +76,7 @@
         if (limitPerSecond === "unreadable") {
             log.warn("endpoint.limit-unreadable", { endpoint: id, service });
         }
-        else if (view.limits.merge(id, { perSecond: limitPerSecond, startedAt, at: clock.now() })) {
+        else if (view.limits.recordAnswer(endpoint, limitPerSecond, sentAt, clock.now())) {
             log.info("endpoint.limit", {
                 endpoint: id,
                 service,
--- a/packages/ingress/src/fleet-messages.ts
+++ b/packages/ingress/src/fleet-messages.ts
@@ -2,6 +2,16 @@
 import { z } from "zod";
 
 const loadSchema = z.object({ running: z.number(), unreadTokens: z.number() });
+/** Statements of endpoints about their limits, by endpoint, with their ages at the time of the message. */
+const limitReportsSchema = z.record(
+    z.string(),
+    z.object({
+        /** Requests per second that the endpoint takes from all ingresses; absent if it has lifted its limit. */
+        perSecond: z.number().nonnegative().optional(),
+        startedAt: z.number().optional(),
+        ageMs: z.number(),
+    }),
+);
 const addressSchema = z.object({ host: z.string(), port: z.int() });
 
 /** Request of an ingress to the leading steward with the RPC method `fleet.sync`. */
@@ -26,6 +36,13 @@
     rosterTag: z.number(),
     /** Number of started requests, by usage window and workspace. */
     usage: z.record(z.string(), z.record(z.string(), z.number())),
+    /** Limits that endpoints named or lifted in answers to the sender. */
+    limits: limitReportsSchema.default({}),
+    /** Permits that the sender wants and holds for limited endpoints. */
+    permits: z.record(
+        z.string(),
+        z.object({ wanted: z.int().nonnegative(), held: z.int().nonnegative() }),
+    ).default({}),
     /**
      * Work that arrived for each engine service since the last sync, including refused requests: prompt tokens that
      * are not in an engine's cache, all prompt tokens, and the time for which the requests would occupy slots, in
@@ -68,6 +85,10 @@
     trueMs: z.number().optional(),
     /** Prefill speed of the engines of each service as measured by the fleet, in prompt tokens per millisecond. */
     engineRates: z.record(z.string(), z.number()).optional(),
+    /** Newest statement of each endpoint that has named a limit. */
+    limits: limitReportsSchema.optional(),
+    /** Permits granted to the sender, by endpoint; absent if the steward grants none at all. */
+    permits: z.record(z.string(), z.int().nonnegative()).optional(),
     /** Ingresses in contact with the leader; sent when the roster differs from the sender's. */
     roster: rosterSchema.optional(),
 });
--- a/packages/ingress/src/fleet-sync.ts
+++ b/packages/ingress/src/fleet-sync.ts
@@ -1,4 +1,4 @@
-import { syncIntervalMs } from "@lentilramp/fleet";
+import { earlySyncIntervalMs, syncIntervalMs } from "@lentilramp/fleet";
 import type { PeerAddress, RpcClient } from "@lentilramp/protocol";
 import { type Clock, type EventLog, PeriodicComponent, type RandomSource } from "@lentilramp/runtime";
 import { type SyncAnswer, syncAnswerSchema, type SyncRequest } from "./fleet-messages.ts";
@@ -23,13 +23,16 @@
     private lastSyncFailed = false;
     private connected: boolean | undefined;
     private lastAnswerAt: number;
+    private lastSentAt = -Infinity;
+    /** Whether the next sync is wanted before its usual time. */
+    private isEarlyWanted = false;
 
     constructor(
         private readonly client: RpcClient,
         /** Returns the stewards of the settings; called on each use because the settings can change at run time. */
         private readonly seeds: () => readonly PeerAddress[],
         private readonly buildRequest: (elapsedMs: number) => SyncRequest,
-        private readonly onAnswer: (answer: SyncAnswer, sentAt: number) => void,
+        private readonly onAnswer: (answer: SyncAnswer, req: SyncRequest, sentAt: number) => void,
         /** Returns the number of ingresses; the sync interval grows with it to bound the load on the leader. */
         private readonly memberCount: () => number,
         clock: Clock,
@@ -45,8 +48,22 @@
         return this.lastAnswerAt;
     }
 
+    /** Asks for a sync before its usual time. */
+    requestSync(): void {
+        if (!this.isEarlyWanted) {
+            this.isEarlyWanted = true;
+            this.bringForward(this.lastSentAt + earlySyncIntervalMs(this.memberCount()));
+        }
+    }
+
     protected override nextDelayMs(): number {
-        return this.lastSyncFailed ? failurePauseMs : syncIntervalMs(this.memberCount());
+        if (this.lastSyncFailed) {
+            return failurePauseMs;
+        }
+        const members = this.memberCount();
+        return this.isEarlyWanted
+            ? Math.max(0, this.lastSentAt + earlySyncIntervalMs(members) - this.clock.now())
+            : syncIntervalMs(members);
     }
 
     protected override async runOnce(): Promise<void> {
@@ -56,13 +73,15 @@
             return;
         }
         const sentAt = this.clock.now();
+        this.lastSentAt = sentAt;
+        this.isEarlyWanted = false;
         const req = this.buildRequest(sentAt - this.lastAnswerAt);
         try {
             const answer = await this.client.call(steward, "fleet.sync", req, syncAnswerSchema, sentAt + callTimeoutMs);
             if (answer.stewards.length > 0) {
                 this.stewards = answer.stewards;
             }
-            this.onAnswer(answer, sentAt);
+            this.onAnswer(answer, req, sentAt);
             if (answer.leading) {
                 this.lastAnswerAt = sentAt;
                 this.currentSteward = steward;
--- a/packages/ingress/src/fleet-view.ts
+++ b/packages/ingress/src/fleet-view.ts
@@ -5,21 +5,30 @@
     type CapTolerance,
     EndpointDirectory,
     type IngressDescription,
-    LimitRegister,
+    LimitPermits,
     UsageLedger,
 } from "@lentilramp/fleet";
 import type { Clock, EventLog } from "@lentilramp/runtime";
-import type { SyncAnswer } from "./fleet-messages.ts";
+import type { SyncAnswer, SyncRequest } from "./fleet-messages.ts";
 import type { IngressComponentFactory } from "./ingress-policy.ts";
 
+/** What a view needs from the other parts of its ingress. */
+export interface FleetViewHooks {
+    onEndpointGone: (id: string) => void;
+    /** Returns the number of ingresses whose cap usage is received here, including this one. */
+    countCovered: () => number;
+    /** Asks for an early sync with the leading steward. */
+    requestSync: () => void;
+}
+
 /** State of the fleet as this ingress last received or measured it. */
 export class FleetView {
     catalog: Catalog | undefined;
     routes: RouteTable | undefined;
     workspaceKeys: WorkspaceKeys | undefined;
     readonly endpoints = new EndpointDirectory();
-    /** Limits that endpoints named in answers to this ingress. */
-    readonly limits = new LimitRegister();
+    /** Limits of endpoints, and the permits to send to those that have one. */
+    readonly limits: LimitPermits;
     readonly loads: LoadTracker;
     readonly health: EndpointHealth;
     readonly prefixMemory: PrefixCacheIndex;
@@ -45,10 +54,9 @@
         private readonly log: EventLog,
         usageWindowMs: number,
         tolerance: CapTolerance,
-        private readonly onEndpointGone: (id: string) => void,
         components: IngressComponentFactory,
-        /** Returns the number of ingresses whose cap usage is received here, including this one. */
-        private readonly countCovered: () => number = () => 1,
+        private readonly ownName: string,
+        private readonly hooks: FleetViewHooks,
     ) {
         this.loads = components.createLoadTracker();
         this.health = components.createEndpointHealth();
@@ -57,13 +65,21 @@
         this.caps = new CapMeter(
             tolerance,
             () => ({
-                coveredMembers: this.countCovered(),
+                coveredMembers: this.hooks.countCovered(),
                 members: this.reportedMemberCount,
                 silentMembers: this.silentMemberCount,
                 leaderAnsweredAt: this.leaderAnsweredAt,
             }),
             clock.now(),
         );
+        this.limits = new LimitPermits(
+            () => ({
+                members: Math.max(this.memberCount, this.roster.length),
+                position: Math.max(0, this.roster.findIndex(({ name }) => name === this.ownName)),
+                fleetTimeMs: this.fleetTime(),
+            }),
+            hooks.requestSync,
+        );
     }
 
     /**
@@ -85,8 +101,8 @@
             && (this.caps.fleetSizeKnown || this.catalog.workspaces.every(({ capPerSecond }) => capPerSecond <= 0));
     }
 
-    /** Applies the answer to a sync that was sent at `sentAt`. */
-    applySyncAnswer(answer: SyncAnswer, sentAt: number): void {
+    /** Applies the answer to a sync that was sent at `sentAt` and asked for the permits `wanted`. */
+    applySyncAnswer(answer: SyncAnswer, sentAt: number, wanted: SyncRequest["permits"] = {}): void {
         if (answer.catalog !== undefined) {
             this.applyCatalog(answer.catalog.version, answer.catalog.text);
         }
@@ -112,6 +128,12 @@
             this.rosterTag = answer.roster.tag;
             this.roster = answer.roster.ingresses;
         }
+        if (answer.permits !== undefined) {
+            const { limits = {}, permits } = answer;
+            for (const { endpoint, perSecond } of this.limits.applyAnswer({ limits, permits }, wanted, sentAt)) {
+                this.log.info("endpoint.limit", { endpoint, perSecond: perSecond ?? "none", source: "leader" });
+            }
+        }
         if (answer.listAgeMs !== undefined) {
             const readAt = sentAt - answer.listAgeMs;
             if (answer.list !== undefined) {
@@ -135,7 +157,7 @@
                 this.loads.removeEndpoint(id);
                 this.prefixMemory.removeEndpoint(id);
                 this.health.removeEndpoint(id);
-                this.onEndpointGone(id);
+                this.hooks.onEndpointGone(id);
             }
         }
     }
--- a/packages/ingress/src/in-flight-attempt.ts
+++ b/packages/ingress/src/in-flight-attempt.ts
@@ -18,8 +18,8 @@
 }
 
 /**
- * Creates an attempt at the chosen endpoint and records it there: as load, as a trial after an ejection, and in the
- * memory of prompts. `lastEventId` is the position from which a stream is resumed.
+ * Creates an attempt at the chosen endpoint and records it there: as load, as a trial after an ejection, as the use of
+ * a permit, and in the memory of prompts. `lastEventId` is the position from which a stream is resumed.
  */
 export function createAttempt(
     admitted: AdmittedRequest,
@@ -31,6 +31,7 @@
     const { dispatch } = admitted;
     const booking = ctx.view.loads.trackRequest(endpoint.id, prediction, now);
     ctx.view.health.recordDispatch(endpoint.id, now);
+    ctx.view.limits.recordSend(endpoint.id, now);
     const service = ctx.view.catalog?.services.get(dispatch.service);
     if (dispatch.work !== undefined && service?.engine !== undefined) {
         ctx.view.prefixMemory.record(endpoint.id, dispatch.work.parts, service.engine.kvCacheTokens, now);
--- /dev/null
+++ b/packages/ingress/src/limit-gate.ts
@@ -0,0 +1,43 @@
+import type { DispatchDecision, DispatchRequest } from "@lentilramp/dispatch";
+import { type Endpoint, permittedRate } from "@lentilramp/fleet";
+import { ReturnSpacing } from "@lentilramp/retries";
+import type { Clock, RandomSource } from "@lentilramp/runtime";
+import type { FleetView } from "./fleet-view.ts";
+
+/** Longest time that a request waits for a permit to send to an endpoint with a limit, in milliseconds. */
+const maxPermitWaitMs = 400;
+
+/** Decides on requests that cannot be sent because of the limits of endpoints. */
+export class LimitGate {
+    private readonly returnSpacings = new Map<string, ReturnSpacing>();
+
+    constructor(
+        private readonly view: FleetView,
+        private readonly clock: Clock,
+        private readonly random: RandomSource,
+    ) {}
+
+    /**
+     * Decides on a request for which no candidate is left, or returns undefined if the limits of endpoints are not the
+     * cause. `excluded` holds the endpoints that the request was already sent to.
+     */
+    decide(req: DispatchRequest, excluded: ReadonlySet<string>): DispatchDecision<Endpoint> | undefined {
+        const { limits } = this.view;
+        const now = this.clock.now();
+        const blocked = this.view.endpoints.readyEndpoints(req.service).filter(({ id }) =>
+            !excluded.has(id) && !limits.maySend(id, now)
+        );
+        if (blocked.length === 0) {
+            return undefined;
+        }
+        const waitUntil = Math.min(req.targetAt, req.arrivedAt + maxPermitWaitMs);
+        if (now < waitUntil && limits.shouldWait(blocked, req.arrivedAt, now)) {
+            return { kind: "wait", waitUntil };
+        }
+        const perSecond = blocked.reduce((sum, { id }) => sum + permittedRate(limits.limitOf(id) ?? 0), 0);
+        const spacing = this.returnSpacings.get(req.service) ?? new ReturnSpacing(this.random);
+        this.returnSpacings.set(req.service, spacing);
+        const retryAfterMs = spacing.nextDelayMs(now, this.view.memberCount * 1_000 / perSecond);
+        return { kind: "refuse", reason: "endpoint-limit", retryAfterMs };
+    }
+}
--- a/packages/ingress/src/relay.ts
+++ b/packages/ingress/src/relay.ts
@@ -17,6 +17,7 @@
 import type { FleetView } from "./fleet-view.ts";
 import type { IngressOptions } from "./ingress-options.ts";
 import type { IngressComponentFactory } from "./ingress-policy.ts";
+import { LimitGate } from "./limit-gate.ts";
 import type { CallerHead, HeaderCodec } from "./platform-adapter.ts";
 import { sendRefusal } from "./refusal.ts";
 import { RelayedCall } from "./relayed-call.ts";
@@ -63,6 +64,7 @@
     latencyModel(service: string): LatencyModel;
     retryBudget(service: string): RetryBudget;
     candidates(service: string): readonly Endpoint[];
+    readonly limitGate: LimitGate;
     maxIdleConnections(service: string): number;
     /** Whether this ingress is draining, so that callers' connections are closed after their answers. */
     isDraining(): boolean;
@@ -94,6 +96,7 @@
 export class Relay implements RelayContext {
     readonly pool = new EndpointPool();
     readonly dispatcher: Dispatcher;
+    readonly limitGate: LimitGate;
     readonly clock: Clock;
     readonly log: EventLog;
     readonly metrics: Metrics;
@@ -121,6 +124,7 @@
         this.metrics = base.metrics;
         this.promptAffinity = components.createPromptAffinity(service => view.endpoints.readyEndpoints(service));
         this.dispatcher = new Dispatcher(view.loads, view.health, base.random, components.dispatchOptions());
+        this.limitGate = new LimitGate(view, base.clock, base.random);
     }
 
     get resumesStreams(): boolean {
@@ -136,6 +140,11 @@
         return [...this.queues.values()].reduce((sum, queue) => sum + queue.size, 0);
     }
 
+    /** Number of requests that wait for a slot of one service. */
+    waitingFor(service: string): number {
+        return this.queues.get(service)?.size ?? 0;
+    }
+
     startDraining(): void {
         this.drainingSince = this.clock.now();
     }
@@ -230,8 +239,9 @@
 
     candidates(service: string): readonly Endpoint[] {
         const limit = this.connectionShare(service);
-        return this.view.endpoints.readyEndpoints(service).filter(endpoint =>
-            this.view.loads.localRunning(endpoint.id) < limit
+        const now = this.clock.now();
+        return this.view.endpoints.readyEndpoints(service).filter(({ id }) =>
+            this.view.loads.localRunning(id) < limit && this.view.limits.maySend(id, now)
         );
     }
 
--- a/packages/ingress/src/relayed-call.ts
+++ b/packages/ingress/src/relayed-call.ts
@@ -122,13 +122,19 @@
             if (!isFirstAttempt) {
                 // A retry goes to any available endpoint without waiting for a slot, as its caller has already waited.
                 const choice = ctx.dispatcher.choose(dispatch, candidates(), model, ctx.clock.now(), excludedEndpoints);
+                if (choice !== undefined) {
+                    settle({ kind: "send", choice });
+                    return;
+                }
+                const limited = ctx.limitGate.decide(dispatch, excludedEndpoints);
                 settle(
-                    choice === undefined
-                        ? { kind: "refuse", reason: "no-endpoint", retryAfterMs: endpointRefusedRetryMs }
-                        : { kind: "send", choice },
+                    limited?.kind === "refuse"
+                        ? limited
+                        : { kind: "refuse", reason: "no-endpoint", retryAfterMs: endpointRefusedRetryMs },
                 );
                 return;
             }
+            ctx.view.limits.recordRequest(dispatch.service);
             this.queuedSince = ctx.clock.now();
             let demandRecorded = false;
             this.leaveQueue = ctx.queue(dispatch.service).submit(dispatch, ahead => {
@@ -144,7 +150,9 @@
                     demandRecorded = true;
                     this.recorder.recordDemand(bestChoice(decision));
                 }
-                return decision;
+                return decision.kind === "refuse" && decision.reason === "no-endpoint"
+                    ? ctx.limitGate.decide(dispatch, excludedEndpoints) ?? decision
+                    : decision;
             }, settle);
         });
     }
@@ -172,7 +180,7 @@
     private onAbandonedAttempt(inFlight: InFlightAttempt, outcome: AttemptOutcome): void {
         if (outcome.kind === "answer") {
             discardAnswer(outcome.res);
-            this.recorder.applyAnswerHead(inFlight.endpoint, outcome.head);
+            this.recorder.applyAnswerHead(inFlight.endpoint, outcome.head, inFlight.sentAt);
         }
         if (outcome.kind !== "not-run") {
             this.runs++;
@@ -192,7 +200,7 @@
             this.recorder.recordHealth(inFlight.endpoint, "broken");
         }
         if (outcome.kind === "not-run" && outcome.head !== undefined) {
-            this.recorder.applyAnswerHead(inFlight.endpoint, outcome.head);
+            this.recorder.applyAnswerHead(inFlight.endpoint, outcome.head, inFlight.sentAt);
         }
         this.nextAttemptBudgeted = outcome.kind === "not-run" && !outcome.received;
         this.recorder.recordFailedAttempt(inFlight, outcome.kind, outcome.reason);
@@ -209,7 +217,7 @@
 
     private async onAnswer(inFlight: InFlightAttempt, res: IncomingMessage, head: AnswerHead): Promise<boolean> {
         const { route, dispatch } = this.admitted;
-        this.recorder.applyAnswerHead(inFlight.endpoint, head);
+        this.recorder.applyAnswerHead(inFlight.endpoint, head, inFlight.sentAt);
         const { clock } = this.ctx;
         const status = res.statusCode ?? 0;
         this.runs++;
--- a/packages/ingress/tests/ingress-harness.ts
+++ b/packages/ingress/tests/ingress-harness.ts
@@ -154,8 +154,9 @@
             this.log,
             options.usageWindowMs,
             options.capTolerance,
-            () => undefined,
             components,
+            options.name,
+            { onEndpointGone: () => undefined, countCovered: () => 1, requestSync: () => undefined },
         );
         if (catalog !== undefined) {
             this.view.applySyncAnswer({
--- a/packages/retries/src/index.ts
+++ b/packages/retries/src/index.ts
@@ -7,3 +7,4 @@
 export * from "./retry-budget.ts";
 export * from "./retry-policy.ts";
 export * from "./retry-rules.ts";
+export * from "./return-spacing.ts";
--- a/packages/runtime/src/periodic-component.ts
+++ b/packages/runtime/src/periodic-component.ts
@@ -4,6 +4,8 @@
 /** Component that repeats a task. Each run starts one interval after the previous run has finished. */
 export abstract class PeriodicComponent extends Component {
     private timer: Timer | undefined;
+    /** Instant of the next run; undefined during a run. */
+    private nextRunAt: number | undefined;
     private started = false;
     private currentRun: Promise<void> = Promise.resolve();
 
@@ -33,9 +35,23 @@
         await this.currentRun;
     }
 
+    /** Brings the next run forward to the instant `timeMs`. Has no effect during a run or on an earlier one. */
+    protected bringForward(timeMs: number): void {
+        if (this.nextRunAt !== undefined && timeMs < this.nextRunAt) {
+            this.timer?.cancel();
+            this.scheduleAt(timeMs);
+        }
+    }
+
     private schedule(): void {
+        this.scheduleAt(this.clock.now() + this.nextDelayMs());
+    }
+
+    private scheduleAt(timeMs: number): void {
         if (this.started) {
-            this.timer = this.clock.schedule(this.clock.now() + this.nextDelayMs(), () => {
+            this.nextRunAt = timeMs;
+            this.timer = this.clock.schedule(timeMs, () => {
+                this.nextRunAt = undefined;
                 this.currentRun = this.runOnce().catch((err: unknown) => this.onFailure(err)).then(() =>
                     this.schedule()
                 );
--- a/packages/runtime/tests/periodic-component.test.ts
+++ b/packages/runtime/tests/periodic-component.test.ts
@@ -3,6 +3,11 @@
 
 class CountingComponent extends PeriodicComponent {
     readonly name = "counter";
+
+    advance(timeMs: number): void {
+        this.bringForward(timeMs);
+    }
+
     runs = 0;
     failures = 0;
 
@@ -38,4 +43,24 @@
         await settle();
         expect(counter.runs).to.equal(3);
     });
+
+    // Guards against a second timer, and against a run that is delayed by being asked for.
+    it("runs earlier when asked to, once, and not later", async () => {
+        const clock = new ManualClock(0);
+        const counter = new CountingComponent(clock, 100);
+        await counter.start();
+        counter.advance(500);
+        counter.advance(30);
+        counter.advance(40);
+        clock.advanceTo(35);
+        await settle();
+        expect(counter.runs).to.equal(1);
+        clock.advanceTo(120);
+        await settle();
+        expect(counter.runs).to.equal(1);
+        clock.advanceTo(136);
+        await settle();
+        expect(counter.runs).to.equal(2);
+        await counter.close();
+    });
 });
--- a/packages/steward/src/fleet-coordinator.ts
+++ b/packages/steward/src/fleet-coordinator.ts
@@ -5,6 +5,7 @@
     EndpointDirectory,
     type EndpointList,
     type IngressDescription,
+    LimitAllocator,
     MedianClock,
     noDemand,
     Roster,
@@ -50,6 +51,7 @@
     readonly medianClock = new MedianClock();
     readonly usageWindows: UsageWindows;
     private readonly ingresses = new Map<string, IngressState>();
+    private readonly limits = new LimitAllocator();
     private readonly directory = new EndpointDirectory();
     private list: EndpointList | undefined;
     private serializedEndpoints = "";
@@ -76,6 +78,7 @@
         const text = JSON.stringify(endpoints);
         const changed = text !== this.serializedEndpoints;
         this.directory.update(endpoints, readAt);
+        this.limits.retain(endpoints);
         if (changed || this.list === undefined) {
             this.serializedEndpoints = text;
             this.list = { readNumber, endpoints: [...endpoints] };
@@ -95,6 +98,7 @@
         this.usageWindows.replaceCounts(req.lifetime, req.usage as Record<string, UsageCounts>);
         this.ingresses.set(name, { load: req.load, demand: req.demand, elapsedMs: req.elapsedMs });
         const overview = this.currentOverview(now);
+        this.limits.statements.mergeReports(this.currentLifetimes(req.limits), now);
         const sendList = this.list !== undefined && req.listNumber !== this.list.readNumber;
         return {
             list: sendList ? this.list : undefined,
@@ -107,9 +111,23 @@
             members: overview.members,
             silent: overview.silent,
             trueMs: this.medianClock.timeOfDayMs(now),
+            limits: this.limits.statements.reports(now),
+            permits: Object.fromEntries(
+                Object.entries(req.permits).map(([id, demand]) => [id, this.limits.grant(id, demand, overview, now)]),
+            ),
         };
     }
 
+    /** Leaves out statements that the list shows to be of an earlier or a later lifetime of their endpoint. */
+    private currentLifetimes(reports: SyncRequest["limits"]): SyncRequest["limits"] {
+        const startTimes = new Map(this.directory.all.map(({ id, startedAt }) => [id, startedAt]));
+        return Object.fromEntries(
+            Object.entries(reports).filter(([id, { startedAt }]) =>
+                !startTimes.has(id) || startTimes.get(id) === startedAt
+            ),
+        );
+    }
+
     /** Returns the ingresses in contact for another steward; undefined if its roster with the given tag is current. */
     rosterIfChanged(tag: number): SyncAnswer["roster"] {
         const { rosterTag, live } = this.currentOverview(this.clock.now());
--- /dev/null
+++ b/packages/steward/tests/fleet-coordinator.test.ts
@@ -0,0 +1,75 @@
+import type { SyncRequest } from "@lentilramp/ingress";
+import { ManualClock } from "@lentilramp/runtime";
+import { FleetCoordinator } from "@lentilramp/steward";
+import { expect } from "chai";
+
+const endpoint = {
+    id: "e",
+    service: "app",
+    host: "10.0.0.1",
+    port: 80,
+    failureDomain: "a",
+    slots: 4,
+    ready: true,
+    reclaimable: false,
+    startedAt: 5,
+};
+
+function syncRequest(name: string, overrides: Partial<SyncRequest> = {}): SyncRequest {
+    const address = { host: "10.0.0.2", port: 80 };
+    return {
+        ingress: { name, ...address, inner: address, region: "r", failureDomain: "a", accepting: true },
+        lifetime: name,
+        wallMs: 0,
+        elapsedMs: 0,
+        catalogVersion: 0,
+        listNumber: 0,
+        load: {},
+        followsOthers: true,
+        suspects: [],
+        rosterTag: 0,
+        usage: {},
+        limits: {},
+        permits: {},
+        demand: {},
+        ...overrides,
+    };
+}
+
+describe("FleetCoordinator", () => {
+    const wants = (wanted: number) => ({ permits: { e: { wanted, held: 0 } } });
+    const names = (ageMs: number, startedAt = 5) => ({ limits: { e: { perSecond: 2, startedAt, ageMs } } });
+
+    function start(): { clock: ManualClock; coordinator: FleetCoordinator; } {
+        const clock = new ManualClock(10_000);
+        const coordinator = new FleetCoordinator(clock, 5_000);
+        coordinator.updateEndpointList([endpoint], 10_000, 1);
+        return { clock, coordinator };
+    }
+
+    // Guards against a limit that only the ingress knows that got the answer.
+    it("tells every ingress the limits that others heard, and grants permits within them", () => {
+        const { clock, coordinator } = start();
+        coordinator.sync(syncRequest("a", names(50)));
+        clock.advanceTo(10_100);
+        expect(coordinator.sync(syncRequest("b")).limits).to.deep.equal({
+            e: { perSecond: 2, startedAt: 5, ageMs: 150 },
+        });
+        let granted = 0;
+        for (let now = 10_200; now < 20_000; now += 100) {
+            clock.advanceTo(now);
+            granted += coordinator.sync(syncRequest(now % 200 === 0 ? "a" : "b", wants(9))).permits?.e ?? 0;
+        }
+        expect(granted).to.be.within(17, 23);
+    });
+
+    // Guards against a limit of an earlier lifetime that a slow ingress still reports, and against permits without a limit.
+    it("ignores limits of other lifetimes of an endpoint and forgets them when it restarts", () => {
+        const { clock, coordinator } = start();
+        expect(coordinator.sync(syncRequest("a", { ...names(50, 4), ...wants(3) })).permits).to.deep.equal({ e: 0 });
+        expect(coordinator.sync(syncRequest("a", names(50))).limits).to.have.property("e");
+        clock.advanceTo(11_000);
+        coordinator.updateEndpointList([{ ...endpoint, startedAt: 6 }], 11_000, 2);
+        expect(coordinator.sync(syncRequest("b")).limits).to.deep.equal({});
+    });
+});
