Ignore what another endpoint at an address says of itself

What callers saw: nothing yet; found while looking for other statements of endpoints that are taken wrongly. When the address of an ended replica was reused, the new one answers 421 to requests for the old one.

Cause: the head of an answer was applied whatever its status. Evidence: the new test of faulty-endpoints.test.ts failed before (ready endpoints [e2] instead of [e1, e2]). The answer names no endpoint, but 421 means that it is not the one that was addressed, so nothing of it is applied.

--- a/packages/ingress/src/call-recorder.ts
+++ b/packages/ingress/src/call-recorder.ts
@@ -63,7 +63,11 @@
      * Applies the state that an endpoint reports about itself in the headers of any answer to a request that was sent
      * at `sentAt`.
      */
-    applyAnswerHead(endpoint: Endpoint, { leaving, pauseMs, limitPerSecond }: AnswerHead, sentAt: number): void {
+    applyAnswerHead(endpoint: Endpoint, head: AnswerHead, sentAt: number): void {
+        if (head.otherEndpoint) {
+            return;
+        }
+        const { leaving, pauseMs, limitPerSecond } = head;
         const { view, clock, log } = this.ctx;
         const { id, service } = endpoint;
         if (leaving && view.endpoints.markLeaving(id)) {
--- a/packages/ingress/src/platform-adapter.ts
+++ b/packages/ingress/src/platform-adapter.ts
@@ -34,6 +34,8 @@
     sealed: boolean;
     /** Whether the endpoint states that it has not run the request and will not run it. */
     notRun: boolean;
+    /** Whether another endpoint answers at the address, so that the answer says nothing of the endpoint that is meant. */
+    otherEndpoint: boolean;
     /** Whether the endpoint is shutting down and accepts no new request in this lifetime. */
     leaving: boolean;
     /** Time for which the endpoint asks for no requests, in milliseconds. */
--- a/packages/ingress/tests/faulty-endpoints.test.ts
+++ b/packages/ingress/tests/faulty-endpoints.test.ts
@@ -115,6 +115,19 @@
         expect(endpoints[0]?.requests.length).to.be.at.most(1);
     });
 
+    // Guards against a replica that took over the address of another one and whose statements are taken for those of the
+    // other: the request is refused with 421, and the endpoint that is meant gets no more requests.
+    it("ignores what another endpoint at the address says of itself", async () => {
+        const other = { "server-leaving": "1", "server-limit": "0", "retry-after": "5", "x-not-executed": "1" };
+        const harness = await start([sealed(421, "other", other), sealed(200, "ok")]);
+        while (endpoints[0]?.requests.length === 0) {
+            await harness.call({});
+        }
+        expect(harness.view.endpoints.readyEndpoints("app").map(({ id }) => id)).to.deep.equal(["e1", "e2"]);
+        expect(harness.view.limits.limitOf("e1")).to.equal(undefined);
+        expect(loggedEvents("endpoint.leaving")).to.deep.equal([]);
+    });
+
     it("pauses an endpoint for the Retry-After of its 503, and does not eject it for that", async () => {
         const overloaded = sealed(503, "full", { "retry-after": "0.4", "x-not-executed": "1" });
         const harness = await start([overloaded, sealed(200, "ok")]);
