Tell all ingresses which endpoints announced that they leave

What callers saw: each ingress sent at least one more request to a leaving endpoint, up to the time at which the platform's list showed it, although another ingress had been told. The same class of fault as the endpoint limit: what an endpoint says of itself is read by one ingress and told to nobody.

The leaving endpoints and the start of their lifetimes now travel with the syncs, like the limits; a mark of an earlier lifetime is ignored (fleet-coordinator.test.ts).

--- a/packages/cli/tests/endpoint-limit.test.ts
+++ b/packages/cli/tests/endpoint-limit.test.ts
@@ -1,7 +1,7 @@
 import { expect } from "chai";
 import { Agent, request } from "node:http";
 import { setTimeout as sleep } from "node:timers/promises";
-import { exchange, FleetProcesses, PlatformStandIn, ports, until } from "./fleet-harness.ts";
+import { type FleetProcesses, PlatformStandIn, ports, startConfiguredFleet } from "./fleet-harness.ts";
 import { type Arrival, brokenLimits, limitedArrivals, type LimitNamed } from "./soak/limits.ts";
 import { SoakEndpoint } from "./soak/soak-endpoint.ts";
 
@@ -71,19 +71,7 @@
 
     before(async () => {
         await endpoint.start();
-        fleet = new FleetProcesses(await platform.start(), 3, 3);
-        await fleet.start();
-        await until("the configuration was taken", async () => {
-            const path = "/lentilramp/configuration";
-            const options = { method: "PUT", body: configuration };
-            return (await exchange(fleet.stewards[0] ?? "", ports.control, path, options)).status === 200;
-        });
-        await until("all ingresses are ready", async () => {
-            const answers = await Promise.all(
-                fleet.ingresses.map(host => exchange(host, ports.ready, "/lentilramp/readiness")),
-            );
-            return answers.every(({ status }) => status === 200);
-        });
+        fleet = await startConfiguredFleet(await platform.start(), { stewards: 3, ingresses: 3, configuration });
         endpoint.limit = String(limitPerSecond);
         const from = Date.now();
         limit = { endpoint: endpoint.id, perSecond: limitPerSecond, from, until: from + limitMs };
--- a/packages/cli/tests/fleet-harness.ts
+++ b/packages/cli/tests/fleet-harness.ts
@@ -231,3 +231,24 @@
         rmSync(this.folder, { recursive: true, force: true });
     }
 }
+
+/** Starts a fleet and waits until all ingresses are ready with a configuration in the platform's format. */
+export async function startConfiguredFleet(
+    cloudAddress: string,
+    { stewards, ingresses, configuration }: { stewards: number; ingresses: number; configuration: string; },
+): Promise<FleetProcesses> {
+    const fleet = new FleetProcesses(cloudAddress, stewards, ingresses);
+    await fleet.start();
+    await until("the configuration was taken", async () => {
+        const path = "/lentilramp/configuration";
+        const options = { method: "PUT", body: configuration };
+        return (await exchange(fleet.stewards[0] ?? "", ports.control, path, options)).status === 200;
+    });
+    await until("all ingresses are ready", async () => {
+        const answers = await Promise.all(
+            fleet.ingresses.map(host => exchange(host, ports.ready, "/lentilramp/readiness")),
+        );
+        return answers.every(({ status }) => status === 200);
+    });
+    return fleet;
+}
--- a/packages/fleet/src/endpoint-directory.ts
+++ b/packages/fleet/src/endpoint-directory.ts
@@ -25,6 +25,10 @@
 });
 export type EndpointList = z.infer<typeof endpointListSchema>;
 
+/** One lifetime of an endpoint. */
+export const endpointLifetimeSchema = endpointSchema.pick({ id: true, startedAt: true });
+export type EndpointLifetime = z.infer<typeof endpointLifetimeSchema>;
+
 /** The current list of endpoints, indexed by service. */
 export class EndpointDirectory {
     private endpoints: readonly Endpoint[] = [];
@@ -47,6 +51,18 @@
         return true;
     }
 
+    /** Marks the endpoints that others found to be leaving, unless they have restarted; returns those that are new. */
+    mergeLeaving(lifetimes: readonly EndpointLifetime[]): string[] {
+        const startTimes = new Map(this.endpoints.map(({ id, startedAt }) => [id, startedAt]));
+        return lifetimes.filter(({ id, startedAt }) => startTimes.get(id) === startedAt && this.markLeaving(id))
+            .map(({ id }) => id);
+    }
+
+    /** Endpoints that announced that they are leaving. */
+    get leavingEndpoints(): EndpointLifetime[] {
+        return [...this.leaving].map(([id, startedAt]) => ({ id, startedAt }));
+    }
+
     /** Replaces the list with one read at the instant `readAt`; a list older than the current one is ignored. */
     update(endpoints: readonly Endpoint[], readAt: number): void {
         if (this.readAt !== undefined && readAt <= this.readAt) {
--- a/packages/ingress/src/call-recorder.ts
+++ b/packages/ingress/src/call-recorder.ts
@@ -71,7 +71,7 @@
         const { view, clock, log } = this.ctx;
         const { id, service } = endpoint;
         if (leaving && view.endpoints.markLeaving(id)) {
-            log.info("endpoint.leaving", { endpoint: id, service });
+            log.info("endpoint.leaving", { endpoint: id, service, source: "answer" });
         }
         if (pauseMs !== undefined) {
             view.health.pause(id, clock.now() + pauseMs);
--- a/packages/ingress/src/fleet-messages.ts
+++ b/packages/ingress/src/fleet-messages.ts
@@ -1,4 +1,4 @@
-import { endpointListSchema, ingressDescriptionSchema } from "@lentilramp/fleet";
+import { endpointLifetimeSchema, endpointListSchema, ingressDescriptionSchema } from "@lentilramp/fleet";
 import { z } from "zod";
 
 const loadSchema = z.object({ running: z.number(), unreadTokens: z.number() });
@@ -36,6 +36,8 @@
     rosterTag: z.number(),
     /** Number of started requests, by usage window and workspace. */
     usage: z.record(z.string(), z.record(z.string(), z.number())),
+    /** Endpoints that are known to the sender as leaving. */
+    leaving: z.array(endpointLifetimeSchema).default([]),
     /** Limits that endpoints named or lifted in answers to the sender. */
     limits: limitReportsSchema.default({}),
     /** Permits that the sender wants and holds for limited endpoints. */
@@ -85,6 +87,8 @@
     trueMs: z.number().optional(),
     /** Prefill speed of the engines of each service as measured by the fleet, in prompt tokens per millisecond. */
     engineRates: z.record(z.string(), z.number()).optional(),
+    /** Endpoints that announced to any ingress that they are leaving. */
+    leaving: z.array(endpointLifetimeSchema).optional(),
     /** Newest statement of each endpoint that has named a limit. */
     limits: limitReportsSchema.optional(),
     /** Permits granted to the sender, by endpoint; absent if the steward grants none at all. */
--- a/packages/ingress/src/fleet-view.ts
+++ b/packages/ingress/src/fleet-view.ts
@@ -143,6 +143,9 @@
                 this.endpoints.confirm(readAt);
             }
         }
+        for (const endpoint of this.endpoints.mergeLeaving(answer.leaving ?? [])) {
+            this.log.info("endpoint.leaving", { endpoint, source: "leader" });
+        }
     }
 
     /** Applies an endpoint list that was read at `readAt`; `number` is 0 for a list that this process read itself. */
--- a/packages/steward/src/fleet-coordinator.ts
+++ b/packages/steward/src/fleet-coordinator.ts
@@ -98,6 +98,7 @@
         this.usageWindows.replaceCounts(req.lifetime, req.usage as Record<string, UsageCounts>);
         this.ingresses.set(name, { load: req.load, demand: req.demand, elapsedMs: req.elapsedMs });
         const overview = this.currentOverview(now);
+        this.directory.mergeLeaving(req.leaving);
         this.limits.statements.mergeReports(this.currentLifetimes(req.limits), now);
         const sendList = this.list !== undefined && req.listNumber !== this.list.readNumber;
         return {
@@ -111,6 +112,7 @@
             members: overview.members,
             silent: overview.silent,
             trueMs: this.medianClock.timeOfDayMs(now),
+            leaving: this.directory.leavingEndpoints,
             limits: this.limits.statements.reports(now),
             permits: Object.fromEntries(
                 Object.entries(req.permits).map(([id, demand]) => [id, this.limits.grant(id, demand, overview, now)]),
--- a/packages/steward/tests/fleet-coordinator.test.ts
+++ b/packages/steward/tests/fleet-coordinator.test.ts
@@ -29,6 +29,7 @@
         suspects: [],
         rosterTag: 0,
         usage: {},
+        leaving: [],
         limits: {},
         permits: {},
         demand: {},
@@ -63,6 +64,16 @@
         expect(granted).to.be.within(17, 23);
     });
 
+    // Guards against an endpoint that is kept from work after a restart, because an ingress still reports that it left.
+    it("tells every ingress which endpoints leave, in the lifetime that they announced it", () => {
+        const { coordinator } = start();
+        expect(coordinator.sync(syncRequest("a", { leaving: [{ id: "e", startedAt: 4 }] })).leaving).to.deep.equal([]);
+        coordinator.sync(syncRequest("a", { leaving: [{ id: "e", startedAt: 5 }] }));
+        expect(coordinator.sync(syncRequest("b")).leaving).to.deep.equal([{ id: "e", startedAt: 5 }]);
+        coordinator.updateEndpointList([{ ...endpoint, startedAt: 6 }], 11_000, 2);
+        expect(coordinator.sync(syncRequest("b")).leaving).to.deep.equal([]);
+    });
+
     // Guards against a limit of an earlier lifetime that a slow ingress still reports, and against permits without a limit.
     it("ignores limits of other lifetimes of an endpoint and forgets them when it restarts", () => {
         const { clock, coordinator } = start();
