Test permits at 191 ingresses, counted at those that were told

With a sync interval of 0.95 s some ingresses learn of a limit up to a second after the first one; what they send until then does not count by the rule, and is named in the postmortem as what remains.

--- a/packages/fleet/tests/limit-permits.test.ts
+++ b/packages/fleet/tests/limit-permits.test.ts
@@ -130,6 +130,16 @@
         });
     }
 
+    // Guards against a sync interval that grows with the fleet and lets ingresses that were told send as before.
+    it("keep and use a limit at 191 ingresses, counted at those that were told", () => {
+        for (const seed of [1, 2, 3, 4, 5]) {
+            const fleet = limitedFrom2s(191, 3.8, 100, seed);
+            fleet.run(30_000);
+            expect(fleet.mostInWindow(0, 30_000, fleet.toldArrivals), `seed ${seed}`).to.be.at.most(allowed(3.8));
+            expect(fleet.usedShare(3.8, 2_000 + contactMs, 30_000), `seed ${seed}`).to.be.within(0.8, 1.2);
+        }
+    });
+
     /** Permits of one of many ingresses, which is in contact with the leader for some seconds. */
     function permitsInContact(granted = 0): LimitPermits {
         const permits = new LimitPermits(() => ({ members: 191, position: 0, fleetTimeMs: 0 }), () => undefined);
