Keep the turns of an ingress when the fleet's time is set back

What callers would see: while no steward leads, an ingress whose fleet time was set back (the median of the clocks steps when machines' clocks do) sends nothing to an endpoint with a limit until that time has caught up. A use that lies more than one own interval ahead is ignored.

--- a/packages/fleet/src/limit-turns.ts
+++ b/packages/fleet/src/limit-turns.ts
@@ -20,19 +20,16 @@
     private readonly usedUntil = new Map<string, number>();
 
     /** Returns the number of own turns that may be used now, for a limit of `perSecond` requests. */
-    available(endpoint: string, perSecond: number, { members, position, fleetTimeMs }: TurnShare): number {
-        const periodMs = members * 1_000 / perSecond;
-        const phaseMs = position * periodMs / members;
-        const from = Math.max(this.usedUntil.get(endpoint) ?? -Infinity, fleetTimeMs - turnValidMs);
-        return Math.max(0, Math.floor((fleetTimeMs - phaseMs) / periodMs) - Math.floor((from - phaseMs) / periodMs));
+    available(endpoint: string, perSecond: number, share: TurnShare): number {
+        const { periodMs, phaseMs, unusedFrom } = this.schedule(endpoint, perSecond, share);
+        const turnsUntil = (timeMs: number): number => Math.floor((timeMs - phaseMs) / periodMs);
+        return Math.max(0, turnsUntil(share.fleetTimeMs) - turnsUntil(unusedFrom));
     }
 
     /** Uses the oldest of the available turns. */
-    take(endpoint: string, perSecond: number, { members, position, fleetTimeMs }: TurnShare): void {
-        const periodMs = members * 1_000 / perSecond;
-        const phaseMs = position * periodMs / members;
-        const from = Math.max(this.usedUntil.get(endpoint) ?? -Infinity, fleetTimeMs - turnValidMs);
-        const turnAt = (Math.floor((from - phaseMs) / periodMs) + 1) * periodMs + phaseMs;
+    take(endpoint: string, perSecond: number, share: TurnShare): void {
+        const { periodMs, phaseMs, unusedFrom } = this.schedule(endpoint, perSecond, share);
+        const turnAt = (Math.floor((unusedFrom - phaseMs) / periodMs) + 1) * periodMs + phaseMs;
         // The middle of the turn, so that rounding cannot make the turn available again.
         this.usedUntil.set(endpoint, turnAt + periodMs / 2);
     }
@@ -40,4 +37,21 @@
     removeEndpoint(endpoint: string): void {
         this.usedUntil.delete(endpoint);
     }
+
+    /** Returns the interval between own turns, their offset, and the instant from which they are valid and unused. */
+    private schedule(
+        endpoint: string,
+        perSecond: number,
+        { members, position, fleetTimeMs }: TurnShare,
+    ): { periodMs: number; phaseMs: number; unusedFrom: number; } {
+        const periodMs = members * 1_000 / perSecond;
+        const usedUntil = this.usedUntil.get(endpoint) ?? -Infinity;
+        // A use that lies further ahead was recorded before the fleet's time was set back.
+        const isCurrent = usedUntil <= fleetTimeMs + periodMs;
+        return {
+            periodMs,
+            phaseMs: position * periodMs / members,
+            unusedFrom: Math.max(isCurrent ? usedUntil : -Infinity, fleetTimeMs - turnValidMs),
+        };
+    }
 }
--- a/packages/fleet/tests/limit-permits.test.ts
+++ b/packages/fleet/tests/limit-permits.test.ts
@@ -211,4 +211,12 @@
         }
         expect(taken).to.be.within(13, 17);
     });
+
+    // Guards against an ingress that has no turn until the fleet's time has caught up with a clock that was ahead.
+    it("go on when the fleet's time is set back", () => {
+        const turns = new LimitTurns();
+        const share = (fleetTimeMs: number) => ({ members: 4, position: 0, fleetTimeMs });
+        turns.take("e", 2, share(100_000));
+        expect(turns.available("e", 2, share(70_000))).to.equal(1);
+    });
 });
