Log the limits behind a refusal, and count the permits that the leader grants

A refusal for the limit of an endpoint named no inputs. request.given-up now gives the number of limited endpoints, the sum of their limits and the age of the last answer about permits, and lentilramp_limit_permits_total tells a limit that was told and not kept from permits that were granted in excess.

--- a/packages/cli/src/fleet-metrics.ts
+++ b/packages/cli/src/fleet-metrics.ts
@@ -6,6 +6,7 @@
     refusals: { kind: "counter", help: "Requests answered without an endpoint", labels: ["reason"] },
     sends: { kind: "counter", help: "Sends to endpoints by what became of them", labels: ["outcome"] },
     limited_sends: { kind: "counter", help: "Sends to endpoints that limit their requests", labels: ["path"] },
+    limit_permits: { kind: "counter", help: "Permits for endpoints with a limit that the leader granted" },
     first_byte: { kind: "duration", help: "Arrival to the first byte for the caller", labels: ["execution"] },
     whole_answer: { kind: "duration", help: "Arrival to the end of the answer", labels: ["execution"] },
     in_progress: { kind: "gauge", help: "Requests in progress" },
--- a/packages/cli/src/wire-ingress.ts
+++ b/packages/cli/src/wire-ingress.ts
@@ -77,7 +77,10 @@
         client,
         seeds,
         describe,
-        (answer, req, sentAt) => view.applySyncAnswer(answer, sentAt, req.permits),
+        (answer, req, sentAt) => {
+            view.applySyncAnswer(answer, sentAt, req.permits);
+            metrics.count("limit_permits", Object.values(answer.permits ?? {}).reduce((sum, count) => sum + count, 0));
+        },
         () => view.memberCount,
         clock,
         random,
--- a/packages/fleet/src/limit-permits.ts
+++ b/packages/fleet/src/limit-permits.ts
@@ -24,6 +24,15 @@
     startedAt?: number;
 }
 
+/** Inputs of a decision on the limits of endpoints. */
+export interface LimitInputs {
+    /** Number of endpoints with a limit, and the sum of their limits in requests per second. */
+    limited: number;
+    limitPerSecond: number;
+    /** Time since the last request for permits that a leader answered, in milliseconds. */
+    permitsAskedMs: number | undefined;
+}
+
 interface Permits {
     count: number;
     expiresAt: number;
@@ -126,6 +135,16 @@
         return mayBeGranted;
     }
 
+    /** Returns the inputs of a decision on the limits of endpoints, for the log. */
+    describe(endpoints: readonly LimitedEndpoint[], now: number): LimitInputs {
+        const limits = endpoints.flatMap(({ id }) => this.known.limitOf(id) ?? []);
+        return {
+            limited: limits.length,
+            limitPerSecond: limits.reduce((sum, perSecond) => sum + perSecond, 0),
+            permitsAskedMs: Number.isFinite(this.answeredAskAt) ? Math.round(now - this.answeredAskAt) : undefined,
+        };
+    }
+
     /** Returns what this ingress heard itself, as reports for the leader. */
     heardReports(now: number): Record<string, LimitReport> {
         return this.heard.reports(now);
--- a/packages/ingress/src/call-recorder.ts
+++ b/packages/ingress/src/call-recorder.ts
@@ -145,6 +145,9 @@
             running: best?.running,
             slots: best?.endpoint.slots,
             listAgeMs: Math.round(view.endpoints.ageMs(clock.now())),
+            ...reason === "endpoint-limit"
+                ? view.limits.describe(view.endpoints.readyEndpoints(dispatch.service), clock.now())
+                : {},
         });
     }
 
--- a/packages/ingress/tests/endpoint-limits.test.ts
+++ b/packages/ingress/tests/endpoint-limits.test.ts
@@ -56,6 +56,8 @@
         const refused = answers.filter(({ status }) => status === 503);
         expect(refused.length).to.equal(calls - 3);
         expect(new Set(refused.map(({ headers }) => headers["retry-after"])).size).to.be.above(3);
+        const [givenUp] = harness.log.events.filter(({ name }) => name === "request.given-up");
+        expect(givenUp?.fields).to.include({ reason: "endpoint-limit", limited: 1, limitPerSecond: 2 });
     });
 
     // Guards against callers who are refused although other endpoints of the service take their requests.
