Tell of a leaving endpoint only until the list shows it

Each sync named every endpoint that had announced its shutdown until it was gone from the list. In a fleet in which hundreds of endpoints leave at once that is work for the leading steward, whose bytes bind first (docs/CAPACITY.md), and it tells nothing that the list does not. The new test of fleet-coordinator.test.ts failed before.

--- a/packages/cli/src/wire-ingress.ts
+++ b/packages/cli/src/wire-ingress.ts
@@ -68,7 +68,7 @@
         suspects: follower.suspectedPeers,
         rosterTag: view.rosterTag,
         usage: view.usage.snapshot(),
-        leaving: view.endpoints.leavingEndpoints,
+        leaving: view.endpoints.leavingBeforeList,
         limits: view.limits.heardReports(clock.now()),
         permits: view.limits.takeDemand(view.endpoints.all, service => relay.waitingFor(service), clock.now()),
         demand: relay.takeDemand(),
--- a/packages/fleet/src/endpoint-directory.ts
+++ b/packages/fleet/src/endpoint-directory.ts
@@ -58,9 +58,10 @@
             .map(({ id }) => id);
     }
 
-    /** Endpoints that announced that they are leaving. */
-    get leavingEndpoints(): EndpointLifetime[] {
-        return [...this.leaving].map(([id, startedAt]) => ({ id, startedAt }));
+    /** Endpoints that announced that they are leaving and that the list still shows as ready. */
+    get leavingBeforeList(): EndpointLifetime[] {
+        return this.endpoints.filter(({ id, ready }) => ready && this.leaving.has(id))
+            .map(({ id, startedAt }) => ({ id, startedAt }));
     }
 
     /** Replaces the list with one read at the instant `readAt`; a list older than the current one is ignored. */
--- a/packages/ingress/src/fleet-messages.ts
+++ b/packages/ingress/src/fleet-messages.ts
@@ -36,7 +36,7 @@
     rosterTag: z.number(),
     /** Number of started requests, by usage window and workspace. */
     usage: z.record(z.string(), z.record(z.string(), z.number())),
-    /** Endpoints that are known to the sender as leaving. */
+    /** Endpoints that the sender knows to be leaving and that its list still shows as ready. */
     leaving: z.array(endpointLifetimeSchema).default([]),
     /** Limits that endpoints named or lifted in answers to the sender. */
     limits: limitReportsSchema.default({}),
@@ -87,7 +87,7 @@
     trueMs: z.number().optional(),
     /** Prefill speed of the engines of each service as measured by the fleet, in prompt tokens per millisecond. */
     engineRates: z.record(z.string(), z.number()).optional(),
-    /** Endpoints that announced to any ingress that they are leaving. */
+    /** Endpoints that announced to any ingress that they are leaving and that the list still shows as ready. */
     leaving: z.array(endpointLifetimeSchema).optional(),
     /** Newest statement of each endpoint that has named a limit. */
     limits: limitReportsSchema.optional(),
--- a/packages/steward/src/fleet-coordinator.ts
+++ b/packages/steward/src/fleet-coordinator.ts
@@ -112,7 +112,7 @@
             members: overview.members,
             silent: overview.silent,
             trueMs: this.medianClock.timeOfDayMs(now),
-            leaving: this.directory.leavingEndpoints,
+            leaving: this.directory.leavingBeforeList,
             limits: this.limits.statements.reports(now),
             permits: Object.fromEntries(
                 Object.entries(req.permits).map(([id, demand]) => [id, this.limits.grant(id, demand, overview, now)]),
--- a/packages/steward/tests/fleet-coordinator.test.ts
+++ b/packages/steward/tests/fleet-coordinator.test.ts
@@ -74,6 +74,14 @@
         expect(coordinator.sync(syncRequest("b")).leaving).to.deep.equal([]);
     });
 
+    // Guards against syncs that grow with every endpoint that leaves, although the list tells the same.
+    it("stops to tell that an endpoint leaves once the list shows it", () => {
+        const { coordinator } = start();
+        coordinator.sync(syncRequest("a", { leaving: [{ id: "e", startedAt: 5 }] }));
+        coordinator.updateEndpointList([{ ...endpoint, ready: false }], 11_000, 2);
+        expect(coordinator.sync(syncRequest("b")).leaving).to.deep.equal([]);
+    });
+
     // Guards against a limit of an earlier lifetime that a slow ingress still reports, and against permits without a limit.
     it("ignores limits of other lifetimes of an endpoint and forgets them when it restarts", () => {
         const { clock, coordinator } = start();
