--- a/packages/fleet/src/limit-allocator.ts
+++ b/packages/fleet/src/limit-allocator.ts
@@ -1,4 +1,5 @@
 import { CapBucket } from "./cap-bucket.ts";
+import type { EndpointLifetime } from "./endpoint-directory.ts";
 import type { PermitDemand } from "./limit-permits.ts";
 import { LimitRegister, permittedRate } from "./limit-register.ts";
 
@@ -42,7 +43,7 @@
     }
 
     /** Drops what is known of endpoints that are gone or have restarted. */
-    retain(endpoints: readonly { id: string; startedAt?: number; }[]): void {
+    retain(endpoints: readonly EndpointLifetime[]): void {
         this.statements.retain(endpoints).forEach(id => this.buckets.delete(id));
     }
 }
--- a/packages/fleet/src/limit-permits.ts
+++ b/packages/fleet/src/limit-permits.ts
@@ -1,3 +1,5 @@
+import { z } from "zod";
+import type { Endpoint } from "./endpoint-directory.ts";
 import { type LimitChange, LimitRegister, type LimitReport, permittedRate } from "./limit-register.ts";
 import { LimitTurns, type TurnShare } from "./limit-turns.ts";
 import { leaderContactTimeoutMs } from "./sync-timing.ts";
@@ -13,16 +15,11 @@
 const withdrawalMarginMs = 250;
 
 /** Permits that an ingress asks for at one endpoint, and those that it holds. */
-export interface PermitDemand {
-    wanted: number;
-    held: number;
-}
+export const permitDemandSchema = z.object({ wanted: z.int().nonnegative(), held: z.int().nonnegative() });
+export type PermitDemand = z.infer<typeof permitDemandSchema>;
 
-export interface LimitedEndpoint {
-    id: string;
-    service: string;
-    startedAt?: number;
-}
+/** The fields of an endpoint that its limit depends on. */
+export type LimitedEndpoint = Pick<Endpoint, "id" | "service" | "startedAt">;
 
 /** Inputs of a decision on the limits of endpoints. */
 export interface LimitInputs {
--- a/packages/fleet/src/limit-register.ts
+++ b/packages/fleet/src/limit-register.ts
@@ -1,3 +1,6 @@
+import { z } from "zod";
+import type { EndpointLifetime } from "./endpoint-directory.ts";
+
 /**
  * Rate at which an endpoint with a lower limit is still asked, in requests per second; only an answer can tell that the
  * limit has ended.
@@ -22,12 +25,14 @@
 }
 
 /** A statement as it travels between processes. */
-export interface LimitReport {
-    perSecond?: number;
-    startedAt?: number;
+export const limitReportSchema = z.object({
+    /** Requests per second that the endpoint takes from all ingresses; absent if it has lifted its limit. */
+    perSecond: z.number().nonnegative().optional(),
+    startedAt: z.number().optional(),
     /** Age of the statement when the message was sent, in milliseconds. */
-    ageMs: number;
-}
+    ageMs: z.number(),
+});
+export type LimitReport = z.infer<typeof limitReportSchema>;
 
 /** A limit that a report has changed. */
 export interface LimitChange {
@@ -82,7 +87,7 @@
      * Drops the statements of endpoints that `endpoints` does not contain in the lifetime that made them, and returns
      * their ids.
      */
-    retain(endpoints: readonly { id: string; startedAt?: number; }[]): string[] {
+    retain(endpoints: readonly EndpointLifetime[]): string[] {
         const startTimes = new Map(endpoints.map(({ id, startedAt }) => [id, startedAt]));
         const dropped = [...this.statements]
             .filter(([id, { startedAt }]) => !startTimes.has(id) || startTimes.get(id) !== startedAt)
--- a/packages/ingress/src/fleet-messages.ts
+++ b/packages/ingress/src/fleet-messages.ts
@@ -1,17 +1,15 @@
-import { endpointLifetimeSchema, endpointListSchema, ingressDescriptionSchema } from "@lentilramp/fleet";
+import {
+    endpointLifetimeSchema,
+    endpointListSchema,
+    ingressDescriptionSchema,
+    limitReportSchema,
+    permitDemandSchema,
+} from "@lentilramp/fleet";
 import { z } from "zod";
 
 const loadSchema = z.object({ running: z.number(), unreadTokens: z.number() });
-/** Statements of endpoints about their limits, by endpoint, with their ages at the time of the message. */
-const limitReportsSchema = z.record(
-    z.string(),
-    z.object({
-        /** Requests per second that the endpoint takes from all ingresses; absent if it has lifted its limit. */
-        perSecond: z.number().nonnegative().optional(),
-        startedAt: z.number().optional(),
-        ageMs: z.number(),
-    }),
-);
+/** Statements of endpoints about their limits, by endpoint. */
+const limitReportsSchema = z.record(z.string(), limitReportSchema);
 const addressSchema = z.object({ host: z.string(), port: z.int() });
 
 /** Request of an ingress to the leading steward with the RPC method `fleet.sync`. */
@@ -41,10 +39,7 @@
     /** Limits that endpoints named or lifted in answers to the sender. */
     limits: limitReportsSchema.default({}),
     /** Permits that the sender wants and holds for limited endpoints. */
-    permits: z.record(
-        z.string(),
-        z.object({ wanted: z.int().nonnegative(), held: z.int().nonnegative() }),
-    ).default({}),
+    permits: z.record(z.string(), permitDemandSchema).default({}),
     /**
      * Work that arrived for each engine service since the last sync, including refused requests: prompt tokens that
      * are not in an engine's cache, all prompt tokens, and the time for which the requests would occupy slots, in
