Let the soak notice processes that end by themselves, and end after that

Soak seed 26 did not end beside other load: SIGHUP met an ingress that had been started 0.46 s before and had no handler yet, so that its default action ended it (the log has no second process.start). The harness then waited for the exit of a process that had already ended.

The harness now records ends that nobody asked for, the soak starts such a process again after SIGHUP, as the platform does, and reports every other one as a broken promise; until now it would not have noticed a process that crashed.

--- a/packages/cli/tests/fleet-harness.ts
+++ b/packages/cli/tests/fleet-harness.ts
@@ -134,6 +134,8 @@
     private readonly running = new Map<string, ChildProcess>();
     private readonly ending = new Set<string>();
     private started = false;
+    /** Processes that ended without being told to. */
+    readonly unexpectedExits: { host: string; code: number | null; signal: NodeJS.Signals | null; }[] = [];
 
     constructor(private readonly cloudAddress: string, stewards: number, ingresses: number) {
         const net = `127.${1 + process.pid % 250}`;
@@ -198,6 +200,12 @@
             },
         );
         this.running.set(host, child);
+        child.once("exit", (code, signal) => {
+            if (this.runs(host) && this.running.get(host) === child) {
+                this.running.delete(host);
+                this.unexpectedExits.push({ host, code, signal });
+            }
+        });
     }
 
     /** Whether a process runs at a host that was not told to end. */
--- a/packages/cli/tests/soak/soak-run.ts
+++ b/packages/cli/tests/soak/soak-run.ts
@@ -22,6 +22,8 @@
     acknowledged: number;
 }
 
+/** Time after which the platform starts a process again that has ended, in milliseconds. */
+const restartMs = 300;
 const endpointsPerService = 3;
 const callers = 6;
 const patienceMs = 1_500;
@@ -140,6 +142,8 @@
             ...brokenPromises(this.calls, this.runs),
             ...brokenDuties(duties),
             ...brokenLimits(this.limits, this.arrivals),
+            ...fleet.unexpectedExits.filter(({ signal }) => signal !== "SIGHUP")
+                .map(({ host, code, signal }) => `ended by itself: ${host} code=${code} signal=${signal}`),
             ...this.cutByPlannedStops(),
         );
         return {
@@ -189,6 +193,11 @@
                 return;
             case "reload":
                 fleet.signal(host, "SIGHUP");
+                await sleep(restartMs);
+                // SIGHUP ends a process that is still starting; the platform starts it again.
+                if (fleet.unexpectedExits.at(-1)?.host === host && !fleet.runs(host)) {
+                    fleet.run(host);
+                }
                 return;
             case "pause":
                 fleet.signal(host, "SIGSTOP");
--- a/packages/cli/tests/soak/soak.test.ts
+++ b/packages/cli/tests/soak/soak.test.ts
@@ -1,5 +1,5 @@
 import { expect } from "chai";
-import { FleetProcesses } from "../fleet-harness.ts";
+import { FleetProcesses, until } from "../fleet-harness.ts";
 import { brokenLimits } from "./limits.ts";
 import { brokenDuties, brokenPromises, type CallSeen } from "./promises.ts";
 import { schedule } from "./schedule.ts";
@@ -82,6 +82,24 @@
         }
     });
 
+    // With seed 26 on a loaded machine, SIGHUP met a process that was starting and ended it, and the run did not end.
+    it("notices a process that ended by itself, and can still be told to end it", async function() {
+        this.timeout(20_000);
+        const fleet = new FleetProcesses("127.0.0.1:9", 1, 0);
+        try {
+            await fleet.start();
+            const [host = ""] = fleet.stewards;
+            fleet.signal(host, "SIGHUP");
+            await until("the process has ended", async () => !fleet.runs(host));
+            expect(fleet.unexpectedExits.map(({ signal }) => signal)).to.deep.equal(["SIGHUP"]);
+            fleet.run(host);
+            expect(fleet.runs(host)).to.equal(true);
+        }
+        finally {
+            await fleet.close();
+        }
+    });
+
     for (const seed of [1, ...failedSeeds]) {
         it(`keeps every promise under the faults of seed ${seed}`, async function() {
             this.timeout(90_000);
