--- a/packages/cli/tests/soak/soak.test.ts
+++ b/packages/cli/tests/soak/soak.test.ts
@@ -6,8 +6,11 @@
 import { type Run, wholeBody } from "./soak-endpoint.ts";
 import { soak } from "./soak-run.ts";
 
-/** Seeds that once failed, with a line on the cause each; none has so far. */
-const failedSeeds: readonly number[] = [];
+/** Seeds that once failed, with a line on the cause each. */
+const failedSeeds: readonly number[] = [
+    // SIGHUP ended an ingress that was still starting, and the harness waited for it.
+    26,
+];
 
 describe("fault soak", () => {
     const call: CallSeen = {
