Let a limit of the soak end without ending the next one of its endpoint

The logs show that the endpoint did not name it: the limit before (3.8) was lifted at all ingresses, and none of them logged a limit of 0.5, which each logs with the first such answer. The two limits are 111 ms apart in the schedule; the first one ended later than that, and its end cleared the header that the second one had just set, while the check went on to expect it.

Check and bound are unchanged.

--- a/packages/cli/tests/endpoint-limit.test.ts
+++ b/packages/cli/tests/endpoint-limit.test.ts
@@ -79,7 +79,7 @@
     before(async () => {
         await endpoint.start();
         fleet = await startConfiguredFleet(await platform.start(), { stewards: 3, ingresses: 3, configuration });
-        endpoint.limit = String(limitPerSecond);
+        endpoint.nameLimit(String(limitPerSecond));
         const from = Date.now();
         limit = { endpoint: endpoint.id, perSecond: limitPerSecond, from, until: from + limitMs };
         await Promise.all(Array.from({ length: callers }, async (...[, caller]) => {
--- a/packages/cli/tests/soak/soak-endpoint.ts
+++ b/packages/cli/tests/soak/soak-endpoint.ts
@@ -25,8 +25,7 @@
 
 /** An endpoint that records what it runs and answers with what belongs to the request. */
 export class SoakEndpoint {
-    /** Value of the limit that all answers name; undefined for answers that name none. */
-    limit: string | undefined;
+    private naming: { value: string; } | undefined;
     private readonly server: Server = createServer((req, res) => void this.handle(req, res));
 
     constructor(
@@ -36,6 +35,17 @@
         private readonly arrivals: Arrival[],
     ) {}
 
+    /** Names a limit in all answers; returns a function that ends this, unless another limit is named by then. */
+    nameLimit(value: string): () => void {
+        const naming = { value };
+        this.naming = naming;
+        return () => {
+            if (this.naming === naming) {
+                this.naming = undefined;
+            }
+        };
+    }
+
     get port(): number {
         return (this.server.address() as AddressInfo).port;
     }
@@ -52,8 +62,8 @@
     private async handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
         this.arrivals.push({ at: Date.now(), endpoint: this.id });
         const id = String(req.headers["x-attempt-id"]);
-        if (this.limit !== undefined) {
-            res.setHeader("server-limit", this.limit);
+        if (this.naming !== undefined) {
+            res.setHeader("server-limit", this.naming.value);
         }
         let body = "";
         try {
--- a/packages/cli/tests/soak/soak-run.ts
+++ b/packages/cli/tests/soak/soak-run.ts
@@ -222,9 +222,9 @@
             return;
         }
         const from = Date.now();
-        endpoint.limit = value;
+        const stopNaming = endpoint.nameLimit(value);
         await sleep(forMs);
-        endpoint.limit = undefined;
+        stopNaming();
         const perSecond = /^[\d.]+$/.test(value) ? Number(value) : NaN;
         if (Number.isFinite(perSecond)) {
             this.limits.push({ endpoint: endpoint.id, perSecond, from, until: Date.now() });
--- a/packages/cli/tests/soak/soak.test.ts
+++ b/packages/cli/tests/soak/soak.test.ts
@@ -1,15 +1,17 @@
 import { expect } from "chai";
-import { FleetProcesses, until } from "../fleet-harness.ts";
+import { exchange, FleetProcesses, until } from "../fleet-harness.ts";
 import { brokenLimits } from "./limits.ts";
 import { brokenDuties, brokenPromises, type CallSeen } from "./promises.ts";
 import { schedule } from "./schedule.ts";
-import { type Run, wholeBody } from "./soak-endpoint.ts";
+import { type Run, SoakEndpoint, wholeBody } from "./soak-endpoint.ts";
 import { soak } from "./soak-run.ts";
 
 /** Seeds that once failed, with a line on the cause each. */
 const failedSeeds: readonly number[] = [
     // SIGHUP ended an ingress that was still starting, and the harness waited for it.
     26,
+    // The end of one limit of an endpoint came late and ended the next one, which the check still expected.
+    49,
 ];
 
 describe("fault soak", () => {
@@ -67,6 +69,25 @@
         expect(brokenLimits([limit], [...arrivals(50, 1_200), ...arrivals(9, 5_000)])).to.deep.equal([]);
     });
 
+    // With seed 49 on a loaded machine, the late end of one limit ended the next one, which the check still expected.
+    it("names a limit until its own end, also when the one before ends late", async () => {
+        const endpoint = new SoakEndpoint("e", "app", [], []);
+        await endpoint.start();
+        try {
+            const named = async (): Promise<unknown> =>
+                (await exchange("127.0.0.1", endpoint.port, "/safe/x")).headers["server-limit"];
+            const stopFirst = endpoint.nameLimit("3.8");
+            const stopSecond = endpoint.nameLimit("0.5");
+            stopFirst();
+            expect(await named()).to.equal("0.5");
+            stopSecond();
+            expect(await named()).to.equal(undefined);
+        }
+        finally {
+            endpoint.close();
+        }
+    });
+
     // With seed 8 a stop met a paused process; it was forgotten, never resumed, and the run did not end.
     it("can still resume a paused process that was told to end", async function() {
         this.timeout(20_000);
