--- /dev/null
+++ b/packages/steward/tests/steward-group.ts
@@ -0,0 +1,140 @@
+import { foundingState, joiningState, type Message } from "@lentilramp/agreement";
+import {
+    AgreementDriver,
+    AgreementStorage,
+    type AgreementTransport,
+    encodeMemberAddress,
+    JoinRequester,
+    MembershipRepair,
+} from "@lentilramp/control";
+import { DataFolder } from "@lentilramp/journal";
+import type { RpcClient } from "@lentilramp/protocol";
+import { ManualClock, MemoryEventLog, SeededRandom } from "@lentilramp/runtime";
+import { MemberRetirement, stewardAddress, StewardState } from "@lentilramp/steward";
+import { FaultyFiles } from "../../journal/tests/faulty-files.ts";
+
+const port = 7_000;
+const linkDelayMs = 5;
+const stepMs = 5;
+const timing = { heartbeatMs: 100, electionTimeoutMinMs: 450, electionTimeoutMaxMs: 900, leaseMs: 0 };
+
+/** One steward of a simulated group, without its servers. */
+export interface SimulatedSteward {
+    readonly host: string;
+    readonly driver: AgreementDriver;
+    readonly state: StewardState;
+    readonly log: MemoryEventLog;
+}
+
+/** Stewards on a manual clock, with the parts that decide on the membership and a network that can be cut. */
+export class StewardGroup {
+    readonly clock = new ManualClock(1_000);
+    readonly stewards: SimulatedSteward[] = [];
+    /** Hosts that are cut off from all others. */
+    readonly cutOff = new Set<string>();
+    private readonly inboxes = new Map<string, (sender: string, message: Message) => void>();
+    private readonly joins = new Map<string, MembershipRepair>();
+
+    /** Starts `founders` stewards that found the group, and `joiners` that join it. */
+    async start(seed: number, founders: number, joiners: number, toleratedLosses: number): Promise<void> {
+        const hosts = Array.from({ length: founders + joiners }, (...[, i]) => `10.0.0.${i + 1}`);
+        for (const [i, host] of hosts.entries()) {
+            await this.add(host, i < founders ? hosts.slice(0, founders) : [], seed * 100 + i, toleratedLosses, hosts);
+        }
+    }
+
+    /** Lets `ms` milliseconds pass. */
+    async run(ms: number): Promise<void> {
+        const end = this.clock.now() + ms;
+        while (this.clock.now() < end) {
+            this.clock.advanceTo(this.clock.now() + stepMs);
+            await new Promise(resolve => setImmediate(resolve));
+        }
+    }
+
+    get leader(): SimulatedSteward | undefined {
+        return this.stewards.find(({ host, state }) => state.isLeader && !this.cutOff.has(host));
+    }
+
+    /** Stores a catalog through the leader and waits until it is committed. */
+    async storeCatalog(version: number): Promise<void> {
+        const { leader } = this;
+        if (leader === undefined) {
+            throw new Error("no steward leads");
+        }
+        const stored = leader.driver.propose(JSON.stringify({ type: "catalog", version, text: `catalog ${version}` }));
+        await this.run(100);
+        await stored;
+    }
+
+    private connected(from: string, to: string): boolean {
+        return from === to || !this.cutOff.has(from) && !this.cutOff.has(to);
+    }
+
+    private async add(
+        host: string,
+        founders: readonly string[],
+        seed: number,
+        toleratedLosses: number,
+        hosts: readonly string[],
+    ): Promise<void> {
+        const { clock } = this;
+        const own = stewardAddress(host, port);
+        const id = founders.length > 0 ? `founder@${host}` : `folder-${host}`;
+        const members = founders.map(name => ({
+            id: `founder@${name}`,
+            address: encodeMemberAddress(stewardAddress(name, port)),
+        }));
+        const folder = await DataFolder.open(new FaultyFiles(), "/data", "single-process");
+        const initial = founders.length > 0 ? foundingState(members) : joiningState();
+        const storage = await AgreementStorage.open(folder, initial);
+        const log = new MemoryEventLog();
+        const state = new StewardState(() => undefined, () => undefined);
+        const addresses = new Map<string, string>();
+        const transport: AgreementTransport = {
+            send: (message, membership) => {
+                const member = membership.members.find(other => other.id === message.to);
+                const to = member === undefined
+                    ? addresses.get(message.to)
+                    : (JSON.parse(member.address) as { host: string; }).host;
+                if (to !== undefined) {
+                    clock.schedule(clock.now() + linkDelayMs, () => {
+                        if (this.connected(host, to)) {
+                            this.inboxes.get(to)?.(host, message);
+                        }
+                    });
+                }
+            },
+        };
+        const driver = new AgreementDriver(id, storage, state, transport, clock, new SeededRandom(seed), log, timing);
+        const repair = new MembershipRepair(driver, () => true, clock, log);
+        const retirement = new MemberRetirement(driver, 2 * toleratedLosses + 1, clock, log);
+        this.inboxes.set(host, (sender, message) => {
+            addresses.set(message.from, sender);
+            retirement.recordContact(message.from);
+            driver.receive(message);
+        });
+        this.joins.set(host, repair);
+        const client = {
+            call: async (
+                peer: { host: string; },
+                ...[, req]: [string, Parameters<MembershipRepair["requestJoin"]>[0]]
+            ) => {
+                if (this.connected(host, peer.host)) {
+                    this.joins.get(peer.host)?.requestJoin(req);
+                }
+            },
+        } as unknown as RpcClient;
+        const joining = new JoinRequester(
+            driver,
+            own,
+            () => hosts.map(peer => stewardAddress(peer, port)),
+            client,
+            clock,
+        );
+        for (const part of [driver, repair, retirement, joining]) {
+            await part.start();
+        }
+        this.stewards.push({ host, driver, state, log });
+    }
+}
