Let a steward that was away return to its group

What users saw: after a cut or a stop of more than six seconds, a steward of a group of six never took part again. Cause: the leader removed a silent voter. A removed identity cannot return, and a member that was away does not hear of its removal, so that it does not ask to join. Groups of 2f + 1 remove nobody, which is why three stewards never showed it. Change: a silent voter is demoted to a learner. The leader goes on replicating to it, and promotes it when it holds all committed entries and answers. Learners that are away no longer hold up the promotion of others, and syncs no longer name them.

--- a/packages/agreement/src/membership.ts
+++ b/packages/agreement/src/membership.ts
@@ -40,6 +40,13 @@
             }
             return { members: members.map(m => m.id === change.id ? { ...m, voter: true } : m), retired };
         }
+        case "demote": {
+            const demoted = members.map(m => m.id === change.id ? { ...m, voter: false } : m);
+            if (!isVoter(membership, change.id) || !demoted.some(member => member.voter)) {
+                return "invalid-change";
+            }
+            return { members: demoted, retired };
+        }
         case "remove": {
             const rest = members.filter(member => member.id !== change.id);
             if (rest.length === members.length || !rest.some(member => member.voter)) {
--- a/packages/agreement/src/proposals.ts
+++ b/packages/agreement/src/proposals.ts
@@ -2,7 +2,7 @@
 import { changeMembership, isMember } from "./membership.ts";
 import { appendAsLeader } from "./roles.ts";
 import type { StepContext } from "./step-context.ts";
-import type { EntryContent, MembershipChange, RefusalReason } from "./types.ts";
+import type { EntryContent, MembershipChange, NodeId, RefusalReason } from "./types.ts";
 
 function proposalRefusal(ctx: StepContext): RefusalReason | undefined {
     const { state, options } = ctx;
@@ -60,10 +60,16 @@
     if (state.lostMembers.length > 0 && !(change.kind === "remove" && state.lostMembers.includes(change.id))) {
         return "remove-lost-first";
     }
-    if (change.kind === "remove" && change.id === ctx.id) {
+    if ((change.kind === "remove" || change.kind === "demote") && change.id === ctx.id) {
         // A leader that is not a voter would complicate the quorums, so it must first hand over the leadership.
         return "invalid-change";
     }
-    const matchIndex = state.peers.get(change.id)?.matchIndex ?? 0;
-    return change.kind === "promote" && matchIndex < state.commitIndex ? "not-caught-up" : undefined;
+    return change.kind === "promote" && !isCaughtUp(ctx, change.id) ? "not-caught-up" : undefined;
+}
+
+/** Whether a member holds all committed entries and still answers. A silent one would lower the tolerated losses. */
+function isCaughtUp({ state, now, options }: StepContext, id: NodeId): boolean {
+    const peer = state.peers.get(id);
+    return peer !== undefined && peer.matchIndex >= state.commitIndex
+        && now - peer.lastReplyAt < options.electionTimeoutMinMs;
 }
--- a/packages/agreement/src/types.ts
+++ b/packages/agreement/src/types.ts
@@ -60,6 +60,8 @@
         readonly replaces?: NodeId;
     }
     | { readonly kind: "promote"; readonly id: NodeId; }
+    /** Takes the vote of a member, which remains as a learner. */
+    | { readonly kind: "demote"; readonly id: NodeId; }
     | { readonly kind: "remove"; readonly id: NodeId; };
 
 export type Input =
--- a/packages/control/src/membership-repair.ts
+++ b/packages/control/src/membership-repair.ts
@@ -1,4 +1,4 @@
-import type { Member, NodeId } from "@lentilramp/agreement";
+import type { NodeId } from "@lentilramp/agreement";
 import { type Clock, type EventLog, PeriodicComponent } from "@lentilramp/runtime";
 import type { AgreementDriver } from "./agreement-driver.ts";
 import { decodeMemberAddress, encodeMemberAddress, type MemberAddress } from "./member-address.ts";
@@ -82,10 +82,16 @@
         this.log.info("control.member-added", { name: address.name, identity });
     }
 
+    /** Promotes the learners that have caught up. One that is away must not hold up the others. */
     private async promoteLearners(): Promise<void> {
-        const learner: Member | undefined = this.driver.status.membership.members.find(member => !member.voter);
-        if (learner !== undefined) {
-            await this.driver.changeMembership({ kind: "promote", id: learner.id });
+        for (const learner of this.driver.status.membership.members.filter(member => !member.voter)) {
+            try {
+                await this.driver.changeMembership({ kind: "promote", id: learner.id });
+            }
+            catch (err) {
+                this.onFailure(err);
+                continue;
+            }
             this.log.info("control.member-promoted", { name: decodeMemberAddress(learner).name, identity: learner.id });
         }
     }
--- a/packages/model-check/src/catalogue.ts
+++ b/packages/model-check/src/catalogue.ts
@@ -95,6 +95,16 @@
         ],
         budget: { ...noBudget, campaigns: 1, changes: 3 },
     },
+    {
+        ...base,
+        name: "demotion",
+        prefix: [...election("a", "b"), "lose messages"],
+        changes: [
+            { kind: "demote", id: "c" },
+            { kind: "promote", id: "c" },
+        ],
+        budget: { ...noBudget, campaigns: 1, changes: 2 },
+    },
     {
         ...base,
         name: "snapshots",
--- a/packages/steward/src/steward-methods.ts
+++ b/packages/steward/src/steward-methods.ts
@@ -71,7 +71,7 @@
         const { membership } = core.driver.status;
         const newestCatalog = state.catalog;
         const common = {
-            stewards: membership.members.map(member => {
+            stewards: membership.members.filter(({ voter }) => voter).map(member => {
                 const { host, port } = decodeMemberAddress(member);
                 return { host, port };
             }),
--- a/packages/steward/tests/steward-group.ts
+++ b/packages/steward/tests/steward-group.ts
@@ -56,6 +56,11 @@
         return this.stewards.find(({ host, state }) => state.isLeader && !this.cutOff.has(host));
     }
 
+    /** Number of voters as the leader knows them. */
+    get voters(): number {
+        return this.leader?.driver.status.membership.members.filter(({ voter }) => voter).length ?? 0;
+    }
+
     /** Stores a catalog through the leader and waits until it is committed. */
     async storeCatalog(version: number): Promise<void> {
         const { leader } = this;
