--- a/packages/cli/src/wire-ingress.ts
+++ b/packages/cli/src/wire-ingress.ts
@@ -94,6 +94,7 @@
         metrics.gauge("endpoints_limited", view.limits.limitedEndpoints);
         metrics.gauge("list_age", view.endpoints.ageMs(clock.now()) / 1_000);
         metrics.gauge("sync_age", (clock.now() - link.answeredAt) / 1_000);
+        metrics.gauge("sync_delay", link.startDelayMs / 1_000);
         metrics.gauge("members", view.memberCount);
     });
     const inner = new HttpServer({ ...options.inner, ...defaultHttpServerOptions }, log);
--- a/packages/ingress/src/fleet-sync.ts
+++ b/packages/ingress/src/fleet-sync.ts
@@ -24,6 +24,8 @@
     private connected: boolean | undefined;
     private lastAnswerAt: number;
     private lastSentAt = -Infinity;
+    private plannedAt: number | undefined;
+    private lateMs = 0;
     /** Whether the next sync is wanted before its usual time. */
     private isEarlyWanted = false;
 
@@ -48,6 +50,11 @@
         return this.lastAnswerAt;
     }
 
+    /** Time by which the last sync started after its planned instant, in milliseconds; long when the process is busy. */
+    get startDelayMs(): number {
+        return this.lateMs;
+    }
+
     /** Asks for a sync before its usual time. */
     requestSync(): void {
         if (!this.isEarlyWanted) {
@@ -57,6 +64,12 @@
     }
 
     protected override nextDelayMs(): number {
+        const delayMs = this.delayToNextMs();
+        this.plannedAt = this.clock.now() + delayMs;
+        return delayMs;
+    }
+
+    private delayToNextMs(): number {
         if (this.lastSyncFailed) {
             return failurePauseMs;
         }
@@ -73,6 +86,7 @@
             return;
         }
         const sentAt = this.clock.now();
+        this.lateMs = Math.max(0, sentAt - (this.plannedAt ?? sentAt));
         this.lastSentAt = sentAt;
         this.isEarlyWanted = false;
         const req = this.buildRequest(sentAt - this.lastAnswerAt);
--- a/packages/ingress/src/fleet-view.ts
+++ b/packages/ingress/src/fleet-view.ts
@@ -104,7 +104,7 @@
     /** Applies the answer to a sync that was sent at `sentAt` and asked for the permits `wanted`. */
     applySyncAnswer(answer: SyncAnswer, sentAt: number, wanted: SyncRequest["permits"] = {}): void {
         if (answer.catalog !== undefined) {
-            this.applyCatalog(answer.catalog.version, answer.catalog.text);
+            this.applyCatalog(answer.catalog.version, answer.catalog.text, answer.leading);
         }
         // A steward that does not lead returns the last replicated count, which is older than a leader's.
         if (answer.members > 0 && (answer.leading || !this.syncedWithLeader)) {
@@ -165,7 +165,7 @@
         }
     }
 
-    private applyCatalog(version: number, text: string): void {
+    private applyCatalog(version: number, text: string, fromLeader: boolean): void {
         if (this.catalog !== undefined && version <= this.catalog.version) {
             return;
         }
@@ -182,6 +182,7 @@
             version,
             routes: decoded.value.routes.length,
             workspaces: decoded.value.workspaces.length,
+            source: fromLeader ? "leader" : "follower",
         });
     }
 }
