Hand out no catalog that may be outdated

What users saw: an ingress that started after all processes had been killed put version 3 in force while 39 had been confirmed, 69 s older, and accepted the routes and keys of then for up to 0.5 s. Cause: every steward answered syncs with its own copy, also one that had heard of no leader since it started or was cut off. The class of fault: a process that cannot know the newest state passes on what it has. Change: StewardState knows whether it has applied an entry of the present term without losing its leader since; only then it hands out the catalog.

--- a/packages/steward/src/steward-methods.ts
+++ b/packages/steward/src/steward-methods.ts
@@ -69,7 +69,8 @@
     );
     server.method("fleet.sync", syncRequestSchema, async (req): Promise<SyncAnswer> => {
         const { membership } = core.driver.status;
-        const newestCatalog = state.catalog;
+        // A copy that may be outdated is not handed out: an ingress that starts would put withdrawn keys in force again.
+        const newestCatalog = state.isCurrent ? state.catalog : undefined;
         const common = {
             stewards: membership.members.filter(({ voter }) => voter).map(member => {
                 const { host, port } = decodeMemberAddress(member);
--- a/packages/steward/src/steward-state.ts
+++ b/packages/steward/src/steward-state.ts
@@ -60,6 +60,8 @@
     };
     private role: Role = "follower";
     private term = 0;
+    /** Term of the last entry that was applied while this member followed or led without interruption. */
+    private appliedTerm: number | undefined;
 
     constructor(
         private readonly onLeadership: (isLeader: boolean, term: number) => void,
@@ -90,6 +92,14 @@
         return this.role === "leader";
     }
 
+    /**
+     * Whether this member is known to have applied everything that was committed before its leader's term, and has been
+     * in contact with that leader since. After a restart or a partition it may lack changes that were confirmed.
+     */
+    get isCurrent(): boolean {
+        return this.appliedTerm === this.term;
+    }
+
     get currentTerm(): number {
         return this.term;
     }
@@ -150,11 +160,14 @@
     }
 
     onEntryApplied(entry: Entry): void {
-        void entry;
+        this.appliedTerm = this.role === "leader" || this.role === "follower" ? entry.term : undefined;
     }
 
     onRole(role: Role, term: number): void {
         const led = this.isLeader;
+        if (term !== this.term || role !== "leader" && role !== "follower") {
+            this.appliedTerm = undefined;
+        }
         this.role = role;
         this.term = term;
         if (led !== this.isLeader || this.isLeader) {
--- a/packages/steward/tests/steward-group.ts
+++ b/packages/steward/tests/steward-group.ts
@@ -24,6 +24,7 @@
     readonly driver: AgreementDriver;
     readonly state: StewardState;
     readonly log: MemoryEventLog;
+    readonly stop: () => Promise<void>;
 }
 
 /** Stewards on a manual clock, with the parts that decide on the membership and a network that can be cut. */
@@ -34,15 +35,29 @@
     readonly cutOff = new Set<string>();
     private readonly inboxes = new Map<string, (sender: string, message: Message) => void>();
     private readonly joins = new Map<string, MembershipRepair>();
+    private readonly files = new Map<string, FaultyFiles>();
+    private setup: { hosts: readonly string[]; founders: readonly string[]; toleratedLosses: number; } = {
+        hosts: [],
+        founders: [],
+        toleratedLosses: 1,
+    };
 
     /** Starts `founders` stewards that found the group, and `joiners` that join it. */
     async start(seed: number, founders: number, joiners: number, toleratedLosses: number): Promise<void> {
         const hosts = Array.from({ length: founders + joiners }, (...[, i]) => `10.0.0.${i + 1}`);
+        this.setup = { hosts, founders: hosts.slice(0, founders), toleratedLosses };
         for (const [i, host] of hosts.entries()) {
-            await this.add(host, i < founders ? hosts.slice(0, founders) : [], seed * 100 + i, toleratedLosses, hosts);
+            await this.add(host, seed * 100 + i);
         }
     }
 
+    /** Stops a steward and starts it again with its disk. */
+    async restart(steward: SimulatedSteward): Promise<SimulatedSteward> {
+        this.stewards.splice(this.stewards.indexOf(steward), 1);
+        await steward.stop();
+        return await this.add(steward.host, 1);
+    }
+
     /** Lets `ms` milliseconds pass. */
     async run(ms: number): Promise<void> {
         const end = this.clock.now() + ms;
@@ -76,13 +91,9 @@
         return from === to || !this.cutOff.has(from) && !this.cutOff.has(to);
     }
 
-    private async add(
-        host: string,
-        founders: readonly string[],
-        seed: number,
-        toleratedLosses: number,
-        hosts: readonly string[],
-    ): Promise<void> {
+    private async add(host: string, seed: number): Promise<SimulatedSteward> {
+        const { hosts, toleratedLosses } = this.setup;
+        const founders = this.setup.founders.includes(host) ? this.setup.founders : [];
         const { clock } = this;
         const own = stewardAddress(host, port);
         const id = founders.length > 0 ? `founder@${host}` : `folder-${host}`;
@@ -90,7 +101,9 @@
             id: `founder@${name}`,
             address: encodeMemberAddress(stewardAddress(name, port)),
         }));
-        const folder = await DataFolder.open(new FaultyFiles(), "/data", "single-process");
+        const files = this.files.get(host) ?? new FaultyFiles();
+        this.files.set(host, files);
+        const folder = await DataFolder.open(files, "/data", "single-process");
         const initial = founders.length > 0 ? foundingState(members) : joiningState();
         const storage = await AgreementStorage.open(folder, initial);
         const log = new MemoryEventLog();
@@ -140,6 +153,16 @@
         for (const part of [driver, repair, retirement, joining]) {
             await part.start();
         }
-        this.stewards.push({ host, driver, state, log });
+        const steward = {
+            host,
+            driver,
+            state,
+            log,
+            stop: async () => {
+                await Promise.all([driver, repair, retirement, joining].map(part => part.close()));
+            },
+        };
+        this.stewards.push(steward);
+        return steward;
     }
 }
