Let a busy leader answer the syncs that are still waited for

Cause: the new leader had more syncs than its processor time allowed. Each ingress gave up after 600 ms, closed the connection and asked again; the leader answered in order of arrival, with catalog, endpoint list and roster in full, for senders that had gone. Commits took 2.4 to 4.7 s for 22 s (duty.call-withheld proofAgeMs), reads longer than operators wait. The class of fault: work for callers that have given up keeps an overloaded server overloaded. Change: a sync says for how long its sender waits. The steward answers one sync in a turn of the event loop, the newest first, and drops those that nobody waits for (SyncBacklog, SyncServer), so that agreement messages and operators' calls are handled in between. An ingress doubles its timeout for a steward that did not answer in time.

--- a/packages/cli/src/wire-ingress.ts
+++ b/packages/cli/src/wire-ingress.ts
@@ -57,7 +57,7 @@
         parts,
     );
     const accepting = (): boolean => view.ready && lifecycle.state === "ready" && !relay.isDraining();
-    const describe = (elapsedMs: number): SyncRequest => ({
+    const describe = (elapsedMs: number): Omit<SyncRequest, "waitMs"> => ({
         ingress: describeIngress(options, accepting()),
         lifetime: runName,
         wallMs: Date.now(),
--- a/packages/cli/src/wire-steward.ts
+++ b/packages/cli/src/wire-steward.ts
@@ -109,7 +109,7 @@
         const repair = new MembershipRepair(driver, () => true, clock, log);
         const retirement = new MemberRetirement(driver, 2 * options.toleratedLosses + 1, clock, log);
         const server = new RpcServer(key, log);
-        attachStewardMethods(server, {
+        const syncs = attachStewardMethods(server, {
             core,
             state: replicated,
             coordinator,
@@ -123,6 +123,8 @@
             base.metrics.gauge("fence", replicated.dutyAssignment?.fence ?? 0);
             base.metrics.gauge("catalog_version", replicated.catalog?.version ?? -1);
             base.metrics.gauge("members", replicated.ingressCount);
+            base.metrics.gauge("syncs_waiting", syncs.waiting);
+            base.metrics.gauge("syncs_dropped", syncs.dropped);
         });
         const operators = new OperatorInterface(core, coordinator, client);
         const stewards = () => [
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -19,6 +19,7 @@
 export * from "./replica-planner.ts";
 export * from "./roster.ts";
 export * from "./spare-cap-estimate.ts";
+export * from "./sync-backlog.ts";
 export * from "./sync-timing.ts";
 export * from "./usage-ledger.ts";
 export * from "./usage-windows.ts";
--- a/packages/ingress/src/fleet-messages.ts
+++ b/packages/ingress/src/fleet-messages.ts
@@ -21,6 +21,8 @@
     wallMs: z.number(),
     /** Time since the sender's last sync that a leading steward answered, in milliseconds. */
     elapsedMs: z.number(),
+    /** Time for which the sender waits for the answer, in milliseconds. */
+    waitMs: z.number().default(600),
     catalogVersion: z.number(),
     /** Number of the endpoint list that the sender uses; 0 when it has none from a steward. */
     listNumber: z.number(),
--- a/packages/ingress/src/fleet-sync.ts
+++ b/packages/ingress/src/fleet-sync.ts
@@ -5,6 +5,11 @@
 
 /** Time after which an unanswered sync goes to the next steward, in milliseconds. */
 const callTimeoutMs = 600;
+/**
+ * Longest such time, in milliseconds. It doubles with each timeout at the same steward: one that is overloaded may
+ * answer later, and must not be asked for the same again and again.
+ */
+const maxCallTimeoutMs = 2_400;
 /** Pause after a failed sync, in milliseconds. */
 const failurePauseMs = 50;
 
@@ -24,6 +29,8 @@
     private connected: boolean | undefined;
     private lastAnswerAt: number;
     private lastSentAt = -Infinity;
+    /** Call timeouts of the stewards that did not answer in time, by address. */
+    private readonly timeouts = new Map<string, number>();
     private plannedAt: number | undefined;
     private lateMs = 0;
     /** Whether the next sync is wanted before its usual time. */
@@ -33,7 +40,7 @@
         private readonly client: RpcClient,
         /** Returns the stewards of the settings; called on each use because the settings can change at run time. */
         private readonly seeds: () => readonly PeerAddress[],
-        private readonly buildRequest: (elapsedMs: number) => SyncRequest,
+        private readonly buildRequest: (elapsedMs: number) => Omit<SyncRequest, "waitMs">,
         private readonly onAnswer: (answer: SyncAnswer, req: SyncRequest, sentAt: number) => void,
         /** Returns the number of ingresses; the sync interval grows with it to bound the load on the leader. */
         private readonly memberCount: () => number,
@@ -89,9 +96,12 @@
         this.lateMs = Math.max(0, sentAt - (this.plannedAt ?? sentAt));
         this.lastSentAt = sentAt;
         this.isEarlyWanted = false;
-        const req = this.buildRequest(sentAt - this.lastAnswerAt);
+        const key = addressKey(steward);
+        const timeoutMs = this.timeouts.get(key) ?? callTimeoutMs;
+        const req = { ...this.buildRequest(sentAt - this.lastAnswerAt), waitMs: timeoutMs };
         try {
-            const answer = await this.client.call(steward, "fleet.sync", req, syncAnswerSchema, sentAt + callTimeoutMs);
+            const answer = await this.client.call(steward, "fleet.sync", req, syncAnswerSchema, sentAt + timeoutMs);
+            this.timeouts.delete(key);
             if (answer.stewards.length > 0) {
                 this.stewards = answer.stewards;
             }
@@ -110,6 +120,9 @@
             }
         }
         catch (err) {
+            if (this.clock.now() >= sentAt + timeoutMs) {
+                this.timeouts.set(key, Math.min(maxCallTimeoutMs, timeoutMs * 2));
+            }
             this.recordConnection(false, steward, String(err));
             this.currentSteward = this.nextSteward(steward);
         }
--- a/packages/steward/src/index.ts
+++ b/packages/steward/src/index.ts
@@ -14,3 +14,4 @@
 export * from "./steward-methods.ts";
 export * from "./steward-options.ts";
 export * from "./steward-state.ts";
+export * from "./sync-server.ts";
--- a/packages/steward/src/steward-methods.ts
+++ b/packages/steward/src/steward-methods.ts
@@ -1,7 +1,7 @@
 import { type Message } from "@lentilramp/agreement";
 import { addressOf, memberAddressSchema, type MembershipRepair, type RpcTransport } from "@lentilramp/control";
 import { decodeMemberAddress } from "@lentilramp/control";
-import { rosterSchema, type SyncAnswer, syncRequestSchema } from "@lentilramp/ingress";
+import { rosterSchema, type SyncAnswer, type SyncRequest, syncRequestSchema } from "@lentilramp/ingress";
 import type { PeerAddress, RpcServer } from "@lentilramp/protocol";
 import { z } from "zod";
 import type { FleetCoordinator } from "./fleet-coordinator.ts";
@@ -9,6 +9,7 @@
 import type { StewardCore } from "./steward-core.ts";
 import { errorMessage } from "./steward-core.ts";
 import type { StewardState } from "./steward-state.ts";
+import { SyncServer } from "./sync-server.ts";
 
 const messagesSchema = z.object({
     sender: memberAddressSchema,
@@ -51,9 +52,38 @@
     return address === undefined ? undefined : { host: address.host, port: address.port };
 }
 
-/** Registers the RPC methods of a steward. */
-export function attachStewardMethods(server: RpcServer, parts: StewardParts): void {
-    const { core, state, coordinator, repair, retirement, transport } = parts;
+/** Answers the sync of an ingress. */
+function answerSync(req: SyncRequest, { core, state, coordinator, holdsDuties }: StewardParts): SyncAnswer {
+    const { membership } = core.driver.status;
+    // A copy that may be outdated is not handed out: an ingress that starts would put withdrawn keys in force again.
+    const newestCatalog = state.isCurrent ? state.catalog : undefined;
+    const common = {
+        stewards: membership.members.filter(({ voter }) => voter).map(member => {
+            const { host, port } = decodeMemberAddress(member);
+            return { host, port };
+        }),
+        catalog: newestCatalog !== undefined && newestCatalog.version > req.catalogVersion
+            ? newestCatalog
+            : undefined,
+        engineRates: state.engineRates,
+        current: state.isCurrent,
+    };
+    if (!holdsDuties()) {
+        return {
+            ...common,
+            leading: false,
+            leader: state.isLeader ? undefined : leaderAddress(core),
+            // Lets an ingress that starts while there is no leader use its share of the caps.
+            members: state.ingressCount,
+        };
+    }
+    return { ...common, leading: true, ...coordinator.sync(req) };
+}
+
+/** Registers the RPC methods of a steward, and returns the server of the syncs for the metrics. */
+export function attachStewardMethods(server: RpcServer, parts: StewardParts): SyncServer {
+    const { core, coordinator, repair, retirement, transport } = parts;
+    const syncs = new SyncServer(req => answerSync(req, parts), core.clock);
     server.method("agreement.step", messagesSchema, async ({ sender, messages }) => {
         for (const message of messages) {
             transport.recordAddress(message.from, sender);
@@ -67,32 +97,7 @@
         z.object({ identity: z.string(), address: memberAddressSchema }),
         async join => ({ accepted: repair.requestJoin(join) }),
     );
-    server.method("fleet.sync", syncRequestSchema, async (req): Promise<SyncAnswer> => {
-        const { membership } = core.driver.status;
-        // A copy that may be outdated is not handed out: an ingress that starts would put withdrawn keys in force again.
-        const newestCatalog = state.isCurrent ? state.catalog : undefined;
-        const common = {
-            stewards: membership.members.filter(({ voter }) => voter).map(member => {
-                const { host, port } = decodeMemberAddress(member);
-                return { host, port };
-            }),
-            catalog: newestCatalog !== undefined && newestCatalog.version > req.catalogVersion
-                ? newestCatalog
-                : undefined,
-            engineRates: state.engineRates,
-            current: state.isCurrent,
-        };
-        if (!parts.holdsDuties()) {
-            return {
-                ...common,
-                leading: false,
-                leader: state.isLeader ? undefined : leaderAddress(core),
-                // Lets an ingress that starts while there is no leader use its share of the caps.
-                members: state.ingressCount,
-            };
-        }
-        return { ...common, leading: true, ...coordinator.sync(req) };
-    });
+    server.method("fleet.sync", syncRequestSchema, req => syncs.handle(req));
     const rosterRequest = z.object({ tag: z.number(), usage: z.boolean() });
     server.method(
         "fleet.roster",
@@ -116,4 +121,5 @@
             return { confirmed: false };
         }
     });
+    return syncs;
 }
--- a/packages/steward/tests/fleet-coordinator.test.ts
+++ b/packages/steward/tests/fleet-coordinator.test.ts
@@ -22,6 +22,7 @@
         lifetime: name,
         wallMs: 0,
         elapsedMs: 0,
+        waitMs: 600,
         catalogVersion: 0,
         listNumber: 0,
         load: {},
