Count late timeouts as a sign of a busy ingress

Its syncs ended in timeouts whose timers fired late, which the measure of late starts alone could miss.

--- a/packages/ingress/src/fleet-sync.ts
+++ b/packages/ingress/src/fleet-sync.ts
@@ -33,6 +33,7 @@
     private readonly timeouts = new Map<string, number>();
     private plannedAt: number | undefined;
     private lateMs = 0;
+    private timeoutLateMs = 0;
     /** Whether the next sync is wanted before its usual time. */
     private isEarlyWanted = false;
 
@@ -57,7 +58,10 @@
         return this.lastAnswerAt;
     }
 
-    /** Time by which the last sync started after its planned instant, in milliseconds; long when the process is busy. */
+    /**
+     * Time by which the last sync started or timed out after its planned instant, in milliseconds, whichever is later;
+     * long when the process is busy.
+     */
     get startDelayMs(): number {
         return this.lateMs;
     }
@@ -93,7 +97,8 @@
             return;
         }
         const sentAt = this.clock.now();
-        this.lateMs = Math.max(0, sentAt - (this.plannedAt ?? sentAt));
+        this.lateMs = Math.max(this.timeoutLateMs, sentAt - (this.plannedAt ?? sentAt), 0);
+        this.timeoutLateMs = 0;
         this.lastSentAt = sentAt;
         this.isEarlyWanted = false;
         const key = addressKey(steward);
@@ -120,6 +125,7 @@
             }
         }
         catch (err) {
+            this.timeoutLateMs = Math.max(0, this.clock.now() - sentAt - timeoutMs);
             if (this.clock.now() >= sentAt + timeoutMs) {
                 this.timeouts.set(key, Math.min(maxCallTimeoutMs, timeoutMs * 2));
             }
