Let a busy hub send fewer feed lines

Cause: with 65 ingresses each failure domain has a hub. Only the hubs a-11 and b-18 were late: 3.2 and 2.1 s after the commit, 0.4 s all others (catalog.in-force). A hub sends a line to each of 25 subscribers each 45 ms whatever it costs; on 0.324 of a core beside a burst its own requests took up to 4.9 s, and its syncs timed out (steward.lost at 21.76 s). Change: FeedPace doubles the pause, up to that of heartbeats, while sends start late.

--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -9,6 +9,7 @@
 export * from "./demand-forecast.ts";
 export * from "./endpoint-directory.ts";
 export * from "./exchange-topology.ts";
+export * from "./feed-pace.ts";
 export * from "./limit-allocator.ts";
 export * from "./limit-permits.ts";
 export * from "./limit-register.ts";
--- a/packages/ingress/src/exchange-feed.ts
+++ b/packages/ingress/src/exchange-feed.ts
@@ -1,5 +1,5 @@
 import type { EndpointLoad, LoadTracker } from "@lentilramp/dispatch";
-import type { CapMeter, ExchangeScope } from "@lentilramp/fleet";
+import { type CapMeter, type ExchangeScope, FeedPace } from "@lentilramp/fleet";
 import { type HttpServer, type ProcessKey, sendJson } from "@lentilramp/protocol";
 import { type Clock, Component, type Timer } from "@lentilramp/runtime";
 import type { ServerResponse } from "node:http";
@@ -46,6 +46,7 @@
     private timer: Timer | undefined;
     /** Instant at which the next line is due; Infinity when no send is scheduled. */
     private nextSendAt = Infinity;
+    private readonly pace = new FeedPace(minGapMs, gapPerSubscriberMs, heartbeatMs);
     private closed = false;
     /** Number of the last change of load; a change of cap usage alone does not advance it. */
     private lastChange = 0;
@@ -154,8 +155,9 @@
 
     /** Sends a line to each subscriber for which one is due. */
     private sendDueLines(): void {
-        this.nextSendAt = Infinity;
         const now = this.clock.now();
+        this.pace.recordSend(now - this.nextSendAt);
+        this.nextSendAt = Infinity;
         const busyGapMs = this.busyGap();
         for (const subscriber of this.subscribers) {
             if (now >= this.nextSendOf(subscriber, busyGapMs)) {
@@ -166,7 +168,7 @@
     }
 
     private busyGap(): number {
-        return minGapMs + gapPerSubscriberMs * this.subscribers.size;
+        return this.pace.gapMs(this.subscribers.size);
     }
 
     private nextSendOf({ name, scope, lastSentAt, sentChange }: Subscriber, busyGapMs: number): number {
