Refuse prompts with a part that crashes engines

Cause: no process connected a crash with what the lost requests had in common. Each ingress sees only its own requests, and repeated them at the next engine, which ended too. Change: an ingress reports crashes with the shared parts of the prompts whose answers had not begun; the leader decides (CrashJudge) and commits verdicts to the agreement log; every ingress refuses such requests at once, queued and repeated ones too. An answer that begins on a part clears it.

--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -1,6 +1,7 @@
 import { cac } from "cac";
 import type { DrainOptions, HandOverOptions } from "./commands/drain.ts";
 import type { GenerateOptions } from "./commands/generate.ts";
+import type { PromptPartsOptions } from "./commands/prompt-parts.ts";
 import { CommandError, type ExitCode, exitCodes } from "./exit-codes.ts";
 import type { ConnectionOptions } from "./operator-client.ts";
 import { Output } from "./output.ts";
@@ -108,6 +109,16 @@
             return (await import("./commands/explain.ts")).explain(files, options, new Output(options.json === true));
         })
     );
+cli.command(
+    "prompt-parts",
+    "Show the prompt parts that a fleet refuses because they crash engines (--control: a steward)",
+)
+    .option("--lift <part>", "End the verdict on a part")
+    .action((options: PromptPartsOptions & CommonOptions) =>
+        run(async () =>
+            (await import("./commands/prompt-parts.ts")).promptParts(options, new Output(options.json === true))
+        )
+    );
 cli.command("trace <id> [...files]", "Tell what the logs of several processes say of one request")
     .action((id: string, files: string[], options: CommonOptions) =>
         run(async () => {
--- a/packages/cli/src/wire-ingress.ts
+++ b/packages/cli/src/wire-ingress.ts
@@ -72,6 +72,9 @@
         leaving: view.endpoints.leavingBeforeList,
         limits: view.limits.heardReports(clock.now()),
         permits: view.limits.takeDemand(view.endpoints.all, service => relay.waitingFor(service), clock.now()),
+        crashes: view.crashes?.crashReports(clock.now()) ?? [],
+        begunParts: view.crashes?.begunReports(clock.now()) ?? {},
+        refusedParts: view.crashes?.takeRefused() ?? [],
         demand: relay.takeDemand(),
     });
     const link: FleetSync = new FleetSync(
@@ -95,6 +98,7 @@
         metrics.gauge("waiting", relay.waiting);
         metrics.gauge("catalog_version", view.catalog?.version ?? -1);
         metrics.gauge("endpoints_ready", view.endpoints.all.filter(endpoint => endpoint.ready).length);
+        metrics.gauge("blocked_parts", view.crashes?.blockedParts ?? 0);
         metrics.gauge("endpoints_limited", view.limits.limitedEndpoints);
         metrics.gauge("list_age", view.endpoints.ageMs(clock.now()) / 1_000);
         metrics.gauge("sync_age", (clock.now() - link.answeredAt) / 1_000);
--- a/packages/cli/src/wire-steward.ts
+++ b/packages/cli/src/wire-steward.ts
@@ -19,6 +19,7 @@
     FleetCoordinator,
     MemberRetirement,
     OperatorInterface,
+    PartVerdicts,
     PlatformDuties,
     RosterFollower,
     stewardAddress,
@@ -108,6 +109,7 @@
         );
         const repair = new MembershipRepair(driver, () => true, clock, log);
         const retirement = new MemberRetirement(driver, 2 * options.toleratedLosses + 1, clock, log);
+        const verdicts = new PartVerdicts(core, coordinator, () => duties.holdsDuties, clock, log);
         const server = new RpcServer(key, log);
         const syncs = attachStewardMethods(server, {
             core,
@@ -116,6 +118,7 @@
             repair,
             retirement,
             transport,
+            verdicts,
             holdsDuties: () => duties.holdsDuties,
         });
         base.gauges.push(() => {
@@ -123,6 +126,7 @@
             base.metrics.gauge("fence", replicated.dutyAssignment?.fence ?? 0);
             base.metrics.gauge("catalog_version", replicated.catalog?.version ?? -1);
             base.metrics.gauge("members", replicated.ingressCount);
+            base.metrics.gauge("blocked_parts", replicated.blockedParts.length);
             base.metrics.gauge("syncs_waiting", syncs.waiting);
             base.metrics.gauge("syncs_dropped", syncs.dropped);
         });
@@ -145,6 +149,7 @@
         this.inner.register(new JoinRequester(driver, own, stewards, client, clock));
         this.inner.register(new RosterFollower(core, coordinator, client, clock));
         this.inner.register(duties);
+        this.inner.register(verdicts);
         await this.inner.start();
     }
 
--- a/packages/cli/tests/fleet-harness.ts
+++ b/packages/cli/tests/fleet-harness.ts
@@ -11,7 +11,7 @@
 
 /** Folder to which the processes of a fleet write their logs; without it they are discarded. */
 const logFolder = process.env.FLEET_LOGS;
-const innerPort = 7_600;
+export const innerPort = 7_600;
 export const ports = { front: 8_001, ready: 8_002, control: 8_003, directory: 8_004 } as const;
 
 export interface Answer {
@@ -154,6 +154,11 @@
         this.started = true;
     }
 
+    /** File with the process key. */
+    get keyFile(): string {
+        return join(this.folder, "key");
+    }
+
     /** Starts the process of a host, as the platform does after it has ended. */
     run(host: string): void {
         const steward = this.stewards.includes(host);
--- a/packages/fleet/src/endpoint-directory.ts
+++ b/packages/fleet/src/endpoint-directory.ts
@@ -109,6 +109,11 @@
         return this.endpoints;
     }
 
+    /** Whether an endpoint is listed as ready and has not announced that it leaves. */
+    isAvailable(id: string): boolean {
+        return this.isReady(id) && !this.leaving.has(id);
+    }
+
     isReady(id: string): boolean {
         return this.endpoints.some(endpoint => endpoint.id === id && endpoint.ready);
     }
--- /dev/null
+++ b/packages/ingress/src/check-request.ts
@@ -0,0 +1,67 @@
+import type { CatalogRoute, CatalogWorkspace } from "@lentilramp/catalog";
+import { sharedParts } from "@lentilramp/fleet";
+import type { EventFields } from "@lentilramp/runtime";
+import type { IncomingMessage } from "node:http";
+import type { FleetView } from "./fleet-view.ts";
+import type { CallerHead } from "./platform-adapter.ts";
+import { blockedPartRetryMs } from "./refusal.ts";
+
+/** Retry delay that a caller gets while no catalog is known to be the newest, in milliseconds. */
+const notReadyRetryMs = 500;
+
+/** Why and how a request is refused. */
+export interface Refusal {
+    status: number;
+    reason: string;
+    retryAfterMs?: number;
+    /** Inputs of the decision, for the log. */
+    inputs?: EventFields;
+}
+
+/** Route and workspace of a request that may be served. */
+export interface CheckedRequest {
+    route: CatalogRoute;
+    /** Undefined for a route that needs no key. */
+    workspace: CatalogWorkspace | undefined;
+}
+
+/** Checks the head of a request against the catalog and the verdicts on prompt parts. */
+export function checkRequest(
+    req: IncomingMessage,
+    head: CallerHead,
+    view: FleetView,
+    now: number,
+): Refusal | CheckedRequest {
+    const { catalog, routes, workspaceKeys } = view;
+    if (catalog === undefined || routes === undefined || workspaceKeys === undefined) {
+        return { status: 503, reason: "no catalog yet", retryAfterMs: notReadyRetryMs };
+    }
+    if (!view.freshness.mayServe(now)) {
+        return {
+            status: 503,
+            reason: "catalog not confirmed",
+            retryAfterMs: notReadyRetryMs,
+            inputs: { ...view.freshness.describe(now) },
+        };
+    }
+    const route = routes.find(req.headers.host ?? "", req.url ?? "/");
+    if (route === undefined) {
+        return { status: 404, reason: "no route" };
+    }
+    const needsKey = !route.public && catalog.workspaces.length > 0;
+    const workspace = needsKey ? workspaceKeys.find(head.apiKey) : undefined;
+    if (needsKey && workspace === undefined) {
+        return { status: 401, reason: "unknown key" };
+    }
+    const blockingPart = view.crashes?.blockingPart(sharedParts(head.work?.parts ?? []));
+    if (blockingPart !== undefined) {
+        view.crashes?.recordRefusal(blockingPart);
+        return {
+            status: 503,
+            reason: "prompt part crashes engines",
+            retryAfterMs: blockedPartRetryMs,
+            inputs: { part: blockingPart },
+        };
+    }
+    return { route, workspace };
+}
--- /dev/null
+++ b/packages/ingress/src/crash-detector.ts
@@ -0,0 +1,75 @@
+import { type Endpoint, type PromptCrashes, sharedParts } from "@lentilramp/fleet";
+import type { Clock, EventLog } from "@lentilramp/runtime";
+import { connect } from "node:net";
+
+/** Time within which a live endpoint accepts a connection, in milliseconds. */
+const probeTimeoutMs = 300;
+/** Time after which a second loss at the same endpoint is probed again, in milliseconds. */
+const probeReuseMs = 1_000;
+
+/** Resolves with whether an endpoint refuses connections or does not answer, as a crashed one does. */
+async function isDown({ host, port }: Endpoint, clock: Clock): Promise<boolean> {
+    return await new Promise(resolve => {
+        const socket = connect({ host, port });
+        const finish = (down: boolean): void => {
+            timer.cancel();
+            socket.destroy();
+            resolve(down);
+        };
+        const timer = clock.schedule(clock.now() + probeTimeoutMs, () => finish(true));
+        socket.once("connect", () => finish(false));
+        socket.once("error", () => finish(true));
+    });
+}
+
+/**
+ * Tells crashes of endpoints from lost answers: after an attempt has ended before its first token, it checks once
+ * whether the endpoint still accepts connections.
+ */
+export class CrashDetector {
+    private readonly probes = new Map<string, { startedAt: number; down: Promise<boolean>; }>();
+
+    constructor(
+        private readonly crashes: PromptCrashes,
+        /** Whether an endpoint is expected to end, so that its end accuses nobody. */
+        private readonly isLeaving: (endpoint: string) => boolean,
+        private readonly onCrash: () => void,
+        private readonly clock: Clock,
+        private readonly log: EventLog,
+    ) {}
+
+    /** Handles an attempt with this prompt that the endpoint ended before its answer had begun. */
+    recordLoss(endpoint: Endpoint, prompt: readonly { id: string; }[]): void {
+        const parts = sharedParts(prompt);
+        if (parts.length === 0 || this.isLeaving(endpoint.id)) {
+            return;
+        }
+        const lostAt = this.clock.now();
+        void this.probe(endpoint, lostAt).then(down => {
+            if (down && !this.isLeaving(endpoint.id)) {
+                this.crashes.recordCrash(endpoint, parts, lostAt);
+                this.log.info("endpoint.crashed", {
+                    endpoint: endpoint.id,
+                    service: endpoint.service,
+                    parts: parts.join(","),
+                });
+                this.onCrash();
+            }
+        });
+    }
+
+    private probe(endpoint: Endpoint, now: number): Promise<boolean> {
+        const recent = this.probes.get(endpoint.id);
+        if (recent !== undefined && now - recent.startedAt < probeReuseMs) {
+            return recent.down;
+        }
+        for (const [id, { startedAt }] of this.probes) {
+            if (now - startedAt >= probeReuseMs) {
+                this.probes.delete(id);
+            }
+        }
+        const down = isDown(endpoint, this.clock);
+        this.probes.set(endpoint.id, { startedAt: now, down });
+        return down;
+    }
+}
--- a/packages/ingress/src/fleet-messages.ts
+++ b/packages/ingress/src/fleet-messages.ts
@@ -1,4 +1,6 @@
 import {
+    blockedPartSchema,
+    crashReportSchema,
     endpointLifetimeSchema,
     endpointListSchema,
     ingressDescriptionSchema,
@@ -42,6 +44,12 @@
     limits: limitReportsSchema.default({}),
     /** Permits that the sender wants and holds for limited endpoints. */
     permits: z.record(z.string(), permitDemandSchema).default({}),
+    /** Crashes of endpoints that the sender has seen lately, with the prompts that waited there. */
+    crashes: z.array(crashReportSchema).default([]),
+    /** Age of the last answer that began on a suspected or blocked prompt part, in milliseconds. */
+    begunParts: z.record(z.string(), z.number()).default({}),
+    /** Blocked prompt parts for which the sender has refused requests since its last sync. */
+    refusedParts: z.array(z.string()).default([]),
     /**
      * Work that arrived for each engine service since the last sync, including refused requests: prompt tokens that
      * are not in an engine's cache, all prompt tokens, and the time for which the requests would occupy slots, in
@@ -90,6 +98,10 @@
     leaving: z.array(endpointLifetimeSchema).optional(),
     /** Newest statement of each endpoint that has named a limit. */
     limits: limitReportsSchema.optional(),
+    /** Number of crashes that accuse each suspected prompt part. */
+    suspectedParts: z.record(z.string(), z.number()).optional(),
+    /** Prompt parts whose requests must be refused; absent if the steward does not know the newest verdicts. */
+    blockedParts: z.array(blockedPartSchema).optional(),
     /** Permits granted to the sender, by endpoint; absent if the steward grants none at all. */
     permits: z.record(z.string(), z.int().nonnegative()).optional(),
     /** Ingresses in contact with the leader; sent when the roster differs from the sender's. */
--- a/packages/ingress/src/fleet-view.ts
+++ b/packages/ingress/src/fleet-view.ts
@@ -7,6 +7,7 @@
     EndpointDirectory,
     type IngressDescription,
     LimitPermits,
+    PromptCrashes,
     UsageLedger,
 } from "@lentilramp/fleet";
 import type { Clock, EventLog } from "@lentilramp/runtime";
@@ -35,6 +36,8 @@
     readonly endpoints = new EndpointDirectory();
     /** Limits of endpoints, and the permits to send to those that have one. */
     readonly limits: LimitPermits;
+    /** Prompt parts that crash engines; undefined if the policy switches that off. */
+    readonly crashes: PromptCrashes | undefined;
     readonly loads: LoadTracker;
     readonly health: EndpointHealth;
     readonly prefixMemory: PrefixCacheIndex;
@@ -68,6 +71,7 @@
         private readonly ownName: string,
         private readonly hooks: FleetViewHooks,
     ) {
+        this.crashes = components.policy.crashingParts ? new PromptCrashes() : undefined;
         this.loads = components.createLoadTracker();
         this.health = components.createEndpointHealth();
         this.prefixMemory = components.createPrefixMemory();
@@ -101,6 +105,11 @@
         return this.clock.now() + (this.fleetTimeOffsetMs ?? Date.now() - this.clock.now());
     }
 
+    /** Asks for an early sync with the leading steward. */
+    requestSync(): void {
+        this.hooks.requestSync();
+    }
+
     /** Number of ingresses that may be running, including this one; 1 while it is unknown. */
     get memberCount(): number {
         return Math.max(1, this.reportedMemberCount);
@@ -126,9 +135,13 @@
             this.reportedMemberCount = answer.members;
         }
         this.engineRates = answer.engineRates ?? this.engineRates;
+        this.applyBlockedParts(answer.blockedParts);
         if (!answer.leading) {
             return;
         }
+        if (this.crashes?.applySuspects(answer.suspectedParts ?? {}) === true) {
+            this.hooks.requestSync();
+        }
         this.syncedWithLeader = true;
         this.silentMemberCount = answer.silent ?? 0;
         this.leaderAnsweredAt = sentAt;
@@ -180,6 +193,16 @@
         }
     }
 
+    private applyBlockedParts(blocked: SyncAnswer["blockedParts"]): void {
+        const changes = blocked === undefined ? undefined : this.crashes?.applyBlocked(blocked);
+        for (const part of changes?.added ?? []) {
+            this.log.warn("prompt-part.refused-from-now", { part });
+        }
+        for (const part of changes?.ended ?? []) {
+            this.log.info("prompt-part.served-again", { part });
+        }
+    }
+
     private applyCatalog(version: number, text: string, fromLeader: boolean): void {
         if (this.catalog !== undefined && version <= this.catalog.version) {
             return;
--- a/packages/ingress/src/refusal.ts
+++ b/packages/ingress/src/refusal.ts
@@ -1,6 +1,9 @@
 import { sendJson } from "@lentilramp/protocol";
 import type { ServerResponse } from "node:http";
 
+/** Retry delay of a request with a prompt part that crashes engines, in milliseconds; it is refused for minutes. */
+export const blockedPartRetryMs = 60_000;
+
 /** Sends a refusal of this ingress with `retryAfterMs` as its `Retry-After` header, unless that is undefined. */
 export function sendRefusal(
     res: ServerResponse,
--- a/packages/ingress/src/relay.ts
+++ b/packages/ingress/src/relay.ts
@@ -11,8 +11,10 @@
 import { CapMeter, type Endpoint } from "@lentilramp/fleet";
 import { BodyTooLargeError, IncompleteBodyError, readBody } from "@lentilramp/protocol";
 import { RetryBudget } from "@lentilramp/retries";
-import type { Clock, EventFields, EventLog, Metrics, RandomSource } from "@lentilramp/runtime";
+import type { Clock, EventLog, Metrics, RandomSource } from "@lentilramp/runtime";
 import type { IncomingMessage, ServerResponse } from "node:http";
+import { type CheckedRequest, checkRequest, type Refusal } from "./check-request.ts";
+import { CrashDetector } from "./crash-detector.ts";
 import { EndpointPool } from "./endpoint-pool.ts";
 import type { FleetView } from "./fleet-view.ts";
 import type { IngressOptions } from "./ingress-options.ts";
@@ -22,8 +24,6 @@
 import { sendRefusal } from "./refusal.ts";
 import { RelayedCall } from "./relayed-call.ts";
 
-/** Retry delay that a caller gets before the first catalog has arrived, in milliseconds. */
-const notReadyRetryMs = 500;
 /** Longest time that a request waits for this process to become ready, in milliseconds; stewards start more slowly. */
 const startupWaitMs = 900;
 const startupCheckIntervalMs = 20;
@@ -65,6 +65,8 @@
     retryBudget(service: string): RetryBudget;
     candidates(service: string): readonly Endpoint[];
     readonly limitGate: LimitGate;
+    /** Undefined if the policy switches the detection of crashing prompt parts off. */
+    readonly crashDetector: CrashDetector | undefined;
     maxIdleConnections(service: string): number;
     /** Whether this ingress is draining, so that callers' connections are closed after their answers. */
     isDraining(): boolean;
@@ -84,19 +86,12 @@
     prefillTokensPerMs?: number;
 }
 
-interface Refusal {
-    status: number;
-    reason: string;
-    retryAfterMs?: number;
-    /** Inputs of the decision, for the log. */
-    inputs?: EventFields;
-}
-
 /** Accepts callers' requests, checks route, API key and cap, and relays the admitted ones. */
 export class Relay implements RelayContext {
     readonly pool = new EndpointPool();
     readonly dispatcher: Dispatcher;
     readonly limitGate: LimitGate;
+    readonly crashDetector: CrashDetector | undefined;
     readonly clock: Clock;
     readonly log: EventLog;
     readonly metrics: Metrics;
@@ -125,6 +120,13 @@
         this.promptAffinity = components.createPromptAffinity(service => view.endpoints.readyEndpoints(service));
         this.dispatcher = new Dispatcher(view.loads, view.health, base.random, components.dispatchOptions());
         this.limitGate = new LimitGate(view, base.clock, base.random);
+        this.crashDetector = view.crashes && new CrashDetector(
+            view.crashes,
+            id => !view.endpoints.isAvailable(id),
+            () => view.requestSync(),
+            base.clock,
+            base.log,
+        );
     }
 
     get resumesStreams(): boolean {
@@ -329,31 +331,12 @@
         };
     }
 
-    private check(req: IncomingMessage, head: CallerHead): Refusal | Pick<AdmittedRequest, "route" | "workspace"> {
-        const { catalog, routes, workspaceKeys } = this.view;
-        if (catalog === undefined || routes === undefined || workspaceKeys === undefined) {
-            return { status: 503, reason: "no catalog yet", retryAfterMs: notReadyRetryMs };
-        }
-        if (!this.view.freshness.mayServe(this.clock.now())) {
-            return {
-                status: 503,
-                reason: "catalog not confirmed",
-                retryAfterMs: notReadyRetryMs,
-                inputs: { ...this.view.freshness.describe(this.clock.now()) },
-            };
-        }
-        if (this.drainingSince !== undefined && this.clock.now() - this.drainingSince > this.refuseAfterMs) {
-            return { status: 503, reason: "stopping", retryAfterMs: 20 };
-        }
-        const route = routes.find(req.headers.host ?? "", req.url ?? "/");
-        if (route === undefined) {
-            return { status: 404, reason: "no route" };
-        }
-        if (route.public || catalog.workspaces.length === 0) {
-            return { route, workspace: undefined };
-        }
-        const workspace = workspaceKeys.find(head.apiKey);
-        return workspace === undefined ? { status: 401, reason: "unknown key" } : { route, workspace };
+    private check(req: IncomingMessage, head: CallerHead): Refusal | CheckedRequest {
+        const isRefusing = this.drainingSince !== undefined
+            && this.clock.now() - this.drainingSince > this.refuseAfterMs;
+        return isRefusing && this.view.catalog !== undefined
+            ? { status: 503, reason: "stopping", retryAfterMs: 20 }
+            : checkRequest(req, head, this.view, this.clock.now());
     }
 
     /** Logs and sends a refusal. Reads the request's body first, so that the connection can be kept. */
--- a/packages/ingress/src/relayed-call.ts
+++ b/packages/ingress/src/relayed-call.ts
@@ -6,7 +6,8 @@
 import { CallRecorder } from "./call-recorder.ts";
 import { createAttempt, type InFlightAttempt } from "./in-flight-attempt.ts";
 import type { AnswerHead } from "./platform-adapter.ts";
-import { sendRefusal } from "./refusal.ts";
+import { PromptOutcome } from "./prompt-outcome.ts";
+import { blockedPartRetryMs, sendRefusal } from "./refusal.ts";
 import type { AdmittedRequest, RelayContext } from "./relay.ts";
 
 /** Multiple of the target gap between events after which a resumable stream is resumed at another endpoint. */
@@ -28,6 +29,7 @@
     private leaveQueue: () => void = () => undefined;
     private readonly writer: AnswerWriter;
     private readonly recorder: CallRecorder;
+    private readonly prompt: PromptOutcome;
     private lastFailureReason = "";
     private outcome: "answered" | "refused" | "failed" | "cut" = "answered";
     /**
@@ -38,6 +40,7 @@
 
     constructor(private readonly admitted: AdmittedRequest, private readonly ctx: RelayContext) {
         this.recorder = new CallRecorder(admitted, ctx);
+        this.prompt = new PromptOutcome(admitted, ctx);
         this.writer = new AnswerWriter(admitted.res, () => ctx.isDraining());
     }
 
@@ -97,6 +100,10 @@
                 return;
             }
             const { dispatch, route } = this.admitted;
+            if (this.runs > 0 && !this.prompt.mayRepeat) {
+                this.giveUp(`${this.lastFailureReason}, and its prompt may crash another endpoint`, undefined);
+                return;
+            }
             const now = this.ctx.clock.now();
             const withinBudget = this.nextAttemptBudgeted || this.ctx.retryBudget(dispatch.service).tryWithdraw(now);
             this.nextAttemptBudgeted = false;
@@ -138,6 +145,9 @@
             this.queuedSince = ctx.clock.now();
             let demandRecorded = false;
             this.leaveQueue = ctx.queue(dispatch.service).submit(dispatch, ahead => {
+                if (this.prompt.isBlocked) {
+                    return { kind: "refuse", reason: "blocked-part", retryAfterMs: blockedPartRetryMs };
+                }
                 const decision = ctx.dispatcher.decide(
                     dispatch,
                     candidates(),
@@ -199,6 +209,9 @@
         if (!rejected && !routeTimedOut) {
             this.recorder.recordHealth(inFlight.endpoint, "broken");
         }
+        if (outcome.kind === "unknown" && outcome.timedOut !== true) {
+            this.prompt.onLoss(inFlight.endpoint);
+        }
         if (outcome.kind === "not-run" && outcome.head !== undefined) {
             this.recorder.applyAnswerHead(inFlight.endpoint, outcome.head, inFlight.sentAt);
         }
@@ -247,6 +260,7 @@
             return true;
         }
         const end = await this.relayBody(inFlight, res, status);
+        this.prompt.onAnswerEnd(inFlight.endpoint, end, status);
         if (end !== "left") {
             this.recorder.recordHealth(
                 inFlight.endpoint,
@@ -299,6 +313,7 @@
         const onFirstChunk = (): void => {
             this.recorder.recordFirstByte();
             this.markFirstByte(inFlight);
+            this.prompt.onFirstChunk();
             this.recorder.recordUsage(this.ctx.clock.now());
         };
         const end = route.resumable
--- a/packages/steward/src/fleet-coordinator.ts
+++ b/packages/steward/src/fleet-coordinator.ts
@@ -1,6 +1,7 @@
 import type { EndpointLoad } from "@lentilramp/dispatch";
 import {
     capReleaseDelayMs,
+    CrashJudge,
     type Endpoint,
     EndpointDirectory,
     type EndpointList,
@@ -50,6 +51,9 @@
     readonly roster = new Roster(syncTimeoutMs, suspectedSyncTimeoutMs, forgetMs);
     readonly medianClock = new MedianClock();
     readonly usageWindows: UsageWindows;
+    readonly crashJudge = new CrashJudge();
+    /** Instant at which an ingress last refused a request for a blocked prompt part. */
+    readonly refusedPartAt = new Map<string, number>();
     private readonly ingresses = new Map<string, IngressState>();
     private readonly limits = new LimitAllocator();
     private readonly directory = new EndpointDirectory();
@@ -87,7 +91,7 @@
     }
 
     /** Records the report of an ingress and returns the answer to its sync. */
-    sync(req: SyncRequest): Omit<SyncAnswer, "leading" | "stewards" | "catalog"> {
+    sync(req: SyncRequest): Omit<SyncAnswer, "leading" | "stewards" | "catalog" | "blockedParts"> {
         const now = this.clock.now();
         const { name } = req.ingress;
         this.roster.recordContact(req.ingress, now);
@@ -97,6 +101,9 @@
         this.medianClock.observe(name, req.wallMs, now);
         this.usageWindows.replaceCounts(req.lifetime, req.usage as Record<string, UsageCounts>);
         this.ingresses.set(name, { load: req.load, demand: req.demand, elapsedMs: req.elapsedMs });
+        req.crashes.forEach(report => this.crashJudge.recordReport(report, now));
+        Object.entries(req.begunParts).forEach(([part, ageMs]) => this.crashJudge.recordBegun(part, now - ageMs));
+        req.refusedParts.forEach(part => this.refusedPartAt.set(part, now));
         const overview = this.currentOverview(now);
         this.directory.mergeLeaving(req.leaving);
         this.limits.statements.mergeReports(this.currentLifetimes(req.limits), now);
@@ -113,6 +120,7 @@
             silent: overview.silent,
             trueMs: this.medianClock.timeOfDayMs(now),
             leaving: this.directory.leavingBeforeList,
+            suspectedParts: this.crashJudge.suspects(now),
             limits: this.limits.statements.reports(now),
             permits: Object.fromEntries(
                 Object.entries(req.permits).map(([id, demand]) => [id, this.limits.grant(id, demand, overview, now)]),
--- a/packages/steward/src/index.ts
+++ b/packages/steward/src/index.ts
@@ -8,6 +8,7 @@
 export * from "./founding.ts";
 export * from "./member-retirement.ts";
 export * from "./operator-interface.ts";
+export * from "./part-verdicts.ts";
 export * from "./platform-duties.ts";
 export * from "./roster-follower.ts";
 export * from "./steward-core.ts";
--- a/packages/steward/src/steward-methods.ts
+++ b/packages/steward/src/steward-methods.ts
@@ -1,11 +1,13 @@
 import { type Message } from "@lentilramp/agreement";
 import { addressOf, memberAddressSchema, type MembershipRepair, type RpcTransport } from "@lentilramp/control";
 import { decodeMemberAddress } from "@lentilramp/control";
+import { blockedPartSchema } from "@lentilramp/fleet";
 import { rosterSchema, type SyncAnswer, type SyncRequest, syncRequestSchema } from "@lentilramp/ingress";
 import type { PeerAddress, RpcServer } from "@lentilramp/protocol";
 import { z } from "zod";
 import type { FleetCoordinator } from "./fleet-coordinator.ts";
 import type { MemberRetirement } from "./member-retirement.ts";
+import type { PartVerdicts } from "./part-verdicts.ts";
 import type { StewardCore } from "./steward-core.ts";
 import { errorMessage } from "./steward-core.ts";
 import type { StewardState } from "./steward-state.ts";
@@ -25,6 +27,15 @@
     confirmed: z.boolean(),
     text: z.string().optional(),
 });
+/** Answer to the RPC methods `prompt-parts.list` and `prompt-parts.lift`. */
+export const promptPartsAnswerSchema = z.object({
+    leading: z.boolean(),
+    /** Address of the leader, if another steward leads. */
+    leader: z.object({ host: z.string(), port: z.int() }).optional(),
+    blocked: z.array(blockedPartSchema),
+    /** Whether the part was blocked and its verdict has been ended. */
+    lifted: z.boolean().optional(),
+});
 export const rosterAnswerSchema = z.object({
     leading: z.boolean(),
     /** Absent if the caller's roster is current. */
@@ -41,6 +52,7 @@
     repair: MembershipRepair;
     retirement: MemberRetirement;
     transport: RpcTransport;
+    verdicts: PartVerdicts;
     /** Whether this steward has assumed the duties in the current term. */
     holdsDuties: () => boolean;
 }
@@ -67,6 +79,7 @@
             : undefined,
         engineRates: state.engineRates,
         current: state.isCurrent,
+        blockedParts: state.isCurrent ? [...state.blockedParts] : undefined,
     };
     if (!holdsDuties()) {
         return {
@@ -111,6 +124,18 @@
                 }
                 : { leading: false, usage: {} },
     );
+    const promptParts = (lifted?: boolean): z.infer<typeof promptPartsAnswerSchema> => ({
+        leading: parts.holdsDuties(),
+        leader: parts.holdsDuties() ? undefined : leaderAddress(core),
+        blocked: [...core.state.blockedParts],
+        lifted,
+    });
+    server.method("prompt-parts.list", z.object({}), async () => promptParts());
+    server.method(
+        "prompt-parts.lift",
+        z.object({ part: z.string() }),
+        async ({ part }) => promptParts(parts.holdsDuties() ? await parts.verdicts.lift(part) : undefined),
+    );
     server.method("catalog.submit", z.object({ text: z.string() }), ({ text }) => core.submitCatalog(text));
     server.method("catalog.read", z.object({}), async (): Promise<z.infer<typeof readAnswerSchema>> => {
         try {
--- a/packages/steward/src/steward-state.ts
+++ b/packages/steward/src/steward-state.ts
@@ -1,10 +1,14 @@
 import type { Entry, Role } from "@lentilramp/agreement";
 import type { StateMachine } from "@lentilramp/control";
+import { type BlockedPart, blockedPartSchema } from "@lentilramp/fleet";
 import { z } from "zod";
 
 /** Number of usage reports retained for retries; older ones are long past their due time. */
 const retainedReports = 40;
 
+/** Largest number of blocked prompt parts; the oldest verdict ends when there are more. */
+const maxBlockedParts = 64;
+
 const reportSchema = z.object({ window: z.number(), counts: z.record(z.string(), z.number()) });
 export type UsageReport = z.infer<typeof reportSchema>;
 
@@ -19,6 +23,10 @@
     z.object({ type: z.literal("members"), count: z.number() }),
     /** Prompt speed of the engines of a service, for processes that start without measurements. */
     z.object({ type: z.literal("engine-rate"), service: z.string(), tokensPerMs: z.number() }),
+    /** A prompt part that crashes engines: its requests are refused. */
+    z.object({ type: z.literal("block-part"), verdict: blockedPartSchema }),
+    /** The end of a verdict, by an operator or because it has lapsed. */
+    z.object({ type: z.literal("unblock-part"), part: z.string() }),
     /** No change; committing it proves that the holder still leads. */
     z.object({ type: z.literal("barrier") }),
 ]);
@@ -31,6 +39,7 @@
     reports: z.array(reportSchema),
     members: z.number().default(0),
     engineRates: z.record(z.string(), z.number()).default({}),
+    blockedParts: z.array(blockedPartSchema).default([]),
     /** All members that have held the duties; absent in states of versions that did not record them. */
     holders: z.array(z.string()).optional(),
 });
@@ -56,6 +65,7 @@
         reports: [],
         members: 0,
         engineRates: {},
+        blockedParts: [],
         holders: [],
     };
     private role: Role = "follower";
@@ -88,6 +98,11 @@
         return this.state.engineRates;
     }
 
+    /** Prompt parts whose requests are refused, in the order of the verdicts. */
+    get blockedParts(): readonly BlockedPart[] {
+        return this.state.blockedParts;
+    }
+
     get isLeader(): boolean {
         return this.role === "leader";
     }
@@ -136,6 +151,15 @@
             case "engine-rate":
                 this.state.engineRates = { ...this.state.engineRates, [command.service]: command.tokensPerMs };
                 break;
+            case "block-part":
+                this.state.blockedParts = [
+                    ...this.state.blockedParts.filter(({ part }) => part !== command.verdict.part),
+                    command.verdict,
+                ].slice(-maxBlockedParts);
+                break;
+            case "unblock-part":
+                this.state.blockedParts = this.state.blockedParts.filter(({ part }) => part !== command.part);
+                break;
             case "barrier":
                 break;
         }
--- a/packages/steward/tests/fleet-coordinator.test.ts
+++ b/packages/steward/tests/fleet-coordinator.test.ts
@@ -33,6 +33,9 @@
         leaving: [],
         limits: {},
         permits: {},
+        crashes: [],
+        begunParts: {},
+        refusedParts: [],
         demand: {},
         ...overrides,
     };
