Take a stream that ends inside an event as broken off

Cause: an answer without a length ends with its connection, and nothing looked at where in the stream that was. Change: a stream is complete only if it ends after an event. A resumable one goes on elsewhere after its last whole event, others are broken off towards the caller.

--- a/packages/ingress/src/answer-writer.ts
+++ b/packages/ingress/src/answer-writer.ts
@@ -18,6 +18,14 @@
 /** Length of an incomplete event, in bytes, at which a stream counts as invalid and is closed. */
 const eventLimitBytes = 262_144;
 
+/** Length of the longest boundary between two events, in bytes. */
+const boundaryBytes = 4;
+
+/** Whether the last bytes of a stream end an event. */
+function endsAtEventBoundary(tail: string): boolean {
+    return tail.endsWith("\n\n") || tail.endsWith("\r\n\r\n");
+}
+
 /** Writes the answers of endpoints to one caller. */
 export class AnswerWriter {
     private lastRelayedEventId: string | undefined;
@@ -75,14 +83,17 @@
         onFirstChunk: () => void,
     ): Promise<BodyEnd> {
         let first = true;
-        const end = await this.consume(res, wasCut, chunk => {
+        let tail = "";
+        const received = await this.consume(res, wasCut, chunk => {
             if (first) {
                 first = false;
                 onFirstChunk();
                 this.writeHead(res);
             }
+            tail = (tail + chunk.toString("latin1")).slice(-boundaryBytes);
             return this.callerRes.write(chunk);
         });
+        const end = received === "complete" && !first && !endsAtEventBoundary(tail) ? "cut" : received;
         if (end === "complete") {
             if (first) {
                 this.writeHead(res);
@@ -136,6 +147,10 @@
             return this.callerRes.write(completeEvents);
         });
         timer?.cancel();
+        if (end === "complete" && /[^\r\n]/.test(splitter.remainder.toString("latin1"))) {
+            // A stream that ends inside an event has been broken off, however its connection ended.
+            return "cut";
+        }
         if (end === "complete") {
             this.writeHead(res);
             this.callerRes.end(splitter.remainder);
