Pace the feeds of a hub by the time that their lines take

The pause grew whenever a send started late. Now the pause follows from the measured time of a line and the number of subscribers. Longer call timeouts also hold for a steward only that others name as the leader: one that is down must not be waited for.

--- a/packages/fleet/src/feed-pace.ts
+++ b/packages/fleet/src/feed-pace.ts
@@ -1,16 +1,14 @@
-/** Lateness of a send from which the process counts as short of processor time, in milliseconds. */
-const lateSendMs = 30;
-/** Largest factor by which the pause between two lines grows. */
-const maxStretch = 8;
-/** Part of the stretch that remains after each send on time. */
-const stretchDecay = 0.9;
+/** Part of its time that a process spends on the lines of its feed at most. */
+const maxTimePart = 0.2;
+/** Weight of the newest measurement of the time that a line takes. */
+const measurementWeight = 0.1;
 
 /**
- * Pause between two lines of a feed. A hub has many subscribers; when it is short of processor time, it sends to them
- * less often, so that its own requests and syncs are not held up by the feeds.
+ * Pause between two lines of a feed. A hub has many subscribers; where a line takes it long, because the lines are long
+ * or it gets little processor time, it sends less often, so that the feeds do not hold up its requests and syncs.
  */
 export class FeedPace {
-    private stretch = 1;
+    private lineMs = 0;
 
     constructor(
         /** Shortest pause for one subscriber, and the addition for each, in milliseconds. */
@@ -20,16 +18,16 @@
         private readonly maxGapMs: number,
     ) {}
 
-    /** Records that a send started `lateMs` after its planned instant. */
-    recordSend(lateMs: number): void {
-        this.stretch = lateMs >= lateSendMs
-            ? Math.min(maxStretch, this.stretch * 2)
-            : Math.max(1, this.stretch * stretchDecay);
+    /** Records that `count` lines took `tookMs` milliseconds together. */
+    recordLines(count: number, tookMs: number): void {
+        if (count > 0) {
+            this.lineMs += (tookMs / count - this.lineMs) * measurementWeight;
+        }
     }
 
     /** Returns the pause between two lines to a subscriber that follows the load closely, in milliseconds. */
     gapMs(subscribers: number): number {
         const gapMs = this.minGapMs + this.gapPerSubscriberMs * subscribers;
-        return Math.max(gapMs, Math.min(this.maxGapMs, gapMs * this.stretch));
+        return Math.max(gapMs, Math.min(this.maxGapMs, this.lineMs * subscribers / maxTimePart));
     }
 }
--- a/packages/ingress/src/exchange-feed.ts
+++ b/packages/ingress/src/exchange-feed.ts
@@ -155,15 +155,17 @@
 
     /** Sends a line to each subscriber for which one is due. */
     private sendDueLines(): void {
-        const now = this.clock.now();
-        this.pace.recordSend(now - this.nextSendAt);
         this.nextSendAt = Infinity;
+        const now = this.clock.now();
+        let lines = 0;
         const busyGapMs = this.busyGap();
         for (const subscriber of this.subscribers) {
             if (now >= this.nextSendOf(subscriber, busyGapMs)) {
                 this.sendLine(subscriber, now);
+                lines++;
             }
         }
+        this.pace.recordLines(lines, this.clock.now() - now);
         this.scheduleNext();
     }
 
--- a/packages/ingress/src/fleet-sync.ts
+++ b/packages/ingress/src/fleet-sync.ts
@@ -6,8 +6,9 @@
 /** Time after which an unanswered sync goes to the next steward, in milliseconds. */
 const callTimeoutMs = 600;
 /**
- * Longest such time, in milliseconds. It doubles with each timeout at the same steward: one that is overloaded may
- * answer later, and must not be asked for the same again and again.
+ * Longest such time, in milliseconds. It doubles with each timeout at a steward that others name as the leader: one
+ * that is overloaded may answer later, and must not be asked for the same again and again. Other stewards that do not
+ * answer are down.
  */
 const maxCallTimeoutMs = 2_400;
 /** Pause after a failed sync, in milliseconds. */
@@ -29,8 +30,8 @@
     private connected: boolean | undefined;
     private lastAnswerAt: number;
     private lastSentAt = -Infinity;
-    /** Call timeouts of the stewards that did not answer in time, by address. */
-    private readonly timeouts = new Map<string, number>();
+    /** The leader that another steward has named, and the call timeout for it. */
+    private named: { leader: string; timeoutMs: number; } | undefined;
     private plannedAt: number | undefined;
     private lateMs = 0;
     private timeoutLateMs = 0;
@@ -102,11 +103,13 @@
         this.lastSentAt = sentAt;
         this.isEarlyWanted = false;
         const key = addressKey(steward);
-        const timeoutMs = this.timeouts.get(key) ?? callTimeoutMs;
+        const timeoutMs = this.named?.leader === key ? this.named.timeoutMs : callTimeoutMs;
         const req = { ...this.buildRequest(sentAt - this.lastAnswerAt), waitMs: timeoutMs };
         try {
             const answer = await this.client.call(steward, "fleet.sync", req, syncAnswerSchema, sentAt + timeoutMs);
-            this.timeouts.delete(key);
+            if (this.named?.leader === key) {
+                this.named = undefined;
+            }
             if (answer.stewards.length > 0) {
                 this.stewards = answer.stewards;
             }
@@ -119,6 +122,9 @@
             }
             else {
                 const hint = answer.leader;
+                if (hint !== undefined && this.named?.leader !== addressKey(hint)) {
+                    this.named = { leader: addressKey(hint), timeoutMs: callTimeoutMs };
+                }
                 this.currentSteward = hint !== undefined && addressKey(hint) !== addressKey(steward)
                     ? hint
                     : this.nextSteward(steward);
@@ -126,8 +132,8 @@
         }
         catch (err) {
             this.timeoutLateMs = Math.max(0, this.clock.now() - sentAt - timeoutMs);
-            if (this.clock.now() >= sentAt + timeoutMs) {
-                this.timeouts.set(key, Math.min(maxCallTimeoutMs, timeoutMs * 2));
+            if (this.named?.leader === key && this.clock.now() >= sentAt + timeoutMs) {
+                this.named.timeoutMs = Math.min(maxCallTimeoutMs, timeoutMs * 2);
             }
             this.recordConnection(false, steward, String(err));
             this.currentSteward = this.nextSteward(steward);
