Answer syncs in the order of arrival until the steward is overloaded

Now the oldest goes first while it has used less than half of its sender's time, and a turn lasts 8 ms. sync-storm.test.ts holds as before.

--- a/packages/ingress/tests/sync-storm.test.ts
+++ b/packages/ingress/tests/sync-storm.test.ts
@@ -38,7 +38,7 @@
                     );
                     return;
                 }
-                this.backlog.push({ isFull: req.catalogVersion < 0, resolve }, clock.now() + req.waitMs);
+                this.backlog.push({ isFull: req.catalogVersion < 0, resolve }, clock.now(), req.waitMs);
                 this.serve();
             });
         });
@@ -50,7 +50,7 @@
             return;
         }
         this.backlog.dropExpired(now);
-        const next = this.backlog.takeNewest(now);
+        const next = this.backlog.takeNext(now);
         if (next !== undefined) {
             this.answered++;
             this.busyUntil = now + (next.isFull ? fullAnswerMs : shortAnswerMs);
--- a/packages/steward/src/sync-server.ts
+++ b/packages/steward/src/sync-server.ts
@@ -9,9 +9,12 @@
     reject: (err: Error) => void;
 }
 
+/** Time for which syncs are answered in one turn of the event loop, in milliseconds. */
+const sliceMs = 8;
+
 /**
- * Answers one sync in each turn of the event loop, so that messages of the agreement and operators' calls are handled
- * between two of them however many ingresses ask.
+ * Answers syncs in short slices of time, so that messages of the agreement and operators' calls are handled in between
+ * however many ingresses ask.
  */
 export class SyncServer {
     private readonly backlog = new SyncBacklog<WaitingSync>();
@@ -32,7 +35,7 @@
     /** Resolves with the answer to a sync; rejects with an RpcError when its sender has given up. */
     handle(req: SyncRequest): Promise<SyncAnswer> {
         return new Promise((resolve, reject) => {
-            this.backlog.push({ req, resolve, reject }, this.clock.now() + req.waitMs);
+            this.backlog.push({ req, resolve, reject }, this.clock.now(), req.waitMs);
             this.schedule();
         });
     }
@@ -42,27 +45,29 @@
             this.isScheduled = true;
             setImmediate(() => {
                 this.isScheduled = false;
-                this.serveNewest();
+                this.serveSlice();
                 this.schedule();
             });
         }
     }
 
-    private serveNewest(): void {
-        const now = this.clock.now();
-        for (const { reject } of this.backlog.dropExpired(now)) {
+    private serveSlice(): void {
+        const sliceEnd = this.clock.now() + sliceMs;
+        for (const { reject } of this.backlog.dropExpired(this.clock.now())) {
             this.droppedCount++;
             reject(new RpcError("rejected", "the sync waited too long", rpcErrorCodes.unavailable));
         }
-        const next = this.backlog.takeNewest(now);
-        if (next === undefined) {
-            return;
-        }
-        try {
-            next.resolve(this.answer(next.req));
-        }
-        catch (err) {
-            next.reject(err instanceof Error ? err : new Error(String(err)));
+        while (this.clock.now() < sliceEnd) {
+            const next = this.backlog.takeNext(this.clock.now());
+            if (next === undefined) {
+                return;
+            }
+            try {
+                next.resolve(this.answer(next.req));
+            }
+            catch (err) {
+                next.reject(err instanceof Error ? err : new Error(String(err)));
+            }
         }
     }
 }
