--- a/packages/ingress/src/answer-writer.ts
+++ b/packages/ingress/src/answer-writer.ts
@@ -90,7 +90,7 @@
                 onFirstChunk();
                 this.writeHead(res);
             }
-            tail = (tail + chunk.toString("latin1")).slice(-boundaryBytes);
+            tail = (tail + chunk.subarray(-boundaryBytes).toString("latin1")).slice(-boundaryBytes);
             return this.callerRes.write(chunk);
         });
         const end = received === "complete" && !first && !endsAtEventBoundary(tail) ? "cut" : received;
--- a/packages/ingress/src/fleet-view.ts
+++ b/packages/ingress/src/fleet-view.ts
@@ -127,7 +127,8 @@
         if (answer.catalog !== undefined) {
             this.applyCatalog(answer.catalog.version, answer.catalog.text, answer.leading);
         }
-        if (answer.current === true) {
+        // A leader of an earlier version does not say that it is current.
+        if (answer.current ?? answer.leading) {
             this.freshness.recordConfirmation(answer.leading ? sentAt : sentAt - followerLagMs);
         }
         // A steward that does not lead returns the last replicated count, which is older than a leader's.
