--- /dev/null
+++ b/packages/ingress/src/endpoint-selection.ts
@@ -0,0 +1,103 @@
+import { bestChoice, type EndpointChoice, type QueueOutcome } from "@lentilramp/dispatch";
+import type { Endpoint } from "@lentilramp/fleet";
+import { blockedPartRetryMs } from "./refusal.ts";
+import type { AdmittedRequest, RelayContext } from "./relay.ts";
+
+/** Retry delay that a caller gets when an endpoint refused its request, in milliseconds. */
+export const endpointRefusedRetryMs = 100;
+
+export interface SelectionHooks {
+    /** Whether the request must not be sent at all. */
+    isBlocked: () => boolean;
+    /** Called once with the best endpoint of the first decision on the request, whatever that decision is. */
+    onFirstDecision: (best: EndpointChoice<Endpoint> | undefined) => void;
+    /** Called in the turn of the event loop in which an endpoint is chosen, so that its load counts at once. */
+    onChoice: (choice: EndpointChoice<Endpoint>) => void;
+}
+
+/** Chooses the endpoints of one request's attempts, and leaves out those that have failed it. */
+export class EndpointSelection {
+    private readonly excluded = new Set<string>();
+    private withdraw: () => void = () => undefined;
+    private queuedAt: number | undefined;
+
+    constructor(
+        private readonly admitted: AdmittedRequest,
+        private readonly ctx: RelayContext,
+        private readonly hooks: SelectionHooks,
+    ) {}
+
+    /** Instant at which the request was submitted to the queue of its service; undefined before. */
+    get queuedSince(): number | undefined {
+        return this.queuedAt;
+    }
+
+    /** Leaves an endpoint out of later choices. */
+    exclude(endpoint: string): void {
+        this.excluded.add(endpoint);
+    }
+
+    /** Withdraws the request from the queue. */
+    leave(): void {
+        this.withdraw();
+    }
+
+    /** Whether an endpoint other than `current` could take the request now. */
+    hasAlternativeTo(current: Endpoint): boolean {
+        return this.choose(new Set([...this.excluded, current.id])) !== undefined;
+    }
+
+    /** Waits in the queue of the service for an endpoint for the first attempt. */
+    selectFirst(): Promise<QueueOutcome<Endpoint>> {
+        const { admitted: { dispatch }, ctx, excluded, hooks } = this;
+        const model = ctx.latencyModel(dispatch.service);
+        ctx.view.limits.recordRequest(dispatch.service);
+        this.queuedAt = ctx.clock.now();
+        let decided = false;
+        return new Promise(resolve => {
+            this.withdraw = ctx.queue(dispatch.service).submit(
+                dispatch,
+                ahead => {
+                    if (hooks.isBlocked()) {
+                        return { kind: "refuse", reason: "blocked-part", retryAfterMs: blockedPartRetryMs };
+                    }
+                    const candidates = ctx.candidates(dispatch.service);
+                    const now = ctx.clock.now();
+                    const decision = ctx.dispatcher.decide(dispatch, candidates, model, now, excluded, ahead);
+                    if (!decided) {
+                        decided = true;
+                        hooks.onFirstDecision(bestChoice(decision));
+                    }
+                    return decision.kind === "refuse" && decision.reason === "no-endpoint"
+                        ? ctx.limitGate.decide(dispatch, excluded) ?? decision
+                        : decision;
+                },
+                outcome => {
+                    if (outcome.kind === "send") {
+                        hooks.onChoice(outcome.choice);
+                    }
+                    resolve(outcome);
+                },
+            );
+        });
+    }
+
+    /** Chooses an endpoint for a later attempt, without waiting for a slot, as the caller has already waited. */
+    selectAnother(): QueueOutcome<Endpoint> {
+        const choice = this.choose(this.excluded);
+        if (choice !== undefined) {
+            this.hooks.onChoice(choice);
+            return { kind: "send", choice };
+        }
+        const limited = this.ctx.limitGate.decide(this.admitted.dispatch, this.excluded);
+        return limited?.kind === "refuse"
+            ? limited
+            : { kind: "refuse", reason: "no-endpoint", retryAfterMs: endpointRefusedRetryMs };
+    }
+
+    private choose(excluded: ReadonlySet<string>): EndpointChoice<Endpoint> | undefined {
+        const { admitted: { dispatch }, ctx } = this;
+        const model = ctx.latencyModel(dispatch.service);
+        return ctx.dispatcher.choose(dispatch, ctx.candidates(dispatch.service), model, ctx.clock.now(), excluded);
+    }
+}
--- a/packages/ingress/src/relayed-call.ts
+++ b/packages/ingress/src/relayed-call.ts
@@ -1,32 +1,28 @@
-import { bestChoice, type EndpointChoice, type QueueOutcome, ServiceModel } from "@lentilramp/dispatch";
+import { type EndpointChoice, ServiceModel } from "@lentilramp/dispatch";
 import type { Endpoint } from "@lentilramp/fleet";
 import type { IncomingMessage } from "node:http";
 import { AnswerWriter, type BodyEnd } from "./answer-writer.ts";
 import { type AttemptOutcome, discardAnswer } from "./attempt.ts";
 import { CallRecorder } from "./call-recorder.ts";
+import { endpointRefusedRetryMs, EndpointSelection } from "./endpoint-selection.ts";
 import { createAttempt, type InFlightAttempt } from "./in-flight-attempt.ts";
 import type { AnswerHead } from "./platform-adapter.ts";
 import { PromptOutcome } from "./prompt-outcome.ts";
-import { blockedPartRetryMs, sendRefusal } from "./refusal.ts";
+import { sendRefusal } from "./refusal.ts";
 import type { AdmittedRequest, RelayContext } from "./relay.ts";
 
 /** Multiple of the target gap between events after which a resumable stream is resumed at another endpoint. */
 const stallGapFactor = 3;
 const defaultGapTargetMs = 300;
-/** Retry delay that a caller gets when an endpoint refused its request, in milliseconds. */
-const endpointRefusedRetryMs = 100;
 
 /** Relays one admitted request: waits for a slot, sends the request, retries where that is allowed, and answers. */
 export class RelayedCall {
-    private readonly excludedEndpoints = new Set<string>();
     /** Number of attempts in which an endpoint ran or may have run the request. */
     private runs = 0;
     private currentAttempt: InFlightAttempt | undefined;
-    /** Instant at which the request was first submitted to the queue of its service. */
-    private queuedSince: number | undefined;
     private callerLeft = false;
     private finished = false;
-    private leaveQueue: () => void = () => undefined;
+    private readonly selection: EndpointSelection;
     private readonly writer: AnswerWriter;
     private readonly recorder: CallRecorder;
     private readonly prompt: PromptOutcome;
@@ -42,6 +38,11 @@
         this.recorder = new CallRecorder(admitted, ctx);
         this.prompt = new PromptOutcome(admitted, ctx);
         this.writer = new AnswerWriter(admitted.res, () => ctx.isDraining());
+        this.selection = new EndpointSelection(admitted, ctx, {
+            isBlocked: () => this.prompt.isBlocked,
+            onFirstDecision: best => this.recorder.recordDemand(best),
+            onChoice: choice => this.prepareAttempt(choice),
+        });
     }
 
     private get retryable(): boolean {
@@ -75,7 +76,7 @@
 
     private async relay(): Promise<void> {
         for (let isFirstAttempt = true; !this.callerLeft; isFirstAttempt = false) {
-            const slot = await this.acquireSlot(isFirstAttempt);
+            const slot = isFirstAttempt ? await this.selection.selectFirst() : this.selection.selectAnother();
             if (slot.kind === "left" || this.callerLeft) {
                 return;
             }
@@ -114,59 +115,6 @@
         }
     }
 
-    /** Waits for a slot. Books the load in the same turn of the event loop in which the endpoint is chosen. */
-    private acquireSlot(isFirstAttempt: boolean): Promise<QueueOutcome<Endpoint>> {
-        const { admitted: { dispatch }, ctx, excludedEndpoints } = this;
-        const model = ctx.latencyModel(dispatch.service);
-        return new Promise(resolve => {
-            const settle = (outcome: QueueOutcome<Endpoint>): void => {
-                if (outcome.kind === "send") {
-                    this.prepareAttempt(outcome.choice);
-                }
-                resolve(outcome);
-            };
-            const candidates = (): readonly Endpoint[] => ctx.candidates(dispatch.service);
-            if (!isFirstAttempt) {
-                // A retry goes to any available endpoint without waiting for a slot, as its caller has already waited.
-                const choice = ctx.dispatcher.choose(dispatch, candidates(), model, ctx.clock.now(), excludedEndpoints);
-                if (choice !== undefined) {
-                    settle({ kind: "send", choice });
-                    return;
-                }
-                const limited = ctx.limitGate.decide(dispatch, excludedEndpoints);
-                settle(
-                    limited?.kind === "refuse"
-                        ? limited
-                        : { kind: "refuse", reason: "no-endpoint", retryAfterMs: endpointRefusedRetryMs },
-                );
-                return;
-            }
-            ctx.view.limits.recordRequest(dispatch.service);
-            this.queuedSince = ctx.clock.now();
-            let demandRecorded = false;
-            this.leaveQueue = ctx.queue(dispatch.service).submit(dispatch, ahead => {
-                if (this.prompt.isBlocked) {
-                    return { kind: "refuse", reason: "blocked-part", retryAfterMs: blockedPartRetryMs };
-                }
-                const decision = ctx.dispatcher.decide(
-                    dispatch,
-                    candidates(),
-                    model,
-                    ctx.clock.now(),
-                    excludedEndpoints,
-                    ahead,
-                );
-                if (!demandRecorded) {
-                    demandRecorded = true;
-                    this.recorder.recordDemand(bestChoice(decision));
-                }
-                return decision.kind === "refuse" && decision.reason === "no-endpoint"
-                    ? ctx.limitGate.decide(dispatch, excludedEndpoints) ?? decision
-                    : decision;
-            }, settle);
-        });
-    }
-
     private prepareAttempt(choice: EndpointChoice<Endpoint>): void {
         const { admitted, ctx } = this;
         const { endpoint } = choice;
@@ -183,7 +131,8 @@
         if (this.currentAttempt !== undefined) {
             return this.writer.started ? "resumption" : "retry";
         }
-        return this.queuedSince !== undefined && now > this.queuedSince ? "queue" : "arrival";
+        const { queuedSince } = this.selection;
+        return queuedSince !== undefined && now > queuedSince ? "queue" : "arrival";
     }
 
     /** Records an attempt that this ingress aborted; the resulting reset does not count against the endpoint. */
@@ -202,7 +151,7 @@
     /** Handles a failed attempt; returns whether the request is finished, otherwise it may be retried. */
     private onFailure(inFlight: InFlightAttempt, outcome: Exclude<AttemptOutcome, { kind: "answer"; }>): boolean {
         this.lastFailureReason = outcome.reason;
-        this.excludedEndpoints.add(inFlight.endpoint.id);
+        this.selection.exclude(inFlight.endpoint.id);
         const rejected = outcome.kind === "not-run" && outcome.received;
         const routeTimedOut = outcome.kind === "unknown" && outcome.timedOut === true
             && this.ctx.clock.now() < inFlight.silenceFaultFrom;
@@ -248,7 +197,7 @@
             discardAnswer(res);
             this.nextAttemptBudgeted = true;
             this.recorder.recordHealth(inFlight.endpoint, "error");
-            this.excludedEndpoints.add(inFlight.endpoint.id);
+            this.selection.exclude(inFlight.endpoint.id);
             this.recorder.recordFailedAttempt(inFlight, "failed", `status ${status}`);
             this.lastFailureReason = `status ${status}`;
             return false;
@@ -278,7 +227,7 @@
         if (end === "left") {
             return true;
         }
-        this.excludedEndpoints.add(inFlight.endpoint.id);
+        this.selection.exclude(inFlight.endpoint.id);
         this.lastFailureReason = `answer ${end}`;
         this.recorder.recordFailedAttempt(inFlight, "cut", end);
         // An answer that has been partly sent can be continued only after a complete event.
@@ -293,7 +242,7 @@
     /** Discards an answer that does not continue a cut stream; returns whether the request is finished. */
     private onFailedContinuation(inFlight: InFlightAttempt, res: IncomingMessage, status: number): boolean {
         discardAnswer(res);
-        this.excludedEndpoints.add(inFlight.endpoint.id);
+        this.selection.exclude(inFlight.endpoint.id);
         this.lastFailureReason = `status ${status}`;
         this.recorder.recordHealth(inFlight.endpoint, status >= 500 ? "error" : "answered");
         this.recorder.recordFailedAttempt(inFlight, "failed", this.lastFailureReason);
@@ -346,7 +295,7 @@
 
     private onCallerLeft(): void {
         this.callerLeft = true;
-        this.leaveQueue();
+        this.selection.leave();
         const inFlight = this.currentAttempt;
         if (inFlight !== undefined && !inFlight.slotReleased) {
             inFlight.attempt.abort();
