Report each caller's connection that is closed without a complete answer

Cause: such a close left no line of its own. A stream that was cut showed in request.given-up like a refusal, requests that were in flight at the end of the grace time counted as callers that had left, and request.broken has no id. On-call engineers could not tell which of them callers had seen. Change: CallerCuts follows callers' connections and requests and writes one line caller.cut with the cause, the id, the runs, the silence that the caller saw and the catalogs at the arrival and at the cut; the causes are also counted in lentilramp_caller_cuts_total, and `lentilramp explain` counts them. What callers get is unchanged.

--- a/packages/cli/src/commands/explain.ts
+++ b/packages/cli/src/commands/explain.ts
@@ -78,6 +78,8 @@
             return Number(plainField(line, "runs") ?? 0) === 0
                 ? `given up before it ran: ${plainField(line, "reason")}`
                 : `given up after it ran: ${plainField(line, "reason")}`;
+        case "caller.cut":
+            return `connection ended without a complete answer: ${plainField(line, "cause")}`;
         case "request.done":
             return plainField(line, "late") === "true" ? lateCause(line) : undefined;
         case "request.send-failed":
--- a/packages/cli/src/fleet-metrics.ts
+++ b/packages/cli/src/fleet-metrics.ts
@@ -4,6 +4,7 @@
 export const fleetMetrics = {
     requests: { kind: "counter", help: "Requests by their final outcome", labels: ["execution", "outcome"] },
     refusals: { kind: "counter", help: "Requests answered without an endpoint", labels: ["reason"] },
+    caller_cuts: { kind: "counter", help: "Callers' connections closed without a complete answer", labels: ["cause"] },
     sends: { kind: "counter", help: "Sends to endpoints by what became of them", labels: ["outcome"] },
     limited_sends: { kind: "counter", help: "Sends to endpoints that limit their requests", labels: ["path"] },
     limit_permits: { kind: "counter", help: "Permits for endpoints with a limit that the leader granted" },
--- a/packages/ingress/src/answer-writer.ts
+++ b/packages/ingress/src/answer-writer.ts
@@ -31,7 +31,12 @@
     private lastRelayedEventId: string | undefined;
     private stop: (end: BodyEnd) => void = () => undefined;
 
-    constructor(private readonly callerRes: ServerResponse, private readonly closesConnection: () => boolean) {}
+    constructor(
+        private readonly callerRes: ServerResponse,
+        private readonly closesConnection: () => boolean,
+        /** Called for each part of a body that is written to the caller. */
+        private readonly onWrite: () => void,
+    ) {}
 
     /** Whether the head of an answer has been sent to the caller. */
     get started(): boolean {
@@ -57,7 +62,7 @@
         let bufferedBytes = 0;
         const end = await this.consume(res, wasCut, chunk => {
             if (this.started) {
-                return this.callerRes.write(chunk);
+                return this.write(chunk);
             }
             buffered.push(chunk);
             bufferedBytes += chunk.length;
@@ -67,7 +72,7 @@
             this.writeHead(res);
             const chunks = Buffer.concat(buffered);
             buffered = [];
-            return this.callerRes.write(chunks);
+            return this.write(chunks);
         });
         if (end === "complete") {
             this.writeHead(res);
@@ -91,7 +96,7 @@
                 this.writeHead(res);
             }
             tail = (tail + chunk.subarray(-boundaryBytes).toString("latin1")).slice(-boundaryBytes);
-            return this.callerRes.write(chunk);
+            return this.write(chunk);
         });
         const end = received === "complete" && !first && !endsAtEventBoundary(tail) ? "cut" : received;
         if (end === "complete") {
@@ -144,7 +149,7 @@
                 this.lastRelayedEventId = lastEventId;
             }
             this.writeHead(res);
-            return this.callerRes.write(completeEvents);
+            return this.write(completeEvents);
         });
         timer?.cancel();
         if (end === "complete" && /[^\r\n]/.test(splitter.remainder.toString("latin1"))) {
@@ -158,6 +163,12 @@
         return end;
     }
 
+    /** Writes a part of the body; returns false when the caller's connection is full. */
+    private write(chunk: Buffer): boolean {
+        this.onWrite();
+        return this.callerRes.write(chunk);
+    }
+
     private writeHead(res: IncomingMessage): void {
         if (this.callerRes.headersSent) {
             return;
--- a/packages/ingress/src/call-recorder.ts
+++ b/packages/ingress/src/call-recorder.ts
@@ -6,6 +6,7 @@
     expectedSlotMs,
 } from "@lentilramp/dispatch";
 import type { Endpoint } from "@lentilramp/fleet";
+import type { EventFields } from "@lentilramp/runtime";
 import murmurhash from "murmurhash";
 import type { AnswerHead } from "./platform-adapter.ts";
 import type { AdmittedRequest, RelayContext } from "./relay.ts";
@@ -23,6 +24,8 @@
 export class CallRecorder {
     private usageRecorded = false;
     private firstByteAt: number | undefined;
+    /** How the last incomplete answer ended. */
+    private lastBreak: string | undefined;
     /** Time and inputs of the decision on the last attempt. */
     private decision: { at: number; predictedMs: number; unread: number; queued: number; running: number; } | undefined;
 
@@ -118,6 +121,7 @@
     }
 
     recordFailedAttempt(attempt: { endpoint: Endpoint; sentAt: number; }, outcome: string, reason: string): void {
+        this.lastBreak = outcome === "cut" ? reason : this.lastBreak;
         this.ctx.metrics.count("sends", 1, { outcome });
         this.ctx.log.info("request.send-failed", {
             id: this.admitted.dispatch.id,
@@ -128,6 +132,28 @@
         });
     }
 
+    /** Adds the call's own fields to the report of a cut; `describeAttempts` returns those that change. */
+    describeCuts(describeAttempts: () => EventFields): void {
+        const { caller, route, dispatch } = this.admitted;
+        caller.describeBy(() => ({
+            service: dispatch.service,
+            execution: route.execution,
+            resumable: route.resumable,
+            ...describeAttempts(),
+            lastBreak: this.lastBreak,
+            timeLeftMs: Math.round(dispatch.deadline - this.ctx.clock.now()),
+        }));
+    }
+
+    /** Reports that the caller's connection is closed in the middle of the answer. */
+    recordCut(reason: string): void {
+        const { caller, res } = this.admitted;
+        if (!res.destroyed) {
+            const broken = this.lastBreak === "stalled" ? "stalled" : "endpoint-cut";
+            caller.recordCut(reason === "time is up" ? "deadline" : broken, { reason });
+        }
+    }
+
     /** Logs why the request gets no endpoint's answer; `best` is the best candidate that was not good enough. */
     recordGiveUp(reason: string, runs: number, best: EndpointChoice<Endpoint> | undefined): void {
         const { dispatch } = this.admitted;
--- /dev/null
+++ b/packages/ingress/src/caller-cuts.ts
@@ -0,0 +1,180 @@
+import type { Clock, EventFields, EventLog, Metrics } from "@lentilramp/runtime";
+import type { IncomingMessage, ServerResponse } from "node:http";
+import type { Socket } from "node:net";
+
+/** Why a caller's connection is closed before the answer to its request is complete. */
+export type CutCause =
+    /** The endpoint's stream fell silent, and no other attempt continues it. */
+    | "stalled"
+    /** The endpoint broke its answer off, and no other attempt continues it. */
+    | "endpoint-cut"
+    /** The deadline of the request passed in the middle of the answer. */
+    | "deadline"
+    /** An unexpected error of this process. */
+    | "error"
+    /** The grace time of a planned stop is over. */
+    | "stopping"
+    /** The connection closed before the request had been read. */
+    | "incomplete-request"
+    /** What the caller sent is not HTTP, or its head took too long. */
+    | "bad-request"
+    /** The idle time was over although part of a request had been read, or the timer fired late. */
+    | "idle";
+
+/** Delay of the idle timer, in milliseconds, above which a request may have arrived without having been read. */
+const lateIdleCloseMs = 50;
+
+/** Error code of Node.js for a connection whose sending side the caller has closed within a request. */
+const endInRequest = "HPE_INVALID_EOF_STATE";
+
+/** What the ingress knows at the moment of a cut. */
+export interface CutContext {
+    catalogVersion(): number | undefined;
+    isDraining(): boolean;
+    requestId(req: IncomingMessage): string | undefined;
+}
+
+/** A caller's request from its head until its answer has been written. */
+export class CallerExchange {
+    private readonly admittedCatalog: number | undefined;
+    private lastWriteAt: number | undefined;
+    private reported = false;
+    private describeCall: () => EventFields = () => ({});
+
+    constructor(
+        private readonly req: IncomingMessage,
+        private readonly res: ServerResponse,
+        private readonly clock: Clock,
+        private readonly context: CutContext,
+        private readonly report: (cause: CutCause, fields: EventFields) => void,
+        private readonly arrivedAt = clock.now(),
+    ) {
+        this.admittedCatalog = context.catalogVersion();
+    }
+
+    /** Sets what an admitted request adds to the report of a cut. */
+    describeBy(describeCall: () => EventFields): void {
+        this.describeCall = describeCall;
+    }
+
+    /** Records that a part of the answer's body is written to the caller. */
+    recordWrite(): void {
+        this.lastWriteAt = this.clock.now();
+    }
+
+    /** Reports that the connection closes without the complete answer; only the first cause counts. */
+    recordCut(cause: CutCause, fields: EventFields = {}): void {
+        const { req, res, context } = this;
+        if (this.reported || res.writableFinished) {
+            return;
+        }
+        this.reported = true;
+        const now = this.clock.now();
+        this.report(cause, {
+            id: context.requestId(req),
+            ...fields,
+            ...this.describeCall(),
+            ageMs: Math.round(now - this.arrivedAt),
+            read: req.complete,
+            begun: res.headersSent,
+            ended: res.writableEnded,
+            sinceWriteMs: this.lastWriteAt === undefined ? undefined : Math.round(now - this.lastWriteAt),
+            catalogThen: this.admittedCatalog,
+            catalog: context.catalogVersion(),
+            draining: context.isDraining(),
+        });
+    }
+}
+
+/** A caller's connection and its requests whose answers are not complete. */
+interface CallerConnection {
+    exchanges: Set<CallerExchange>;
+    /** Bytes that the socket had read when the last answer was complete. */
+    answeredBytes: number;
+    idleSince: number;
+}
+
+/** Reports each request whose connection this ingress closes without a complete answer, once, with the cause. */
+export class CallerCuts {
+    private readonly connections = new Map<Socket, CallerConnection>();
+
+    constructor(
+        private readonly context: CutContext,
+        private readonly clock: Clock,
+        private readonly log: EventLog,
+        private readonly metrics: Metrics,
+    ) {}
+
+    /** Follows a caller's connection until it closes. */
+    followConnection(socket: Socket): void {
+        const connection = { exchanges: new Set<CallerExchange>(), answeredBytes: 0, idleSince: this.clock.now() };
+        this.connections.set(socket, connection);
+        socket.once("close", () => this.connections.delete(socket));
+        socket.on("timeout", () => this.recordIdleClose(socket, connection));
+    }
+
+    /** Follows a request until its answer has been written or its connection has closed. */
+    followRequest(req: IncomingMessage, res: ServerResponse): CallerExchange {
+        const exchange = new CallerExchange(req, res, this.clock, this.context, (...cut) => this.report(...cut));
+        const { socket } = req;
+        const connection = this.connections.get(socket);
+        connection?.exchanges.add(exchange);
+        res.once("close", () => {
+            connection?.exchanges.delete(exchange);
+            if (connection !== undefined) {
+                connection.answeredBytes = socket.bytesRead;
+                connection.idleSince = this.clock.now();
+            }
+        });
+        return exchange;
+    }
+
+    /** Records that a connection ends because of what the caller sent, or did not send. */
+    recordBadRequest(socket: Socket, error: string): void {
+        const cause = error === endInRequest ? "incomplete-request" : "bad-request";
+        const connection = this.connections.get(socket);
+        for (const exchange of connection?.exchanges ?? []) {
+            exchange.recordCut(cause, { error });
+        }
+        if (connection === undefined || connection.exchanges.size === 0) {
+            this.report(cause, { error, unreadBytes: this.unansweredBytes(socket), read: false });
+        }
+    }
+
+    /** Records what is open when all callers' connections are closed. */
+    recordStop(): void {
+        for (const [socket, { exchanges }] of this.connections) {
+            for (const exchange of exchanges) {
+                exchange.recordCut("stopping");
+            }
+            const unreadBytes = this.unansweredBytes(socket);
+            if (exchanges.size === 0 && unreadBytes > 0) {
+                this.report("stopping", { unreadBytes, read: false });
+            }
+        }
+    }
+
+    private recordIdleClose(socket: Socket, { idleSince }: CallerConnection): void {
+        const idleMs = this.clock.now() - idleSince;
+        const lateMs = idleMs - (socket.timeout ?? 0);
+        const unreadBytes = this.unansweredBytes(socket);
+        if (unreadBytes > 0 || lateMs > lateIdleCloseMs) {
+            this.report("idle", {
+                unreadBytes,
+                idleMs: Math.round(idleMs),
+                lateMs: Math.round(lateMs),
+                catalog: this.context.catalogVersion(),
+                draining: this.context.isDraining(),
+            });
+        }
+    }
+
+    private unansweredBytes(socket: Socket): number {
+        return socket.bytesRead - (this.connections.get(socket)?.answeredBytes ?? 0);
+    }
+
+    private report(cause: CutCause, fields: EventFields): void {
+        this.metrics.count("caller_cuts", 1, { cause });
+        this.log.info("caller.cut", { cause, ...fields });
+    }
+}
--- a/packages/ingress/src/caller-server.ts
+++ b/packages/ingress/src/caller-server.ts
@@ -1,5 +1,6 @@
 import { type Clock, Component, type EventLog } from "@lentilramp/runtime";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import type { Socket } from "node:net";
 import type { IngressOptions } from "./ingress-options.ts";
 import type { Relay } from "./relay.ts";
 
@@ -41,8 +42,12 @@
             keepAliveTimeout: initialIdleTimeoutMs + idleMarginMs,
             noDelay: true,
         }, (req, res) => this.onRequest(req, res));
-        this.server.on("clientError", (err: NodeJS.ErrnoException, socket) => {
+        this.server.on("connection", (socket: Socket) => this.relay.cuts.followConnection(socket));
+        this.server.on("clientError", (err: NodeJS.ErrnoException, socket: Socket) => {
             this.log.debug("caller.bad-request", { error: err.code ?? err.message });
+            if (err.code !== "ECONNRESET") {
+                this.relay.cuts.recordBadRequest(socket, err.code ?? err.message);
+            }
             if (socket.writable && err.code !== "ECONNRESET") {
                 const status = err.code === "HPE_HEADER_OVERFLOW"
                     ? "431 Request Header Fields Too Large"
@@ -84,6 +89,7 @@
     }
 
     override async close(): Promise<void> {
+        this.relay.cuts.recordStop();
         for (const server of [this.server, this.readiness]) {
             server.close();
             server.closeAllConnections();
--- a/packages/ingress/src/index.ts
+++ b/packages/ingress/src/index.ts
@@ -1,6 +1,7 @@
 /**
  * The ingress of a fleet: relays requests of any method, path and body from callers to endpoints.
  */
+export * from "./caller-cuts.ts";
 export * from "./caller-server.ts";
 export * from "./endpoint-list-fallback.ts";
 export * from "./endpoint-pool.ts";
--- a/packages/ingress/src/relay.ts
+++ b/packages/ingress/src/relay.ts
@@ -13,6 +13,7 @@
 import { RetryBudget } from "@lentilramp/retries";
 import type { Clock, EventLog, Metrics, RandomSource } from "@lentilramp/runtime";
 import type { IncomingMessage, ServerResponse } from "node:http";
+import { CallerCuts, type CallerExchange } from "./caller-cuts.ts";
 import { type CheckedRequest, checkRequest, type Refusal } from "./check-request.ts";
 import { CrashDetector } from "./crash-detector.ts";
 import { EndpointPool } from "./endpoint-pool.ts";
@@ -42,6 +43,7 @@
 export interface AdmittedRequest {
     req: IncomingMessage;
     res: ServerResponse;
+    caller: CallerExchange;
     head: CallerHead;
     body: Buffer;
     route: CatalogRoute;
@@ -92,6 +94,7 @@
     readonly dispatcher: Dispatcher;
     readonly limitGate: LimitGate;
     readonly crashDetector: CrashDetector | undefined;
+    readonly cuts: CallerCuts;
     readonly clock: Clock;
     readonly log: EventLog;
     readonly metrics: Metrics;
@@ -117,6 +120,16 @@
         this.random = base.random;
         this.log = base.log;
         this.metrics = base.metrics;
+        this.cuts = new CallerCuts(
+            {
+                catalogVersion: () => view.catalog?.version,
+                isDraining: () => this.isDraining(),
+                requestId: req => headerCodec.decodeCallerHead(req.headers).attemptId,
+            },
+            base.clock,
+            base.log,
+            base.metrics,
+        );
         this.promptAffinity = components.createPromptAffinity(service => view.endpoints.readyEndpoints(service));
         this.dispatcher = new Dispatcher(view.loads, view.health, base.random, components.dispatchOptions());
         this.limitGate = new LimitGate(view, base.clock, base.random);
@@ -178,21 +191,26 @@
     /** Handles one request; resolves when it has been answered or its connection has closed. */
     async handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
         const arrivedAt = this.clock.now();
+        const caller = this.cuts.followRequest(req, res);
         this.inFlight++;
         try {
             if (!this.view.ready) {
                 await this.waitUntilReady(res, arrivedAt + startupWaitMs);
             }
-            const admitted = await this.admit(req, res, arrivedAt);
+            const admitted = await this.admit(req, res, caller, arrivedAt);
             if (admitted !== undefined) {
                 await new RelayedCall(admitted, this).run();
             }
         }
         catch (err) {
-            if (!(err instanceof IncompleteBodyError)) {
+            if (err instanceof IncompleteBodyError) {
+                caller.recordCut("incomplete-request");
+            }
+            else {
                 this.log.error("request.broken", {
                     error: err instanceof Error ? err.stack ?? err.message : String(err),
                 });
+                caller.recordCut("error", { error: String(err) });
             }
             res.destroy();
         }
@@ -267,6 +285,7 @@
     private async admit(
         req: IncomingMessage,
         res: ServerResponse,
+        caller: CallerExchange,
         arrivedAt: number,
     ): Promise<AdmittedRequest | undefined> {
         const head = this.headerCodec.decodeCallerHead(req.headers);
@@ -313,6 +332,7 @@
         return {
             req,
             res,
+            caller,
             head,
             body,
             route,
--- a/packages/ingress/src/relayed-call.ts
+++ b/packages/ingress/src/relayed-call.ts
@@ -37,7 +37,8 @@
     constructor(private readonly admitted: AdmittedRequest, private readonly ctx: RelayContext) {
         this.recorder = new CallRecorder(admitted, ctx);
         this.prompt = new PromptOutcome(admitted, ctx);
-        this.writer = new AnswerWriter(admitted.res, () => ctx.isDraining());
+        this.writer = new AnswerWriter(admitted.res, () => ctx.isDraining(), () => admitted.caller.recordWrite());
+        this.recorder.describeCuts(() => ({ runs: this.runs, endpoint: this.currentAttempt?.endpoint.id }));
         this.selection = new EndpointSelection(admitted, ctx, {
             isBlocked: () => this.prompt.isBlocked,
             onFirstDecision: best => this.recorder.recordDemand(best),
@@ -326,6 +327,7 @@
         this.finished = true;
         this.outcome = this.writer.started ? "cut" : notRun ? "refused" : "failed";
         if (this.writer.started) {
+            this.recorder.recordCut(reason);
             res.destroy();
             return;
         }
--- a/packages/ingress/tests/ingress-harness.ts
+++ b/packages/ingress/tests/ingress-harness.ts
@@ -212,11 +212,11 @@
         return (await this.call({ port: this.ports.readiness, path: "/" })).status;
     }
 
-    /** Sends raw bytes; resolves with all received bytes when the connection has closed. */
-    async sendRaw(text: string): Promise<string> {
+    /** Sends raw bytes, and closes the sending side with `end`; resolves with all received bytes at the close. */
+    async sendRaw(text: string, { end = false }: { end?: boolean; } = {}): Promise<string> {
         return await new Promise((resolve, reject) => {
             let answer = "";
-            const socket = connect(this.ports.callers, "127.0.0.1", () => socket.write(text));
+            const socket = connect(this.ports.callers, "127.0.0.1", () => end ? socket.end(text) : socket.write(text));
             socket.setEncoding("latin1").on("data", (part: string) => answer += part);
             socket.on("close", () => resolve(answer));
             socket.on("error", reject);
