Leave a silent endpoint only for another attempt that can be made

What callers saw: a stream whose sound endpoint paused for 1.3 s was closed after 0.9 s, and an idempotent request got 502 after 0.3 s with 7.7 s of its time left. Cause: silence ended the attempt first, and only then the ingress asked whether another attempt, the retry budget and another endpoint were left. Where they were not, it had nothing to give the caller. Change: SilenceWatch asks before it ends an attempt, for the head of an answer and for the events of a resumable stream alike, pays for the new attempt in the same turn of the event loop, and looks again each 200 ms while nothing can replace the silent one. A stream is left after five times the target gap instead of three; callers wait for eight. An attempt has no deadline of its own any more.

--- a/packages/ingress/src/answer-writer.ts
+++ b/packages/ingress/src/answer-writer.ts
@@ -1,14 +1,15 @@
-import type { Clock, Timer } from "@lentilramp/runtime";
+import type { Clock } from "@lentilramp/runtime";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { EventSplitter } from "./event-splitter.ts";
 import { stripHopByHopHeaders } from "./hop-by-hop-headers.ts";
+import { SilenceWatch } from "./silence-watch.ts";
 
 /** Outcome of relaying the body of an endpoint's answer. */
 export type BodyEnd =
     | "complete"
     /** The endpoint closed or reset the connection before the end of the body. */
     | "cut"
-    /** No event arrived before the deadline of the next one. */
+    /** No event arrived for too long, and another attempt is to resume the stream. */
     | "stalled"
     /** The caller closed its connection. */
     | "left";
@@ -113,23 +114,21 @@
         res: IncomingMessage,
         options: {
             clock: Clock;
-            /** Instant by which the first event must arrive. */
-            firstEventDeadline: number;
-            /** Longest pause between two events. */
+            /** Instant by which the first event is expected. */
+            firstEventExpectedBy: number;
+            /** Pause after an event from which another attempt may resume the stream, in milliseconds. */
             maxGapMs: number;
+            /** Whether another attempt can be made now instead of the silent one. */
+            tryReplace: () => boolean;
             wasCut: () => Promise<boolean>;
             onFirstEvent: () => void;
         },
     ): Promise<BodyEnd> {
-        const { clock, firstEventDeadline, maxGapMs, wasCut, onFirstEvent } = options;
+        const { clock, firstEventExpectedBy, maxGapMs, tryReplace, wasCut, onFirstEvent } = options;
         const splitter = new EventSplitter();
-        let timer: Timer | undefined;
+        const silence = new SilenceWatch(clock, tryReplace, () => this.stop("stalled"));
         let first = true;
-        const setStallTimer = (until: number): void => {
-            timer?.cancel();
-            timer = clock.schedule(until, () => this.stop("stalled"));
-        };
-        setStallTimer(firstEventDeadline);
+        silence.expectBy(firstEventExpectedBy);
         const end = await this.consume(res, wasCut, chunk => {
             const { completeEvents, lastEventId } = splitter.push(chunk);
             if (splitter.remainder.length > eventLimitBytes) {
@@ -145,13 +144,13 @@
                     first = false;
                     onFirstEvent();
                 }
-                setStallTimer(clock.now() + maxGapMs);
+                silence.expectBy(clock.now() + maxGapMs);
                 this.lastRelayedEventId = lastEventId;
             }
             this.writeHead(res);
             return this.write(completeEvents);
         });
-        timer?.cancel();
+        silence.cancel();
         if (end === "complete" && /[^\r\n]/.test(splitter.remainder.toString("latin1"))) {
             // A stream that ends inside an event has been broken off, however its connection ended.
             return "cut";
--- a/packages/ingress/src/attempt.ts
+++ b/packages/ingress/src/attempt.ts
@@ -5,6 +5,7 @@
 import type { EndpointPool } from "./endpoint-pool.ts";
 import type { AnswerHead, HeaderCodec } from "./platform-adapter.ts";
 import { connectDeadline } from "./send-timing.ts";
+import { SilenceWatch } from "./silence-watch.ts";
 
 export type AttemptOutcome =
     | { kind: "answer"; res: IncomingMessage; head: AnswerHead; }
@@ -20,7 +21,7 @@
     | {
         kind: "unknown";
         reason: string;
-        /** Whether the ingress ended the attempt because no answer arrived before the head deadline. */
+        /** Whether the ingress ended the attempt for another one because the answer was overdue. */
         timedOut?: boolean;
     };
 
@@ -31,8 +32,10 @@
     headers: string[];
     body: Buffer;
     attemptId: string | undefined;
-    /** Instant by which the head of the answer must arrive. */
-    headDeadline: number;
+    /** Instant by which the head of the answer is expected. */
+    headExpectedBy: number;
+    /** Whether another attempt can be made now instead of one whose answer is overdue. */
+    tryReplace: () => boolean;
     /** Number of idle connections to the endpoint that the pool keeps. */
     maxIdleConnections: number;
 }
@@ -61,7 +64,8 @@
 
 /** One attempt to send a request to an endpoint, up to the head of the answer. */
 export class Attempt {
-    private readonly timers: Timer[] = [];
+    private connectTimer: Timer | undefined;
+    private silence: SilenceWatch | undefined;
     private req: ClientRequest | undefined;
     private connected = false;
     private settled = false;
@@ -106,7 +110,7 @@
     }
 
     private send(settle: (outcome: AttemptOutcome) => void): void {
-        const { endpoint, method, target, body, headDeadline, maxIdleConnections } = this.input;
+        const { endpoint, method, target, body, headExpectedBy, tryReplace, maxIdleConnections } = this.input;
         const headers = body.length > 0 || method === "POST" || method === "PUT" || method === "PATCH"
             ? [...this.input.headers, "Content-Length", String(body.length)]
             : this.input.headers;
@@ -127,25 +131,21 @@
                 this.connected = true;
                 return;
             }
-            const timer = this.clock.schedule(connectDeadline(this.clock.now()), () => {
+            this.connectTimer = this.clock.schedule(connectDeadline(this.clock.now()), () => {
                 settle({ kind: "not-run", reason: "connection not opened in time", received: false });
                 req.destroy();
             });
-            this.timers.push(timer);
             socket.once("connect", () => {
-                timer.cancel();
+                this.connectTimer?.cancel();
                 this.connected = true;
             });
         });
-        this.timers.push(this.clock.schedule(headDeadline, () => {
-            settle(
-                this.connected
-                    ? { kind: "unknown", reason: "no answer in time", timedOut: true }
-                    : { kind: "not-run", reason: "connection not opened in time", received: false },
-            );
+        this.silence = new SilenceWatch(this.clock, tryReplace, () => {
+            settle({ kind: "unknown", reason: "no answer in time", timedOut: true });
             req.destroy();
             this.pool.closeIdleConnections(endpoint.id);
-        }));
+        });
+        this.silence.expectBy(headExpectedBy);
         req.on("error", (err: NodeJS.ErrnoException) => {
             this.connectionFailed = true;
             const reason = err.code ?? err.message;
@@ -207,9 +207,7 @@
     }
 
     private cancelTimers(): void {
-        for (const timer of this.timers) {
-            timer.cancel();
-        }
-        this.timers.length = 0;
+        this.connectTimer?.cancel();
+        this.silence?.cancel();
     }
 }
--- a/packages/ingress/src/in-flight-attempt.ts
+++ b/packages/ingress/src/in-flight-attempt.ts
@@ -2,7 +2,7 @@
 import type { Endpoint } from "@lentilramp/fleet";
 import { Attempt } from "./attempt.ts";
 import type { AdmittedRequest, RelayContext } from "./relay.ts";
-import { answerDeadline, silenceLimitMs } from "./send-timing.ts";
+import { answerExpectedBy, silenceLimitMs } from "./send-timing.ts";
 
 /** An attempt at an endpoint whose answer has not ended. */
 export interface InFlightAttempt {
@@ -10,8 +10,8 @@
     endpoint: Endpoint;
     booking: InFlightRequest;
     sentAt: number;
-    /** Instant by which the answer must have begun. */
-    firstByteDeadline: number;
+    /** Instant by which the answer is expected to have begun. */
+    firstByteExpectedBy: number;
     /** Instant from which silence counts as the endpoint's fault and not as the effect of a route's short timeout. */
     silenceFaultFrom: number;
     slotReleased: boolean;
@@ -19,13 +19,14 @@
 
 /**
  * Creates an attempt at the chosen endpoint and records it there: as load, as a trial after an ejection, as the use of
- * a permit, and in the memory of prompts. `lastEventId` is the position from which a stream is resumed.
+ * a permit, and in the memory of prompts. `lastEventId` is the position from which a stream is resumed; `tryReplace`
+ * returns whether another attempt can be made now instead of this one when its answer is overdue.
  */
 export function createAttempt(
     admitted: AdmittedRequest,
     ctx: RelayContext,
     { endpoint, prediction }: EndpointChoice<Endpoint>,
-    { lastEventId, mayRetry }: { lastEventId: string | undefined; mayRetry: boolean; },
+    { lastEventId, tryReplace }: { lastEventId: string | undefined; tryReplace: () => boolean; },
 ): InFlightAttempt {
     const now = ctx.clock.now();
     const { dispatch } = admitted;
@@ -36,7 +37,7 @@
     if (dispatch.work !== undefined && service?.engine !== undefined) {
         ctx.view.prefixMemory.record(endpoint.id, dispatch.work.parts, service.engine.kvCacheTokens, now);
     }
-    const firstByteDeadline = answerDeadline(admitted, prediction, now, mayRetry);
+    const firstByteExpectedBy = answerExpectedBy(admitted, prediction, now);
     const attempt = new Attempt(
         {
             endpoint,
@@ -51,7 +52,8 @@
             }),
             body: admitted.body,
             attemptId: admitted.head.attemptId,
-            headDeadline: firstByteDeadline,
+            headExpectedBy: firstByteExpectedBy,
+            tryReplace,
             maxIdleConnections: ctx.maxIdleConnections(dispatch.service),
         },
         ctx.pool,
@@ -63,7 +65,7 @@
         endpoint,
         booking,
         sentAt: now,
-        firstByteDeadline,
+        firstByteExpectedBy,
         silenceFaultFrom: now + silenceLimitMs(prediction),
         slotReleased: false,
     };
--- a/packages/ingress/src/relayed-call.ts
+++ b/packages/ingress/src/relayed-call.ts
@@ -11,8 +11,11 @@
 import { sendRefusal } from "./refusal.ts";
 import type { AdmittedRequest, RelayContext } from "./relay.ts";
 
-/** Multiple of the target gap between events after which a resumable stream is resumed at another endpoint. */
-const stallGapFactor = 3;
+/**
+ * Multiple of the target gap between events after which a silent stream is resumed at another endpoint if possible.
+ * Callers wait for eight times the gap.
+ */
+const stallGapFactor = 5;
 const defaultGapTargetMs = 300;
 
 /** Relays one admitted request: waits for a slot, sends the request, retries where that is allowed, and answers. */
@@ -124,10 +127,22 @@
         this.recorder.recordDecision(choice, ctx.view.loads.load(endpoint.id, now).unreadTokens);
         this.currentAttempt = createAttempt(admitted, ctx, choice, {
             lastEventId: this.writer.lastEventId,
-            mayRetry: this.retryable && this.runs + 1 < admitted.route.maxAttempts,
+            tryReplace: () => this.tryReplace(endpoint, this.runs + 1),
         });
     }
 
+    /**
+     * Returns whether another endpoint can take the request from a silent one now, and pays for that attempt if so.
+     * `runs` is the number of attempts so far, including the silent one.
+     */
+    private tryReplace(silent: Endpoint, runs: number): boolean {
+        const { dispatch, route } = this.admitted;
+        this.nextAttemptBudgeted = this.retryable && runs < route.maxAttempts && this.prompt.mayRepeat
+            && this.selection.hasAlternativeTo(silent)
+            && this.ctx.retryBudget(dispatch.service).tryWithdraw(this.ctx.clock.now());
+        return this.nextAttemptBudgeted;
+    }
+
     private sendPath(now: number): "arrival" | "queue" | "retry" | "resumption" {
         if (this.currentAttempt !== undefined) {
             return this.writer.started ? "resumption" : "retry";
@@ -165,7 +180,9 @@
         if (outcome.kind === "not-run" && outcome.head !== undefined) {
             this.recorder.applyAnswerHead(inFlight.endpoint, outcome.head, inFlight.sentAt);
         }
-        this.nextAttemptBudgeted = outcome.kind === "not-run" && !outcome.received;
+        if (outcome.kind === "not-run") {
+            this.nextAttemptBudgeted = !outcome.received;
+        }
         this.recorder.recordFailedAttempt(inFlight, outcome.kind, outcome.reason);
         if (outcome.kind === "unknown") {
             this.runs++;
@@ -269,8 +286,9 @@
         const end = route.resumable
             ? await this.writer.relayEvents(res, {
                 clock: this.ctx.clock,
-                firstEventDeadline: inFlight.firstByteDeadline,
+                firstEventExpectedBy: inFlight.firstByteExpectedBy,
                 maxGapMs: (route.gapTargetMs ?? defaultGapTargetMs) * stallGapFactor,
+                tryReplace: () => this.tryReplace(inFlight.endpoint, this.runs),
                 wasCut,
                 onFirstEvent: onFirstChunk,
             })
--- a/packages/ingress/src/send-timing.ts
+++ b/packages/ingress/src/send-timing.ts
@@ -3,9 +3,9 @@
 
 /** Connect timeout in milliseconds; TCP retransmits a lost SYN packet only after a second. */
 const connectTimeoutMs = 250;
-/** Fraction of the time to the latency target after which an unanswered idempotent call is retried elsewhere. */
+/** Fraction of the time to the latency target after which an unanswered idempotent call may be retried elsewhere. */
 const slowAnswerFraction = 0.75;
-/** Minimum wait for the answer to an idempotent call before it is retried elsewhere, in milliseconds. */
+/** Minimum wait for the answer to an idempotent call before it may be retried elsewhere, in milliseconds. */
 const minAnswerWaitMs = 250;
 /** An endpoint counts as silent after this multiple of the predicted time to the first byte, plus the margin. */
 const silenceFactor = 3;
@@ -21,18 +21,9 @@
     return firstByteMs * silenceFactor + silenceMarginMs;
 }
 
-/** Returns the instant by which an answer must have begun; for a request that may be retried, before its deadline. */
-export function answerDeadline(
-    { dispatch, route }: AdmittedRequest,
-    prediction: Prediction,
-    now: number,
-    mayRetry: boolean,
-): number {
-    if (!mayRetry) {
-        return dispatch.deadline;
-    }
-    const waitMs = route.execution === "stream"
+/** Returns the instant by which an answer is expected to have begun; after it, another attempt may replace the silent one. */
+export function answerExpectedBy({ dispatch, route }: AdmittedRequest, prediction: Prediction, now: number): number {
+    return now + (route.execution === "stream"
         ? silenceLimitMs(prediction)
-        : Math.max(minAnswerWaitMs, (dispatch.targetAt - dispatch.arrivedAt) * slowAnswerFraction);
-    return Math.min(dispatch.deadline, now + waitMs);
+        : Math.max(minAnswerWaitMs, (dispatch.targetAt - dispatch.arrivedAt) * slowAnswerFraction));
 }
