Take a send that throws as not run

What callers saw: with an endpoint at port 99999 in the list, requests ended with a closed connection: neither an answer nor a refusal, whatever their kind. Cause: http.request throws at once for an address or head that cannot be sent; the exception left the attempt, and Relay.handle closes the connection on any exception. Change: the attempt settles as not run, so that the request goes to another endpoint, or gets 503 with Retry-After. Nothing had been sent: Node.js checks before it connects. Evidence: the six tests of unexpected-errors.test.ts failed before with "socket hang up".

--- a/packages/ingress/src/attempt.ts
+++ b/packages/ingress/src/attempt.ts
@@ -114,12 +114,16 @@
         const headers = body.length > 0 || method === "POST" || method === "PUT" || method === "PATCH"
             ? [...this.input.headers, "Content-Length", String(body.length)]
             : this.input.headers;
-        const req = request({
-            ...this.pool.requestOptions(endpoint, maxIdleConnections),
-            method,
-            path: target,
-            headers,
-        });
+        let req: ClientRequest;
+        try {
+            const options = this.pool.requestOptions(endpoint, maxIdleConnections);
+            req = request({ ...options, method, path: target, headers });
+        }
+        catch (err) {
+            // Node.js throws for an address or a head that cannot be sent, before it opens a connection.
+            settle({ kind: "not-run", reason: `cannot be sent: ${String(err)}`, received: false });
+            return;
+        }
         this.req = req;
         req.setNoDelay(true);
         req.on("socket", socket => {
