Relay answers whose reason phrase holds a control character

What callers saw: all of an ingress's requests in flight ended with closed connections, because its process ended: an endpoint had sent a reason phrase with a control character. Cause: the parser of Node.js accepts such a phrase, its writer throws on it, and the exception left the data listener of a socket. A status below 200 (099) throws as well. Change: characters that cannot be sent are left out of the phrase; a final status below 200 is a failure of the attempt.

--- a/packages/ingress/src/answer-writer.ts
+++ b/packages/ingress/src/answer-writer.ts
@@ -22,6 +22,9 @@
 /** Length of the longest boundary between two events, in bytes. */
 const boundaryBytes = 4;
 
+/** Characters that the parser of Node.js accepts in a reason phrase, and that its writer refuses. */
+const unsendableReason = /[^\t\x20-\x7e\x80-\xff]/g;
+
 /** Whether the last bytes of a stream end an event. */
 function endsAtEventBoundary(tail: string): boolean {
     return tail.endsWith("\n\n") || tail.endsWith("\r\n\r\n");
@@ -176,7 +179,8 @@
         if (this.closesConnection()) {
             headers.push("Connection", "close");
         }
-        this.callerRes.writeHead(res.statusCode ?? 502, res.statusMessage ?? "", headers);
+        const reason = (res.statusMessage ?? "").replace(unsendableReason, "");
+        this.callerRes.writeHead(res.statusCode ?? 502, reason, headers);
     }
 
     /** Reads the body with backpressure; `relayChunk` returns false when the caller's connection is full. */
--- a/packages/ingress/src/attempt.ts
+++ b/packages/ingress/src/attempt.ts
@@ -197,6 +197,9 @@
             req.destroy();
             return { kind: "unknown", reason };
         };
+        if (status < 200) {
+            return reject(`unexpected status ${status}`);
+        }
         if (this.input.attemptId !== undefined && head.attemptId !== this.input.attemptId) {
             return reject("answer to another request");
         }
--- a/packages/ingress/tests/unexpected-errors.test.ts
+++ b/packages/ingress/tests/unexpected-errors.test.ts
@@ -1,6 +1,8 @@
 import type { CatalogRoute } from "@lentilramp/catalog";
 import type { Endpoint } from "@lentilramp/fleet";
 import { expect } from "chai";
+import { once } from "node:events";
+import { type AddressInfo, createServer, type Server } from "node:net";
 import { testCatalog, testRoute } from "../../catalog/tests/fixtures.ts";
 import { type Answer, IngressHarness, ScriptedEndpoint, sealed } from "./ingress-harness.ts";
 
@@ -8,6 +10,7 @@
 
 describe("Relay with unexpected errors", () => {
     let endpoints: ScriptedEndpoint[] = [];
+    let rawServer: Server | undefined;
     let ingress: IngressHarness | undefined;
 
     async function start(answers: Answer[], route: Partial<CatalogRoute>): Promise<IngressHarness> {
@@ -17,10 +20,29 @@
         return ingress;
     }
 
+    /** Starts an endpoint that writes these bytes as the head of its answers, and the id of the request after them. */
+    async function startRaw(head: () => string, body: string, route: Partial<CatalogRoute>): Promise<IngressHarness> {
+        const harness = await start([sealed(200, "")], route);
+        rawServer = createServer(socket => {
+            socket.on("error", () => undefined);
+            socket.once("data", data => {
+                const id = /x-attempt-id: (\S+)/i.exec(data.toString("latin1"))?.[1] ?? "";
+                socket.end(`${head()}\r\nX-Attempt-Id: ${id}\r\nX-Response-Seal: s\r\n\r\n${body}`, "latin1");
+            });
+        });
+        rawServer.listen(0, "127.0.0.1");
+        await once(rawServer, "listening");
+        const { port } = rawServer.address() as AddressInfo;
+        harness.view.applyEndpointList([{ ...endpoints[0]!.endpoint, id: "raw", port }], harness.clock.now() + 1, 2);
+        return harness;
+    }
+
     afterEach(async () => {
         await ingress?.close();
         endpoints.forEach(endpoint => endpoint.close());
+        rawServer?.close();
         ingress = undefined;
+        rawServer = undefined;
         endpoints = [];
     });
 
@@ -44,4 +66,26 @@
             }
         });
     }
+
+    // Guards against an exception in the listener of a socket, which ends the whole process.
+    for (const [what, route] of [["plain", {}], ["stream", { execution: "stream" }], ["resumable", stream]] as const) {
+        it(`relays an answer whose reason phrase holds a control character, ${what}`, async () => {
+            const harness = await startRaw(() => "HTTP/1.1 200 O\x01K", "id: 1\ndata: a\n\n", route);
+            const { status, body } = await harness.call({ method: "POST", body: "x" });
+            expect({ status, body }).to.deep.equal({ status: 200, body: "id: 1\ndata: a\n\n" });
+        });
+    }
+
+    it("answers each request whatever byte a reason phrase or a header of its answer holds", async () => {
+        const bytes = Array.from({ length: 256 }, (...[, i]) => String.fromCharCode(i));
+        const heads = bytes.flatMap(byte => [`HTTP/1.1 200 a${byte}b`, `HTTP/1.1 200 OK\r\nX-Odd: a${byte}b`]);
+        heads.push(...["000", "099", "101", "199", "999", "1000", "20", "2x0"].map(code => `HTTP/1.1 ${code} OK`));
+        let sent = 0;
+        const harness = await startRaw(() => heads[sent++ % heads.length] ?? "", "id: 1\ndata: a\n\n", stream);
+        harness.view.health.recordOutcome = () => false;
+        while (sent < heads.length) {
+            const { status } = await harness.call({ method: "POST", body: "x" });
+            expect(status).to.be.oneOf([200, 502, 503, 999]);
+        }
+    });
 });
