Answer a request that ends with an internal error

What callers saw: after an unexpected error of the ingress their connection closed, also for a request that had not been sent and could have been refused. Cause: Relay.handle ended each exception with res.destroy(). Two further places lost more than one request: a decision in the queue that threw left isReevaluating set, so that no waiting request was looked at again, and an exception in a data listener or a timer ended the process. Change: RelayedCall ends with 503 and Retry-After if nothing was sent, with 502 once something was, and breaks a begun stream off; an answer that is complete stays whole. Decisions in the queue, chunks of bodies and the timer of a silent attempt hand their errors to the request that they belong to. The outcome of requests that end at their deadline is counted as what callers got, not as "left". Evidence: of the four new tests of unexpected-errors.test.ts three failed before: two with "socket hang up", and in the one of the queue six sound requests got 503 besides the one that fails.

--- a/packages/ingress/src/answer-writer.ts
+++ b/packages/ingress/src/answer-writer.ts
@@ -183,30 +183,39 @@
         this.callerRes.writeHead(res.statusCode ?? 502, reason, headers);
     }
 
-    /** Reads the body with backpressure; `relayChunk` returns false when the caller's connection is full. */
+    /**
+     * Reads the body with backpressure; `relayChunk` returns false when the caller's connection is full. Rejects with
+     * the error that `relayChunk` throws.
+     */
     private consume(
         res: IncomingMessage,
         wasCut: () => Promise<boolean>,
         relayChunk: (chunk: Buffer) => boolean,
     ): Promise<BodyEnd> {
-        return new Promise(resolve => {
+        return new Promise((resolve, reject) => {
             let ended = false;
-            const finish = (end: BodyEnd): void => {
+            const settle = (action: () => void): void => {
                 if (!ended) {
                     ended = true;
                     this.stop = () => undefined;
-                    resolve(end);
+                    action();
                 }
             };
+            const finish = (end: BodyEnd): void => settle(() => resolve(end));
             this.stop = finish;
             if (this.callerRes.destroyed) {
                 finish("left");
                 return;
             }
             res.on("data", (chunk: Buffer) => {
-                if (!ended && !relayChunk(chunk)) {
-                    res.pause();
-                    this.callerRes.once("drain", () => res.resume());
+                try {
+                    if (!ended && !relayChunk(chunk)) {
+                        res.pause();
+                        this.callerRes.once("drain", () => res.resume());
+                    }
+                }
+                catch (err) {
+                    settle(() => reject(err as Error));
                 }
             });
             res.on("end", () => {
--- a/packages/ingress/src/call-recorder.ts
+++ b/packages/ingress/src/call-recorder.ts
@@ -9,6 +9,7 @@
 import type { EventFields } from "@lentilramp/runtime";
 import murmurhash from "murmurhash";
 import type { AnswerHead } from "./platform-adapter.ts";
+import { internalErrorReason } from "./refusal.ts";
 import type { AdmittedRequest, RelayContext } from "./relay.ts";
 
 /**
@@ -17,6 +18,11 @@
  */
 const onTimeAnswersPerLine = 16;
 
+/** Returns what a log line says of an unexpected error. */
+export function describeError(err: unknown): string {
+    return err instanceof Error ? err.stack ?? err.message : String(err);
+}
+
 /** Final outcome of a request for its caller; `left` when the caller closed the connection. */
 export type CallOutcome = "answered" | "refused" | "failed" | "cut" | "left";
 
@@ -132,6 +138,10 @@
         });
     }
 
+    recordInternalError(err: unknown): void {
+        this.ctx.log.error("request.broken", { id: this.admitted.dispatch.id, error: describeError(err) });
+    }
+
     /** Adds the call's own fields to the report of a cut; `describeAttempts` returns those that change. */
     describeCuts(describeAttempts: () => EventFields): void {
         const { caller, route, dispatch } = this.admitted;
@@ -150,7 +160,8 @@
         const { caller, res } = this.admitted;
         if (!res.destroyed) {
             const broken = this.lastBreak === "stalled" ? "stalled" : "endpoint-cut";
-            caller.recordCut(reason === "time is up" ? "deadline" : broken, { reason });
+            const cause = reason === internalErrorReason ? "error" : reason === "time is up" ? "deadline" : broken;
+            caller.recordCut(cause, { reason });
         }
     }
 
--- a/packages/ingress/src/endpoint-selection.ts
+++ b/packages/ingress/src/endpoint-selection.ts
@@ -1,6 +1,12 @@
-import { bestChoice, type EndpointChoice, type QueueOutcome } from "@lentilramp/dispatch";
+import {
+    bestChoice,
+    type DispatchDecision,
+    type EndpointChoice,
+    type LatencyModel,
+    type QueueOutcome,
+} from "@lentilramp/dispatch";
 import type { Endpoint } from "@lentilramp/fleet";
-import { blockedPartRetryMs } from "./refusal.ts";
+import { blockedPartRetryMs, internalErrorRetryMs } from "./refusal.ts";
 import type { AdmittedRequest, RelayContext } from "./relay.ts";
 
 /** Retry delay that a caller gets when an endpoint refused its request, in milliseconds. */
@@ -20,6 +26,7 @@
     private readonly excluded = new Set<string>();
     private withdraw: () => void = () => undefined;
     private queuedAt: number | undefined;
+    private decided = false;
 
     constructor(
         private readonly admitted: AdmittedRequest,
@@ -49,39 +56,53 @@
 
     /** Waits in the queue of the service for an endpoint for the first attempt. */
     selectFirst(): Promise<QueueOutcome<Endpoint>> {
-        const { admitted: { dispatch }, ctx, excluded, hooks } = this;
+        const { admitted: { dispatch }, ctx, hooks } = this;
         const model = ctx.latencyModel(dispatch.service);
         ctx.view.limits.recordRequest(dispatch.service);
         this.queuedAt = ctx.clock.now();
-        let decided = false;
-        return new Promise(resolve => {
+        return new Promise((resolve, reject) => {
+            // The queue also decides in the turn of another request, which an error of this one must not end.
+            const attempt = <T>(action: () => T, fallback: T): T => {
+                try {
+                    return action();
+                }
+                catch (err) {
+                    reject(err as Error);
+                    return fallback;
+                }
+            };
+            const failed = { kind: "refuse", reason: "internal-error", retryAfterMs: internalErrorRetryMs } as const;
             this.withdraw = ctx.queue(dispatch.service).submit(
                 dispatch,
-                ahead => {
-                    if (hooks.isBlocked()) {
-                        return { kind: "refuse", reason: "blocked-part", retryAfterMs: blockedPartRetryMs };
-                    }
-                    const candidates = ctx.candidates(dispatch.service);
-                    const now = ctx.clock.now();
-                    const decision = ctx.dispatcher.decide(dispatch, candidates, model, now, excluded, ahead);
-                    if (!decided) {
-                        decided = true;
-                        hooks.onFirstDecision(bestChoice(decision));
-                    }
-                    return decision.kind === "refuse" && decision.reason === "no-endpoint"
-                        ? ctx.limitGate.decide(dispatch, excluded) ?? decision
-                        : decision;
-                },
-                outcome => {
-                    if (outcome.kind === "send") {
-                        hooks.onChoice(outcome.choice);
-                    }
-                    resolve(outcome);
-                },
+                ahead => attempt(() => this.decide(model, ahead), failed),
+                outcome =>
+                    attempt(() => {
+                        if (outcome.kind === "send") {
+                            hooks.onChoice(outcome.choice);
+                        }
+                        resolve(outcome);
+                    }, undefined),
             );
         });
     }
 
+    private decide(model: LatencyModel, ahead: number): DispatchDecision<Endpoint> {
+        const { admitted: { dispatch }, ctx, excluded, hooks } = this;
+        if (hooks.isBlocked()) {
+            return { kind: "refuse", reason: "blocked-part", retryAfterMs: blockedPartRetryMs };
+        }
+        const candidates = ctx.candidates(dispatch.service);
+        const now = ctx.clock.now();
+        const decision = ctx.dispatcher.decide(dispatch, candidates, model, now, excluded, ahead);
+        if (!this.decided) {
+            this.decided = true;
+            hooks.onFirstDecision(bestChoice(decision));
+        }
+        return decision.kind === "refuse" && decision.reason === "no-endpoint"
+            ? ctx.limitGate.decide(dispatch, excluded) ?? decision
+            : decision;
+    }
+
     /** Chooses an endpoint for a later attempt, without waiting for a slot, as the caller has already waited. */
     selectAnother(): QueueOutcome<Endpoint> {
         const choice = this.choose(this.excluded);
--- a/packages/ingress/src/refusal.ts
+++ b/packages/ingress/src/refusal.ts
@@ -4,6 +4,11 @@
 /** Retry delay of a request with a prompt part that crashes engines, in milliseconds; it is refused for minutes. */
 export const blockedPartRetryMs = 60_000;
 
+/** Reason that a caller gets after an unexpected error of this process. */
+export const internalErrorReason = "internal error";
+/** Retry delay that a caller gets with it, in milliseconds. */
+export const internalErrorRetryMs = 100;
+
 /** Sends a refusal of this ingress with `retryAfterMs` as its `Retry-After` header, unless that is undefined. */
 export function sendRefusal(
     res: ServerResponse,
--- a/packages/ingress/src/relay.ts
+++ b/packages/ingress/src/relay.ts
@@ -13,6 +13,7 @@
 import { RetryBudget } from "@lentilramp/retries";
 import type { Clock, EventLog, Metrics, RandomSource } from "@lentilramp/runtime";
 import type { IncomingMessage, ServerResponse } from "node:http";
+import { describeError } from "./call-recorder.ts";
 import { CallerCuts, type CallerExchange } from "./caller-cuts.ts";
 import { type CheckedRequest, checkRequest, type Refusal } from "./check-request.ts";
 import { CrashDetector } from "./crash-detector.ts";
@@ -22,7 +23,7 @@
 import type { IngressComponentFactory } from "./ingress-policy.ts";
 import { LimitGate } from "./limit-gate.ts";
 import type { CallerHead, HeaderCodec } from "./platform-adapter.ts";
-import { sendRefusal } from "./refusal.ts";
+import { internalErrorReason, internalErrorRetryMs, sendRefusal } from "./refusal.ts";
 import { RelayedCall } from "./relayed-call.ts";
 
 /** Longest time that a request waits for this process to become ready, in milliseconds; stewards start more slowly. */
@@ -203,22 +204,28 @@
             }
         }
         catch (err) {
-            if (err instanceof IncompleteBodyError) {
-                caller.recordCut("incomplete-request");
-            }
-            else {
-                this.log.error("request.broken", {
-                    error: err instanceof Error ? err.stack ?? err.message : String(err),
-                });
-                caller.recordCut("error", { error: String(err) });
-            }
-            res.destroy();
+            this.onFailedAdmission(err, req, res, caller);
         }
         finally {
             this.inFlight--;
         }
     }
 
+    /** Ends a request that was not admitted because of an error; nothing has been sent to an endpoint. */
+    private onFailedAdmission(err: unknown, req: IncomingMessage, res: ServerResponse, caller: CallerExchange): void {
+        if (err instanceof IncompleteBodyError) {
+            caller.recordCut("incomplete-request");
+            res.destroy();
+            return;
+        }
+        const { attemptId } = this.headerCodec.decodeCallerHead(req.headers);
+        this.log.error("request.broken", { id: attemptId, error: describeError(err) });
+        if (!res.headersSent) {
+            // The body may not have been read, so the connection cannot be kept.
+            sendRefusal(res, 503, internalErrorReason, internalErrorRetryMs, true);
+        }
+    }
+
     queue(service: string): DispatchQueue<Endpoint> {
         const queue = this.queues.get(service) ?? new DispatchQueue<Endpoint>(this.clock);
         this.queues.set(service, queue);
--- a/packages/ingress/src/relayed-call.ts
+++ b/packages/ingress/src/relayed-call.ts
@@ -3,12 +3,12 @@
 import type { IncomingMessage } from "node:http";
 import { AnswerWriter, type BodyEnd } from "./answer-writer.ts";
 import { type AttemptOutcome, discardAnswer } from "./attempt.ts";
-import { CallRecorder } from "./call-recorder.ts";
+import { type CallOutcome, CallRecorder } from "./call-recorder.ts";
 import { endpointRefusedRetryMs, EndpointSelection } from "./endpoint-selection.ts";
 import { createAttempt, type InFlightAttempt } from "./in-flight-attempt.ts";
 import type { AnswerHead } from "./platform-adapter.ts";
 import { PromptOutcome } from "./prompt-outcome.ts";
-import { sendRefusal } from "./refusal.ts";
+import { internalErrorReason, sendRefusal } from "./refusal.ts";
 import type { AdmittedRequest, RelayContext } from "./relay.ts";
 
 /**
@@ -23,14 +23,15 @@
     /** Number of attempts in which an endpoint ran or may have run the request. */
     private runs = 0;
     private currentAttempt: InFlightAttempt | undefined;
-    private callerLeft = false;
+    /** Whether nothing more is to be done for the caller. */
+    private stopped = false;
     private finished = false;
     private readonly selection: EndpointSelection;
     private readonly writer: AnswerWriter;
     private readonly recorder: CallRecorder;
     private readonly prompt: PromptOutcome;
     private lastFailureReason = "";
-    private outcome: "answered" | "refused" | "failed" | "cut" = "answered";
+    private outcome: CallOutcome = "answered";
     /**
      * Whether the next attempt needs no withdrawal from the retry budget: it has been paid, or the previous attempt did
      * not reach an endpoint.
@@ -59,7 +60,8 @@
         const { clock } = this.ctx;
         res.once("close", () => {
             if (!this.finished && !res.writableFinished) {
-                this.onCallerLeft();
+                this.outcome = "left";
+                this.stop();
             }
         });
         const timer = clock.schedule(dispatch.deadline, () => this.onDeadline());
@@ -67,21 +69,20 @@
         try {
             await this.relay();
         }
+        catch (err) {
+            this.onInternalError(err);
+        }
         finally {
             timer.cancel();
             this.finished = true;
-            this.recorder.recordOutcome(
-                this.callerLeft ? "left" : this.outcome,
-                this.currentAttempt?.endpoint.id,
-                this.runs,
-            );
+            this.recorder.recordOutcome(this.outcome, this.currentAttempt?.endpoint.id, this.runs);
         }
     }
 
     private async relay(): Promise<void> {
-        for (let isFirstAttempt = true; !this.callerLeft; isFirstAttempt = false) {
+        for (let isFirstAttempt = true; !this.stopped; isFirstAttempt = false) {
             const slot = isFirstAttempt ? await this.selection.selectFirst() : this.selection.selectAnother();
-            if (slot.kind === "left" || this.callerLeft) {
+            if (slot.kind === "left" || this.stopped) {
                 return;
             }
             if (slot.kind === "refuse") {
@@ -93,7 +94,7 @@
                 return;
             }
             const outcome = await inFlight.attempt.run();
-            if (this.callerLeft) {
+            if (this.stopped) {
                 this.onAbandonedAttempt(inFlight, outcome);
                 return;
             }
@@ -101,7 +102,7 @@
                 ? await this.onAnswer(inFlight, outcome.res, outcome.head)
                 : this.onFailure(inFlight, outcome);
             this.releaseSlot(inFlight);
-            if (finished || this.callerLeft) {
+            if (finished || this.stopped) {
                 return;
             }
             const { dispatch, route } = this.admitted;
@@ -137,10 +138,17 @@
      */
     private tryReplace(silent: Endpoint, runs: number): boolean {
         const { dispatch, route } = this.admitted;
-        this.nextAttemptBudgeted = this.retryable && runs < route.maxAttempts && this.prompt.mayRepeat
-            && this.selection.hasAlternativeTo(silent)
-            && this.ctx.retryBudget(dispatch.service).tryWithdraw(this.ctx.clock.now());
-        return this.nextAttemptBudgeted;
+        try {
+            this.nextAttemptBudgeted = this.retryable && runs < route.maxAttempts && this.prompt.mayRepeat
+                && this.selection.hasAlternativeTo(silent)
+                && this.ctx.retryBudget(dispatch.service).tryWithdraw(this.ctx.clock.now());
+            return this.nextAttemptBudgeted;
+        }
+        catch (err) {
+            // Called by a timer, so that nobody else would catch it.
+            this.onInternalError(err);
+            return false;
+        }
     }
 
     private sendPath(now: number): "arrival" | "queue" | "retry" | "resumption" {
@@ -312,8 +320,9 @@
         }
     }
 
-    private onCallerLeft(): void {
-        this.callerLeft = true;
+    /** Ends all work on the request. */
+    private stop(): void {
+        this.stopped = true;
         this.selection.leave();
         const inFlight = this.currentAttempt;
         if (inFlight !== undefined && !inFlight.slotReleased) {
@@ -333,7 +342,16 @@
             this.recorder.recordFailedAttempt(inFlight, "unknown", "no answer before the deadline");
         }
         this.giveUp("time is up", undefined);
-        this.onCallerLeft();
+        this.stop();
+    }
+
+    /** Ends the request after an unexpected error, with the answer that is true for what has been sent. */
+    private onInternalError(err: unknown): void {
+        this.recorder.recordInternalError(err);
+        if (!this.finished && !this.stopped && !this.admitted.res.writableEnded) {
+            this.giveUp(internalErrorReason, undefined);
+        }
+        this.stop();
     }
 
     /** Ends the request without an endpoint's answer. A caller may retry a request that is certain not to have run. */
--- a/packages/ingress/tests/unexpected-errors.test.ts
+++ b/packages/ingress/tests/unexpected-errors.test.ts
@@ -88,4 +88,57 @@
             expect(status).to.be.oneOf([200, 502, 503, 999]);
         }
     });
+
+    const fail = (message: string) => (): never => {
+        throw new Error(message);
+    };
+    const countBroken = (harness: IngressHarness): number =>
+        harness.log.events.filter(({ name }) => name === "request.broken").length;
+
+    // Guards against a connection that closes without a word because of a fault of the ingress itself.
+    it("answers 503 after an internal error before a request was sent", async () => {
+        const harness = await start([sealed(200, "ok")], { execution: "at-most-once" });
+        const { candidates } = harness.relay;
+        harness.relay.candidates = fail("before the send");
+        const { status, headers } = await harness.call({ method: "POST", body: "x" });
+        expect(status).to.equal(503);
+        expect(Number(headers["retry-after"])).to.be.above(0);
+        harness.relay.candidates = candidates;
+        harness.view.caps.tryUse = fail("at the admission");
+        expect((await harness.call({ method: "POST", body: "x" })).status).to.equal(503);
+        expect(endpoints[0]?.requests).to.have.length(0);
+        expect(countBroken(harness)).to.equal(2);
+    });
+
+    it("answers 502 after an internal error once a request was sent, and ends it at the endpoint", async () => {
+        const harness = await start([(req, res) => {
+            res.writeHead(200, { "x-attempt-id": String(req.headers["x-attempt-id"]), "x-response-seal": "s" });
+            res.write("a");
+        }], { execution: "at-most-once" });
+        harness.view.limits.recordAnswer = fail("after the send");
+        expect((await harness.call({ method: "POST", body: "x" })).status).to.equal(502);
+        await endpoints[0]?.requests[0]?.closed;
+        expect(countBroken(harness)).to.equal(1);
+    });
+
+    it("leaves an answer whole when an internal error follows it", async () => {
+        const harness = await start([sealed(200, "ok")], {});
+        harness.view.health.recordOutcome = fail("after the answer");
+        expect(await harness.call({})).to.include({ status: 200, body: "ok", complete: true });
+        expect(countBroken(harness)).to.equal(1);
+    });
+
+    // Guards against a queue that is never looked at again because one of its requests fails.
+    it("serves the requests that wait behind one that fails with an internal error", async () => {
+        const slow: Answer = (req, res, received) =>
+            void setTimeout(() => void sealed(200, "ok")(req, res, received), 60);
+        const harness = await start([slow], { firstByteTargetMs: 2_000 });
+        const { trackRequest } = harness.view.loads;
+        let count = 0;
+        harness.view.loads.trackRequest = (...args) =>
+            ++count === 8 ? fail("in the turn of another request")() : trackRequest.apply(harness.view.loads, args);
+        const ids = Array.from({ length: 14 }, (...[, i]) => `r${i}`);
+        const answers = await Promise.all(ids.map(id => harness.call({ headers: { "x-attempt-id": id } })));
+        expect(answers.map(({ status }) => status).sort()).to.deep.equal([...Array<number>(13).fill(200), 503]);
+    });
 });
