Let the clock reach instants beyond the longest timer

A deadline more than 24.8 days away passed at once: a timer of Node.js holds 31 bits of milliseconds, and one with a longer delay fires after 1 ms.

The clock now sets a timer of the longest delay and looks again when it ends.

Evidence: clock.test.ts fails without the change with the callbacks for 2^31, 1e12, 1e300 and Infinity ms all run within 30 ms.

--- a/packages/runtime/src/clock.ts
+++ b/packages/runtime/src/clock.ts
@@ -17,6 +17,9 @@
     }
 }
 
+/** Longest delay of a timer in Node.js, in milliseconds; a timer with a longer one fires at once. */
+const maxTimerDelayMs = 2 ** 31 - 1;
+
 /**
  * Clock of the process. `now` advances with the monotonic clock, so that a step of the wall clock neither shortens nor
  * extends a lease. The offset to the epoch is read once at startup.
@@ -24,12 +27,22 @@
 export class SystemClock extends Clock {
     private readonly epochOffsetMs = Date.now() - performance.now();
 
+    /** `maxDelayMs` is the longest delay for which one timer is set; later instants are reached with several. */
+    constructor(private readonly maxDelayMs = maxTimerDelayMs) {
+        super();
+    }
+
     override now(): number {
         return this.epochOffsetMs + performance.now();
     }
 
     override schedule(timeMs: number, callback: () => void): Timer {
-        const handle = setTimeout(callback, Math.max(0, Math.ceil(timeMs - this.now())));
+        let handle: NodeJS.Timeout;
+        const arm = (): void => {
+            const delayMs = Math.max(0, Math.ceil(timeMs - this.now()));
+            handle = delayMs > this.maxDelayMs ? setTimeout(arm, this.maxDelayMs) : setTimeout(callback, delayMs);
+        };
+        arm();
         return { cancel: () => clearTimeout(handle) };
     }
 }
--- a/packages/runtime/tests/clock.test.ts
+++ b/packages/runtime/tests/clock.test.ts
@@ -1,4 +1,4 @@
-import { ManualClock, SeededRandom } from "@lentilramp/runtime";
+import { ManualClock, SeededRandom, SystemClock } from "@lentilramp/runtime";
 import { expect } from "chai";
 
 describe("ManualClock", () => {
@@ -18,6 +18,34 @@
     });
 });
 
+describe("SystemClock", () => {
+    // Guards against deadlines beyond 24.8 days that pass at once: a timer of Node.js overflows at 2^31 milliseconds.
+    it("does not run a callback early whose instant is beyond the longest delay of a timer", async () => {
+        const clock = new SystemClock();
+        const fired: number[] = [];
+        const timers = [2 ** 31, 1e12, 1e300, Infinity].map(delayMs =>
+            clock.schedule(clock.now() + delayMs, () => fired.push(delayMs))
+        );
+        await clock.sleepUntil(clock.now() + 30);
+        timers.forEach(timer => timer.cancel());
+        expect(fired).to.deep.equal([]);
+    });
+
+    // Guards against a callback that is lost, or cannot be cancelled, when several timers lead to its instant.
+    it("runs a callback at its instant when that takes several timers, unless it is cancelled", async () => {
+        const clock = new SystemClock(5);
+        const due = clock.now() + 30;
+        let cancelledRan = false;
+        const cancelled = clock.schedule(due, () => cancelledRan = true);
+        await clock.sleepUntil(due - 10);
+        cancelled.cancel();
+        await clock.sleepUntil(due);
+        expect(clock.now()).to.be.at.least(due);
+        await clock.sleepUntil(due + 10);
+        expect(cancelledRan).to.equal(false);
+    });
+});
+
 describe("SeededRandom", () => {
     // Guards against a generator that ignores its seed.
     it("repeats its sequence for the same seed and differs for another", () => {
