--- a/packages/protocol/src/json-client.ts
+++ b/packages/protocol/src/json-client.ts
@@ -31,10 +31,7 @@
         body?: unknown,
         headers: Readonly<Record<string, string>> = {},
     ): Promise<T> {
-        const { status, text } = await this.sendRequest(method, url, deadline, body, headers);
-        if (status < 200 || status > 299) {
-            throw new PlatformError(status, `${method} ${url.pathname} responded with status ${status}, expected 2xx`);
-        }
+        const { status, text } = await this.callForText(method, url, deadline, body, headers);
         try {
             return schema.parse(JSON.parse(text));
         }
@@ -46,6 +43,22 @@
         }
     }
 
+    /** Sends a request like `call` and resolves with the status and the text of the 2xx response. */
+    async callForText(
+        method: "GET" | "POST" | "DELETE",
+        url: URL,
+        deadline: number,
+        body?: unknown,
+        headers: Readonly<Record<string, string>> = {},
+    ): Promise<{ status: number; text: string; }> {
+        const response = await this.sendRequest(method, url, deadline, body, headers);
+        const { status } = response;
+        if (status < 200 || status > 299) {
+            throw new PlatformError(status, `${method} ${url.pathname} responded with status ${status}, expected 2xx`);
+        }
+        return response;
+    }
+
     close(): void {
         this.agent.destroy();
     }
