Bound the idle time that an endpoint announces

An answer with "Keep-Alive: timeout=" and 309 digits or more ended the ingress. The number is read as Infinity, socket.setTimeout throws for it, and that runs in a listener of the agent, where nothing catches the error. Values from 4,294,968 s on wrote a warning of Node.js for each answer.

The idle time of a kept connection is now at most 300 s.

Evidence: odd-answers.test.ts fails without the change with the uncaught ERR_OUT_OF_RANGE for a number of 400 digits.

--- a/packages/ingress/src/endpoint-pool.ts
+++ b/packages/ingress/src/endpoint-pool.ts
@@ -9,6 +9,8 @@
 const usedIdleFraction = 0.5;
 /** Idle time of connections to an endpoint that announces no keep-alive time, in milliseconds. */
 const defaultIdleMs = 2_000;
+/** Longest idle time of a connection, in milliseconds, whatever the endpoint announces. */
+const maxIdleMs = 300_000;
 
 /**
  * Connections to one endpoint. Closes an idle connection on which data arrives, because the bytes belong to no request.
@@ -26,7 +28,7 @@
         const announcedSeconds = /timeout=(\d+)/.exec(socket._httpMessage?.res?.headers["keep-alive"] ?? "")?.[1];
         const idleMs = announcedSeconds === undefined
             ? defaultIdleMs
-            : Number(announcedSeconds) * 1_000 * usedIdleFraction;
+            : Math.min(maxIdleMs, Number(announcedSeconds) * 1_000 * usedIdleFraction);
         if (idleMs === 0 || socket.readableLength > 0) {
             return false;
         }
