Refuse a request beyond what its cap allows in a window

A bucket that is full admits a request larger than itself, and its level is negative until the debt is worked off.

Such a request cannot be admitted within the cap at any time, however long its workspace is idle. It is now refused without a charge, so that a workspace works off at most one window of debt.

--- a/packages/fleet/src/cap-meter.ts
+++ b/packages/fleet/src/cap-meter.ts
@@ -44,6 +44,12 @@
     return localToleranceShare * (overshoot * (capPerSecond * windowMs / 1_000 + capBurst) + units);
 }
 
+/** Returns the units that all ingresses together may use in a window; a single unit always may be. */
+function windowUnits({ capPerSecond, capBurst }: CatalogWorkspace, tolerance: CapTolerance): number {
+    const { overshoot, windowMs, units } = tolerance;
+    return Math.max(1, (capPerSecond * windowMs / 1_000 + capBurst) * (1 + overshoot) + units);
+}
+
 /**
  * Enforces the caps of workspaces over all ingresses without a remote call per request. Each ingress has one token
  * bucket per workspace and also deducts the use that its peers report. An ingress that receives reports from part of
@@ -75,8 +81,13 @@
         if (workspace.capPerSecond <= 0) {
             return { admitted: true };
         }
+        const bucket = this.bucket(workspace);
+        if (units > windowUnits(workspace, this.tolerance)) {
+            // The bucket would admit it when it is full, and then nothing else until the debt is worked off.
+            return { admitted: false, retryAt: Infinity, level: bucket.units };
+        }
         const limits = this.limits(workspace, this.capShare(now), now);
-        const decision = this.bucket(workspace).tryTake(units, { ...limits, reserve: reserveFor(units, limits) }, now);
+        const decision = bucket.tryTake(units, { ...limits, reserve: reserveFor(units, limits) }, now);
         if (decision.admitted) {
             this.totals.recordLocalUse(workspace.name, units);
         }
--- a/packages/fleet/tests/caps.test.ts
+++ b/packages/fleet/tests/caps.test.ts
@@ -269,6 +269,22 @@
         expect(CapMeter.requestUnits({ ...workspace, countsTokens: false }, 70)).to.equal(1);
     });
 
+    // A request of a thousand million units was admitted by a full bucket, and its debt refused all others for days.
+    it("refuses a request beyond what the cap allows in a window, and goes on to admit others", () => {
+        const meter = new CapMeter(
+            { overshoot: 0.1, windowMs: 8_000, units: 50 },
+            () => ({ coveredMembers: 1, members: 1, silentMembers: 0, leaderAnsweredAt: Infinity }),
+            0,
+        );
+        for (const units of [9_401, 1e9, 1e300]) {
+            const verdict = meter.tryUse(workspace, units, 0);
+            expect(!verdict.admitted && verdict.retryAt, String(units)).to.equal(Infinity);
+        }
+        expect(meter.tryUse(workspace, 9_400, 0).admitted).to.equal(true);
+        expect(meter.tryUse(workspace, 10, 10_000).admitted).to.equal(true);
+        expect([...meter.totals.localTotals()]).to.deep.equal([["w", 9_410]]);
+    });
+
     it("reports refunds to peers, so that requests that were not sent do not use up the cap", () => {
         const [one, two] = [meterCovering(2, 2).meter, meterCovering(2, 2).meter];
         for (const meter of [one, two]) {
