Leave out single elements of the lists in sync answers

An ingress rejected a whole sync answer if one endpoint of the list in it had a field that its own version does not accept, and took over nothing from then on: no catalog, no permits, no confirmation. Ports out of range passed; for an endpoint with one, each request that was sent there ended without an answer, and for an ingress of the roster, http.get throws while the feeds are opened, so that the feeds after it stayed closed.

Ports must be from 1 to 65535 in the messages too, and an endpoint or an ingress that does not match its schema is left out by itself.

Evidence: both tests of fleet-messages.test.ts fail without the change.

--- a/packages/fleet/src/endpoint-directory.ts
+++ b/packages/fleet/src/endpoint-directory.ts
@@ -1,14 +1,16 @@
 import { z } from "zod";
+import { portSchema } from "./port.ts";
+import { tolerantArray } from "./tolerant-array.ts";
 
 /** A replica of a service in the platform's list. */
 export const endpointSchema = z.object({
     /** Identifies one lifetime of the replica; a restart usually gets a new id. */
     id: z.string(),
     service: z.string(),
-    host: z.string(),
-    port: z.int(),
+    host: z.string().min(1),
+    port: portSchema,
     failureDomain: z.string(),
-    slots: z.number(),
+    slots: z.number().positive(),
     /** False if the replica is leaving or its state is unknown. */
     ready: z.boolean(),
     reclaimable: z.boolean(),
@@ -21,7 +23,7 @@
 export const endpointListSchema = z.object({
     /** Sequence number; a later read has a higher one. */
     readNumber: z.number(),
-    endpoints: z.array(endpointSchema),
+    endpoints: tolerantArray(endpointSchema),
 });
 export type EndpointList = z.infer<typeof endpointListSchema>;
 
--- a/packages/fleet/src/roster.ts
+++ b/packages/fleet/src/roster.ts
@@ -1,14 +1,15 @@
 import { isDeepStrictEqual } from "node:util";
 import { z } from "zod";
+import { portSchema } from "./port.ts";
 
 /** Description of an ingress that it sends with each sync. */
 export const ingressDescriptionSchema = z.object({
     name: z.string(),
     /** Address for callers. */
     host: z.string(),
-    port: z.int(),
+    port: portSchema,
     /** Address for other processes of the fleet. */
-    inner: z.object({ host: z.string(), port: z.int() }),
+    inner: z.object({ host: z.string(), port: portSchema }),
     region: z.string(),
     failureDomain: z.string(),
     /** False while the ingress is starting, has no catalog or is about to stop. */
--- a/packages/ingress/src/fleet-messages.ts
+++ b/packages/ingress/src/fleet-messages.ts
@@ -6,6 +6,7 @@
     ingressDescriptionSchema,
     limitReportSchema,
     permitDemandSchema,
+    tolerantArray,
 } from "@lentilramp/fleet";
 import { z } from "zod";
 
@@ -68,7 +69,7 @@
 });
 export type SyncRequest = z.infer<typeof syncRequestSchema>;
 
-export const rosterSchema = z.object({ tag: z.number(), ingresses: z.array(ingressDescriptionSchema) });
+export const rosterSchema = z.object({ tag: z.number(), ingresses: tolerantArray(ingressDescriptionSchema) });
 
 /** Answer of a steward. A steward that does not lead returns its copy of the catalog and the leader's address. */
 export const syncAnswerSchema = z.object({
