--- a/packages/fleet/src/usage-windows.ts
+++ b/packages/fleet/src/usage-windows.ts
@@ -6,6 +6,9 @@
 /** Number of windows that are replicated to the other stewards; older ones have been reported. */
 const replicatedWindows = 3;
 
+/** Latest time of day that a date can hold, in milliseconds since the epoch. */
+const maxTimeOfDayMs = 8_640_000_000_000_000;
+
 /** Sums the request counts of all ingresses by window. Used by the leader. */
 export class UsageWindows {
     /** Request counts by window, ingress lifetime and workspace. */
@@ -13,11 +16,22 @@
 
     constructor(private readonly windowMs: number) {}
 
-    /** Replaces the counts of one ingress lifetime in the given windows. */
-    replaceCounts(lifetime: string, windows: Readonly<Record<string, UsageCounts>>): void {
+    /**
+     * Replaces the counts of one ingress lifetime in the given windows. Windows that begin later than one window after
+     * `timeOfDayMs` are left out: the clock of their ingress is wrong, and they would displace those of all others.
+     */
+    replaceCounts(
+        lifetime: string,
+        windows: Readonly<Record<string, UsageCounts>>,
+        timeOfDayMs = maxTimeOfDayMs,
+    ): void {
+        const lastWindow = Math.floor(timeOfDayMs / this.windowMs) + 1;
         let newestWindow = 0;
         for (const [key, counts] of Object.entries(windows)) {
             const window = Number(key);
+            if (!Number.isSafeInteger(window) || window > lastWindow) {
+                continue;
+            }
             newestWindow = Math.max(newestWindow, window);
             const byLifetime = this.counts.get(window) ?? new Map<string, UsageCounts>();
             byLifetime.set(lifetime, counts);
--- a/packages/ingress/src/fleet-messages.ts
+++ b/packages/ingress/src/fleet-messages.ts
@@ -15,13 +15,16 @@
 const limitReportsSchema = z.record(z.string(), limitReportSchema);
 const addressSchema = z.object({ host: z.string(), port: z.int() });
 
+/** Latest time of day that a date can hold, in milliseconds since the epoch. */
+const maxWallMs = 8_640_000_000_000_000;
+
 /** Request of an ingress to the leading steward with the RPC method `fleet.sync`. */
 export const syncRequestSchema = z.object({
     ingress: ingressDescriptionSchema,
     /** Unique id of one run of the process. */
     lifetime: z.string(),
     /** Wall clock of the sender, in milliseconds since the epoch. */
-    wallMs: z.number(),
+    wallMs: z.number().nonnegative().max(maxWallMs),
     /** Time since the sender's last sync that a leading steward answered, in milliseconds. */
     elapsedMs: z.number(),
     /** Time for which the sender waits for the answer, in milliseconds. */
--- a/packages/ingress/tests/fleet-messages.test.ts
+++ b/packages/ingress/tests/fleet-messages.test.ts
@@ -39,4 +39,13 @@
         expect(answer.roster?.ingresses).to.deep.equal([ingress]);
         expect(syncRequestSchema.shape.ingress.safeParse(odd[1]).success).to.equal(false);
     });
+
+    // Guards against a leader that counts usage windows without end at a time at which the next one has the same number.
+    it("reject a time of day that no date can hold", () => {
+        const { wallMs } = syncRequestSchema.shape;
+        expect([-1, 8.64e15 + 2, 1e300, Infinity, NaN].filter(value => wallMs.safeParse(value).success)).to.deep.equal(
+            [],
+        );
+        expect(wallMs.safeParse(1_733_375_000_000.25).success).to.equal(true);
+    });
 });
--- a/packages/steward/src/fleet-coordinator.ts
+++ b/packages/steward/src/fleet-coordinator.ts
@@ -99,7 +99,11 @@
             this.roster.suspect(suspect, now);
         }
         this.medianClock.observe(name, req.wallMs, now);
-        this.usageWindows.replaceCounts(req.lifetime, req.usage as Record<string, UsageCounts>);
+        this.usageWindows.replaceCounts(
+            req.lifetime,
+            req.usage as Record<string, UsageCounts>,
+            this.medianClock.timeOfDayMs(now),
+        );
         this.ingresses.set(name, { load: req.load, demand: req.demand, elapsedMs: req.elapsedMs });
         req.crashes.forEach(report => this.crashJudge.recordReport(report, now));
         Object.entries(req.begunParts).forEach(([part, ageMs]) => this.crashJudge.recordBegun(part, now - ageMs));
--- a/packages/steward/tests/fleet-coordinator.test.ts
+++ b/packages/steward/tests/fleet-coordinator.test.ts
@@ -95,4 +95,21 @@
         coordinator.updateEndpointList([{ ...endpoint, startedAt: 6 }], 11_000, 2);
         expect(coordinator.sync(syncRequest("b")).limits).to.deep.equal({});
     });
+
+    // Guards against usage that is lost for all because one ingress started with a clock that is far ahead.
+    it("leaves out usage windows that lie ahead of the fleet's time, and keeps those of the others", () => {
+        const { coordinator } = start();
+        const wallMs = 1_733_375_000_000;
+        const window = Math.floor(wallMs / 5_000);
+        for (const name of ["a", "b", "c"]) {
+            coordinator.sync(syncRequest(name, { wallMs, usage: { [window]: { w: 2 }, [window - 1]: { w: 1 } } }));
+        }
+        for (const odd of [window + 2, 2 ** 53, 1e300, -1e300, "x"]) {
+            coordinator.sync(syncRequest("d", { wallMs: 8.64e15, usage: { [odd]: { w: 5 }, [window]: { w: 1 } } }));
+            expect(coordinator.usageWindows.total(window), String(odd)).to.deep.equal({ w: 7 });
+            expect(coordinator.usageWindows.total(window - 1), String(odd)).to.deep.equal({ w: 3 });
+            expect(coordinator.usageWindows.total(Number(odd)), String(odd)).to.deep.equal({});
+        }
+        expect(Object.keys(coordinator.usageWindows.recentCounts())).to.have.members(["a", "b", "c", "d"]);
+    });
 });
