Count workspaces and services by names that all objects have

The processes keep numbers in objects by the names of workspaces and services. With a workspace named "constructor" in the configuration, an ingress counted its requests as the text "function Object() { [native code] }1", which no steward accepts, so that none of its syncs was answered any more. For a service of such a name the recorded speed of its engines was a function. One named "__proto__" is lost in each JSON record.

--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -17,6 +17,7 @@
 export * from "./limit-turns.ts";
 export * from "./lookup-ingresses.ts";
 export * from "./median-clock.ts";
+export * from "./own-record.ts";
 export * from "./planner-policy.ts";
 export * from "./prompt-crashes.ts";
 export * from "./replica-planner.ts";
--- a/packages/fleet/src/usage-ledger.ts
+++ b/packages/fleet/src/usage-ledger.ts
@@ -1,3 +1,5 @@
+import { ownRecord } from "./own-record.ts";
+
 /** Number of windows that an ingress retains; a window's report is due well before three further ones have ended. */
 const retainedWindows = 6;
 
@@ -13,7 +15,7 @@
     /** Counts a request that began at `timeOfDayMs`. */
     record(workspace: string, timeOfDayMs: number): void {
         const window = Math.floor(timeOfDayMs / this.windowMs);
-        const counts = this.windows.get(window) ?? {};
+        const counts = this.windows.get(window) ?? ownRecord<number>();
         counts[workspace] = (counts[workspace] ?? 0) + 1;
         this.windows.set(window, counts);
         for (const recorded of this.windows.keys()) {
--- a/packages/fleet/src/usage-windows.ts
+++ b/packages/fleet/src/usage-windows.ts
@@ -1,3 +1,4 @@
+import { ownRecord } from "./own-record.ts";
 import type { UsageCounts } from "./usage-ledger.ts";
 
 /** Number of windows for which the leader retains counts. */
@@ -59,7 +60,7 @@
     }
 
     total(window: number): UsageCounts {
-        const total: UsageCounts = {};
+        const total: UsageCounts = ownRecord();
         for (const counts of this.counts.get(window)?.values() ?? []) {
             for (const [workspace, count] of Object.entries(counts)) {
                 total[workspace] = (total[workspace] ?? 0) + count;
--- a/packages/fleet/tests/fleet.test.ts
+++ b/packages/fleet/tests/fleet.test.ts
@@ -208,6 +208,22 @@
         expect(next.total(1)).to.deep.equal({ w: 4 });
     });
 
+    // An ingress with a workspace named "constructor" sent a text as its count, and none of its syncs was answered.
+    it("counts the requests of workspaces whose names are properties of all objects", () => {
+        const ledger = new UsageLedger(5_000);
+        const windows = new UsageWindows(5_000);
+        const names = ["constructor", "toString", "valueOf", "hasOwnProperty"];
+        for (const name of [...names, ...names]) {
+            ledger.record(name, 12_000);
+        }
+        windows.replaceCounts("i1/1", ledger.snapshot());
+        windows.replaceCounts(
+            "i2/1",
+            JSON.parse(JSON.stringify(ledger.snapshot())) as ReturnType<UsageLedger["snapshot"]>,
+        );
+        expect(Object.entries(windows.total(2))).to.deep.equal(names.map(name => [name, 4]));
+    });
+
     it("returns the windows that have settled and whose report is not yet late", () => {
         const windows = new UsageWindows(5_000);
         expect(windows.dueWindows(23_100, 3_000, 10_000)).to.deep.equal([2, 3]);
--- a/packages/ingress/src/fleet-view.ts
+++ b/packages/ingress/src/fleet-view.ts
@@ -7,6 +7,7 @@
     EndpointDirectory,
     type IngressDescription,
     LimitPermits,
+    ownRecord,
     PromptCrashes,
     UsageLedger,
 } from "@lentilramp/fleet";
@@ -46,7 +47,7 @@
     /** Whether the catalog is known to be new enough to serve with. */
     readonly freshness: CatalogFreshness;
     /** Prefill speed of the engines of each service as measured by the fleet, in prompt tokens per millisecond. */
-    engineRates: Readonly<Record<string, number>> = {};
+    engineRates: Readonly<Record<string, number>> = ownRecord();
     /** Number of the endpoint list in use; 0 when this process read the list itself or has none. */
     listNumber = 0;
     /** Ingresses in contact with the leading steward, including this one. */
@@ -135,7 +136,7 @@
         if (answer.members > 0 && (answer.leading || !this.syncedWithLeader)) {
             this.reportedMemberCount = answer.members;
         }
-        this.engineRates = answer.engineRates ?? this.engineRates;
+        this.engineRates = answer.engineRates === undefined ? this.engineRates : ownRecord(answer.engineRates);
         this.applyBlockedParts(answer.blockedParts);
         if (!answer.leading) {
             return;
--- a/packages/steward/src/steward-state.ts
+++ b/packages/steward/src/steward-state.ts
@@ -1,6 +1,6 @@
 import type { Entry, Role } from "@lentilramp/agreement";
 import type { StateMachine } from "@lentilramp/control";
-import { type BlockedPart, blockedPartSchema } from "@lentilramp/fleet";
+import { type BlockedPart, blockedPartSchema, ownRecord } from "@lentilramp/fleet";
 import { z } from "zod";
 
 /** Number of usage reports retained for retries; older ones are long past their due time. */
@@ -95,7 +95,7 @@
 
     /** Prompt speed of the engines by service, in tokens per millisecond. */
     get engineRates(): Readonly<Record<string, number>> {
-        return this.state.engineRates;
+        return ownRecord(this.state.engineRates);
     }
 
     /** Prompt parts whose requests are refused, in the order of the verdicts. */
--- a/packages/steward/tests/steward-state.test.ts
+++ b/packages/steward/tests/steward-state.test.ts
@@ -17,6 +17,14 @@
         expect(state.catalog?.text).to.equal("text 9");
     });
 
+    // Guards against a speed that is no number for a service whose name is a property of all objects.
+    it("knows no speed of a service that was not recorded, whatever its name", () => {
+        const state = create();
+        expect(state.engineRates.constructor).to.equal(undefined);
+        apply(state, { type: "engine-rate", service: "constructor", tokensPerMs: 55 }, 1);
+        expect(JSON.stringify(state.engineRates)).to.equal(`{"constructor":55}`);
+    });
+
     it("keeps the first report of a window, so that a new leader repeats it exactly", () => {
         const state = create();
         apply(state, { type: "usage", report: { window: 7, counts: { w: 3 } } }, 1);
