Pass over committed commands that a steward cannot read

A committed command that does not match its schema raised an exception where the log is applied, in every steward, and again at each start, as the log is replayed. Such a command is one of a later version, or one with a number that is not finite, which JSON writes as null.

A steward now logs the index of the command and passes over it. A steward that leads does not propose a command whose text it cannot read back.

--- a/packages/cli/src/wire-steward.ts
+++ b/packages/cli/src/wire-steward.ts
@@ -92,6 +92,7 @@
         const replicated = new StewardState(
             leads => duties.onLeadership(leads),
             version => log.info("catalog.committed", { version }),
+            index => log.error("steward.command-unreadable", { index }),
         );
         const transport = new RpcTransport(own, client, clock);
         const driver = new AgreementDriver(id, storage, replicated, transport, clock, random, log, agreementTiming);
--- a/packages/steward/src/steward-core.ts
+++ b/packages/steward/src/steward-core.ts
@@ -1,7 +1,7 @@
 import { type CatalogCodec, checkCatalog } from "@lentilramp/catalog";
-import type { AgreementDriver } from "@lentilramp/control";
+import { type AgreementDriver, ControlError } from "@lentilramp/control";
 import type { Clock, EventLog } from "@lentilramp/runtime";
-import { type CommandOutcome, type StewardCommand, type StewardState } from "./steward-state.ts";
+import { type CommandOutcome, parseCommand, type StewardCommand, type StewardState } from "./steward-state.ts";
 
 /** Result of submitting a catalog. */
 export type SubmitOutcome =
@@ -21,7 +21,12 @@
 
     /** Replicates a command and returns its result. Rejects with a ControlError. */
     async propose(command: StewardCommand): Promise<CommandOutcome> {
-        return await this.driver.propose(JSON.stringify(command)) as CommandOutcome;
+        const text = JSON.stringify(command);
+        if (parseCommand(text) === undefined) {
+            // For instance, JSON has no numbers that are not finite.
+            throw new ControlError("refused", `the command ${command.type} cannot be read back from its text`);
+        }
+        return await this.driver.propose(text) as CommandOutcome;
     }
 
     /** Returns the version of a catalog, or the reason why it is invalid. Needs no leader. */
--- a/packages/steward/src/steward-state.ts
+++ b/packages/steward/src/steward-state.ts
@@ -44,6 +44,16 @@
     holders: z.array(z.string()).optional(),
 });
 
+/** Returns the command of a text, or undefined if this version cannot read it. */
+export function parseCommand(text: string): StewardCommand | undefined {
+    try {
+        return commandSchema.safeParse(JSON.parse(text)).data;
+    }
+    catch {
+        return undefined;
+    }
+}
+
 /** Result of a command. */
 export interface CommandOutcome {
     /** Version of the catalog in force. */
@@ -76,6 +86,8 @@
     constructor(
         private readonly onLeadership: (isLeader: boolean, term: number) => void,
         private readonly onCatalog: (version: number) => void,
+        /** Called for a committed command that this version cannot read. */
+        private readonly onUnreadable: (index: number) => void = () => undefined,
     ) {}
 
     /** The operator's catalog in force; undefined before the first one. */
@@ -126,8 +138,12 @@
     apply(text: string, index: number): CommandOutcome {
         const previousHolder = this.state.office?.holder;
         let heldBefore: boolean | undefined;
-        const command = commandSchema.parse(JSON.parse(text));
-        switch (command.type) {
+        const command = parseCommand(text);
+        if (command === undefined) {
+            // An exception would recur at every start, since the log is replayed.
+            this.onUnreadable(index);
+        }
+        switch (command?.type) {
             case "catalog":
                 if (command.version > this.state.version) {
                     this.state.version = command.version;
@@ -161,6 +177,7 @@
                 this.state.blockedParts = this.state.blockedParts.filter(({ part }) => part !== command.part);
                 break;
             case "barrier":
+            case undefined:
                 break;
         }
         return {
@@ -168,7 +185,7 @@
             fence: this.state.office?.fence ?? 0,
             previousHolder,
             heldBefore,
-            report: command.type === "usage" ? this.report(command.report.window) : undefined,
+            report: command?.type === "usage" ? this.report(command.report.window) : undefined,
         };
     }
 
