Check the messages of the agreement before a member takes them

Other messages of the same call were lost too. Terms and indexes passed with any size, also those that one more does not change.

Each message is now checked against the schema of its kind, with whole numbers that stay exact, and one that does not match is left out like a lost one. The addresses of members have ports from 1 to 65535. The simulated group of stewards in the tests sends its messages as texts through the same schema.

--- a/packages/control/src/control-methods.ts
+++ b/packages/control/src/control-methods.ts
@@ -1,8 +1,8 @@
-import type { Message } from "@lentilramp/agreement";
 import { configurationSchema, handOverKindSchema, subscribeRequestSchema } from "@lentilramp/configuration";
 import type { RpcServer } from "@lentilramp/protocol";
 import { z } from "zod";
 import type { AgreementDriver } from "./agreement-driver.ts";
+import { agreementMessagesSchema } from "./agreement-messages.ts";
 import type { CommandProposer } from "./command-proposer.ts";
 import { ControlError } from "./control-error.ts";
 import type { GroupFounding } from "./group-founding.ts";
@@ -13,10 +13,6 @@
 import type { RpcTransport } from "./rpc-transport.ts";
 
 const operationId = z.string().min(1).max(128);
-const messagesSchema = z.object({
-    sender: memberAddressSchema,
-    messages: z.array(z.looseObject({ type: z.string(), from: z.string(), to: z.string(), term: z.number() })),
-});
 
 /** Components that the methods use. They exist only after the process has founded or joined a group. */
 export interface ControlComponents {
@@ -55,10 +51,10 @@
     attach(components: ControlComponents): void {
         this.components = components;
         const { driver, replicatedConfiguration, membershipRepair, transport } = components;
-        this.server.method("agreement.step", messagesSchema, async ({ sender, messages }) => {
+        this.server.method("agreement.step", agreementMessagesSchema, async ({ sender, messages }) => {
             for (const message of messages) {
                 transport.recordAddress(message.from, sender);
-                driver.receive(message as unknown as Message);
+                driver.receive(message);
             }
             return {};
         });
--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -1,5 +1,6 @@
 /** Control process: a voter of the agreement group and a claim replica. */
 export * from "./agreement-driver.ts";
+export * from "./agreement-messages.ts";
 export * from "./agreement-storage.ts";
 export * from "./claim-generation-updater.ts";
 export * from "./claim-service.ts";
--- a/packages/control/src/member-address.ts
+++ b/packages/control/src/member-address.ts
@@ -5,7 +5,7 @@
 export const memberAddressSchema = z.strictObject({
     name: z.string(),
     host: z.string(),
-    port: z.int(),
+    port: z.int().min(1).max(65_535),
     failureDomain: z.string(),
 });
 
--- a/packages/steward/src/steward-methods.ts
+++ b/packages/steward/src/steward-methods.ts
@@ -1,5 +1,10 @@
-import { type Message } from "@lentilramp/agreement";
-import { addressOf, memberAddressSchema, type MembershipRepair, type RpcTransport } from "@lentilramp/control";
+import {
+    addressOf,
+    agreementMessagesSchema,
+    memberAddressSchema,
+    type MembershipRepair,
+    type RpcTransport,
+} from "@lentilramp/control";
 import { decodeMemberAddress } from "@lentilramp/control";
 import { blockedPartSchema } from "@lentilramp/fleet";
 import { rosterSchema, type SyncAnswer, type SyncRequest, syncRequestSchema } from "@lentilramp/ingress";
@@ -13,11 +18,6 @@
 import type { StewardState } from "./steward-state.ts";
 import { SyncServer } from "./sync-server.ts";
 
-const messagesSchema = z.object({
-    sender: memberAddressSchema,
-    messages: z.array(z.looseObject({ type: z.string(), from: z.string(), to: z.string(), term: z.number() })),
-});
-
 export const submitAnswerSchema = z.discriminatedUnion("kind", [
     z.object({ kind: z.literal("accepted"), version: z.number() }),
     z.object({ kind: z.literal("invalid"), reason: z.string() }),
@@ -97,11 +97,11 @@
 export function attachStewardMethods(server: RpcServer, parts: StewardParts): SyncServer {
     const { core, coordinator, repair, retirement, transport } = parts;
     const syncs = new SyncServer(req => answerSync(req, parts), core.clock);
-    server.method("agreement.step", messagesSchema, async ({ sender, messages }) => {
+    server.method("agreement.step", agreementMessagesSchema, async ({ sender, messages }) => {
         for (const message of messages) {
             transport.recordAddress(message.from, sender);
             retirement.recordContact(message.from);
-            core.driver.receive(message as unknown as Message);
+            core.driver.receive(message);
         }
         return {};
     });
--- a/packages/steward/tests/steward-group.ts
+++ b/packages/steward/tests/steward-group.ts
@@ -1,6 +1,7 @@
 import { foundingState, joiningState, type Message } from "@lentilramp/agreement";
 import {
     AgreementDriver,
+    agreementMessagesSchema,
     AgreementStorage,
     type AgreementTransport,
     encodeMemberAddress,
@@ -130,7 +131,9 @@
         this.inboxes.set(host, (sender, message) => {
             addresses.set(message.from, sender);
             retirement.recordContact(message.from);
-            driver.receive(message);
+            // Messages travel as texts, as they do between processes.
+            const parameters: unknown = JSON.parse(JSON.stringify({ sender: own, messages: [message] }));
+            agreementMessagesSchema.parse(parameters).messages.forEach(received => driver.receive(received));
         });
         this.joins.set(host, repair);
         const client = {
