Report odd responses and unusable addresses as RpcErrors

A response of "null" or {"error":null}, and a peer whose port is out of range or whose host no header holds, ended a call with a TypeError or a RangeError in place of an RpcError, which tells whether the peer may have executed the call.

Responses are now checked against a schema, and an address that the HTTP client does not take counts as refused, since nothing was sent. Requests to the server that are nested 100,000 levels deep, or hold odd numbers, were answered before; a test now says so.

Evidence: the first new test of rpc.test.ts fails without the change.

--- a/packages/protocol/src/rpc-client.ts
+++ b/packages/protocol/src/rpc-client.ts
@@ -1,6 +1,6 @@
 import { type Clock, Component } from "@lentilramp/runtime";
-import { Agent, request } from "node:http";
-import type { z } from "zod";
+import { Agent, type ClientRequest, request } from "node:http";
+import { z } from "zod";
 import type { ProcessKey } from "./process-key.ts";
 import { readBody } from "./read-body.ts";
 import { RpcError, rpcErrorCodes } from "./rpc-error.ts";
@@ -12,10 +12,11 @@
     port: number;
 }
 
-interface JsonRpcResponse {
-    result?: unknown;
-    error?: { code: number; message: string; data?: unknown; };
-}
+const responseSchema = z.object({
+    result: z.unknown().optional(),
+    error: z.object({ code: z.number(), message: z.string(), data: z.unknown().optional() }).optional(),
+});
+type JsonRpcResponse = z.infer<typeof responseSchema>;
 
 /**
  * Calls JSON-RPC 2.0 methods of other processes over persistent connections. A connection on which a call timed
@@ -59,18 +60,26 @@
 
     private sendRequest(peer: PeerAddress, body: string, deadline: number): Promise<JsonRpcResponse> {
         return new Promise((resolve, reject) => {
-            const req = request({
-                host: peer.host,
-                port: peer.port,
-                path: "/rpc",
-                method: "POST",
-                agent: this.agent,
-                headers: {
-                    "content-type": "application/json",
-                    "content-length": Buffer.byteLength(body),
-                    authorization: this.key.authorization(),
-                },
-            });
+            let req: ClientRequest;
+            try {
+                req = request({
+                    host: peer.host,
+                    port: peer.port,
+                    path: "/rpc",
+                    method: "POST",
+                    agent: this.agent,
+                    headers: {
+                        "content-type": "application/json",
+                        "content-length": Buffer.byteLength(body),
+                        authorization: this.key.authorization(),
+                    },
+                });
+            }
+            catch (err) {
+                // The address cannot be used, for instance because the port is out of range; nothing was sent.
+                reject(new RpcError("refused", `${peer.host}:${peer.port}: ${String(err)}`));
+                return;
+            }
             const timer = this.clock.schedule(deadline, () => {
                 reject(new RpcError("timeout", `no response from ${peer.host}:${peer.port} before the deadline`));
                 req.destroy();
@@ -101,5 +110,9 @@
     if (status !== 200) {
         throw new RpcError("broken", `unexpected status ${status}, expected 200`, rpcErrorCodes.unavailable);
     }
-    return JSON.parse(text) as JsonRpcResponse;
+    const parsed = responseSchema.safeParse(JSON.parse(text));
+    if (!parsed.success) {
+        throw new RpcError("broken", "the response is not one of JSON-RPC");
+    }
+    return parsed.data;
 }
--- a/packages/protocol/tests/rpc.test.ts
+++ b/packages/protocol/tests/rpc.test.ts
@@ -9,7 +9,9 @@
 } from "@lentilramp/protocol";
 import { MemoryEventLog, SystemClock } from "@lentilramp/runtime";
 import { expect } from "chai";
-import { request } from "node:http";
+import { once } from "node:events";
+import { createServer, request } from "node:http";
+import type { AddressInfo } from "node:net";
 import { z } from "zod";
 
 const secret = "0123456789abcdef-secret";
@@ -93,6 +95,56 @@
         await http.start();
     });
 
+    // Guards against an exception that is not an RpcError, which says whether the call may have been executed.
+    it("reports an address to which nothing can be sent as refused, and an odd response as broken", async () => {
+        for (const peer of [{ host: "127.0.0.1", port: 99_999 }, { host: "a\r\nb", port: 80 }]) {
+            const err = await rejectionOf(client.call(peer, "add", {}, z.number(), deadline()));
+            expect(err).to.be.an.instanceOf(RpcError).with.property("failure", "refused");
+        }
+        const deep = "[".repeat(100_000) + "]".repeat(100_000);
+        const odd = ["null", "7", `"x"`, deep, `{"error":null}`, `{"error":7}`, `{"error":{"code":"x","message":[]}}`];
+        for (
+            const text of [...odd, `{"result":${deep}}`, `{"result":1e400}`, `{"error":{"code":1e400}}`, "", "{", "[]"]
+        ) {
+            const server = createServer((req, res) => {
+                req.resume();
+                res.end(text);
+            });
+            server.listen(0, "127.0.0.1");
+            await once(server, "listening");
+            const { port } = server.address() as AddressInfo;
+            const err = await rejectionOf(client.call({ host: "127.0.0.1", port }, "add", {}, z.number(), deadline()));
+            expect(err, text.slice(0, 40)).to.be.an.instanceOf(RpcError).with.property("failure", "broken");
+            server.closeAllConnections();
+            server.close();
+        }
+    });
+
+    // Guards against a process that ends at a request that is nested more deeply than its parts can be written.
+    it("answers requests that are nested deeply or hold odd numbers", async () => {
+        const deep = "[".repeat(100_000) + "]".repeat(100_000);
+        const call = (id: string, method: string, params: string) =>
+            `{"jsonrpc":"2.0","id":${id},"method":${method},"params":${params}}`;
+        const bodies = [
+            deep,
+            call(deep, `"add"`, "{}"),
+            call("1", deep, "{}"),
+            call("1", `"add"`, deep),
+            "null",
+            "7",
+            "",
+        ];
+        for (const body of [...bodies, call("1e400", `"add"`, `{"a":1e400,"b":1}`), call("1", `"__proto__"`, "{}")]) {
+            const answer = await fetch(`http://127.0.0.1:${http.address.port}/rpc`, {
+                method: "POST",
+                headers: { authorization: `Bearer ${secret}` },
+                body,
+            });
+            expect(answer.status, body.slice(0, 40)).to.be.oneOf([200, 500]);
+        }
+        expect(await client.call(http.address, "add", { a: 2, b: 3 }, z.number(), deadline())).to.equal(5);
+    });
+
     // Guards against headers of unlimited size and against a crash on a path that cannot be decoded.
     it("answers oversized headers and unknown routes with typed errors", async () => {
         const get = async (path: string, headers: Record<string, string>) =>
