Relay no header whose name is not a token

The parser of Node.js accepts header names with spaces, and empty ones in requests; its writer throws for them. A stream whose answer had the header "X A" ended the ingress, as the head is written in a listener of the body; other answers, and requests with such a header, ended with the connection closed without an answer. A name like "Api-Key " was not recognized as one of those that are never passed on.

Such headers are now dropped in both directions.

Evidence: the five new tests of odd-answers.test.ts fail without the change, one of them with the uncaught ERR_INVALID_HTTP_TOKEN.

--- a/packages/ingress/src/hop-by-hop-headers.ts
+++ b/packages/ingress/src/hop-by-hop-headers.ts
@@ -11,9 +11,12 @@
     "upgrade",
 ]);
 
+/** A header name as HTTP defines it. The parser of Node.js also accepts empty names and spaces; its writer throws. */
+const headerName = /^[!#$%&'*+\-.^_`|~\w]+$/;
+
 /**
  * Returns a copy of a flat list of header names and values without hop-by-hop headers, headers that `Connection` lists,
- * and those in `excluded`.
+ * invalid names, and those in `excluded`.
  */
 export function stripHopByHopHeaders(raw: readonly string[], excluded: ReadonlySet<string> = new Set()): string[] {
     const connectionOptions = new Set<string>();
@@ -28,7 +31,7 @@
     for (let i = 0; i + 1 < raw.length; i += 2) {
         const name = (raw[i] ?? "").toLowerCase();
         if (
-            !hopByHopNames.has(name) && !excluded.has(name)
+            !hopByHopNames.has(name) && !excluded.has(name) && headerName.test(name)
             && !(connectionOptions.has(name) && name !== "content-length")
         ) {
             kept.push(raw[i] ?? "", raw[i + 1] ?? "");
--- a/packages/ingress/tests/odd-answers.test.ts
+++ b/packages/ingress/tests/odd-answers.test.ts
@@ -1,15 +1,20 @@
+import type { CatalogRoute } from "@lentilramp/catalog";
 import { expect } from "chai";
-import { testCatalog } from "../../catalog/tests/fixtures.ts";
+import { testCatalog, testRoute } from "../../catalog/tests/fixtures.ts";
 import { IngressHarness, ScriptedEndpoint, sealed } from "./ingress-harness.ts";
 
-describe("Relay with odd numbers in answers", () => {
+describe("Relay with odd answers and requests", () => {
     let endpoint: ScriptedEndpoint | undefined;
     let ingress: IngressHarness | undefined;
 
-    async function start(headers: Record<string, string>, status = 200): Promise<IngressHarness> {
+    async function start(
+        headers: Record<string, string>,
+        status = 200,
+        route: Partial<CatalogRoute> = {},
+    ): Promise<IngressHarness> {
         endpoint = new ScriptedEndpoint("e1", sealed(status, "ok", headers));
         await endpoint.start();
-        ingress = await IngressHarness.start(testCatalog(), [endpoint]);
+        ingress = await IngressHarness.start(testCatalog({ routes: [testRoute(route)] }), [endpoint]);
         return ingress;
     }
 
@@ -18,6 +23,42 @@
         await ingress?.close();
     });
 
+    // Guards against an exception in the listener of an answer's body, which ends the process.
+    for (const execution of ["idempotent", "stream"] as const) {
+        it(`answers callers when an answer on a route of the kind ${execution} has a header name with a space`, async () => {
+            const harness = await start({}, 200, { execution });
+            endpoint?.server.removeAllListeners("request");
+            endpoint?.server.on("request", (req, res) => {
+                res.socket?.end([
+                    "HTTP/1.1 200 OK",
+                    `X-Attempt-Id: ${String(req.headers["x-attempt-id"])}`,
+                    "X-Response-Seal: s",
+                    "X A: 1",
+                    "X-B: 2",
+                    "Content-Length: 9",
+                    "",
+                    "data: 1\n\n",
+                ].join("\r\n"));
+            });
+            const answer = await harness.call({});
+            expect(answer.status).to.equal(200);
+            expect(answer.headers).to.have.property("x-b", "2");
+            expect(answer.headers).to.not.have.property("x a");
+        });
+    }
+
+    // Guards against a caller's connection that is closed without an answer, because the request cannot be written.
+    for (const name of ["X A", "X-A ", ""]) {
+        it(`relays a request with the header name "${name}" without that header`, async () => {
+            const harness = await start({});
+            const head = `GET /x HTTP/1.1\r\nHost: desk.example\r\nApi-Key: key-1\r\nX-Attempt-Id: a\r\n${name}: 1\r\n`;
+            const answer = await harness.sendRaw(`${head}X-B: 2\r\nConnection: close\r\n\r\n`);
+            expect(answer.split("\r\n")[0]).to.equal("HTTP/1.1 200 OK");
+            expect(endpoint?.requests[0]?.headers).to.include({ "x-b": "2" });
+            expect(Object.keys(endpoint?.requests[0]?.headers ?? {})).to.not.include("x-a").and.not.include("");
+        });
+    }
+
     // Guards against the end of the process: the idle time of a socket must be finite, and it is set in a listener.
     for (const seconds of ["9".repeat(400), "1000000000000", "0", "-5", "NaN", ""]) {
         it(`answers callers after an endpoint has announced the idle time "${seconds.slice(0, 20)}"`, async () => {
