Reject routes whose weights have no finite sum

Weights of 1e308 each passed. Their sum is Infinity, so that every drawn number is Infinity too, and the last service of the route got all requests.

Evidence: the new case of catalog.test.ts fails without the change.

--- a/packages/catalog/src/check-catalog.ts
+++ b/packages/catalog/src/check-catalog.ts
@@ -6,8 +6,9 @@
             return `route ${route.name} names the unknown service ${target.service}`;
         }
     }
-    if (!(route.targets.reduce((sum, target) => sum + target.weight, 0) > 0)) {
-        return `the weights of route ${route.name} must add up to more than 0`;
+    const totalWeight = route.targets.reduce((sum, target) => sum + target.weight, 0);
+    if (!(totalWeight > 0) || !Number.isFinite(totalWeight)) {
+        return `the weights of route ${route.name} must add up to more than 0, and to a number that is finite`;
     }
     if (route.targets.some(target => target.weight < 0)) {
         return `route ${route.name} has a negative weight`;
--- a/packages/catalog/tests/catalog.test.ts
+++ b/packages/catalog/tests/catalog.test.ts
@@ -51,6 +51,12 @@
             "weights that add up to 0",
             testCatalog({ routes: [testRoute({ targets: [{ service: "app", weight: 0 }] })] }),
         ],
+        [
+            "weights whose sum is not finite, of which only the last service would get requests",
+            testCatalog({
+                routes: [testRoute({ targets: ["app", "model"].map(service => ({ service, weight: 1e308 })) })],
+            }),
+        ],
         ["no target", testCatalog({ routes: [testRoute({ targets: [] })] })],
         ["a timeout of 0", testCatalog({ routes: [testRoute({ timeoutMs: 0 })] })],
         ["two routes with the same host and prefix", testCatalog({ routes: [testRoute(), testRoute({ name: "s" })] })],
