End only the request whose queued decision raises an error

The decisions on queued requests are repeated in a timer. An exception in one of them ended the process; had it survived, the queue would have been marked as busy for ever and no queued request decided on again.

The request is refused as not run, with the error as the reason, and the others are decided on.

--- a/packages/dispatch/src/dispatch-queue.ts
+++ b/packages/dispatch/src/dispatch-queue.ts
@@ -9,6 +9,9 @@
  */
 const reevaluationIntervalMs = 15;
 
+/** Retry delay of a request that an internal error has ended, in milliseconds. */
+const errorRetryMs = 100;
+
 /** Outcome of a queued request; `left` means that it was withdrawn. */
 export type QueueOutcome<C extends Candidate> =
     | { kind: "send"; choice: EndpointChoice<C>; }
@@ -64,14 +67,25 @@
         }
         this.isReevaluating = true;
         for (const waiter of this.queue.inOrder()) {
+            this.decideAgain(waiter);
+        }
+        this.isReevaluating = false;
+        this.scheduleReevaluation();
+    }
+
+    /** An error ends only the request that raised it, which has not been sent; it must not end a timer's callback. */
+    private decideAgain(waiter: WaitingRequest<C>): void {
+        try {
             const decision = waiter.decide(0);
             if (decision.kind !== "wait") {
                 this.queue.remove(waiter);
                 waiter.settle(decision);
             }
         }
-        this.isReevaluating = false;
-        this.scheduleReevaluation();
+        catch (err) {
+            this.queue.remove(waiter);
+            waiter.settle({ kind: "refuse", reason: `internal error: ${String(err)}`, retryAfterMs: errorRetryMs });
+        }
     }
 
     private scheduleReevaluation(): void {
