Refuse requests whose callers have no time left

A request with an X-Deadline-Ms of 0 or less was admitted, could be sent to an endpoint with 1 ms and run there, and was answered with 504 at once.

It cannot be served, and is now refused as not run. Very long times, and ones that cannot be read, are relayed with the timeout of the route; the tests say so.

Evidence: the three new tests of odd-answers.test.ts for times of 0 and less fail without the change.

--- a/packages/ingress/src/check-request.ts
+++ b/packages/ingress/src/check-request.ts
@@ -44,6 +44,9 @@
             inputs: { ...view.freshness.describe(now) },
         };
     }
+    if (head.timeoutMs !== undefined && head.timeoutMs <= 0) {
+        return { status: 503, reason: "no time left" };
+    }
     const route = routes.find(req.headers.host ?? "", req.url ?? "/");
     if (route === undefined) {
         return { status: 404, reason: "no route" };
--- a/packages/ingress/tests/odd-answers.test.ts
+++ b/packages/ingress/tests/odd-answers.test.ts
@@ -47,6 +47,23 @@
         });
     }
 
+    // Guards against a request that is sent and may run, although its caller has no time left.
+    for (const timeout of ["0", "-5", "-1e300"]) {
+        it(`refuses a request whose caller waits ${timeout} ms without sending it`, async () => {
+            const harness = await start({}, 200, { execution: "at-most-once" });
+            const answer = await harness.call({ headers: { "x-deadline-ms": timeout } });
+            expect(answer).to.deep.include({ status: 503, body: `{"error":"no time left"}` });
+            expect(endpoint?.requests).to.have.length(0);
+        });
+    }
+
+    for (const timeout of ["1e300", "1e400", "2147483648", "NaN", "Infinity", "soon"]) {
+        it(`relays a request whose caller waits "${timeout}" ms on a route with as long a timeout`, async () => {
+            const harness = await start({}, 200, { timeoutMs: 1e300, firstByteTargetMs: 1e300 });
+            expect((await harness.call({ headers: { "x-deadline-ms": timeout } })).status).to.equal(200);
+        });
+    }
+
     // Guards against a caller's connection that is closed without an answer, because the request cannot be written.
     for (const name of ["X A", "X-A ", ""]) {
         it(`relays a request with the header name "${name}" without that header`, async () => {
