Follow the lists of instances and notices past odd entries

One entry of another type in the platform's list of instances, or among its reclaim notices, made the whole list unreadable. The entries and the control processes did not follow it while the entry stood there, so that endpoints that were about to leave went on to get work.

The array of a message that leaves out single elements moves to the runtime package, and these lists use it too.

--- a/packages/control/src/agreement-messages.ts
+++ b/packages/control/src/agreement-messages.ts
@@ -1,4 +1,5 @@
 import type { Message } from "@lentilramp/agreement";
+import { tolerantArray } from "@lentilramp/runtime";
 import { z } from "zod";
 import { memberAddressSchema } from "./member-address.ts";
 
@@ -48,10 +49,5 @@
  */
 export const agreementMessagesSchema = z.object({
     sender: memberAddressSchema,
-    messages: z.array(z.unknown()).transform(messages =>
-        messages.flatMap((message): Message[] => {
-            const parsed = messageSchema.safeParse(message);
-            return parsed.success ? [parsed.data] : [];
-        })
-    ),
+    messages: tolerantArray(messageSchema),
 });
--- a/packages/control/src/placement/platform-client.ts
+++ b/packages/control/src/placement/platform-client.ts
@@ -1,5 +1,6 @@
 import type { EngineOrder, StartOrder } from "@lentilramp/placement";
 import { type JsonClient, PlatformError } from "@lentilramp/protocol";
+import { tolerantArray } from "@lentilramp/runtime";
 import { z } from "zod";
 
 const marketSchema = z.enum(["reclaimable", "on-demand"]);
@@ -19,9 +20,9 @@
         pricePerHour: z.number().min(0),
     })),
 });
-const instancesSchema = z.looseObject({ instances: z.array(cloudInstanceSchema) });
+const instancesSchema = z.looseObject({ instances: tolerantArray(cloudInstanceSchema) });
 const noticesSchema = z.looseObject({
-    notices: z.array(z.looseObject({ sequence: z.int(), instanceId: z.string(), reclaimAt: z.number() })),
+    notices: tolerantArray(z.looseObject({ sequence: z.int(), instanceId: z.string(), reclaimAt: z.number() })),
 });
 export type CloudNotice = z.infer<typeof noticesSchema>["notices"][number];
 const weightsSchema = z.looseObject({
--- a/packages/entry/src/instance-list-poller.ts
+++ b/packages/entry/src/instance-list-poller.ts
@@ -1,4 +1,4 @@
-import { type Clock, PeriodicComponent } from "@lentilramp/runtime";
+import { type Clock, PeriodicComponent, tolerantArray } from "@lentilramp/runtime";
 import { z } from "zod";
 import type { EndpointObserver } from "./endpoint-observer.ts";
 import type { UpstreamClient } from "./upstream.ts";
@@ -7,7 +7,7 @@
 const pollDeadlineMs = 1_000;
 
 const listSchema = z.looseObject({
-    instances: z.array(z.looseObject({ id: z.string(), state: z.string() })),
+    instances: tolerantArray(z.looseObject({ id: z.string(), state: z.string() })),
 });
 
 /** Polls the platform's instance list. Since the list lags, it is only used to remove endpoints, never to add any. */
--- a/packages/fleet/src/endpoint-directory.ts
+++ b/packages/fleet/src/endpoint-directory.ts
@@ -1,6 +1,6 @@
+import { tolerantArray } from "@lentilramp/runtime";
 import { z } from "zod";
 import { portSchema } from "./port.ts";
-import { tolerantArray } from "./tolerant-array.ts";
 
 /** A replica of a service in the platform's list. */
 export const endpointSchema = z.object({
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -25,6 +25,5 @@
 export * from "./spare-cap-estimate.ts";
 export * from "./sync-backlog.ts";
 export * from "./sync-timing.ts";
-export * from "./tolerant-array.ts";
 export * from "./usage-ledger.ts";
 export * from "./usage-windows.ts";
--- a/packages/ingress/src/fleet-messages.ts
+++ b/packages/ingress/src/fleet-messages.ts
@@ -6,8 +6,8 @@
     ingressDescriptionSchema,
     limitReportSchema,
     permitDemandSchema,
-    tolerantArray,
 } from "@lentilramp/fleet";
+import { tolerantArray } from "@lentilramp/runtime";
 import { z } from "zod";
 
 const loadSchema = z.object({ running: z.number(), unreadTokens: z.number() });
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -9,3 +9,4 @@
 export * from "./random-source.ts";
 export * from "./state-dump.ts";
 export * from "./throttled-event-log.ts";
+export * from "./tolerant-array.ts";
