--- a/packages/ingress/src/caller-server.ts
+++ b/packages/ingress/src/caller-server.ts
@@ -14,8 +14,6 @@
  */
 const idleMarginMs = 1_000;
 const headTimeoutMs = 10_000;
-/** Part of the grace time that is reserved for closing, in milliseconds. */
-const closeMarginMs = 1_000;
 /** Interval between checks of the requests in flight during a drain, in milliseconds. */
 const drainCheckIntervalMs = 50;
 
@@ -78,8 +76,7 @@
     override async drain(): Promise<void> {
         this.relay.startDraining();
         const startedAt = this.clock.now();
-        const drainDeadline = startedAt + this.options.graceMs - closeMarginMs;
-        while (this.clock.now() < drainDeadline) {
+        while (this.clock.now() < this.relay.stop.closeAt) {
             const lingerOver = this.clock.now() - startedAt >= this.lingerMs;
             if (lingerOver && this.relay.requestsInFlight === 0) {
                 break;
--- a/packages/ingress/src/relay.ts
+++ b/packages/ingress/src/relay.ts
@@ -22,6 +22,7 @@
 import type { IngressOptions } from "./ingress-options.ts";
 import type { IngressComponentFactory } from "./ingress-policy.ts";
 import { LimitGate } from "./limit-gate.ts";
+import { PlannedStop } from "./planned-stop.ts";
 import type { CallerHead, HeaderCodec } from "./platform-adapter.ts";
 import { internalErrorReason, internalErrorRetryMs, sendRefusal } from "./refusal.ts";
 import { RelayedCall } from "./relayed-call.ts";
@@ -107,6 +108,7 @@
     private readonly promptAffinity: PromptAffinity;
     private inFlight = 0;
     private drainingSince: number | undefined;
+    readonly stop: PlannedStop;
 
     constructor(
         readonly view: FleetView,
@@ -131,6 +133,7 @@
             base.log,
             base.metrics,
         );
+        this.stop = new PlannedStop(options.graceMs);
         this.promptAffinity = components.createPromptAffinity(service => view.endpoints.readyEndpoints(service));
         this.dispatcher = new Dispatcher(view.loads, view.health, base.random, components.dispatchOptions());
         this.limitGate = new LimitGate(view, base.clock, base.random);
@@ -163,6 +166,7 @@
 
     startDraining(): void {
         this.drainingSince = this.clock.now();
+        this.stop.begin(this.drainingSince);
     }
 
     isDraining(): boolean {
--- a/packages/ingress/tests/ingress-harness.ts
+++ b/packages/ingress/tests/ingress-harness.ts
@@ -114,6 +114,62 @@
     complete: boolean;
 }
 
+/** A caller's connection, for requests that are sent in pieces or pipelined. */
+export class CallerConnection {
+    private text = "";
+    private isClosed = false;
+    private onProgress: () => void = () => undefined;
+
+    constructor(private readonly socket: Socket) {
+        socket.setEncoding("latin1").on("data", (part: string) => {
+            this.text += part;
+            this.onProgress();
+        });
+        socket.on("error", () => undefined);
+        socket.on("close", () => {
+            this.isClosed = true;
+            this.onProgress();
+        });
+    }
+
+    /** Bytes received so far. */
+    get received(): string {
+        return this.text;
+    }
+
+    /** Statuses of the answers received so far. */
+    get statuses(): number[] {
+        return [...this.text.matchAll(/HTTP\/1\.1 (\d{3}) /g)].map(([, status]) => Number(status));
+    }
+
+    send(text: string): void {
+        this.socket.write(text);
+    }
+
+    pause(): void {
+        this.socket.pause();
+    }
+
+    resume(): void {
+        this.socket.resume();
+    }
+
+    /** Resolves when the received bytes contain `text` or the connection has closed. */
+    async receive(text: string): Promise<void> {
+        await this.untilProgress(() => this.text.includes(text));
+    }
+
+    async closed(): Promise<void> {
+        await this.untilProgress(() => false);
+    }
+
+    private async untilProgress(isDone: () => boolean): Promise<void> {
+        while (!this.isClosed && !isDone()) {
+            await new Promise<void>(resolve => this.onProgress = resolve);
+        }
+    }
+}
+
 /** An ingress between a caller and scripted endpoints. */
 export class IngressHarness {
     readonly log = new MemoryEventLog();
@@ -128,6 +184,7 @@
         catalog: Catalog | undefined,
         ports: { callers: number; readiness: number; },
         policy: Partial<IngressPolicy>,
+        overrides: Partial<IngressOptions>,
     ) {
         this.ports = ports;
         const options: IngressOptions = {
@@ -145,6 +202,7 @@
             usageWindowMs: 5_000,
             drainBoundMs: 3_000,
             catalogBoundMs: 2_000,
+            ...overrides,
         };
         this.options = options;
         const components = new IngressComponentFactory({ ...ingressPolicyDefaults, ...policy });
@@ -192,9 +250,10 @@
         catalog: Catalog | undefined,
         endpoints: readonly ScriptedEndpoint[],
         policy: Partial<IngressPolicy> = {},
+        options: Partial<IngressOptions> = {},
     ): Promise<IngressHarness> {
         const ports = { callers: await freePort(), readiness: await freePort() };
-        const harness = new IngressHarness(catalog, ports, policy);
+        const harness = new IngressHarness(catalog, ports, policy, options);
         await harness.server.start();
         harness.view.applyEndpointList(endpoints.map(({ endpoint }) => endpoint), harness.clock.now(), 1);
         return harness;
@@ -212,6 +271,13 @@
         return (await this.call({ port: this.ports.readiness, path: "/" })).status;
     }
 
+    /** Opens a connection of a caller. */
+    async connect(): Promise<CallerConnection> {
+        const socket = connect(this.ports.callers, "127.0.0.1");
+        await once(socket, "connect");
+        return new CallerConnection(socket);
+    }
+
     /** Sends raw bytes, and closes the sending side with `end`; resolves with all received bytes at the close. */
     async sendRaw(text: string, { end = false }: { end?: boolean; } = {}): Promise<string> {
         return await new Promise((resolve, reject) => {
