--- a/packages/ingress/tests/relay.test.ts
+++ b/packages/ingress/tests/relay.test.ts
@@ -258,6 +258,20 @@
         await endpoints[0]?.requests[0]?.closed;
     });
 
+    // Guards against counting a timeout of the ingress as a caller that gave up.
+    it("records a request that was ended at its deadline as failed", async () => {
+        const { call, harness } = await startWithCall([() => undefined], { execution: "at-most-once", timeoutMs: 200 });
+        // This id is in the sample of requests that are logged.
+        await call({ method: "POST", body: "x", headers: { "x-attempt-id": "attempt-4" } });
+        while (harness.relay.requestsInFlight > 0) {
+            await new Promise(resolve => setTimeout(resolve, 5));
+        }
+        expect(harness.log.events.find(({ name }) => name === "request.done")?.fields).to.include({
+            id: "attempt-4",
+            outcome: "failed",
+        });
+    });
+
     it("refuses unknown routes and API keys, and every request before the first catalog", async () => {
         const { call } = await startWithCall([sealed(200, "ok")]);
         expect((await call({ headers: { host: "other.example" } })).status).to.equal(404);
