Answer requests without an answer before a planned stop closes their connections

Seen by callers: a request that an endpoint still worked on at the end of the grace time saw its connection close without an answer. Cause: the drain ended and close() destroyed all connections; the requests in progress were not told.

--- a/packages/ingress/src/caller-server.ts
+++ b/packages/ingress/src/caller-server.ts
@@ -71,12 +71,15 @@
 
     /**
      * Starts the drain of the relay, which refuses new requests after a delay. Resolves when no request is in flight
-     * and cached address lookups have expired, at the latest shortly before the end of the grace time.
+     * and cached address lookups have expired, at the latest shortly before the end of the grace time. Requests without
+     * an answer get one from the ingress before that.
      */
     override async drain(): Promise<void> {
         this.relay.startDraining();
         const startedAt = this.clock.now();
-        while (this.clock.now() < this.relay.stop.closeAt) {
+        const { stop } = this.relay;
+        while (this.clock.now() < stop.closeAt) {
+            stop.advanceTo(this.clock.now());
             const lingerOver = this.clock.now() - startedAt >= this.lingerMs;
             if (lingerOver && this.relay.requestsInFlight === 0) {
                 break;
--- a/packages/ingress/src/relay.ts
+++ b/packages/ingress/src/relay.ts
@@ -74,6 +74,7 @@
     maxIdleConnections(service: string): number;
     /** Whether this ingress is draining, so that callers' connections are closed after their answers. */
     isDraining(): boolean;
+    readonly stop: PlannedStop;
     /** Whether a broken stream may be resumed at another endpoint. */
     readonly resumesStreams: boolean;
     addDemand(service: string, demand: EngineDemand): void;
--- a/packages/ingress/src/relayed-call.ts
+++ b/packages/ingress/src/relayed-call.ts
@@ -65,6 +65,7 @@
             }
         });
         const timer = clock.schedule(dispatch.deadline, () => this.onDeadline());
+        const cancelStopNotice = this.ctx.stop.onAnswersDue(() => this.onStopEnd());
         this.ctx.retryBudget(dispatch.service).recordRequest(clock.now());
         try {
             await this.relay();
@@ -74,6 +75,7 @@
         }
         finally {
             timer.cancel();
+            cancelStopNotice();
             this.finished = true;
             this.recorder.recordOutcome(this.outcome, this.currentAttempt?.endpoint.id, this.runs);
         }
@@ -354,6 +356,14 @@
         this.stop();
     }
 
+    /** Ends a request without an answer before a planned stop closes its connection; a begun answer may go on. */
+    private onStopEnd(): void {
+        if (!this.finished && !this.writer.started) {
+            this.giveUp("stopping", undefined);
+            this.stop();
+        }
+    }
+
     /** Ends the request without an endpoint's answer. A caller may retry a request that is certain not to have run. */
     private giveUp(reason: string, retryAfterMs: number | undefined, best?: EndpointChoice<Endpoint>): void {
         const { res, workspace, units } = this.admitted;
--- a/packages/ingress/tests/planned-stop.test.ts
+++ b/packages/ingress/tests/planned-stop.test.ts
@@ -6,6 +6,7 @@
 const graceMs = 2_000;
 /** Time budget that ends long after the grace time. */
 const longBudget = { "x-deadline-ms": "30000" };
+const neverAnswers: Answer = () => undefined;
 
 describe("planned stop of an ingress", () => {
     let endpoint: ScriptedEndpoint;
@@ -60,4 +61,13 @@
         await stop();
         expect(await answer).to.include({ status: 200, body: event(1) + event(2), complete: true });
     });
+
+    // Guards against closing the connection of a request that an endpoint still works on when the grace time ends.
+    it("answers a request in progress truthfully before the connection closes", async () => {
+        await start(neverAnswers, { execution: "at-most-once" });
+        const answer = post();
+        await until(() => endpoint.requests.length === 1);
+        await stop();
+        expect((await answer).status).to.be.oneOf([502, 504]);
+    });
 });
