Refuse requests in a planned stop whose answers may not end in time

Seen by callers: a request that came late in a planned stop, or waited for a slot, was passed on to an endpoint and then cut or answered 502 at the end of the grace time, also one that must not be repeated. Cause: admission ended after a fixed part of the time in which callers keep an address, whatever a request takes, and was not looked at again when a request left the queue or was sent once more. Change: from the start of a stop, a request that has not run is sent or queued only if twice its expected time ends within 7/8 of the grace time; otherwise it gets 503 with Retry-After. Once callers' kept addresses have expired, every new request is refused. Evidence: packages/ingress/tests/planned-stop.test.ts. "refuses a request at once whose answer may not end in time" and "refuses a request that waits for a slot ...": connection closed on, 502 on, 503 at once now, and the endpoint receives nothing; "serves a request with a long time budget on a route whose answers are known to be short": 503 before, 200 now. Real processes: not run yet.

--- a/packages/cli/src/wire-ingress.ts
+++ b/packages/cli/src/wire-ingress.ts
@@ -18,8 +18,6 @@
 const listAgePart = 0.5;
 /** Validities of an address answer for which callers may use it. */
 const keptAnswers = 3;
-/** Part of the time for which kept address answers live in which new requests are served during a planned stop. */
-const servedPart = 0.45;
 
 /** Wires an ingress. */
 export function wireIngress(
@@ -53,7 +51,6 @@
         new PlatformHeaderCodec(),
         options,
         { clock, random, log, metrics },
-        lingerMs * servedPart,
         parts,
     );
     const accepting = (): boolean => view.ready && lifecycle.state === "ready" && !relay.isDraining();
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -50,7 +50,7 @@
     }
     | {
         kind: "refuse";
-        reason: "no-endpoint" | "endpoint-limit" | "blocked-part" | "internal-error" | "overload";
+        reason: "no-endpoint" | "endpoint-limit" | "blocked-part" | "internal-error" | "overload" | "stopping";
         retryAfterMs: number;
         /** The best candidate, which did not meet the conditions for dispatch. */
         best?: EndpointChoice<C>;
--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -2,6 +2,7 @@
  * Selects the endpoint of a request and decides which requests wait and which are refused. The package reads
  * no system clock and no global random source: callers pass in clocks, instants and random sources.
  */
+export * from "./answer-times.ts";
 export * from "./dispatch-queue.ts";
 export * from "./dispatcher.ts";
 export * from "./endpoint-health.ts";
--- a/packages/ingress/src/call-recorder.ts
+++ b/packages/ingress/src/call-recorder.ts
@@ -28,6 +28,7 @@
 
 /** Records one request: demand, usage of its workspace, health of endpoints, metrics and log. */
 export class CallRecorder {
+    private readonly admittedAt: number;
     private usageRecorded = false;
     private firstByteAt: number | undefined;
     /** How the last incomplete answer ended. */
@@ -35,7 +36,9 @@
     /** Time and inputs of the decision on the last attempt. */
     private decision: { at: number; predictedMs: number; unread: number; queued: number; running: number; } | undefined;
 
-    constructor(private readonly admitted: AdmittedRequest, private readonly ctx: RelayContext) {}
+    constructor(private readonly admitted: AdmittedRequest, private readonly ctx: RelayContext) {
+        this.admittedAt = ctx.clock.now();
+    }
 
     /** Adds the request's work to the demand on its service, whether the request will be served or refused. */
     recordDemand(best: EndpointChoice<Endpoint> | undefined): void {
@@ -185,15 +188,39 @@
             ...reason === "endpoint-limit"
                 ? view.limits.describe(view.endpoints.readyEndpoints(dispatch.service), clock.now())
                 : {},
+            ...reason === "stopping" ? this.stopInputs() : {},
         });
     }
 
+    /** Inputs of the decision that the answer may not end before a planned stop closes the connection. */
+    private stopInputs(): EventFields {
+        const { answerTimes, clock, stop } = this.ctx;
+        const longestMs = answerTimes.longestMs(this.admitted.route.name);
+        return {
+            leftMs: Math.round(stop.answerAt - clock.now()),
+            longestMs: longestMs === undefined ? undefined : Math.round(longestMs),
+        };
+    }
+
+    private recordAnswerTime(outcome: CallOutcome, runs: number): void {
+        const { route, res } = this.admitted;
+        const { answerTimes, clock } = this.ctx;
+        const answerMs = clock.now() - this.admittedAt;
+        if (outcome === "answered" && res.statusCode < 500) {
+            answerTimes.record(route.name, answerMs);
+        }
+        else if (runs > 0) {
+            answerTimes.recordAtLeast(route.name, answerMs);
+        }
+    }
+
     /** Logs a late or sampled request, and counts the final outcome in the metrics. */
     recordOutcome(outcome: CallOutcome, endpoint: string | undefined, runs: number): void {
         const { route, dispatch, res } = this.admitted;
         const { metrics, clock, log } = this.ctx;
         const now = clock.now();
         const execution = route.execution;
+        this.recordAnswerTime(outcome, runs);
         const late = outcome === "answered" && (this.firstByteAt ?? now) > dispatch.targetAt;
         if (late || murmurhash.v3(dispatch.id) % onTimeAnswersPerLine === 0) {
             log.info("request.done", {
--- a/packages/ingress/src/caller-server.ts
+++ b/packages/ingress/src/caller-server.ts
@@ -70,9 +70,9 @@
     }
 
     /**
-     * Starts the drain of the relay, which refuses new requests after a delay. Resolves when no request is in flight
-     * and cached address lookups have expired, at the latest shortly before the end of the grace time. Requests without
-     * an answer get one from the ingress before that.
+     * Starts the drain of the relay, which refuses requests whose answers may not end in time, and all new requests once
+     * cached address lookups have expired. Resolves when no request is in flight after that, at the latest shortly
+     * before the end of the grace time. Requests without an answer get one from the ingress before that.
      */
     override async drain(): Promise<void> {
         this.relay.startDraining();
@@ -80,9 +80,11 @@
         const { stop } = this.relay;
         while (this.clock.now() < stop.closeAt) {
             stop.advanceTo(this.clock.now());
-            const lingerOver = this.clock.now() - startedAt >= this.lingerMs;
-            if (lingerOver && this.relay.requestsInFlight === 0) {
-                break;
+            if (this.clock.now() - startedAt >= this.lingerMs) {
+                stop.stopTaking();
+                if (this.relay.requestsInFlight === 0) {
+                    break;
+                }
             }
             await this.clock.sleepUntil(this.clock.now() + drainCheckIntervalMs);
         }
--- a/packages/ingress/src/endpoint-selection.ts
+++ b/packages/ingress/src/endpoint-selection.ts
@@ -8,6 +8,7 @@
 import type { Endpoint } from "@lentilramp/fleet";
 import { blockedPartRetryMs, internalErrorRetryMs } from "./refusal.ts";
 import type { AdmittedRequest, RelayContext } from "./relay.ts";
+import { decideDuringStop } from "./stop-admission.ts";
 
 /** Retry delay that a caller gets when an endpoint refused its request, in milliseconds. */
 export const endpointRefusedRetryMs = 100;
@@ -98,17 +99,25 @@
             this.decided = true;
             hooks.onFirstDecision(bestChoice(decision));
         }
-        return decision.kind === "refuse" && decision.reason === "no-endpoint"
-            ? ctx.limitGate.decide(dispatch, excluded) ?? decision
-            : decision;
+        const limited = decision.kind === "refuse" && decision.reason === "no-endpoint"
+            ? ctx.limitGate.decide(dispatch, excluded)
+            : undefined;
+        return decideDuringStop(limited ?? decision, this.admitted, ctx);
     }
 
-    /** Chooses an endpoint for a later attempt, without waiting for a slot, as the caller has already waited. */
-    selectAnother(): QueueOutcome<Endpoint> {
+    /**
+     * Chooses an endpoint for a later attempt, without waiting for a slot, as the caller has already waited. `mayHaveRun`
+     * says whether an endpoint may have run the request, so that it cannot be refused any more.
+     */
+    selectAnother(mayHaveRun: boolean): QueueOutcome<Endpoint> {
         const choice = this.choose(this.excluded);
         if (choice !== undefined) {
-            this.hooks.onChoice(choice);
-            return { kind: "send", choice };
+            const send = { kind: "send", choice } as const;
+            const decision = mayHaveRun ? send : decideDuringStop(send, this.admitted, this.ctx);
+            if (decision.kind === "send") {
+                this.hooks.onChoice(choice);
+            }
+            return decision;
         }
         const limited = this.ctx.limitGate.decide(this.admitted.dispatch, this.excluded);
         return limited?.kind === "refuse"
--- a/packages/ingress/src/planned-stop.ts
+++ b/packages/ingress/src/planned-stop.ts
@@ -3,6 +3,11 @@
  * `closeFraction`, so that these answers are written before the connections close.
  */
 const answerFraction = 7 / 8;
+/**
+ * Multiple of a request's expected time that must be left for it. A request that a stop interrupts may be lost, while a
+ * refusal costs its caller little.
+ */
+const cautionFactor = 2;
 /**
  * Fraction of the grace time after which the remaining connections are closed. The rest is for the other components of
  * the process, and for a signal that is handled late.
@@ -12,6 +17,7 @@
 /** The planned stop of an ingress: from a signal until the end of the grace time. */
 export class PlannedStop {
     private startedAt: number | undefined;
+    private ended = false;
     private readonly dueCallbacks = new Set<() => void>();
 
     constructor(private readonly graceMs: number) {}
@@ -34,6 +40,25 @@
         this.startedAt ??= now;
     }
 
+    /** From now on, no request is taken. */
+    stopTaking(): void {
+        this.ended = true;
+    }
+
+    /** Whether every new request is refused, however short its answer is. */
+    takesNone(now: number): boolean {
+        return this.ended || now >= this.answerAt;
+    }
+
+    /**
+     * Whether the answer to a request is expected to end in time. If nothing is known about the time that it takes, it
+     * may take until its deadline.
+     */
+    leavesTimeFor(req: { deadline: number; expectedMs: number | undefined; }, now: number): boolean {
+        const endsBy = Math.min(req.deadline, now + (req.expectedMs ?? Infinity) * cautionFactor);
+        return !this.takesNone(now) && endsBy <= this.answerAt;
+    }
+
     /** Calls `callback` when a request without an answer must be answered; returns a function that cancels this. */
     onAnswersDue(callback: () => void): () => void {
         this.dueCallbacks.add(callback);
--- a/packages/ingress/src/refusal.ts
+++ b/packages/ingress/src/refusal.ts
@@ -8,6 +8,8 @@
 export const internalErrorReason = "internal error";
 /** Retry delay that a caller gets with it, in milliseconds. */
 export const internalErrorRetryMs = 100;
+/** Retry delay of a request that a stopping ingress refuses, in milliseconds; other ingresses are not affected. */
+export const stoppingRetryMs = 20;
 
 /** Sends a refusal of this ingress with `retryAfterMs` as its `Retry-After` header, unless that is undefined. */
 export function sendRefusal(
--- a/packages/ingress/src/relay.ts
+++ b/packages/ingress/src/relay.ts
@@ -1,5 +1,6 @@
 import { type CatalogRoute, type CatalogWorkspace, drawService } from "@lentilramp/catalog";
 import {
+    AnswerTimes,
     Dispatcher,
     DispatchQueue,
     type DispatchRequest,
@@ -24,7 +25,7 @@
 import { LimitGate } from "./limit-gate.ts";
 import { PlannedStop } from "./planned-stop.ts";
 import type { CallerHead, HeaderCodec } from "./platform-adapter.ts";
-import { internalErrorReason, internalErrorRetryMs, sendRefusal } from "./refusal.ts";
+import { internalErrorReason, internalErrorRetryMs, sendRefusal, stoppingRetryMs } from "./refusal.ts";
 import { RelayedCall } from "./relayed-call.ts";
 
 /** Longest time that a request waits for this process to become ready, in milliseconds; stewards start more slowly. */
@@ -75,6 +76,7 @@
     /** Whether this ingress is draining, so that callers' connections are closed after their answers. */
     isDraining(): boolean;
     readonly stop: PlannedStop;
+    readonly answerTimes: AnswerTimes;
     /** Whether a broken stream may be resumed at another endpoint. */
     readonly resumesStreams: boolean;
     addDemand(service: string, demand: EngineDemand): void;
@@ -108,16 +110,14 @@
     private demand: Record<string, EngineDemand> = {};
     private readonly promptAffinity: PromptAffinity;
     private inFlight = 0;
-    private drainingSince: number | undefined;
     readonly stop: PlannedStop;
+    readonly answerTimes = new AnswerTimes();
 
     constructor(
         readonly view: FleetView,
         readonly headerCodec: HeaderCodec,
         private readonly options: IngressOptions,
         base: { clock: Clock; random: RandomSource; log: EventLog; metrics: Metrics; },
-        /** Time from the start of a planned stop until new requests are refused, in milliseconds. */
-        private readonly refuseAfterMs: number,
         private readonly components: IngressComponentFactory,
     ) {
         this.clock = base.clock;
@@ -166,12 +166,11 @@
     }
 
     startDraining(): void {
-        this.drainingSince = this.clock.now();
-        this.stop.begin(this.drainingSince);
+        this.stop.begin(this.clock.now());
     }
 
     isDraining(): boolean {
-        return this.drainingSince !== undefined;
+        return this.stop.begun;
     }
 
     /** Returns the demand on each engine service since the last call, and resets it. */
@@ -364,11 +363,10 @@
     }
 
     private check(req: IncomingMessage, head: CallerHead): Refusal | CheckedRequest {
-        const isRefusing = this.drainingSince !== undefined
-            && this.clock.now() - this.drainingSince > this.refuseAfterMs;
-        return isRefusing && this.view.catalog !== undefined
-            ? { status: 503, reason: "stopping", retryAfterMs: 20 }
-            : checkRequest(req, head, this.view, this.clock.now());
+        const now = this.clock.now();
+        return this.stop.takesNone(now)
+            ? { status: 503, reason: "stopping", retryAfterMs: stoppingRetryMs }
+            : checkRequest(req, head, this.view, now);
     }
 
     /** Logs and sends a refusal. Reads the request's body first, so that the connection can be kept. */
--- a/packages/ingress/src/relayed-call.ts
+++ b/packages/ingress/src/relayed-call.ts
@@ -83,7 +83,7 @@
 
     private async relay(): Promise<void> {
         for (let isFirstAttempt = true; !this.stopped; isFirstAttempt = false) {
-            const slot = isFirstAttempt ? await this.selection.selectFirst() : this.selection.selectAnother();
+            const slot = isFirstAttempt ? await this.selection.selectFirst() : this.selection.selectAnother(this.runs > 0);
             if (slot.kind === "left" || this.stopped) {
                 return;
             }
--- a/packages/ingress/tests/ingress-harness.ts
+++ b/packages/ingress/tests/ingress-harness.ts
@@ -184,7 +184,7 @@
         catalog: Catalog | undefined,
         ports: { callers: number; readiness: number; },
         policy: Partial<IngressPolicy>,
-        overrides: Partial<IngressOptions>,
+        { lingerMs = 200, ...overrides }: Partial<IngressOptions> & { lingerMs?: number; },
     ) {
         this.ports = ports;
         const options: IngressOptions = {
@@ -233,14 +233,13 @@
             new PlatformHeaderCodec(),
             options,
             base,
-            100,
             components,
         );
         this.server = new CallerServer(
             this.relay,
             options,
             () => this.view.catalog !== undefined && !this.relay.isDraining(),
-            200,
+            lingerMs,
             this.clock,
             this.log,
         );
@@ -250,7 +249,7 @@
         catalog: Catalog | undefined,
         endpoints: readonly ScriptedEndpoint[],
         policy: Partial<IngressPolicy> = {},
-        options: Partial<IngressOptions> = {},
+        options: Partial<IngressOptions> & { lingerMs?: number; } = {},
     ): Promise<IngressHarness> {
         const ports = { callers: await freePort(), readiness: await freePort() };
         const harness = new IngressHarness(catalog, ports, policy, options);
--- a/packages/ingress/tests/planned-stop.test.ts
+++ b/packages/ingress/tests/planned-stop.test.ts
@@ -1,7 +1,7 @@
 import type { CatalogRoute } from "@lentilramp/catalog";
 import { expect } from "chai";
 import { testCatalog, testRoute } from "../../catalog/tests/fixtures.ts";
-import { type Answer, type CallerAnswer, IngressHarness, ScriptedEndpoint } from "./ingress-harness.ts";
+import { type Answer, type CallerAnswer, IngressHarness, ScriptedEndpoint, sealed } from "./ingress-harness.ts";
 
 const graceMs = 2_000;
 /** Time budget that ends long after the grace time. */
@@ -12,14 +12,14 @@
     let endpoint: ScriptedEndpoint;
     let ingress: IngressHarness;
 
-    async function start(answer: Answer, route: Partial<CatalogRoute> = {}): Promise<void> {
+    async function start(answer: Answer, route: Partial<CatalogRoute> = {}, lingerMs = 200): Promise<void> {
         endpoint = new ScriptedEndpoint("e1", answer);
         await endpoint.start();
         ingress = await IngressHarness.start(
             testCatalog({ routes: [testRoute({ timeoutMs: 30_000, firstByteTargetMs: 10_000, ...route })] }),
             [endpoint],
             {},
-            { graceMs },
+            { graceMs, lingerMs },
         );
     }
 
@@ -38,8 +38,9 @@
     }
 
     const stop = async (): Promise<void> => {
-        await ingress.drain();
-        await ingress.close();
+        const stopping = ingress;
+        await stopping.drain();
+        await stopping.close();
     };
 
     const streamHead = { "x-attempt-id": "attempt-1", "x-response-seal": "s", "content-type": "text/event-stream" };
@@ -70,4 +71,49 @@
         await stop();
         expect((await answer).status).to.be.oneOf([502, 504]);
     });
+
+    // Guards against passing on requests that are cut when the grace time ends.
+    it("refuses a request at once whose answer may not end in time", async () => {
+        await start(neverAnswers, { execution: "at-most-once" });
+        const stopped = stop();
+        const answer = await post();
+        expect(answer.status).to.equal(503);
+        expect(Number(answer.headers["retry-after"])).to.be.above(0);
+        const givenUp = ingress.log.events.find(({ name }) => name === "request.given-up");
+        expect(givenUp?.fields).to.include({ reason: "stopping", runs: 0, longestMs: undefined });
+        expect(givenUp?.fields.leftMs).to.be.within(0, graceMs);
+        expect(endpoint.requests).to.have.length(0);
+        await stopped;
+    });
+
+    // Guards against refusing what a stopping ingress can still serve: all requests were refused after a fixed part of
+    // the time in which callers keep its address.
+    it("serves a request with a long time budget on a route whose answers are known to be short", async () => {
+        const lingerMs = graceMs / 2;
+        await start(sealed(200, "ok"), { execution: "at-most-once" }, lingerMs);
+        for (let i = 0; i < 8; i++) {
+            await post();
+        }
+        const stopped = stop();
+        const refusedBeforeMs = lingerMs * 0.45;
+        const startedAt = ingress.clock.now();
+        await until(() => ingress.clock.now() > startedAt + refusedBeforeMs);
+        expect(await post()).to.include({ status: 200, body: "ok" });
+        await stopped;
+    });
+
+    // Guards against passing on a request that has waited for a slot when its answer may no longer end in time.
+    it("refuses a request that waits for a slot when its answer may not end in time", async () => {
+        await start(neverAnswers, { execution: "at-most-once" });
+        const { slots } = endpoint.endpoint;
+        const sent = Array.from({ length: slots + 1 }, () => post());
+        await until(() => endpoint.requests.length === sent.length);
+        const waiting = post();
+        await until(() => ingress.relay.waiting === 1);
+        const stopped = stop();
+        expect((await waiting).status).to.equal(503);
+        expect(endpoint.requests).to.have.length(sent.length);
+        await Promise.all(sent);
+        await stopped;
+    });
 });
