Refuse requests that are still being read when a planned stop ends

Seen by callers: a connection that closed while they sent a body, with nothing that says that the request has not run. A caller does not repeat a request that must not run twice after that. Cause: reading a body had no end in a stop, neither before the request is admitted nor before it is refused. Change: both waits end when requests without an answer are answered. The connection then stays open until the end of the stop, because one that is closed with unread data is reset and the answer may be lost with it. Evidence: packages/ingress/tests/planned-stop.test.ts, "refuses a request whose body has not ended before the connection closes": no answer before, 503 now, for a body begun before the stop and for one begun at its end.

--- a/packages/ingress/src/planned-stop.ts
+++ b/packages/ingress/src/planned-stop.ts
@@ -18,6 +18,7 @@
 export class PlannedStop {
     private startedAt: number | undefined;
     private ended = false;
+    private answersDue = false;
     private readonly dueCallbacks = new Set<() => void>();
 
     constructor(private readonly graceMs: number) {}
@@ -65,9 +66,30 @@
         return () => this.dueCallbacks.delete(callback);
     }
 
+    /** Waits for `work`, but not longer than until a request without an answer must be answered. */
+    async waitFor<T>(work: Promise<T>): Promise<T | "answers due"> {
+        let cancel: () => void = () => undefined;
+        const due = new Promise<"answers due">(resolve => {
+            if (this.answersDue) {
+                // What has been received with the head of a request is still read.
+                setImmediate(resolve, "answers due");
+            }
+            else {
+                cancel = this.onAnswersDue(() => resolve("answers due"));
+            }
+        });
+        try {
+            return await Promise.race([work, due]);
+        }
+        finally {
+            cancel();
+        }
+    }
+
     /** Ends the requests without an answer if the instant for this has come. */
     advanceTo(now: number): void {
         if (now >= this.answerAt) {
+            this.answersDue = true;
             const callbacks = [...this.dueCallbacks];
             this.dueCallbacks.clear();
             callbacks.forEach(callback => callback());
--- a/packages/ingress/src/relay.ts
+++ b/packages/ingress/src/relay.ts
@@ -42,6 +42,8 @@
 /** Longest retry delay that a caller gets when its workspace is over the cap, in milliseconds, before the jitter. */
 const maxCapRetryMs = 2_000;
 
+const stoppingRefusal: Refusal = { status: 503, reason: "stopping", retryAfterMs: stoppingRetryMs };
+
 /** A request that has passed admission. */
 export interface AdmittedRequest {
     req: IncomingMessage;
@@ -307,9 +309,9 @@
             return undefined;
         }
         const { route, workspace } = checked;
-        let body: Buffer;
+        let body: Buffer | "answers due";
         try {
-            body = await readBody(req, this.view.catalog?.limits.maxBodyBytes ?? 0);
+            body = await this.stop.waitFor(readBody(req, this.view.catalog?.limits.maxBodyBytes ?? 0));
         }
         catch (err) {
             if (err instanceof BodyTooLargeError) {
@@ -318,6 +320,10 @@
             }
             throw err;
         }
+        if (body === "answers due") {
+            await refuse(stoppingRefusal);
+            return undefined;
+        }
         const declared = head.work === undefined ? undefined : head.work.promptTokens + head.work.maxOutputTokens;
         const units = workspace === undefined ? 0 : CapMeter.requestUnits(workspace, declared);
         const now = this.clock.now();
@@ -365,11 +371,15 @@
     private check(req: IncomingMessage, head: CallerHead): Refusal | CheckedRequest {
         const now = this.clock.now();
         return this.stop.takesNone(now)
-            ? { status: 503, reason: "stopping", retryAfterMs: stoppingRetryMs }
+            ? stoppingRefusal
             : checkRequest(req, head, this.view, now);
     }
 
-    /** Logs and sends a refusal. Reads the request's body first, so that the connection can be kept. */
+    /**
+     * Logs and sends a refusal. Reads the request's body first, so that the connection can be kept. If a planned stop
+     * leaves no time for that, the connection stays open until the end of the stop: a connection that is closed with
+     * unread data is reset, and its caller may lose the answer.
+     */
     private async refuse(
         req: IncomingMessage,
         res: ServerResponse,
@@ -386,11 +396,13 @@
         });
         if (!req.complete) {
             req.resume();
-            await new Promise<void>(resolve => {
-                req.once("end", resolve);
-                req.once("close", resolve);
-            });
+            await this.stop.waitFor(
+                new Promise<void>(resolve => {
+                    req.once("end", resolve);
+                    req.once("close", resolve);
+                }),
+            );
         }
-        sendRefusal(res, refusal.status, refusal.reason, refusal.retryAfterMs, this.isDraining());
+        sendRefusal(res, refusal.status, refusal.reason, refusal.retryAfterMs, this.isDraining() && req.complete);
     }
 }
--- a/packages/ingress/tests/planned-stop.test.ts
+++ b/packages/ingress/tests/planned-stop.test.ts
@@ -116,4 +116,38 @@
         await Promise.all(sent);
         await stopped;
     });
+
+    const headOf = (length: number): string =>
+        "POST /x HTTP/1.1\r\nHost: desk.example\r\nX-Attempt-Id: attempt-1\r\nApi-Key: key-1\r\n"
+        + `X-Deadline-Ms: 30000\r\nContent-Length: ${length}\r\n\r\n`;
+
+    // Guards against admission by the time at which the head came: a body can take long.
+    it("refuses a request whose body ends when its answer may not end in time", async () => {
+        await start(neverAnswers, { execution: "at-most-once" });
+        const caller = await ingress.connect();
+        caller.send(`${headOf(4)}ab`);
+        await until(() => ingress.relay.requestsInFlight === 1);
+        const stopped = stop();
+        caller.send("cd");
+        await caller.closed();
+        expect(caller.statuses).to.deep.equal([503]);
+        expect(endpoint.requests).to.have.length(0);
+        await stopped;
+    });
+
+    // Guards against closing the connection of a caller that still sends its request, which then looks as if it may have
+    // run.
+    it("refuses a request whose body has not ended before the connection closes", async () => {
+        await start(neverAnswers, { execution: "at-most-once" });
+        const before = await ingress.connect();
+        before.send(`${headOf(4)}ab`);
+        await until(() => ingress.relay.requestsInFlight === 1);
+        const stopped = stop();
+        await until(() => ingress.relay.stop.takesNone(ingress.clock.now()));
+        const after = await ingress.connect();
+        after.send(`${headOf(4)}ab`);
+        await Promise.all([before.closed(), after.closed()]);
+        expect([before.statuses, after.statuses]).to.deep.equal([[503], [503]]);
+        await stopped;
+    });
 });
