Announce the close of a caller's connection only with its last answer

Seen by callers: during a planned stop, a pipelined request was passed on to an endpoint and its connection closed without an answer, also when the request must not run twice. Cause: every answer of a stopping ingress said "Connection: close", and Node.js closes the connection after it, whatever other requests have been read from it. Change: CallerConnections knows the newest request of each connection; only its answer announces the close. A request that is read after that is dropped (request.dropped): it was not passed on, and nothing can follow the last answer.

--- a/packages/ingress/src/relay.ts
+++ b/packages/ingress/src/relay.ts
@@ -15,6 +15,7 @@
 import type { Clock, EventLog, Metrics, RandomSource } from "@lentilramp/runtime";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { describeError } from "./call-recorder.ts";
+import { CallerConnections } from "./caller-connections.ts";
 import { CallerCuts, type CallerExchange } from "./caller-cuts.ts";
 import { type CheckedRequest, checkRequest, type Refusal } from "./check-request.ts";
 import { CrashDetector } from "./crash-detector.ts";
@@ -75,8 +76,7 @@
     /** Undefined if the policy switches the detection of crashing prompt parts off. */
     readonly crashDetector: CrashDetector | undefined;
     maxIdleConnections(service: string): number;
-    /** Whether this ingress is draining, so that callers' connections are closed after their answers. */
-    isDraining(): boolean;
+    readonly connections: CallerConnections;
     readonly stop: PlannedStop;
     readonly answerTimes: AnswerTimes;
     /** Whether a broken stream may be resumed at another endpoint. */
@@ -113,6 +113,7 @@
     private readonly promptAffinity: PromptAffinity;
     private inFlight = 0;
     readonly stop: PlannedStop;
+    readonly connections: CallerConnections;
     readonly answerTimes = new AnswerTimes();
 
     constructor(
@@ -137,6 +138,7 @@
             base.metrics,
         );
         this.stop = new PlannedStop(options.graceMs);
+        this.connections = new CallerConnections(this.stop);
         this.promptAffinity = components.createPromptAffinity(service => view.endpoints.readyEndpoints(service));
         this.dispatcher = new Dispatcher(view.loads, view.health, base.random, components.dispatchOptions());
         this.limitGate = new LimitGate(view, base.clock, base.random);
@@ -198,6 +200,11 @@
     /** Handles one request; resolves when it has been answered or its connection has closed. */
     async handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
         const arrivedAt = this.clock.now();
+        if (!this.connections.recordRequest(req, res)) {
+            req.resume();
+            this.log.info("request.dropped", { id: this.headerCodec.decodeCallerHead(req.headers).attemptId });
+            return;
+        }
         const caller = this.cuts.followRequest(req, res);
         this.inFlight++;
         try {
@@ -376,9 +383,8 @@
     }
 
     /**
-     * Logs and sends a refusal. Reads the request's body first, so that the connection can be kept. If a planned stop
-     * leaves no time for that, the connection stays open until the end of the stop: a connection that is closed with
-     * unread data is reset, and its caller may lose the answer.
+     * Logs and sends a refusal. Reads the request's body first, so that the connection can be kept, unless a planned
+     * stop leaves no time for that.
      */
     private async refuse(
         req: IncomingMessage,
@@ -403,6 +409,6 @@
                 }),
             );
         }
-        sendRefusal(res, refusal.status, refusal.reason, refusal.retryAfterMs, this.isDraining() && req.complete);
+        sendRefusal(res, refusal.status, refusal.reason, refusal.retryAfterMs, this.connections.closesAfter(res));
     }
 }
--- a/packages/ingress/src/relayed-call.ts
+++ b/packages/ingress/src/relayed-call.ts
@@ -41,7 +41,11 @@
     constructor(private readonly admitted: AdmittedRequest, private readonly ctx: RelayContext) {
         this.recorder = new CallRecorder(admitted, ctx);
         this.prompt = new PromptOutcome(admitted, ctx);
-        this.writer = new AnswerWriter(admitted.res, () => ctx.isDraining(), () => admitted.caller.recordWrite());
+        this.writer = new AnswerWriter(
+            admitted.res,
+            () => ctx.connections.closesAfter(admitted.res),
+            () => admitted.caller.recordWrite(),
+        );
         this.recorder.describeCuts(() => ({ runs: this.runs, endpoint: this.currentAttempt?.endpoint.id }));
         this.selection = new EndpointSelection(admitted, ctx, {
             isBlocked: () => this.prompt.isBlocked,
@@ -83,7 +87,9 @@
 
     private async relay(): Promise<void> {
         for (let isFirstAttempt = true; !this.stopped; isFirstAttempt = false) {
-            const slot = isFirstAttempt ? await this.selection.selectFirst() : this.selection.selectAnother(this.runs > 0);
+            const slot = isFirstAttempt
+                ? await this.selection.selectFirst()
+                : this.selection.selectAnother(this.runs > 0);
             if (slot.kind === "left" || this.stopped) {
                 return;
             }
@@ -381,9 +387,15 @@
             if (workspace !== undefined) {
                 this.ctx.view.caps.refund(workspace, units);
             }
-            sendRefusal(res, 503, reason, retryAfterMs ?? endpointRefusedRetryMs, this.ctx.isDraining());
+            sendRefusal(
+                res,
+                503,
+                reason,
+                retryAfterMs ?? endpointRefusedRetryMs,
+                this.ctx.connections.closesAfter(res),
+            );
             return;
         }
-        sendRefusal(res, reason === "time is up" ? 504 : 502, reason, undefined, this.ctx.isDraining());
+        sendRefusal(res, reason === "time is up" ? 504 : 502, reason, undefined, this.ctx.connections.closesAfter(res));
     }
 }
--- a/packages/ingress/tests/planned-stop.test.ts
+++ b/packages/ingress/tests/planned-stop.test.ts
@@ -37,6 +37,13 @@
         }
     }
 
+    /** Sends enough requests that the times of the answers are known. */
+    async function learnAnswerTimes(): Promise<void> {
+        for (let i = 0; i < 8; i++) {
+            await post();
+        }
+    }
+
     const stop = async (): Promise<void> => {
         const stopping = ingress;
         await stopping.drain();
@@ -91,9 +98,7 @@
     it("serves a request with a long time budget on a route whose answers are known to be short", async () => {
         const lingerMs = graceMs / 2;
         await start(sealed(200, "ok"), { execution: "at-most-once" }, lingerMs);
-        for (let i = 0; i < 8; i++) {
-            await post();
-        }
+        await learnAnswerTimes();
         const stopped = stop();
         const refusedBeforeMs = lingerMs * 0.45;
         const startedAt = ingress.clock.now();
@@ -117,8 +122,8 @@
         await stopped;
     });
 
-    const headOf = (length: number): string =>
-        "POST /x HTTP/1.1\r\nHost: desk.example\r\nX-Attempt-Id: attempt-1\r\nApi-Key: key-1\r\n"
+    const headOf = (length: number, id = "attempt-1"): string =>
+        `POST /x HTTP/1.1\r\nHost: desk.example\r\nX-Attempt-Id: ${id}\r\nApi-Key: key-1\r\n`
         + `X-Deadline-Ms: 30000\r\nContent-Length: ${length}\r\n\r\n`;
 
     // Guards against admission by the time at which the head came: a body can take long.
@@ -150,4 +155,48 @@
         expect([before.statuses, after.statuses]).to.deep.equal([[503], [503]]);
         await stopped;
     });
+
+    // Guards against announcing the close of a connection with the first of two pipelined answers: the second request was
+    // passed on and its answer lost.
+    it("answers pipelined requests before it closes their connection", async () => {
+        await start(sealed(200, "ok"), { execution: "at-most-once" });
+        await learnAnswerTimes();
+        const caller = await ingress.connect();
+        const stopped = stop();
+        caller.send(headOf(0, "first") + headOf(0, "second"));
+        await caller.closed();
+        expect(caller.statuses).to.deep.equal([200, 200]);
+        expect(caller.received.match(/Connection: close/gi)).to.have.length(1);
+        await stopped;
+    });
+
+    // Guards against passing on a request that comes after an answer that announces the close of its connection.
+    it("does not pass on a request that can no longer be answered on its connection", async () => {
+        let endFirst: () => void = () => undefined;
+        await start((req, res) => {
+            res.writeHead(200, { ...streamHead, "x-attempt-id": String(req.headers["x-attempt-id"]) });
+            res.write(event(1));
+            if (req.headers["x-attempt-id"] === "first") {
+                endFirst = () => res.end(event(2));
+            }
+            else {
+                res.end();
+            }
+        }, { execution: "stream" });
+        await learnAnswerTimes();
+        const caller = await ingress.connect();
+        const stopped = stop();
+        caller.send(headOf(0, "first"));
+        await caller.receive(event(1));
+        caller.send(headOf(0, "second"));
+        const attemptIds = (): unknown[] => endpoint.requests.map(({ headers }) => headers["x-attempt-id"]);
+        const isDropped = (): boolean => ingress.log.events.some(({ name }) => name === "request.dropped");
+        await until(() => isDropped() || attemptIds().includes("second"));
+        endFirst();
+        await caller.closed();
+        expect(caller.statuses).to.deep.equal([200]);
+        expect(caller.received).to.contain(event(2));
+        expect(attemptIds()).to.include("first").and.not.include("second");
+        await stopped;
+    });
 });
