Close the connections of a stopping ingress only when callers have taken their answers

Seen by callers that read slowly: the end of an answer was missing at the end of a planned stop. Cause: the drain waited for the requests in progress, and a request counts as done when its answer has been handed to Node.js, which may still hold what the connection does not take. Change: the drain also waits for answers that are not yet written, until the connections close anyway.

--- a/packages/ingress/src/caller-server.ts
+++ b/packages/ingress/src/caller-server.ts
@@ -22,6 +22,8 @@
     readonly name = "caller-server";
     private readonly server: Server;
     private readonly readiness: Server;
+    /** Answers that have been handled but not yet been taken by their callers. */
+    private readonly untakenAnswers = new Set<ServerResponse>();
 
     constructor(
         private readonly relay: Relay,
@@ -71,7 +73,7 @@
 
     /**
      * Starts the drain of the relay, which refuses requests whose answers may not end in time, and all new requests once
-     * cached address lookups have expired. Resolves when no request is in flight after that, at the latest shortly
+     * cached address lookups have expired. Resolves when all answers have been taken after that, at the latest shortly
      * before the end of the grace time. Requests without an answer get one from the ingress before that.
      */
     override async drain(): Promise<void> {
@@ -82,7 +84,7 @@
             stop.advanceTo(this.clock.now());
             if (this.clock.now() - startedAt >= this.lingerMs) {
                 stop.stopTaking();
-                if (this.relay.requestsInFlight === 0) {
+                if (this.relay.requestsInFlight === 0 && !this.hasUntakenAnswers()) {
                     break;
                 }
             }
@@ -99,11 +101,20 @@
         this.relay.pool.close();
     }
 
+    private hasUntakenAnswers(): boolean {
+        return [...this.untakenAnswers].some(res => !res.req.socket.destroyed);
+    }
+
     private onRequest(req: IncomingMessage, res: ServerResponse): void {
         const idleMs = this.relay.view.catalog?.limits.idleTimeoutMs ?? initialIdleTimeoutMs;
         this.server.keepAliveTimeout = idleMs + idleMarginMs;
         res.sendDate = false;
-        void this.relay.handle(req, res);
+        void this.relay.handle(req, res).then(() => {
+            if (!res.writableFinished && !res.destroyed) {
+                this.untakenAnswers.add(res);
+                res.once("close", () => this.untakenAnswers.delete(res));
+            }
+        });
     }
 }
 
--- a/packages/ingress/tests/planned-stop.test.ts
+++ b/packages/ingress/tests/planned-stop.test.ts
@@ -199,4 +199,21 @@
         expect(attemptIds()).to.include("first").and.not.include("second");
         await stopped;
     });
+
+    // Guards against closing a connection while the end of an answer waits for a caller that reads slowly.
+    it("closes a connection only when its caller has taken the whole answer", async () => {
+        const answerBytes = 16_000_000;
+        await start(sealed(200, "ok"));
+        ingress.relay.handle = async (...[, res]) => void res.end(Buffer.alloc(answerBytes, "x"));
+        const caller = await ingress.connect();
+        caller.send(headOf(0));
+        await caller.receive("x");
+        caller.pause();
+        const stopped = stop();
+        await until(() => ingress.relay.stop.takesNone(ingress.clock.now()));
+        caller.resume();
+        await caller.closed();
+        expect(caller.received.length).to.be.above(answerBytes);
+        await stopped;
+    });
 });
