Refuse requests that arrive while a stopping ingress closes its connections

Seen by callers: a request whose head ended just after the drain was dropped with its connection. Cause: the connections were destroyed as soon as the drain had ended, whatever was on its way on them. Change: at the end of the drain the listener and the idle connections close; the others stay open for up to 250 ms, in which their requests are refused at once. Evidence: packages/ingress/tests/planned-stop.test.ts, "refuses a request that ends while the connections are being closed": connection closed without an answer before, 503 now.

--- a/packages/ingress/src/caller-server.ts
+++ b/packages/ingress/src/caller-server.ts
@@ -16,6 +16,9 @@
 const headTimeoutMs = 10_000;
 /** Interval between checks of the requests in flight during a drain, in milliseconds. */
 const drainCheckIntervalMs = 50;
+/** Time for which connections that are not idle stay open after the drain, in milliseconds. */
+const closingMs = 250;
+const closingCheckIntervalMs = 10;
 
 /** Accepts callers' connections and answers the platform's readiness checks. */
 export class CallerServer extends Component {
@@ -90,6 +93,8 @@
             }
             await this.clock.sleepUntil(this.clock.now() + drainCheckIntervalMs);
         }
+        stop.end();
+        await this.closeConnections(Math.min(stop.closeAt, this.clock.now() + closingMs));
     }
 
     override async close(): Promise<void> {
@@ -101,6 +106,15 @@
         this.relay.pool.close();
     }
 
+    /** Closes the listener and idle connections, and waits for the requests of the others, which are refused. */
+    private async closeConnections(deadline: number): Promise<void> {
+        let open = true;
+        this.server.close(() => open = false);
+        while (open && this.clock.now() < deadline) {
+            await this.clock.sleepUntil(this.clock.now() + closingCheckIntervalMs);
+        }
+    }
+
     private hasUntakenAnswers(): boolean {
         return [...this.untakenAnswers].some(res => !res.req.socket.destroyed);
     }
--- a/packages/ingress/src/planned-stop.ts
+++ b/packages/ingress/src/planned-stop.ts
@@ -89,10 +89,16 @@
     /** Ends the requests without an answer if the instant for this has come. */
     advanceTo(now: number): void {
         if (now >= this.answerAt) {
-            this.answersDue = true;
-            const callbacks = [...this.dueCallbacks];
-            this.dueCallbacks.clear();
-            callbacks.forEach(callback => callback());
+            this.end();
         }
     }
+
+    /** Takes no more requests, and ends those without an answer. */
+    end(): void {
+        this.ended = true;
+        this.answersDue = true;
+        const callbacks = [...this.dueCallbacks];
+        this.dueCallbacks.clear();
+        callbacks.forEach(callback => callback());
+    }
 }
--- a/packages/ingress/tests/planned-stop.test.ts
+++ b/packages/ingress/tests/planned-stop.test.ts
@@ -216,4 +216,19 @@
         expect(caller.received.length).to.be.above(answerBytes);
         await stopped;
     });
+
+    // Guards against dropping a request whose head ends while the ingress closes its connections.
+    it("refuses a request that ends while the connections are being closed", async () => {
+        await start(sealed(200, "ok"));
+        const caller = await ingress.connect();
+        const [firstPart, rest] = [headOf(0).slice(0, 20), headOf(0).slice(20)];
+        caller.send(firstPart);
+        const stopped = stop();
+        await until(() => ingress.relay.stop.takesNone(ingress.clock.now()));
+        caller.send(rest);
+        await caller.closed();
+        expect(caller.statuses).to.deep.equal([503]);
+        expect(endpoint.requests).to.have.length(0);
+        await stopped;
+    });
 });
