Let a stop during the start of a process end the start

Seen in a test of the life-cycle manager: a process that was told to stop while it started closed what had started, then started the rest and reported itself ready. An ingress in that state takes requests that its exit cuts. Cause: start() and stop() ran side by side without looking at each other. Change: a stop lets the start in progress finish (for as long as a close may take), no further component is started, and all started ones are drained and closed. One that starts later still is closed at once. The process exits when the stop has ended, also if a start has not. The grace time of the ingress counts from the stop, not from the end of that wait.

--- a/packages/cli/src/commands/fleet.ts
+++ b/packages/cli/src/commands/fleet.ts
@@ -52,7 +52,8 @@
         process.on("SIGINT", stop);
     });
     log.info("process.start", { pid: process.pid, failureDomain: settings.value.failureDomain });
-    await lifecycle.start();
+    // A component that does not finish its start must not delay the exit.
+    await Promise.race([lifecycle.start(), stopped]);
     await stopped;
     setImmediate(() => process.exit(exitCodes.ok));
     return exitCodes.ok;
--- a/packages/ingress/src/caller-server.ts
+++ b/packages/ingress/src/caller-server.ts
@@ -77,11 +77,11 @@
     /**
      * Starts the drain of the relay, which refuses requests whose answers may not end in time, and all new requests once
      * cached address lookups have expired. Resolves when all answers have been taken after that, at the latest shortly
-     * before the end of the grace time. Requests without an answer get one from the ingress before that.
+     * before `deadline`, the end of the grace time. Requests without an answer get one from the ingress before that.
      */
-    override async drain(): Promise<void> {
-        this.relay.startDraining();
-        const startedAt = this.clock.now();
+    override async drain(deadline: number): Promise<void> {
+        const startedAt = deadline - this.options.graceMs;
+        this.relay.startDraining(startedAt);
         const { stop } = this.relay;
         while (this.clock.now() < stop.closeAt) {
             stop.advanceTo(this.clock.now());
--- a/packages/ingress/src/planned-stop.ts
+++ b/packages/ingress/src/planned-stop.ts
@@ -37,8 +37,8 @@
         return this.startedAt === undefined ? Infinity : this.startedAt + this.graceMs * closeFraction;
     }
 
-    begin(now: number): void {
-        this.startedAt ??= now;
+    begin(startedAt: number): void {
+        this.startedAt ??= startedAt;
     }
 
     /** From now on, no request is taken. */
--- a/packages/ingress/src/relay.ts
+++ b/packages/ingress/src/relay.ts
@@ -169,8 +169,8 @@
         return this.queues.get(service)?.size ?? 0;
     }
 
-    startDraining(): void {
-        this.stop.begin(this.clock.now());
+    startDraining(startedAt: number): void {
+        this.stop.begin(startedAt);
     }
 
     isDraining(): boolean {
--- a/packages/ingress/tests/ingress-harness.ts
+++ b/packages/ingress/tests/ingress-harness.ts
@@ -263,7 +263,7 @@
     }
 
     drain(): Promise<void> {
-        return this.server.drain();
+        return this.server.drain(this.clock.now() + this.options.graceMs);
     }
 
     async readinessStatus(): Promise<number> {
--- a/packages/runtime/src/lifecycle.ts
+++ b/packages/runtime/src/lifecycle.ts
@@ -50,6 +50,8 @@
 export class LifecycleManager {
     private readonly components: Component[] = [];
     private startedComponents: Component[] = [];
+    /** The component whose start was begun last. */
+    private lastStart: { component: Component; started: Promise<void>; } | undefined;
     private stopPromise: Promise<void> | undefined;
     private currentState: LifecycleState = "new";
 
@@ -68,20 +70,28 @@
         return component;
     }
 
+    /** Starts the components. Resolves without starting the rest of them if the manager is stopped meanwhile. */
     async start(): Promise<void> {
         this.currentState = "starting";
         for (const component of this.components) {
+            if (this.stopPromise !== undefined) {
+                return;
+            }
+            this.lastStart = { component, started: this.startComponent(component) };
             try {
-                await this.runWithTimeout(component, "start", this.limits.startMs, () => component.start());
-                this.startedComponents.push(component);
+                await this.lastStart.started;
             }
             catch (err) {
-                await this.closeStarted();
+                if (this.stopPromise === undefined) {
+                    await this.closeStarted();
+                }
                 throw err;
             }
         }
-        this.currentState = "ready";
-        this.log.info("process.ready", { components: this.startedComponents.length });
+        if (this.stopPromise === undefined) {
+            this.currentState = "ready";
+            this.log.info("process.ready", { components: this.startedComponents.length });
+        }
     }
 
     /** Drains, then closes all started components. Later calls return the promise of the first call. */
@@ -94,16 +104,34 @@
         this.currentState = "draining";
         this.log.info("process.draining", {});
         const deadline = this.clock.now() + this.limits.drainMs;
+        if (this.lastStart !== undefined) {
+            const { component, started } = this.lastStart;
+            await this.runWithTimeout(component, "start", this.limits.closeMs, () => started).catch(
+                (err: unknown) => this.logDrainFailure(component, err),
+            );
+        }
         for (const component of [...this.startedComponents].reverse()) {
             await this.runWithTimeout(component, "drain", this.limits.drainMs, () => component.drain(deadline)).catch(
-                (err: unknown) =>
-                    this.log.warn("process.drain-failed", { component: component.name, error: String(err) }),
+                (err: unknown) => this.logDrainFailure(component, err),
             );
         }
         await this.closeStarted();
         this.log.info("process.closed", {});
     }
 
+    private async startComponent(component: Component): Promise<void> {
+        await this.runWithTimeout(component, "start", this.limits.startMs, () => component.start());
+        this.startedComponents.push(component);
+        if (this.currentState === "closed") {
+            // The stop has not waited for this component.
+            await this.closeStarted();
+        }
+    }
+
+    private logDrainFailure({ name }: Component, err: unknown): void {
+        this.log.warn("process.drain-failed", { component: name, error: String(err) });
+    }
+
     private async closeStarted(): Promise<void> {
         for (const component of this.startedComponents.reverse()) {
             await this.runWithTimeout(component, "close", this.limits.closeMs, () => component.close()).catch(
