Keep a starting process of a fleet alive on SIGHUP

Seen by operators: a process that got SIGHUP (its settings file has changed) while it started ended. Cause: the handler was installed after the program had been loaded and the settings had been read; until then the default action of the signal holds. Settings that are read later are the new ones, so that nothing else is to be done. What remains is the start of Node.js itself, which resets all handlers.

--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -1,3 +1,6 @@
+// Loaded before all other modules, which take a part of a second.
+import "./launcher/ignore-hangup.ts";
+
 import { cac } from "cac";
 import type { DrainOptions, HandOverOptions } from "./commands/drain.ts";
 import type { GenerateOptions } from "./commands/generate.ts";
