Log a request that is ended while an endpoint works on it as one that may have run

Seen by operators: request.given-up said runs=0 for requests that were answered 502 or 504 because their time was up or the ingress stopped, and `lentilramp explain` counted them as given up before they ran. Cause: runs are counted when an attempt ends, and the line is written before the attempt is aborted. Change: a request that is not certain not to have run is logged with at least one run. Evidence: packages/ingress/tests/planned-stop.test.ts, "logs a request in progress that it ends as one that may have run": runs=0 before, 1 now.

--- a/packages/ingress/src/relayed-call.ts
+++ b/packages/ingress/src/relayed-call.ts
@@ -375,7 +375,8 @@
         const { res, workspace, units } = this.admitted;
         const notRun = this.runs === 0
             && (this.currentAttempt === undefined || this.currentAttempt.slotReleased || retryAfterMs !== undefined);
-        this.recorder.recordGiveUp(reason, this.runs, best);
+        // The attempt in progress is counted only when it has ended.
+        this.recorder.recordGiveUp(reason, notRun ? 0 : Math.max(1, this.runs), best);
         this.finished = true;
         this.outcome = this.writer.started ? "cut" : notRun ? "refused" : "failed";
         if (this.writer.started) {
--- a/packages/ingress/tests/planned-stop.test.ts
+++ b/packages/ingress/tests/planned-stop.test.ts
@@ -79,6 +79,17 @@
         expect((await answer).status).to.be.oneOf([502, 504]);
     });
 
+    // Guards against a log that says of a request which an endpoint worked on that it has not run.
+    it("logs a request in progress that it ends as one that may have run", async () => {
+        await start(neverAnswers, { execution: "at-most-once" });
+        const answer = post();
+        await until(() => endpoint.requests.length === 1);
+        await stop();
+        await answer;
+        const givenUp = ingress.log.events.find(({ name }) => name === "request.given-up");
+        expect(givenUp?.fields).to.include({ reason: "stopping", runs: 1 });
+    });
+
     // Guards against passing on requests that are cut when the grace time ends.
     it("refuses a request at once whose answer may not end in time", async () => {
         await start(neverAnswers, { execution: "at-most-once" });
