Look at callers' connections, not at answers, for what callers have not taken

Cause: the set of answers that are not yet written was emptied by their close event, which Node.js does not send for an answer that waits behind another one when their connection ends. Pipelining callers that leave early made the set grow. Change: the drain asks the open connections whether they still hold bytes. Behaviour in a stop is the same; there is no test of the growth, as nothing outside shows it.

--- a/packages/ingress/src/caller-server.ts
+++ b/packages/ingress/src/caller-server.ts
@@ -25,8 +25,7 @@
     readonly name = "caller-server";
     private readonly server: Server;
     private readonly readiness: Server;
-    /** Answers that have been handled but not yet been taken by their callers. */
-    private readonly untakenAnswers = new Set<ServerResponse>();
+    private readonly sockets = new Set<Socket>();
 
     constructor(
         private readonly relay: Relay,
@@ -45,7 +44,11 @@
             keepAliveTimeout: initialIdleTimeoutMs + idleMarginMs,
             noDelay: true,
         }, (req, res) => this.onRequest(req, res));
-        this.server.on("connection", (socket: Socket) => this.relay.cuts.followConnection(socket));
+        this.server.on("connection", (socket: Socket) => {
+            this.relay.cuts.followConnection(socket);
+            this.sockets.add(socket);
+            socket.once("close", () => this.sockets.delete(socket));
+        });
         this.server.on("clientError", (err: NodeJS.ErrnoException, socket: Socket) => {
             this.log.debug("caller.bad-request", { error: err.code ?? err.message });
             if (err.code !== "ECONNRESET") {
@@ -115,20 +118,16 @@
         }
     }
 
+    /** Whether Node.js still holds a part of an answer that its caller has not taken. */
     private hasUntakenAnswers(): boolean {
-        return [...this.untakenAnswers].some(res => !res.req.socket.destroyed);
+        return [...this.sockets].some(socket => socket.writableLength > 0);
     }
 
     private onRequest(req: IncomingMessage, res: ServerResponse): void {
         const idleMs = this.relay.view.catalog?.limits.idleTimeoutMs ?? initialIdleTimeoutMs;
         this.server.keepAliveTimeout = idleMs + idleMarginMs;
         res.sendDate = false;
-        void this.relay.handle(req, res).then(() => {
-            if (!res.writableFinished && !res.destroyed) {
-                this.untakenAnswers.add(res);
-                res.once("close", () => this.untakenAnswers.delete(res));
-            }
-        });
+        void this.relay.handle(req, res);
     }
 }
 
