Send the late requests of the planned stop test only once the signal has been handled

In the one run of npm test (load 9 to 13) "answers every request that it has read ..." failed: the first request after the signal, to an endpoint that never answers, was passed on and answered 502. On a busy machine it can reach the process before the signal is handled; passing it on is right then, and 502 is the answer that such a request has to get. The test now awaits that readiness says 503; its assertions are the same.

--- a/packages/cli/tests/planned-stop.test.ts
+++ b/packages/cli/tests/planned-stop.test.ts
@@ -191,6 +191,11 @@
         );
         const stoppedAt = Date.now();
         const exit = fleet.end(host, "SIGTERM");
+        // Until the signal has been handled, requests are rightly passed on that cannot end in time.
+        await until(
+            "the ingress stops",
+            async () => (await exchange(host, ports.ready, "/lentilramp/readiness")).status === 503,
+        );
         const later: Promise<Seen>[] = [];
         let ended = false;
         void exit.then(() => ended = true);
