--- /dev/null
+++ b/packages/ingress/src/admission.ts
@@ -0,0 +1,160 @@
+import { type CatalogRoute, type CatalogWorkspace, drawService } from "@lentilramp/catalog";
+import type { DispatchRequest } from "@lentilramp/dispatch";
+import { CapMeter } from "@lentilramp/fleet";
+import { BodyTooLargeError, readBody } from "@lentilramp/protocol";
+import type { Clock, EventLog, Metrics, RandomSource } from "@lentilramp/runtime";
+import type { IncomingMessage, ServerResponse } from "node:http";
+import type { CallerConnections } from "./caller-connections.ts";
+import type { CallerExchange } from "./caller-cuts.ts";
+import { type CheckedRequest, checkRequest, type Refusal } from "./check-request.ts";
+import type { FleetView } from "./fleet-view.ts";
+import type { PlannedStop } from "./planned-stop.ts";
+import type { CallerHead, HeaderCodec } from "./platform-adapter.ts";
+import { sendRefusal, stoppingRetryMs } from "./refusal.ts";
+
+/** Timeout of a caller that sends none, in milliseconds. */
+const defaultCallerTimeoutMs = 30_000;
+/** Longest retry delay that a caller gets when its workspace is over the cap, in milliseconds, before the jitter. */
+const maxCapRetryMs = 2_000;
+const stoppingRefusal: Refusal = { status: 503, reason: "stopping", retryAfterMs: stoppingRetryMs };
+
+/** A request that has passed admission. */
+export interface AdmittedRequest {
+    req: IncomingMessage;
+    res: ServerResponse;
+    caller: CallerExchange;
+    head: CallerHead;
+    body: Buffer;
+    route: CatalogRoute;
+    workspace: CatalogWorkspace | undefined;
+    dispatch: DispatchRequest;
+    /** Units taken from the workspace's cap. */
+    units: number;
+}
+
+/** Parts of an ingress that the admission uses. */
+export interface AdmissionContext {
+    view: FleetView;
+    headerCodec: HeaderCodec;
+    clock: Clock;
+    log: EventLog;
+    metrics: Metrics;
+    stop: PlannedStop;
+    connections: CallerConnections;
+}
+
+/** Checks route, API key and cap of callers' requests, reads their bodies, and refuses those that it does not admit. */
+export class Admission {
+    constructor(private readonly ctx: AdmissionContext, private readonly random: RandomSource) {}
+
+    /** Resolves with the admitted request, or undefined once it has been refused. Rejects if it cannot be read. */
+    async admit(
+        req: IncomingMessage,
+        res: ServerResponse,
+        caller: CallerExchange,
+        arrivedAt: number,
+    ): Promise<AdmittedRequest | undefined> {
+        const head = this.ctx.headerCodec.decodeCallerHead(req.headers);
+        const refuse = (refusal: Refusal): Promise<void> => this.refuse(req, res, head, refusal);
+        const checked = this.check(req, head);
+        if ("status" in checked) {
+            await refuse(checked);
+            return undefined;
+        }
+        const { route, workspace } = checked;
+        let body: Buffer | "answers due";
+        try {
+            body = await this.ctx.stop.waitFor(readBody(req, this.ctx.view.catalog?.limits.maxBodyBytes ?? 0));
+        }
+        catch (err) {
+            if (err instanceof BodyTooLargeError) {
+                await refuse({ status: 413, reason: "body too large" });
+                return undefined;
+            }
+            throw err;
+        }
+        if (body === "answers due") {
+            await refuse(stoppingRefusal);
+            return undefined;
+        }
+        const declared = head.work === undefined ? undefined : head.work.promptTokens + head.work.maxOutputTokens;
+        const units = workspace === undefined ? 0 : CapMeter.requestUnits(workspace, declared);
+        const now = this.ctx.clock.now();
+        if (workspace !== undefined) {
+            const verdict = this.ctx.view.caps.tryUse(workspace, units, now);
+            if (!verdict.admitted) {
+                const retryAfterMs = Math.min(verdict.retryAt - now, maxCapRetryMs) * (1 + this.random.next() * 0.5);
+                await refuse({
+                    status: 429,
+                    reason: "usage cap",
+                    retryAfterMs,
+                    inputs: {
+                        workspace: workspace.name,
+                        units,
+                        level: Math.round(verdict.level),
+                        capPerSecond: workspace.capPerSecond,
+                        part: this.ctx.view.caps.capShare(now).toFixed(2),
+                    },
+                });
+                return undefined;
+            }
+        }
+        return {
+            req,
+            res,
+            caller,
+            head,
+            body,
+            route,
+            workspace,
+            units,
+            dispatch: {
+                id: head.attemptId ?? "",
+                service: drawService(route, this.random),
+                workspace: workspace?.name ?? "",
+                rank: workspace?.rank ?? route.rank,
+                arrivedAt,
+                targetAt: arrivedAt + route.firstByteTargetMs,
+                deadline: arrivedAt + Math.min(head.timeoutMs ?? defaultCallerTimeoutMs, route.timeoutMs),
+                work: head.work,
+            },
+        };
+    }
+
+    private check(req: IncomingMessage, head: CallerHead): Refusal | CheckedRequest {
+        const now = this.ctx.clock.now();
+        return this.ctx.stop.takesNone(now)
+            ? stoppingRefusal
+            : checkRequest(req, head, this.ctx.view, now);
+    }
+
+    /**
+     * Logs and sends a refusal. Reads the request's body first, so that the connection can be kept, unless a planned
+     * stop leaves no time for that.
+     */
+    private async refuse(
+        req: IncomingMessage,
+        res: ServerResponse,
+        head: CallerHead,
+        refusal: Refusal,
+    ): Promise<void> {
+        this.ctx.metrics.count("refusals", 1, { reason: refusal.reason });
+        this.ctx.log.info("request.refused", {
+            id: head.attemptId,
+            status: refusal.status,
+            reason: refusal.reason,
+            catalog: this.ctx.view.catalog?.version,
+            ...refusal.inputs,
+        });
+        if (!req.complete) {
+            req.resume();
+            await this.ctx.stop.waitFor(
+                new Promise<void>(resolve => {
+                    req.once("end", resolve);
+                    req.once("close", resolve);
+                }),
+            );
+        }
+        sendRefusal(res, refusal.status, refusal.reason, refusal.retryAfterMs, this.ctx.connections.closesAfter(res));
+    }
+}
--- a/packages/ingress/src/call-recorder.ts
+++ b/packages/ingress/src/call-recorder.ts
@@ -8,9 +8,10 @@
 import type { Endpoint } from "@lentilramp/fleet";
 import type { EventFields } from "@lentilramp/runtime";
 import murmurhash from "murmurhash";
+import type { AdmittedRequest } from "./admission.ts";
 import type { AnswerHead } from "./platform-adapter.ts";
 import { internalErrorReason } from "./refusal.ts";
-import type { AdmittedRequest, RelayContext } from "./relay.ts";
+import type { RelayContext } from "./relay.ts";
 
 /**
  * One request in this many is logged when its answer was on time. The sample is chosen by the request's id, so that all
--- a/packages/ingress/src/endpoint-selection.ts
+++ b/packages/ingress/src/endpoint-selection.ts
@@ -6,8 +6,9 @@
     type QueueOutcome,
 } from "@lentilramp/dispatch";
 import type { Endpoint } from "@lentilramp/fleet";
+import type { AdmittedRequest } from "./admission.ts";
 import { blockedPartRetryMs, internalErrorRetryMs } from "./refusal.ts";
-import type { AdmittedRequest, RelayContext } from "./relay.ts";
+import type { RelayContext } from "./relay.ts";
 import { decideDuringStop } from "./stop-admission.ts";
 
 /** Retry delay that a caller gets when an endpoint refused its request, in milliseconds. */
--- a/packages/ingress/src/prompt-outcome.ts
+++ b/packages/ingress/src/prompt-outcome.ts
@@ -1,7 +1,8 @@
 import { type Endpoint, sharedParts } from "@lentilramp/fleet";
 import type { Timer } from "@lentilramp/runtime";
+import type { AdmittedRequest } from "./admission.ts";
 import type { BodyEnd } from "./answer-writer.ts";
-import type { AdmittedRequest, RelayContext } from "./relay.ts";
+import type { RelayContext } from "./relay.ts";
 
 /**
  * Time that an answer must last after its first chunk to count as begun, in milliseconds. An engine that crashes as it
--- a/packages/ingress/src/relay.ts
+++ b/packages/ingress/src/relay.ts
@@ -1,23 +1,21 @@
-import { type CatalogRoute, type CatalogWorkspace, drawService } from "@lentilramp/catalog";
 import {
     AnswerTimes,
     Dispatcher,
     DispatchQueue,
-    type DispatchRequest,
     EngineModel,
     type LatencyModel,
     type PromptAffinity,
     ServiceModel,
 } from "@lentilramp/dispatch";
-import { CapMeter, type Endpoint } from "@lentilramp/fleet";
-import { BodyTooLargeError, IncompleteBodyError, readBody } from "@lentilramp/protocol";
+import type { Endpoint } from "@lentilramp/fleet";
+import { IncompleteBodyError } from "@lentilramp/protocol";
 import { RetryBudget } from "@lentilramp/retries";
 import type { Clock, EventLog, Metrics, RandomSource } from "@lentilramp/runtime";
 import type { IncomingMessage, ServerResponse } from "node:http";
+import { Admission } from "./admission.ts";
 import { describeError } from "./call-recorder.ts";
 import { CallerConnections } from "./caller-connections.ts";
 import { CallerCuts, type CallerExchange } from "./caller-cuts.ts";
-import { type CheckedRequest, checkRequest, type Refusal } from "./check-request.ts";
 import { CrashDetector } from "./crash-detector.ts";
 import { EndpointPool } from "./endpoint-pool.ts";
 import type { FleetView } from "./fleet-view.ts";
@@ -25,39 +23,19 @@
 import type { IngressComponentFactory } from "./ingress-policy.ts";
 import { LimitGate } from "./limit-gate.ts";
 import { PlannedStop } from "./planned-stop.ts";
-import type { CallerHead, HeaderCodec } from "./platform-adapter.ts";
-import { internalErrorReason, internalErrorRetryMs, sendRefusal, stoppingRetryMs } from "./refusal.ts";
+import type { HeaderCodec } from "./platform-adapter.ts";
+import { internalErrorReason, internalErrorRetryMs, sendRefusal } from "./refusal.ts";
 import { RelayedCall } from "./relayed-call.ts";
 
 /** Longest time that a request waits for this process to become ready, in milliseconds; stewards start more slowly. */
 const startupWaitMs = 900;
 const startupCheckIntervalMs = 20;
-/** Timeout of a caller that sends none, in milliseconds. */
-const defaultCallerTimeoutMs = 30_000;
 /** Fraction of the shared retry budget that is used; the rest covers calls whose attempts are counted late. */
 const usedBudgetFraction = 0.8;
 /** Connections that an endpoint accepts when the catalog does not contain its service. */
 const defaultConnectionLimit = 16;
 /** Fraction of an endpoint's connection limit that all ingresses together use. */
 const usedConnectionFraction = 0.9;
-/** Longest retry delay that a caller gets when its workspace is over the cap, in milliseconds, before the jitter. */
-const maxCapRetryMs = 2_000;
-
-const stoppingRefusal: Refusal = { status: 503, reason: "stopping", retryAfterMs: stoppingRetryMs };
-
-/** A request that has passed admission. */
-export interface AdmittedRequest {
-    req: IncomingMessage;
-    res: ServerResponse;
-    caller: CallerExchange;
-    head: CallerHead;
-    body: Buffer;
-    route: CatalogRoute;
-    workspace: CatalogWorkspace | undefined;
-    dispatch: DispatchRequest;
-    /** Units taken from the workspace's cap. */
-    units: number;
-}
 
 /** Services of the relay that a call uses. */
 export interface RelayContext {
@@ -105,7 +83,6 @@
     readonly clock: Clock;
     readonly log: EventLog;
     readonly metrics: Metrics;
-    private readonly random: RandomSource;
     private readonly queues = new Map<string, DispatchQueue<Endpoint>>();
     private readonly models = new Map<string, LatencyModel>();
     private readonly budgets = new Map<string, RetryBudget>();
@@ -114,6 +91,7 @@
     private inFlight = 0;
     readonly stop: PlannedStop;
     readonly connections: CallerConnections;
+    private readonly admission: Admission;
     readonly answerTimes = new AnswerTimes();
 
     constructor(
@@ -124,7 +102,6 @@
         private readonly components: IngressComponentFactory,
     ) {
         this.clock = base.clock;
-        this.random = base.random;
         this.log = base.log;
         this.metrics = base.metrics;
         this.cuts = new CallerCuts(
@@ -139,6 +116,7 @@
         );
         this.stop = new PlannedStop(options.graceMs);
         this.connections = new CallerConnections(this.stop);
+        this.admission = new Admission(this, base.random);
         this.promptAffinity = components.createPromptAffinity(service => view.endpoints.readyEndpoints(service));
         this.dispatcher = new Dispatcher(view.loads, view.health, base.random, components.dispatchOptions());
         this.limitGate = new LimitGate(view, base.clock, base.random);
@@ -211,7 +189,7 @@
             if (!this.view.ready) {
                 await this.waitUntilReady(res, arrivedAt + startupWaitMs);
             }
-            const admitted = await this.admit(req, res, caller, arrivedAt);
+            const admitted = await this.admission.admit(req, res, caller, arrivedAt);
             if (admitted !== undefined) {
                 await new RelayedCall(admitted, this).run();
             }
@@ -301,114 +279,4 @@
             await this.clock.sleepUntil(this.clock.now() + startupCheckIntervalMs);
         }
     }
-
-    private async admit(
-        req: IncomingMessage,
-        res: ServerResponse,
-        caller: CallerExchange,
-        arrivedAt: number,
-    ): Promise<AdmittedRequest | undefined> {
-        const head = this.headerCodec.decodeCallerHead(req.headers);
-        const refuse = (refusal: Refusal): Promise<void> => this.refuse(req, res, head, refusal);
-        const checked = this.check(req, head);
-        if ("status" in checked) {
-            await refuse(checked);
-            return undefined;
-        }
-        const { route, workspace } = checked;
-        let body: Buffer | "answers due";
-        try {
-            body = await this.stop.waitFor(readBody(req, this.view.catalog?.limits.maxBodyBytes ?? 0));
-        }
-        catch (err) {
-            if (err instanceof BodyTooLargeError) {
-                await refuse({ status: 413, reason: "body too large" });
-                return undefined;
-            }
-            throw err;
-        }
-        if (body === "answers due") {
-            await refuse(stoppingRefusal);
-            return undefined;
-        }
-        const declared = head.work === undefined ? undefined : head.work.promptTokens + head.work.maxOutputTokens;
-        const units = workspace === undefined ? 0 : CapMeter.requestUnits(workspace, declared);
-        const now = this.clock.now();
-        if (workspace !== undefined) {
-            const verdict = this.view.caps.tryUse(workspace, units, now);
-            if (!verdict.admitted) {
-                const retryAfterMs = Math.min(verdict.retryAt - now, maxCapRetryMs) * (1 + this.random.next() * 0.5);
-                await refuse({
-                    status: 429,
-                    reason: "usage cap",
-                    retryAfterMs,
-                    inputs: {
-                        workspace: workspace.name,
-                        units,
-                        level: Math.round(verdict.level),
-                        capPerSecond: workspace.capPerSecond,
-                        part: this.view.caps.capShare(now).toFixed(2),
-                    },
-                });
-                return undefined;
-            }
-        }
-        return {
-            req,
-            res,
-            caller,
-            head,
-            body,
-            route,
-            workspace,
-            units,
-            dispatch: {
-                id: head.attemptId ?? "",
-                service: drawService(route, this.random),
-                workspace: workspace?.name ?? "",
-                rank: workspace?.rank ?? route.rank,
-                arrivedAt,
-                targetAt: arrivedAt + route.firstByteTargetMs,
-                deadline: arrivedAt + Math.min(head.timeoutMs ?? defaultCallerTimeoutMs, route.timeoutMs),
-                work: head.work,
-            },
-        };
-    }
-
-    private check(req: IncomingMessage, head: CallerHead): Refusal | CheckedRequest {
-        const now = this.clock.now();
-        return this.stop.takesNone(now)
-            ? stoppingRefusal
-            : checkRequest(req, head, this.view, now);
-    }
-
-    /**
-     * Logs and sends a refusal. Reads the request's body first, so that the connection can be kept, unless a planned
-     * stop leaves no time for that.
-     */
-    private async refuse(
-        req: IncomingMessage,
-        res: ServerResponse,
-        head: CallerHead,
-        refusal: Refusal,
-    ): Promise<void> {
-        this.metrics.count("refusals", 1, { reason: refusal.reason });
-        this.log.info("request.refused", {
-            id: head.attemptId,
-            status: refusal.status,
-            reason: refusal.reason,
-            catalog: this.view.catalog?.version,
-            ...refusal.inputs,
-        });
-        if (!req.complete) {
-            req.resume();
-            await this.stop.waitFor(
-                new Promise<void>(resolve => {
-                    req.once("end", resolve);
-                    req.once("close", resolve);
-                }),
-            );
-        }
-        sendRefusal(res, refusal.status, refusal.reason, refusal.retryAfterMs, this.connections.closesAfter(res));
-    }
 }
--- a/packages/ingress/src/relayed-call.ts
+++ b/packages/ingress/src/relayed-call.ts
@@ -1,6 +1,7 @@
 import { type EndpointChoice, ServiceModel } from "@lentilramp/dispatch";
 import type { Endpoint } from "@lentilramp/fleet";
 import type { IncomingMessage } from "node:http";
+import type { AdmittedRequest } from "./admission.ts";
 import { AnswerWriter, type BodyEnd } from "./answer-writer.ts";
 import { type AttemptOutcome, discardAnswer } from "./attempt.ts";
 import { type CallOutcome, CallRecorder } from "./call-recorder.ts";
@@ -9,7 +10,7 @@
 import type { AnswerHead } from "./platform-adapter.ts";
 import { PromptOutcome } from "./prompt-outcome.ts";
 import { internalErrorReason, sendRefusal } from "./refusal.ts";
-import type { AdmittedRequest, RelayContext } from "./relay.ts";
+import type { RelayContext } from "./relay.ts";
 
 /**
  * Multiple of the target gap between events after which a silent stream is resumed at another endpoint if possible.
--- a/packages/ingress/src/send-timing.ts
+++ b/packages/ingress/src/send-timing.ts
@@ -1,5 +1,5 @@
 import type { Prediction } from "@lentilramp/dispatch";
-import type { AdmittedRequest } from "./relay.ts";
+import type { AdmittedRequest } from "./admission.ts";
 
 /** Connect timeout in milliseconds; TCP retransmits a lost SYN packet only after a second. */
 const connectTimeoutMs = 250;
--- a/packages/ingress/src/stop-admission.ts
+++ b/packages/ingress/src/stop-admission.ts
@@ -7,8 +7,9 @@
     expectedSlotMs,
 } from "@lentilramp/dispatch";
 import type { Endpoint } from "@lentilramp/fleet";
+import type { AdmittedRequest } from "./admission.ts";
 import { stoppingRetryMs } from "./refusal.ts";
-import type { AdmittedRequest, RelayContext } from "./relay.ts";
+import type { RelayContext } from "./relay.ts";
 
 type Decision = DispatchDecision<Endpoint>;
 type Refusal = Extract<Decision, { kind: "refuse"; }>;
