Hand errors in timers of a request to that request

Same class as the internal errors before: an exception in the callback of a timer (deadline, end of a planned stop, silent attempt) or in the probe of an endpoint would have ended the process, and with it all requests in flight. No test provokes each of them: unexpected-errors.test.ts and caller-cuts.test.ts cover the silent attempt, the other two callbacks are covered by reading only.

--- a/packages/ingress/src/crash-detector.ts
+++ b/packages/ingress/src/crash-detector.ts
@@ -55,7 +55,9 @@
                 });
                 this.onCrash();
             }
-        });
+        }).catch((err: unknown) =>
+            this.log.error("endpoint.probe-failed", { endpoint: endpoint.id, error: String(err) })
+        );
     }
 
     private probe(endpoint: Endpoint, now: number): Promise<boolean> {
--- a/packages/ingress/src/relayed-call.ts
+++ b/packages/ingress/src/relayed-call.ts
@@ -11,13 +11,7 @@
 import { PromptOutcome } from "./prompt-outcome.ts";
 import { internalErrorReason, sendRefusal } from "./refusal.ts";
 import type { RelayContext } from "./relay.ts";
-
-/**
- * Multiple of the target gap between events after which a silent stream is resumed at another endpoint if possible.
- * Callers wait for eight times the gap.
- */
-const stallGapFactor = 5;
-const defaultGapTargetMs = 300;
+import { stallMs } from "./send-timing.ts";
 
 /** Relays one admitted request: waits for a slot, sends the request, retries where that is allowed, and answers. */
 export class RelayedCall {
@@ -69,8 +63,8 @@
                 this.stop();
             }
         });
-        const timer = clock.schedule(dispatch.deadline, () => this.onDeadline());
-        const cancelStopNotice = this.ctx.stop.onAnswersDue(() => this.onStopEnd());
+        const timer = clock.schedule(dispatch.deadline, () => this.guard(() => this.onDeadline(), undefined));
+        const cancelStopNotice = this.ctx.stop.onAnswersDue(() => this.guard(() => this.onStopEnd(), undefined));
         this.ctx.retryBudget(dispatch.service).recordRequest(clock.now());
         try {
             await this.relay();
@@ -137,7 +131,7 @@
         this.recorder.recordDecision(choice, ctx.view.loads.load(endpoint.id, now).unreadTokens);
         this.currentAttempt = createAttempt(admitted, ctx, choice, {
             lastEventId: this.writer.lastEventId,
-            tryReplace: () => this.tryReplace(endpoint, this.runs + 1),
+            tryReplace: () => this.guard(() => this.tryReplace(endpoint, this.runs + 1), false),
         });
     }
 
@@ -147,17 +141,10 @@
      */
     private tryReplace(silent: Endpoint, runs: number): boolean {
         const { dispatch, route } = this.admitted;
-        try {
-            this.nextAttemptBudgeted = this.retryable && runs < route.maxAttempts && this.prompt.mayRepeat
-                && this.selection.hasAlternativeTo(silent)
-                && this.ctx.retryBudget(dispatch.service).tryWithdraw(this.ctx.clock.now());
-            return this.nextAttemptBudgeted;
-        }
-        catch (err) {
-            // Called by a timer, so that nobody else would catch it.
-            this.onInternalError(err);
-            return false;
-        }
+        this.nextAttemptBudgeted = this.retryable && runs < route.maxAttempts && this.prompt.mayRepeat
+            && this.selection.hasAlternativeTo(silent)
+            && this.ctx.retryBudget(dispatch.service).tryWithdraw(this.ctx.clock.now());
+        return this.nextAttemptBudgeted;
     }
 
     private sendPath(now: number): "arrival" | "queue" | "retry" | "resumption" {
@@ -304,8 +291,8 @@
             ? await this.writer.relayEvents(res, {
                 clock: this.ctx.clock,
                 firstEventExpectedBy: inFlight.firstByteExpectedBy,
-                maxGapMs: (route.gapTargetMs ?? defaultGapTargetMs) * stallGapFactor,
-                tryReplace: () => this.tryReplace(inFlight.endpoint, this.runs),
+                maxGapMs: stallMs(route),
+                tryReplace: () => this.guard(() => this.tryReplace(inFlight.endpoint, this.runs), false),
                 wasCut,
                 onFirstEvent: onFirstChunk,
             })
@@ -354,6 +341,17 @@
         this.stop();
     }
 
+    /** Runs a callback of a timer, whose errors nobody else would catch. */
+    private guard<T>(action: () => T, fallback: T): T {
+        try {
+            return action();
+        }
+        catch (err) {
+            this.onInternalError(err);
+            return fallback;
+        }
+    }
+
     /** Ends the request after an unexpected error, with the answer that is true for what has been sent. */
     private onInternalError(err: unknown): void {
         this.recorder.recordInternalError(err);
@@ -385,19 +383,14 @@
             res.destroy();
             return;
         }
-        if (notRun) {
-            if (workspace !== undefined) {
-                this.ctx.view.caps.refund(workspace, units);
-            }
-            sendRefusal(
-                res,
-                503,
-                reason,
-                retryAfterMs ?? endpointRefusedRetryMs,
-                this.ctx.connections.closesAfter(res),
-            );
+        const close = this.ctx.connections.closesAfter(res);
+        if (!notRun) {
+            sendRefusal(res, reason === "time is up" ? 504 : 502, reason, undefined, close);
             return;
         }
-        sendRefusal(res, reason === "time is up" ? 504 : 502, reason, undefined, this.ctx.connections.closesAfter(res));
+        if (workspace !== undefined) {
+            this.ctx.view.caps.refund(workspace, units);
+        }
+        sendRefusal(res, 503, reason, retryAfterMs ?? endpointRefusedRetryMs, close);
     }
 }
--- a/packages/ingress/src/send-timing.ts
+++ b/packages/ingress/src/send-timing.ts
@@ -1,3 +1,4 @@
+import type { CatalogRoute } from "@lentilramp/catalog";
 import type { Prediction } from "@lentilramp/dispatch";
 import type { AdmittedRequest } from "./admission.ts";
 
@@ -11,6 +12,18 @@
 const silenceFactor = 3;
 const silenceMarginMs = 400;
 
+/**
+ * Multiple of the target gap between events after which a silent stream is resumed at another endpoint if possible.
+ * Callers wait for eight times the gap.
+ */
+const stallGapFactor = 5;
+const defaultGapTargetMs = 300;
+
+/** Returns the silence between two events after which another attempt may resume a stream, in milliseconds. */
+export function stallMs({ gapTargetMs }: CatalogRoute): number {
+    return (gapTargetMs ?? defaultGapTargetMs) * stallGapFactor;
+}
+
 /** Returns the instant by which a connection must be open; after it, the request is sent to another endpoint. */
 export function connectDeadline(now: number): number {
     return now + connectTimeoutMs;
