Do not answer malformed bytes while an earlier request of the connection is in progress

Seen by callers that send bytes which are no request behind a request: 400 arrived in place of the answer to the request, which had been passed on, or within its stream. Cause: the handler of parser errors wrote its answer to the socket, whatever was still to be sent on it. Change: if a request that has been read whole waits for its answer, nothing is written; the connection closes after that answer. Evidence: packages/ingress/tests/relay.test.ts, "answers a request in progress, and nothing else, when bytes that are no request follow it": 200 and 400 before, 200 with its whole stream now. "closes the endpoint's connection when a caller disconnects after bytes that are no request" guards the wait.

--- a/packages/ingress/src/caller-connections.ts
+++ b/packages/ingress/src/caller-connections.ts
@@ -18,6 +18,12 @@
         return !this.closing.has(req.socket);
     }
 
+    /** Returns the newest answer of a connection if its request has been read whole and the answer has not ended. */
+    pendingAnswer(socket: Socket): ServerResponse | undefined {
+        const res = this.newestAnswers.get(socket);
+        return res !== undefined && res.req.complete && !res.writableFinished ? res : undefined;
+    }
+
     /** Returns whether an answer has to announce the close of its connection; called when its head is written. */
     closesAfter(res: ServerResponse): boolean {
         const { complete, socket } = res.req;
--- a/packages/ingress/src/caller-server.ts
+++ b/packages/ingress/src/caller-server.ts
@@ -26,6 +26,8 @@
     private readonly server: Server;
     private readonly readiness: Server;
     private readonly sockets = new Set<Socket>();
+    /** Sockets that close after the answer in progress, because the bytes that follow its request are no request. */
+    private readonly brokenSockets = new WeakSet<Socket>();
 
     constructor(
         private readonly relay: Relay,
@@ -49,21 +51,7 @@
             this.sockets.add(socket);
             socket.once("close", () => this.sockets.delete(socket));
         });
-        this.server.on("clientError", (err: NodeJS.ErrnoException, socket: Socket) => {
-            this.log.debug("caller.bad-request", { error: err.code ?? err.message });
-            if (err.code !== "ECONNRESET") {
-                this.relay.cuts.recordBadRequest(socket, err.code ?? err.message);
-            }
-            if (socket.writable && err.code !== "ECONNRESET") {
-                const status = err.code === "HPE_HEADER_OVERFLOW"
-                    ? "431 Request Header Fields Too Large"
-                    : "400 Bad Request";
-                socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
-            }
-            else {
-                socket.destroy();
-            }
-        });
+        this.server.on("clientError", (err, socket) => this.onClientError(err, socket as Socket));
         this.readiness = createServer((req, res) => {
             req.resume();
             res.writeHead(this.accepting() ? 200 : 503, { "Content-Length": 0 });
@@ -123,6 +111,30 @@
         return [...this.sockets].some(socket => socket.writableLength > 0);
     }
 
+    private onClientError(err: NodeJS.ErrnoException, socket: Socket): void {
+        this.log.debug("caller.bad-request", { error: err.code ?? err.message });
+        const pendingAnswer = this.relay.connections.pendingAnswer(socket);
+        if (err.code !== "ECONNRESET" && pendingAnswer === undefined) {
+            this.relay.cuts.recordBadRequest(socket, err.code ?? err.message);
+        }
+        if (!socket.writable || err.code === "ECONNRESET") {
+            socket.destroy();
+        }
+        else if (pendingAnswer !== undefined) {
+            // Another answer here would be taken for the answer to the request before, or for a part of it.
+            if (!this.brokenSockets.has(socket)) {
+                this.brokenSockets.add(socket);
+                pendingAnswer.once("close", () => socket.destroy());
+            }
+        }
+        else {
+            const status = err.code === "HPE_HEADER_OVERFLOW"
+                ? "431 Request Header Fields Too Large"
+                : "400 Bad Request";
+            socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
+        }
+    }
+
     private onRequest(req: IncomingMessage, res: ServerResponse): void {
         const idleMs = this.relay.view.catalog?.limits.idleTimeoutMs ?? initialIdleTimeoutMs;
         this.server.keepAliveTimeout = idleMs + idleMarginMs;
--- a/packages/ingress/tests/ingress-harness.ts
+++ b/packages/ingress/tests/ingress-harness.ts
@@ -146,6 +146,10 @@
         this.socket.write(text);
     }
 
+    disconnect(): void {
+        this.socket.end();
+    }
+
     pause(): void {
         this.socket.pause();
     }
--- a/packages/ingress/tests/relay.test.ts
+++ b/packages/ingress/tests/relay.test.ts
@@ -315,6 +315,47 @@
         expect(await call({})).to.include({ status: 200, body: "ok" });
     });
 
+    // Guards against an answer to bytes that are no request which the caller takes for the answer to the request before.
+    it("answers a request in progress, and nothing else, when bytes that are no request follow it", async () => {
+        let endAnswer: () => void = () => undefined;
+        const { harness } = await startWithCall([(req, res) => {
+            res.writeHead(200, { ...streamHead, "x-attempt-id": String(req.headers["x-attempt-id"]) });
+            res.write(eventText(1, 1));
+            endAnswer = () => res.end(eventText(2, 2));
+        }], { execution: "stream" });
+        const caller = await harness.connect();
+        const head = "POST /x HTTP/1.1\r\nHost: desk.example\r\nX-Attempt-Id: a\r\nApi-Key: key-1\r\n";
+        caller.send(`${head}Content-Length: 0\r\n\r\n`);
+        await caller.receive(eventText(1, 1));
+        caller.send("no request\r\n\r\n");
+        while (!harness.log.events.some(({ name }) => name === "caller.bad-request")) {
+            await new Promise(resolve => setTimeout(resolve, 5));
+        }
+        caller.send("no request\r\n\r\n");
+        endAnswer();
+        await caller.closed();
+        expect(caller.statuses).to.deep.equal([200]);
+        expect(caller.received).to.contain(eventText(2, 2));
+    });
+
+    // Guards against an endpoint that works on for a caller whose connection has become unreadable, and which then left.
+    it("closes the endpoint's connection when a caller disconnects after bytes that are no request", async () => {
+        const { harness } = await startWithCall([() => undefined], { execution: "at-most-once", timeoutMs: 60_000 });
+        const caller = await harness.connect();
+        caller.send("POST /x HTTP/1.1\r\nHost: desk.example\r\nX-Attempt-Id: a\r\nApi-Key: key-1\r\n");
+        caller.send("X-Deadline-Ms: 60000\r\nContent-Length: 0\r\n\r\n");
+        while (countAttempts() === 0) {
+            await new Promise(resolve => setTimeout(resolve, 5));
+        }
+        caller.send("no request\r\n\r\n");
+        while (!harness.log.events.some(({ name }) => name === "caller.bad-request")) {
+            await new Promise(resolve => setTimeout(resolve, 5));
+        }
+        caller.disconnect();
+        await endpoints[0]?.requests[0]?.closed;
+        expect(caller.statuses).to.deep.equal([]);
+    });
+
     it("refuses a request over the cap of its workspace with a Retry-After", async () => {
         endpoints = [new ScriptedEndpoint("e1", sealed(200, "ok"))];
         await endpoints[0]?.start();
