Stop a process of a fleet at an error that nothing caught instead of ending it

What callers saw: one unexpected error in a timer or a listener closed the connections of all requests in progress at an ingress. Cause: Node.js ends the process at an error that nothing catches. The errors that are known are mended at their place; this is for those that are not. Change: the first such error starts the planned stop, which refuses new requests, lets those in progress end and exits with status 1; each is logged as process.fatal-error.

--- a/packages/cli/src/commands/fleet.ts
+++ b/packages/cli/src/commands/fleet.ts
@@ -1,6 +1,7 @@
 import { type PlatformSettings, readSettings, settingsPath } from "@lentilramp/platform";
 import { Ok } from "ts-results-es";
 import { CommandError, type ExitCode, exitCodes } from "../exit-codes.ts";
+import { stopAtFatalError } from "../fatal-errors.ts";
 import { fleetPolicyDefaults, readFleetPolicy } from "../fleet-policy.ts";
 import { wireFleet } from "../wire-fleet.ts";
 
@@ -43,6 +44,7 @@
     process.on("SIGHUP", () => {
         log.info("process.reload", { seeds: reader.reload(true).seedHosts.join(",") });
     });
+    let exitCode: ExitCode = exitCodes.ok;
     const stopped = new Promise<void>(resolve => {
         const stop = (signal: NodeJS.Signals): void => {
             log.info("process.signal", { signal });
@@ -50,11 +52,15 @@
         };
         process.on("SIGTERM", stop);
         process.on("SIGINT", stop);
+        stopAtFatalError(process, () => {
+            exitCode = exitCodes.failed;
+            void lifecycle.stop().then(resolve);
+        }, log);
     });
     log.info("process.start", { pid: process.pid, failureDomain: settings.value.failureDomain });
     // A component that does not finish its start must not delay the exit.
     await Promise.race([lifecycle.start(), stopped]);
     await stopped;
-    setImmediate(() => process.exit(exitCodes.ok));
-    return exitCodes.ok;
+    setImmediate(() => process.exit(exitCode));
+    return exitCode;
 }
