Do not take a caller's pause for silence of the endpoint

What callers saw: a caller of a resumable stream that does not read for a while got its stream cut, or run once more at another endpoint, and the sound endpoint's health was marked down. Cause: the time to the next event went on while reading from the endpoint was paused because the caller's connection was full. Change: the silence of an endpoint counts only while the ingress reads from it, and anew when it goes on.

--- a/packages/ingress/src/answer-writer.ts
+++ b/packages/ingress/src/answer-writer.ts
@@ -132,7 +132,7 @@
         const silence = new SilenceWatch(clock, tryReplace, () => this.stop("stalled"));
         let first = true;
         silence.expectBy(firstEventExpectedBy);
-        const end = await this.consume(res, wasCut, chunk => {
+        const relayChunk = (chunk: Buffer): boolean => {
             const { completeEvents, lastEventId } = splitter.push(chunk);
             if (splitter.remainder.length > eventLimitBytes) {
                 this.stop("cut");
@@ -152,7 +152,14 @@
             }
             this.writeHead(res);
             return this.write(completeEvents);
-        });
+        };
+        // While the caller does not read, the endpoint cannot send.
+        const end = await this.consume(
+            res,
+            wasCut,
+            relayChunk,
+            isPaused => isPaused ? silence.cancel() : silence.expectBy(clock.now() + maxGapMs),
+        );
         silence.cancel();
         if (end === "complete" && /[^\r\n]/.test(splitter.remainder.toString("latin1"))) {
             // A stream that ends inside an event has been broken off, however its connection ended.
@@ -184,13 +191,14 @@
     }
 
     /**
-     * Reads the body with backpressure; `relayChunk` returns false when the caller's connection is full. Rejects with
-     * the error that `relayChunk` throws.
+     * Reads the body with backpressure; `relayChunk` returns false when the caller's connection is full, and `onPause`
+     * is told when reading pauses and goes on. Rejects with the error that `relayChunk` throws.
      */
     private consume(
         res: IncomingMessage,
         wasCut: () => Promise<boolean>,
         relayChunk: (chunk: Buffer) => boolean,
+        onPause: (isPaused: boolean) => void = () => undefined,
     ): Promise<BodyEnd> {
         return new Promise((resolve, reject) => {
             let ended = false;
@@ -211,7 +219,13 @@
                 try {
                     if (!ended && !relayChunk(chunk)) {
                         res.pause();
-                        this.callerRes.once("drain", () => res.resume());
+                        onPause(true);
+                        this.callerRes.once("drain", () => {
+                            res.resume();
+                            if (!ended) {
+                                onPause(false);
+                            }
+                        });
                     }
                 }
                 catch (err) {
