Answer the request before a CONNECT on the same connection

What callers saw: a request that had been read whole and sent to an endpoint got no answer when CONNECT followed it on its connection; a CONNECT alone was closed without a word. Cause: without a listener Node.js closes the connection at once. Change: CONNECT is handled as bytes that are not HTTP: 400 and the close after the answer that is due. Both are reported as caller.cut if nothing was due.

--- a/packages/ingress/src/caller-server.ts
+++ b/packages/ingress/src/caller-server.ts
@@ -16,6 +16,8 @@
 const headTimeoutMs = 10_000;
 /** Interval between checks of the requests in flight during a drain, in milliseconds. */
 const drainCheckIntervalMs = 50;
+const badRequest = "400 Bad Request";
+const headTooLarge = "431 Request Header Fields Too Large";
 /** Time for which connections that are not idle stay open after the drain, in milliseconds. */
 const closingMs = 250;
 const closingCheckIntervalMs = 10;
@@ -52,6 +54,11 @@
             socket.once("close", () => this.sockets.delete(socket));
         });
         this.server.on("clientError", (err, socket) => this.onClientError(err, socket as Socket));
+        // Without a listener, Node.js closes the connection at once, whatever answer is due on it.
+        this.server.on(
+            "connect",
+            (req, socket) => this.onBadRequest(`method ${req.method}`, badRequest, socket as Socket),
+        );
         this.readiness = createServer((req, res) => {
             req.resume();
             res.writeHead(this.accepting() ? 200 : 503, { "Content-Length": 0 });
@@ -112,15 +119,23 @@
     }
 
     private onClientError(err: NodeJS.ErrnoException, socket: Socket): void {
-        this.log.debug("caller.bad-request", { error: err.code ?? err.message });
-        const pendingAnswer = this.relay.connections.pendingAnswer(socket);
-        if (err.code !== "ECONNRESET" && pendingAnswer === undefined) {
-            this.relay.cuts.recordBadRequest(socket, err.code ?? err.message);
-        }
         if (!socket.writable || err.code === "ECONNRESET") {
+            this.log.debug("caller.bad-request", { error: err.code ?? err.message });
             socket.destroy();
+            return;
         }
-        else if (pendingAnswer !== undefined) {
+        this.onBadRequest(
+            err.code ?? err.message,
+            err.code === "HPE_HEADER_OVERFLOW" ? headTooLarge : badRequest,
+            socket,
+        );
+    }
+
+    /** Refuses what is no request to relay, after the answer that is due on its connection, and closes the connection. */
+    private onBadRequest(error: string, status: string, socket: Socket): void {
+        this.log.debug("caller.bad-request", { error });
+        const pendingAnswer = this.relay.connections.pendingAnswer(socket);
+        if (pendingAnswer !== undefined) {
             // Another answer here would be taken for the answer to the request before, or for a part of it.
             if (!this.brokenSockets.has(socket)) {
                 this.brokenSockets.add(socket);
@@ -128,9 +143,7 @@
             }
         }
         else {
-            const status = err.code === "HPE_HEADER_OVERFLOW"
-                ? "431 Request Header Fields Too Large"
-                : "400 Bad Request";
+            this.relay.cuts.recordBadRequest(socket, error);
             socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
         }
     }
