--- a/packages/ingress/src/check-request.ts
+++ b/packages/ingress/src/check-request.ts
@@ -3,6 +3,7 @@
 import type { EventFields } from "@lentilramp/runtime";
 import type { IncomingMessage } from "node:http";
 import type { FleetView } from "./fleet-view.ts";
+import { hasInvalidHeaderName } from "./hop-by-hop-headers.ts";
 import type { CallerHead } from "./platform-adapter.ts";
 import { blockedPartRetryMs } from "./refusal.ts";
 
@@ -32,6 +33,9 @@
     view: FleetView,
     now: number,
 ): Refusal | CheckedRequest {
+    if (hasInvalidHeaderName(req.rawHeaders)) {
+        return { status: 400, reason: "malformed header" };
+    }
     const { catalog, routes, workspaceKeys } = view;
     if (catalog === undefined || routes === undefined || workspaceKeys === undefined) {
         return { status: 503, reason: "no catalog yet", retryAfterMs: notReadyRetryMs };
--- a/packages/ingress/src/hop-by-hop-headers.ts
+++ b/packages/ingress/src/hop-by-hop-headers.ts
@@ -14,6 +14,11 @@
 /** A header name as HTTP defines it. The parser of Node.js also accepts empty names and spaces; its writer throws. */
 const headerName = /^[!#$%&'*+\-.^_`|~\w]+$/;
 
+/** Whether a flat list of header names and values has a name that HTTP does not allow. */
+export function hasInvalidHeaderName(raw: readonly string[]): boolean {
+    return raw.some((name, i) => i % 2 === 0 && !headerName.test(name));
+}
+
 /**
  * Returns a copy of a flat list of header names and values without hop-by-hop headers, headers that `Connection` lists,
  * invalid names, and those in `excluded`.
