Let the agreement storage wait on the injected clock

The retry of a write on a full disk slept on the clock of the process, so that a test on a manual clock could not play a full disk.

--- a/packages/control/src/agreement-storage.ts
+++ b/packages/control/src/agreement-storage.ts
@@ -1,7 +1,7 @@
 import { applyWrite, type StoredState, type Write } from "@lentilramp/agreement";
 import { type DataFolder, DiskFullError, type Journal, type JournalContents } from "@lentilramp/journal";
+import type { Clock } from "@lentilramp/runtime";
 import { decode, encode } from "@msgpack/msgpack";
-import { setTimeout as sleep } from "node:timers/promises";
 
 /** Number of writes after which the stored state is written as a snapshot, which bounds the recovery time. */
 const writesPerSnapshot = 1_000;
@@ -49,15 +49,20 @@
     private failure: unknown;
     private closing = false;
 
-    private constructor(private readonly journal: Journal, private state: StoredState, writes: number) {
+    private constructor(
+        private readonly journal: Journal,
+        private state: StoredState,
+        writes: number,
+        private readonly clock: Clock,
+    ) {
         this.writesSinceSnapshot = writes;
     }
 
     /** Recovers the stored state; `initial` is the state of a member that has not stored anything. */
-    static async open(folder: DataFolder, initial: StoredState): Promise<AgreementStorage> {
+    static async open(folder: DataFolder, initial: StoredState, clock: Clock): Promise<AgreementStorage> {
         const { journal, contents } = await folder.openJournal("agreement");
         const { state, writes } = recoverState(contents, initial);
-        return new AgreementStorage(journal, state, writes);
+        return new AgreementStorage(journal, state, writes, clock);
     }
 
     get stored(): StoredState {
@@ -107,7 +112,7 @@
                     this.markFailed(err);
                 }
                 else {
-                    await sleep(fullDiskRetryMs);
+                    await this.clock.sleepUntil(this.clock.now() + fullDiskRetryMs);
                 }
             }
         }
--- a/packages/control/tests/agreement-driver.test.ts
+++ b/packages/control/tests/agreement-driver.test.ts
@@ -40,12 +40,12 @@
     }
 }
 
-describe("AgreementDriver", () => {
-    const clock = new SystemClock();
+const clock = new SystemClock();
 
+describe("AgreementDriver", () => {
     async function open(files: FaultyFiles, machine: StateMachine) {
         const folder = await DataFolder.open(files, "/data", "single-process");
-        const storage = await AgreementStorage.open(folder, founders);
+        const storage = await AgreementStorage.open(folder, founders, clock);
         const transport = { send: () => undefined };
         const random = new SeededRandom(1);
         const driver = new AgreementDriver("m1", storage, machine, transport, clock, random, new MemoryEventLog());
@@ -75,7 +75,7 @@
     it("retries a failed write before later ones, and completes a sync only when the write is durable", async () => {
         const files = new FaultyFiles();
         const folder = await DataFolder.open(files, "/data", "single-process");
-        const storage = await AgreementStorage.open(folder, founders);
+        const storage = await AgreementStorage.open(folder, founders, clock);
         const entry = (index: number) => ({ index, term: 1, content: { kind: "no-op" as const } });
         files.faults.freeBytes = 0;
         storage.write({ type: "append", sequence: 1, entries: [entry(1)] });
@@ -88,7 +88,7 @@
         await synced;
         await storage.sync();
         await storage.close();
-        const reopened = await AgreementStorage.open(folder, founders);
+        const reopened = await AgreementStorage.open(folder, founders, clock);
         expect(reopened.stored.entries.map(({ index }) => index)).to.deep.equal([1, 2]);
     });
 });
--- a/packages/steward/tests/steward-group.ts
+++ b/packages/steward/tests/steward-group.ts
@@ -106,7 +106,7 @@
         this.files.set(host, files);
         const folder = await DataFolder.open(files, "/data", "single-process");
         const initial = founders.length > 0 ? foundingState(members) : joiningState();
-        const storage = await AgreementStorage.open(folder, initial);
+        const storage = await AgreementStorage.open(folder, initial, clock);
         const log = new MemoryEventLog();
         const state = new StewardState(() => undefined, () => undefined);
         const addresses = new Map<string, string>();
