--- a/packages/journal/src/atomic-file.ts
+++ b/packages/journal/src/atomic-file.ts
@@ -1,6 +1,6 @@
 import { dirname } from "node:path";
 import { DiskFullError, RestartRequiredError } from "./errors.ts";
-import type { FileAccess } from "./file-access.ts";
+import type { FileAccess, OpenFile } from "./file-access.ts";
 import { isDiskFull, writeFully } from "./file-access.ts";
 
 export const TEMPORARY_SUFFIX = ".tmp";
@@ -12,50 +12,57 @@
     parts: Iterable<Uint8Array>,
 ): Promise<string> {
     const temporaryPath = path + TEMPORARY_SUFFIX;
-    await files.remove(temporaryPath);
-    const file = await files.open(temporaryPath);
+    const file = await openTemporaryFile(files, temporaryPath);
     try {
         let position = 0;
         for (const part of parts) {
             await writeFully(file, part, position);
             position += part.length;
         }
+        await file.sync();
     }
     catch (err) {
-        await file.close().catch(() => undefined);
         await files.remove(temporaryPath).catch(() => undefined);
         throw isDiskFull(err) ? new DiskFullError(path, err) : new RestartRequiredError(path, err);
     }
-    try {
-        await file.sync();
-    }
-    catch (err) {
-        throw new RestartRequiredError(path, err);
-    }
     finally {
         await file.close().catch(() => undefined);
     }
     return temporaryPath;
 }
 
-/** Renames a synced temporary file to `path` and makes the new name durable. */
-export async function publishTemporaryFile(files: FileAccess, temporaryPath: string, path: string): Promise<void> {
+async function openTemporaryFile(files: FileAccess, temporaryPath: string): Promise<OpenFile> {
+    try {
+        await files.remove(temporaryPath);
+        return await files.open(temporaryPath);
+    }
+    catch (err) {
+        throw isDiskFull(err) ? new DiskFullError(temporaryPath, err) : err;
+    }
+}
+
+/** Renames a synced temporary file to `path`; the new name is durable after the next sync of the folder. */
+export async function renameTemporaryFile(files: FileAccess, temporaryPath: string, path: string): Promise<void> {
     try {
         await files.rename(temporaryPath, path);
-        await files.syncFolder(dirname(path));
     }
     catch (err) {
-        throw new RestartRequiredError(path, err);
+        await files.remove(temporaryPath).catch(() => undefined);
+        throw isDiskFull(err) ? new DiskFullError(path, err) : new RestartRequiredError(path, err);
     }
 }
 
-/** Replaces a whole file atomically: after a crash, it has either the old or the new content. */
+/**
+ * Replaces a whole file atomically: after a crash, it has either the old or the new content. A `DiskFullError` leaves
+ * the old content unchanged.
+ */
 export async function replaceFile(files: FileAccess, path: string, parts: Iterable<Uint8Array>): Promise<void> {
+    await renameTemporaryFile(files, await writeTemporaryFile(files, path, parts), path);
     try {
-        await publishTemporaryFile(files, await writeTemporaryFile(files, path, parts), path);
+        await files.syncFolder(dirname(path));
     }
     catch (err) {
-        throw isDiskFull(err) ? new DiskFullError(path, err) : err;
+        throw new RestartRequiredError(path, err);
     }
 }
 
--- a/packages/journal/src/journal.ts
+++ b/packages/journal/src/journal.ts
@@ -1,14 +1,14 @@
-import { randomBytes } from "node:crypto";
 import PQueue from "p-queue";
-import { publishTemporaryFile, writeTemporaryFile } from "./atomic-file.ts";
+import { renameTemporaryFile, writeTemporaryFile } from "./atomic-file.ts";
+import { createSegment, type CurrentSegment, openTail } from "./current-segment.ts";
 import { ClosedError, DiskFullError, RecordTooLargeError, RestartRequiredError } from "./errors.ts";
-import type { FileAccess, OpenFile } from "./file-access.ts";
+import type { FileAccess } from "./file-access.ts";
 import { isDiskFull, writeFully } from "./file-access.ts";
 import type { NumberedFile } from "./journal-files.ts";
 import { segmentFiles, segmentPath, snapshotFiles, snapshotParts, snapshotPath } from "./journal-files.ts";
-import type { JournalContents, RecoveredJournal } from "./journal-recovery.ts";
+import type { JournalContents } from "./journal-recovery.ts";
 import { recoverJournal } from "./journal-recovery.ts";
-import { encodeBatch, encodeSegmentHeader, MAX_RECORD_BYTES, SEGMENT_HEADER_BYTES } from "./record-format.ts";
+import { encodeBatch, MAX_RECORD_BYTES, SEGMENT_HEADER_BYTES } from "./record-format.ts";
 import { readSegment } from "./segment-scan.ts";
 
 export interface JournalOptions {
@@ -31,14 +31,6 @@
     reject: (err: unknown) => void;
 }
 
-interface CurrentSegment {
-    path: string;
-    file: OpenFile;
-    firstIndex: number;
-    salt: number;
-    size: number;
-}
-
 /**
  * An append-only journal with group commit: appends that arrive during a sync are then written and synced together.
  * Operations on the files are serialized.
@@ -47,6 +39,8 @@
     private readonly queue = new PQueue({ concurrency: 1 });
     private pendingAppends: PendingAppend[] = [];
     private failure: RestartRequiredError | ClosedError | undefined;
+    /** Completes or undoes a step that failed on a full disk; runs before anything else is written. */
+    private pendingRepair: (() => Promise<void>) | undefined;
     private syncCount = 0;
     private savingSnapshot = false;
 
@@ -163,26 +157,26 @@
         // With a new segment, the records before it can be removed as soon as the snapshot is durable.
         await this.runExclusively(() => this.startSegmentUnlessDiskFull());
         const path = snapshotPath(this.folder, throughIndex);
-        const temporaryPath = await this.writeSnapshotFile(path, chunks);
-        await this.runExclusively(async () => {
-            if (throughIndex > this.lastSyncedIndex) {
-                await this.files.remove(temporaryPath);
-                throw new RangeError(`records up to ${throughIndex} were truncated while the snapshot was written`);
-            }
-            await this.stopOnFailure(() => publishTemporaryFile(this.files, temporaryPath, path));
-            this.snapshotIndex = throughIndex;
-            await this.stopOnFailure(() => this.removeSupersededFiles());
-        });
-    }
-
-    /** A full disk fails only the snapshot. A failed sync also stops the journal, because it is on the same disk. */
-    private async writeSnapshotFile(path: string, chunks: readonly Uint8Array[]): Promise<string> {
+        const temporaryPath = await this.stopIfRequired(() =>
+            writeTemporaryFile(this.files, path, snapshotParts(chunks))
+        );
         try {
-            return await writeTemporaryFile(this.files, path, snapshotParts(chunks));
+            await this.runExclusively(() => this.publishSnapshot(temporaryPath, path, throughIndex));
         }
-        catch (err) {
-            throw err instanceof RestartRequiredError ? this.stopWith(err) : err;
+        finally {
+            await this.files.remove(temporaryPath).catch(() => undefined);
+        }
+    }
+
+    private async publishSnapshot(temporaryPath: string, path: string, throughIndex: number): Promise<void> {
+        if (throughIndex > this.lastSyncedIndex) {
+            throw new RangeError(`records up to ${throughIndex} were truncated while the snapshot was written`);
         }
+        await this.stopIfRequired(() => renameTemporaryFile(this.files, temporaryPath, path));
+        this.snapshotIndex = throughIndex;
+        this.pendingRepair = () => this.files.syncFolder(this.folder);
+        await this.repair();
+        await this.removeSupersededFiles();
     }
 
     private scheduleCommit(): void {
@@ -194,6 +188,7 @@
             if (this.failure !== undefined) {
                 throw this.failure;
             }
+            await this.repair();
             await run();
         });
     }
@@ -217,6 +212,7 @@
             if (this.failure !== undefined) {
                 throw this.failure;
             }
+            await this.repair();
             if (this.segment.size >= this.options.segmentBytes) {
                 await this.startSegment();
             }
@@ -238,16 +234,12 @@
         const data = encodeBatch(payloads, size, salt);
         try {
             await writeFully(file, data, size);
+            await file.sync();
         }
         catch (err) {
-            if (!isDiskFull(err)) {
-                throw this.stopWith(err);
-            }
             // Without truncation, records of the failed write could follow a later, shorter write and be read as valid.
-            await this.stopOnFailure(() => file.truncate(size));
-            throw new DiskFullError(path, err);
+            throw await this.failWrite(err, path, () => file.truncate(size));
         }
-        await this.stopOnFailure(() => file.sync());
         this.syncCount++;
         this.segment.size += data.length;
     }
@@ -259,15 +251,12 @@
             next = await createSegment(this.files, this.folder, firstIndex);
         }
         catch (err) {
-            if (!isDiskFull(err)) {
-                throw this.stopWith(err);
-            }
+            const path = segmentPath(this.folder, firstIndex);
             // Without a synced removal, the file could reappear after a crash beside records of the current segment.
-            await this.stopOnFailure(async () => {
-                await this.files.remove(segmentPath(this.folder, firstIndex));
+            throw await this.failWrite(err, path, async () => {
+                await this.files.remove(path);
                 await this.files.syncFolder(this.folder);
             });
-            throw new DiskFullError(segmentPath(this.folder, firstIndex), err);
         }
         const previous = this.segment;
         this.segment = next;
@@ -283,13 +272,25 @@
             await this.startSegment();
         }
         catch (err) {
-            if (!(err instanceof DiskFullError)) {
+            if (!(err instanceof DiskFullError) || this.pendingRepair !== undefined) {
                 throw err;
             }
         }
     }
 
+    /** Removes what the snapshot replaces. What a full disk does not let go is removed after a later snapshot. */
     private async removeSupersededFiles(): Promise<void> {
+        try {
+            await this.removeReplacedFiles();
+        }
+        catch (err) {
+            if (!isDiskFull(err)) {
+                throw this.stopWith(err);
+            }
+        }
+    }
+
+    private async removeReplacedFiles(): Promise<void> {
         const names = await this.files.list(this.folder);
         const segments = segmentFiles(this.folder, names);
         for (const [i, segment] of segments.entries()) {
@@ -331,32 +332,40 @@
         }
     }
 
-    private stopWith(err: unknown): Error {
-        this.failure ??= err instanceof RestartRequiredError ? err : new RestartRequiredError(this.segment.path, err);
-        return this.failure;
+    private async stopIfRequired<T>(run: () => Promise<T>): Promise<T> {
+        try {
+            return await run();
+        }
+        catch (err) {
+            throw err instanceof RestartRequiredError ? this.stopWith(err) : err;
+        }
     }
-}
 
-async function createSegment(files: FileAccess, folder: string, firstIndex: number): Promise<CurrentSegment> {
-    const path = segmentPath(folder, firstIndex);
-    const salt = randomBytes(4).readUInt32BE();
-    const file = await files.open(path);
-    try {
-        await writeFully(file, encodeSegmentHeader({ firstIndex, salt }), 0);
-        await file.sync();
-        await files.syncFolder(folder);
+    /**
+     * Returns the error of a failed write. On a full disk, `repair` removes what the write has left; if that needs space
+     * too, it is tried again before the next write. Any other error stops the journal.
+     */
+    private async failWrite(err: unknown, path: string, repair: () => Promise<void>): Promise<Error> {
+        if (!isDiskFull(err)) {
+            return this.stopWith(err);
+        }
+        this.pendingRepair = repair;
+        await this.repair();
+        return new DiskFullError(path, err);
     }
-    catch (err) {
-        await file.close().catch(() => undefined);
-        throw err;
+
+    private async repair(): Promise<void> {
+        try {
+            await this.pendingRepair?.();
+            this.pendingRepair = undefined;
+        }
+        catch (err) {
+            throw isDiskFull(err) ? new DiskFullError(this.segment.path, err) : this.stopWith(err);
+        }
     }
-    return { path, file, firstIndex, salt, size: SEGMENT_HEADER_BYTES };
-}
 
-async function openTail(files: FileAccess, folder: string, recovered: RecoveredJournal): Promise<CurrentSegment> {
-    const { tail, lastIndex } = recovered;
-    if (tail === undefined) {
-        return createSegment(files, folder, lastIndex + 1);
+    private stopWith(err: unknown): Error {
+        this.failure ??= err instanceof RestartRequiredError ? err : new RestartRequiredError(this.segment.path, err);
+        return this.failure;
     }
-    return { path: tail.path, file: await files.open(tail.path), ...tail.header, size: tail.size };
 }
--- a/packages/journal/tests/faulty-files.ts
+++ b/packages/journal/tests/faulty-files.ts
@@ -41,21 +41,44 @@
     return copy;
 }
 
+/** An operation besides a write for which some file systems need space; opening counts only if it creates the file. */
+export type SpaceOperation = "open" | "sync" | "truncate" | "rename" | "remove" | "syncFolder";
+
 export interface DiskFaults {
     /** Free disk space in bytes; a write that exceeds it is short or fails with ENOSPC. */
     freeBytes: number;
+    /** Operations that fail with ENOSPC. */
+    outOfSpace: ReadonlySet<SpaceOperation>;
     failNextSync: boolean;
     /** The next write returns after this number of bytes. */
     nextWriteLimitBytes: number | undefined;
 }
 
+function noSpaceError(): Error {
+    return Object.assign(new Error("no space left on device"), { code: "ENOSPC" });
+}
+
+function requireSpace(faults: DiskFaults, operation: SpaceOperation): void {
+    if (faults.outOfSpace.has(operation)) {
+        throw noSpaceError();
+    }
+}
+
 /** In-memory files with injected faults; `crash` keeps synced data and a random part of the unsynced data. */
 export class FaultyFiles extends FileAccess {
-    readonly faults: DiskFaults = { freeBytes: Infinity, failNextSync: false, nextWriteLimitBytes: undefined };
+    readonly faults: DiskFaults = {
+        freeBytes: Infinity,
+        outOfSpace: new Set(),
+        failNextSync: false,
+        nextWriteLimitBytes: undefined,
+    };
     names = new Map<string, Inode>();
     private durableNames = new Map<string, Inode>();
 
     override async open(path: string): Promise<OpenFile> {
+        if (!this.names.has(path)) {
+            requireSpace(this.faults, "open");
+        }
         const inode = this.names.get(path) ?? new Inode();
         this.names.set(path, inode);
         return new FaultyOpenFile(inode, this.faults);
@@ -76,11 +99,15 @@
     }
 
     override async rename(from: string, to: string): Promise<void> {
+        requireSpace(this.faults, "rename");
         this.names.set(to, this.names.get(from) as Inode);
         this.names.delete(from);
     }
 
     override async remove(path: string): Promise<void> {
+        if (this.names.has(path)) {
+            requireSpace(this.faults, "remove");
+        }
         this.names.delete(path);
     }
 
@@ -93,6 +120,7 @@
     }
 
     override async syncFolder(folder: string): Promise<void> {
+        requireSpace(this.faults, "syncFolder");
         const inFolder = ([path]: [string, Inode]) => dirname(path) === folder;
         const others = [...this.durableNames].filter(entry => !inFolder(entry));
         this.durableNames = new Map([...others, ...[...this.names].filter(inFolder)]);
@@ -140,7 +168,7 @@
         const allowed = Math.min(data.length, this.faults.nextWriteLimitBytes ?? Infinity, this.faults.freeBytes);
         this.faults.nextWriteLimitBytes = undefined;
         if (allowed === 0) {
-            throw Object.assign(new Error("no space left on device"), { code: "ENOSPC" });
+            throw noSpaceError();
         }
         this.faults.freeBytes -= allowed;
         this.recordChange({ position, data: Buffer.from(data.subarray(0, allowed)) });
@@ -148,17 +176,21 @@
     }
 
     override async sync(): Promise<void> {
-        if (this.faults.failNextSync) {
+        if (this.faults.failNextSync || this.faults.outOfSpace.has("sync")) {
+            const err = this.faults.failNextSync
+                ? Object.assign(new Error("input/output error"), { code: "EIO" })
+                : noSpaceError();
             this.faults.failNextSync = false;
             // As on Linux, the pages stay readable but are marked clean, so a later sync does not write them.
             this.inode.unsynced = [];
-            throw Object.assign(new Error("input/output error"), { code: "EIO" });
+            throw err;
         }
         this.inode.unsynced.forEach(change => this.inode.durable = applyChange(this.inode.durable, change));
         this.inode.unsynced = [];
     }
 
     override async truncate(length: number): Promise<void> {
+        requireSpace(this.faults, "truncate");
         this.recordChange({ position: length, data: undefined });
     }
 
