--- a/packages/steward/tests/steward-group.ts
+++ b/packages/steward/tests/steward-group.ts
@@ -1,30 +1,49 @@
-import { foundingState, joiningState, type Message } from "@lentilramp/agreement";
+import { type AgreementOptions, foundingState, joiningState, type Message } from "@lentilramp/agreement";
+import { type Catalog, CatalogCodec } from "@lentilramp/catalog";
 import {
     AgreementDriver,
     agreementMessagesSchema,
     AgreementStorage,
     type AgreementTransport,
     encodeMemberAddress,
+    type JoinRequest,
     JoinRequester,
     MembershipRepair,
 } from "@lentilramp/control";
 import { DataFolder } from "@lentilramp/journal";
 import type { RpcClient } from "@lentilramp/protocol";
 import { ManualClock, MemoryEventLog, SeededRandom } from "@lentilramp/runtime";
-import { MemberRetirement, stewardAddress, StewardState } from "@lentilramp/steward";
-import { FaultyFiles } from "../../journal/tests/faulty-files.ts";
+import {
+    FleetCoordinator,
+    MemberRetirement,
+    OperatorInterface,
+    stewardAddress,
+    StewardCore,
+    StewardState,
+    type SubmitOutcome,
+} from "@lentilramp/steward";
+import { Ok, type Result } from "ts-results-es";
+import { type DiskFaults, FaultyFiles } from "../../journal/tests/faulty-files.ts";
 
 const port = 7_000;
 const linkDelayMs = 5;
 const stepMs = 5;
 const timing = { heartbeatMs: 100, electionTimeoutMinMs: 450, electionTimeoutMaxMs: 900, leaseMs: 0 };
 
+/** Catalogs of the simulation consist of their version number. */
+class VersionCodec extends CatalogCodec {
+    override decode(text: string): Result<Catalog, string> {
+        return Ok({ version: Number(text), routes: [], services: new Map(), workspaces: [] } as unknown as Catalog);
+    }
+}
+
 /** One steward of a simulated group, without its servers. */
 export interface SimulatedSteward {
     readonly host: string;
     readonly driver: AgreementDriver;
     readonly state: StewardState;
     readonly log: MemoryEventLog;
+    readonly operators: OperatorInterface;
     readonly stop: () => Promise<void>;
 }
 
@@ -36,6 +55,7 @@
     readonly cutOff = new Set<string>();
     private readonly inboxes = new Map<string, (sender: string, message: Message) => void>();
     private readonly joins = new Map<string, MembershipRepair>();
+    private readonly cores = new Map<string, StewardCore>();
     private readonly files = new Map<string, FaultyFiles>();
     private setup: { hosts: readonly string[]; founders: readonly string[]; toleratedLosses: number; } = {
         hosts: [],
@@ -43,6 +63,8 @@
         toleratedLosses: 1,
     };
 
+    constructor(private readonly options: Partial<AgreementOptions> = timing) {}
+
     /** Starts `founders` stewards that found the group, and `joiners` that join it. */
     async start(seed: number, founders: number, joiners: number, toleratedLosses: number): Promise<void> {
         const hosts = Array.from({ length: founders + joiners }, (...[, i]) => `10.0.0.${i + 1}`);
@@ -59,6 +81,30 @@
         return await this.add(steward.host, seed);
     }
 
+    /** The faults of the disk of a steward. */
+    disk(host: string): DiskFaults {
+        return (this.files.get(host) as FaultyFiles).faults;
+    }
+
+    /** Ends the process of a steward; `keep` says which of the unsynced data its disk retains. */
+    kill(steward: SimulatedSteward, keep: () => boolean): void {
+        const { host } = steward;
+        this.stewards.splice(this.stewards.indexOf(steward), 1);
+        this.inboxes.delete(host);
+        this.joins.delete(host);
+        this.cores.delete(host);
+        const files = this.files.get(host) as FaultyFiles;
+        const retained = files.crash(keep);
+        Object.assign(retained.faults, files.faults);
+        this.files.set(host, retained);
+        void steward.stop().catch(() => undefined);
+    }
+
+    /** Starts the process of a steward that has ended. Rejects if its disk does not let it start. */
+    async startAgain(host: string, seed: number): Promise<SimulatedSteward> {
+        return await this.add(host, seed);
+    }
+
     /** Lets `ms` milliseconds pass. */
     async run(ms: number): Promise<void> {
         const end = this.clock.now() + ms;
@@ -88,6 +134,29 @@
         await stored;
     }
 
+    /** Returns a client with the calls that the parts of the simulation make. */
+    private clientOf(host: string): RpcClient {
+        const call = async (
+            peer: { host: string; },
+            ...[method, params, , deadline]: [string, unknown, unknown, number]
+        ): Promise<unknown> => {
+            if (!this.connected(host, peer.host)) {
+                return undefined;
+            }
+            if (method === "control.join") {
+                return this.joins.get(peer.host)?.requestJoin(params as JoinRequest);
+            }
+            return await new Promise<SubmitOutcome>((resolve, reject) => {
+                const { clock } = this;
+                clock.schedule(deadline, () => reject(new Error("timeout")));
+                clock.schedule(clock.now() + linkDelayMs, () => {
+                    this.cores.get(peer.host)?.submitCatalog((params as { text: string; }).text).then(resolve, reject);
+                });
+            });
+        };
+        return { call } as unknown as RpcClient;
+    }
+
     private connected(from: string, to: string): boolean {
         return from === to || !this.cutOff.has(from) && !this.cutOff.has(to);
     }
@@ -106,6 +175,7 @@
         this.files.set(host, files);
         const folder = await DataFolder.open(files, "/data", "single-process");
         const initial = founders.length > 0 ? foundingState(members) : joiningState();
+        // A start on a full disk fails here, before any other part exists.
         const storage = await AgreementStorage.open(folder, initial, clock);
         const log = new MemoryEventLog();
         const state = new StewardState(() => undefined, () => undefined);
@@ -125,7 +195,16 @@
                 }
             },
         };
-        const driver = new AgreementDriver(id, storage, state, transport, clock, new SeededRandom(seed), log, timing);
+        const driver = new AgreementDriver(
+            id,
+            storage,
+            state,
+            transport,
+            clock,
+            new SeededRandom(seed),
+            log,
+            this.options,
+        );
         const repair = new MembershipRepair(driver, () => true, clock, log);
         const retirement = new MemberRetirement(driver, 2 * toleratedLosses + 1, clock, log);
         this.inboxes.set(host, (sender, message) => {
@@ -136,16 +215,10 @@
             agreementMessagesSchema.parse(parameters).messages.forEach(received => driver.receive(received));
         });
         this.joins.set(host, repair);
-        const client = {
-            call: async (
-                peer: { host: string; },
-                ...[, req]: [string, Parameters<MembershipRepair["requestJoin"]>[0]]
-            ) => {
-                if (this.connected(host, peer.host)) {
-                    this.joins.get(peer.host)?.requestJoin(req);
-                }
-            },
-        } as unknown as RpcClient;
+        const core = new StewardCore(driver, state, new VersionCodec(), clock, log);
+        this.cores.set(host, core);
+        const client = this.clientOf(host);
+        const operators = new OperatorInterface(core, new FleetCoordinator(clock, 5_000), client);
         const joining = new JoinRequester(
             driver,
             own,
@@ -161,6 +234,7 @@
             driver,
             state,
             log,
+            operators,
             stop: async () => {
                 await Promise.all([driver, repair, retirement, joining].map(part => part.close()));
             },
