--- a/packages/control/src/agreement-storage.ts
+++ b/packages/control/src/agreement-storage.ts
@@ -6,8 +6,9 @@
 /** Number of writes after which the stored state is written as a snapshot, which bounds the recovery time. */
 const writesPerSnapshot = 1_000;
 
-/** Maximum number of writes in one journal record. */
+/** Limits of one journal record, in writes and in characters of their content. A larger write has its own record. */
 const maxWritesPerRecord = 64;
+const maxCharsPerRecord = 1_048_576;
 /** Delay before writes that failed because the disk was full are retried. */
 const fullDiskRetryMs = 100;
 
@@ -15,6 +16,21 @@
     return encode(value, { ignoreUndefined: true });
 }
 
+/** Returns the number of characters of a write that can be large. */
+function contentChars(write: Write): number {
+    switch (write.type) {
+        case "save-state":
+            return 0;
+        case "append":
+            return write.entries.reduce(
+                (sum, { content }) => sum + (content.kind === "command" ? content.command.length : 0),
+                0,
+            );
+        case "save-snapshot":
+            return write.snapshot.state.length;
+    }
+}
+
 function recoverState(contents: JournalContents, initial: StoredState): { state: StoredState; writes: number; } {
     let writes = 0;
     let state = contents.snapshot === undefined ? initial : decode(contents.snapshot.payload) as StoredState;
@@ -99,7 +115,7 @@
         // Defers the first append, so that the writes of one step share a record.
         await Promise.resolve();
         while (this.queuedWrites.length > 0 && this.failure === undefined) {
-            const batch = this.queuedWrites.slice(0, maxWritesPerRecord);
+            const batch = this.nextBatch();
             try {
                 await this.journal.append(encodeRecord(batch));
                 this.writesSinceSnapshot += batch.length;
@@ -120,6 +136,15 @@
         this.currentFlush = undefined;
     }
 
+    private nextBatch(): Write[] {
+        let chars = 0;
+        const end = this.queuedWrites.findIndex((write, i) => {
+            chars += contentChars(write);
+            return i === maxWritesPerRecord || i > 0 && chars > maxCharsPerRecord;
+        });
+        return end === -1 ? [...this.queuedWrites] : this.queuedWrites.slice(0, end);
+    }
+
     private markDurable(durableCount: number): void {
         this.durableCount = durableCount;
         const completed = this.pendingSyncs.filter(sync => sync.writeNumber <= durableCount);
--- a/packages/control/tests/agreement-driver.test.ts
+++ b/packages/control/tests/agreement-driver.test.ts
@@ -93,6 +93,29 @@
     });
 });
 
+describe("AgreementStorage after a full disk", () => {
+    // Changes that had queued up on a full disk were written as one record, and one above the largest record size
+    // stopped the storage for good.
+    it("writes what has queued up, however large the changes are", async () => {
+        const files = new FaultyFiles();
+        const folder = await DataFolder.open(files, "/data", "single-process");
+        const storage = await AgreementStorage.open(folder, founders, clock);
+        files.faults.freeBytes = 0;
+        const command = "x".repeat(2 ** 20);
+        for (let index = 1; index <= 20; index++) {
+            const entry = { index, term: 1, content: { kind: "command" as const, command } };
+            storage.write({ type: "append", sequence: index, entries: [entry] });
+        }
+        const synced = storage.sync();
+        await runEventLoopTurns();
+        files.faults.freeBytes = Infinity;
+        await synced;
+        await storage.close();
+        const reopened = await AgreementStorage.open(folder, founders, clock);
+        expect(reopened.stored.entries).to.have.length(20);
+    });
+});
+
 async function runEventLoopTurns(): Promise<void> {
     for (let i = 0; i < 20; i++) {
         await new Promise(resolve => setImmediate(resolve));
