Do not campaign while the vote could not be stored

What callers saw: with one disk full and another steward restarting, changes sent to the steward on the full disk were refused for as long as the disk was full, and when it had room the group was without a leader for half a second.

Cause: a member whose disk stores nothing cannot win an election, but each of its campaigns raised its term again. It did not follow the leader that the others elected in a lower term, so it had nobody to forward changes to, and deposed that leader with its term once its writes were durable.

Fix: at its election deadline a member campaigns only if all writes on which its replies depend are durable; otherwise it looks again after a heartbeat interval. Not campaigning is always safe, and while there is no leader no new writes arrive, so a slow disk delays a campaign by the writes in progress only.

--- a/packages/agreement/src/node.ts
+++ b/packages/agreement/src/node.ts
@@ -161,13 +161,7 @@
     const { state, now, options } = ctx;
     if (state.role !== "leader") {
         if (now >= state.electionDeadline) {
-            if (ctx.isVoter) {
-                startPreVote(ctx);
-            }
-            else {
-                state.electionDeadline = ctx.randomElectionDeadline();
-                ctx.setRole("follower", undefined);
-            }
+            handleElectionTimeout(ctx);
         }
         else if (state.role !== "follower" && now >= state.nextHeartbeatAt) {
             requestVotes(ctx);
@@ -203,6 +197,20 @@
     }
 }
 
+function handleElectionTimeout(ctx: StepContext): void {
+    const { state, now, options } = ctx;
+    // A vote would be stored after the writes in progress, so a campaign during a stalled sync only raises the term.
+    const canVote = ctx.isVoter && state.syncedSequence >= state.requiredSequence;
+    if (canVote) {
+        startPreVote(ctx);
+        return;
+    }
+    state.electionDeadline = ctx.isVoter ? now + options.heartbeatMs : ctx.randomElectionDeadline();
+    if (state.role === "follower") {
+        ctx.setRole("follower", undefined);
+    }
+}
+
 function handleMessage(ctx: StepContext, message: Message): void {
     const { state } = ctx;
     if (message.to !== ctx.id) {
--- a/packages/agreement/tests/node.test.ts
+++ b/packages/agreement/tests/node.test.ts
@@ -92,6 +92,30 @@
         expect(simulation.host(lateSlot).node!.status.snapshotIndex).to.be.above(100);
     });
 
+    // A member whose disk is full cannot store its vote, so no campaign of it succeeds. Terms that it raises meanwhile
+    // keep it from following the next leader, and depose that leader as soon as the disk has room.
+    it("does not raise its term again before its vote of the term before is durable", () => {
+        const stored = foundingState(["a", "b", "c"].map(id => ({ id, address: id })));
+        const node = new AgreementNode({ id: "a", stored, random: () => 0.5, now: 0 });
+        node.start();
+        for (let now = 0; now < 10_000; now += 10) {
+            for (const effect of node.step({ type: "tick" }, now)) {
+                if (effect.type === "send" && effect.message.type === "pre-vote") {
+                    const { to: from, from: to, asked, term } = effect.message;
+                    node.step({
+                        type: "message",
+                        message: { type: "pre-vote-reply", from, to, term, asked, granted: true },
+                    }, now);
+                }
+            }
+        }
+        expect(node.status.term).to.equal(1);
+        const sent = node.step({ type: "synced", sequence: Infinity }, 10_000).map(effect =>
+            effect.type === "send" ? effect.message.type : effect.type
+        );
+        expect(sent).to.deep.equal(["vote", "vote"]);
+    });
+
     it("accepts neither a rolled-back storage nor a lease that outlasts the time that voters withhold votes", () => {
         const stored = { ...foundingState([{ id: "a", address: "a" }]), commitIndex: 3 };
         expect(() => new AgreementNode({ id: "a", stored, random: () => 0, now: 0 })).to.throw(StorageRollbackError);
