--- a/packages/control/src/agreement-storage.ts
+++ b/packages/control/src/agreement-storage.ts
@@ -5,6 +5,8 @@
 
 /** Number of writes after which the stored state is written as a snapshot, which bounds the recovery time. */
 const writesPerSnapshot = 1_000;
+/** Number of writes after which a snapshot that failed is tried again. */
+const writesPerRetry = 100;
 
 /** Limits of one journal record, in writes and in characters of their content. A larger write has its own record. */
 const maxWritesPerRecord = 64;
@@ -57,6 +59,8 @@
  */
 export class AgreementStorage {
     private writesSinceSnapshot: number;
+    /** Number of writes since the snapshot at which the next one is due. */
+    private snapshotDueAt = writesPerSnapshot;
     private queuedWrites: Write[] = [];
     private acceptedCount = 0;
     private durableCount = 0;
@@ -163,13 +167,25 @@
         }
     }
 
-    /** Writes a snapshot of the state if `writesPerSnapshot` writes have accumulated and no write is queued. */
+    /**
+     * Writes a snapshot of the state if enough writes have accumulated and no write is queued. One that fails, for
+     * example because it does not fit on the disk, holds up no writes unless it has stopped the journal.
+     */
     private async compactIfDue(): Promise<void> {
-        if (this.writesSinceSnapshot < writesPerSnapshot || this.queuedWrites.length > 0) {
+        if (this.writesSinceSnapshot < this.snapshotDueAt || this.queuedWrites.length > 0) {
             return;
         }
         const encodedState = encodeRecord(this.state);
-        await this.journal.saveSnapshot(encodedState, this.journal.lastIndex);
-        this.writesSinceSnapshot = 0;
+        try {
+            await this.journal.saveSnapshot(encodedState, this.journal.lastIndex);
+            this.writesSinceSnapshot = 0;
+            this.snapshotDueAt = writesPerSnapshot;
+        }
+        catch (err) {
+            if (this.journal.stopError !== undefined) {
+                throw err;
+            }
+            this.snapshotDueAt = this.writesSinceSnapshot + writesPerRetry;
+        }
     }
 }
--- a/packages/control/tests/agreement-driver.test.ts
+++ b/packages/control/tests/agreement-driver.test.ts
@@ -1,7 +1,7 @@
 import { foundingState, type Role } from "@lentilramp/agreement";
 import { AgreementDriver, AgreementStorage, encodeMemberAddress, type StateMachine } from "@lentilramp/control";
 import { DataFolder } from "@lentilramp/journal";
-import { MemoryEventLog, SeededRandom, SystemClock } from "@lentilramp/runtime";
+import { ManualClock, MemoryEventLog, SeededRandom, SystemClock } from "@lentilramp/runtime";
 import { expect } from "chai";
 import { FaultyFiles } from "../../journal/tests/faulty-files.ts";
 
@@ -93,6 +93,34 @@
     });
 });
 
+describe("AgreementStorage on a nearly full disk", () => {
+    // A disk without room for a snapshot still takes writes. Each of them waited for the next attempt at the snapshot
+    // to fail, and left another segment file behind.
+    it("does not hold up writes for a snapshot that does not fit", async () => {
+        const files = new FaultyFiles();
+        const folder = await DataFolder.open(files, "/data", "single-process");
+        // The clock stands still, so that no write can wait for it.
+        const storage = await AgreementStorage.open(folder, founders, new ManualClock(1_000));
+        const store = async (commitIndex: number) => {
+            storage.write({ type: "save-state", sequence: commitIndex, term: 1, votedFor: "m1", commitIndex });
+            await storage.sync();
+        };
+        for (let commitIndex = 1; commitIndex < 1_000; commitIndex++) {
+            await store(commitIndex);
+        }
+        files.refusedNames = /snapshot/;
+        for (let commitIndex = 1_000; commitIndex < 1_090; commitIndex++) {
+            await store(commitIndex);
+        }
+        expect([...files.names.keys()].filter(name => name.includes("segment-")).length).to.be.at.most(2);
+        files.refusedNames = undefined;
+        for (let commitIndex = 1_090; commitIndex < 1_200; commitIndex++) {
+            await store(commitIndex);
+        }
+        expect([...files.names.keys()].some(name => name.includes("snapshot-"))).to.equal(true);
+    });
+});
+
 describe("AgreementStorage after a full disk", () => {
     // Changes that had queued up on a full disk were written as one record, and one above the largest record size
     // stopped the storage for good.
--- a/packages/journal/tests/faulty-files.ts
+++ b/packages/journal/tests/faulty-files.ts
@@ -72,12 +72,17 @@
         failNextSync: false,
         nextWriteLimitBytes: undefined,
     };
+    /** Names of files for which there is no space. */
+    refusedNames: RegExp | undefined;
     names = new Map<string, Inode>();
     private durableNames = new Map<string, Inode>();
 
     override async open(path: string): Promise<OpenFile> {
         if (!this.names.has(path)) {
             requireSpace(this.faults, "open");
+            if (this.refusedNames?.test(path) === true) {
+                throw noSpaceError();
+            }
         }
         const inode = this.names.get(path) ?? new Inode();
         this.names.set(path, inode);
