--- a/packages/cli/src/wire-control.ts
+++ b/packages/cli/src/wire-control.ts
@@ -55,7 +55,7 @@
             log,
         );
         const methods = new ControlMethods(server, founding);
-        const storage = await AgreementStorage.open(folder, await founding.initialState(), clock);
+        const storage = await AgreementStorage.open(folder, await founding.initialState(), clock, log);
         const replicatedConfiguration = new ReplicatedConfiguration(clock, log);
         const own = { name: settings.name, ...settings.listen, failureDomain: settings.failureDomain };
         const transport = new RpcTransport(own, client, clock);
--- a/packages/cli/src/wire-steward.ts
+++ b/packages/cli/src/wire-steward.ts
@@ -78,7 +78,7 @@
             await folder.openMetadata("founding"),
             log,
         );
-        const storage = await AgreementStorage.open(folder, state, clock);
+        const storage = await AgreementStorage.open(folder, state, clock, log);
         const codec = new JsonCatalogCodec();
         let decoded: { text: string; catalog: Catalog | undefined; } | undefined;
         // Decoded when it is needed: a steward that starts replays every catalog since its snapshot.
--- a/packages/control/src/agreement-storage.ts
+++ b/packages/control/src/agreement-storage.ts
@@ -1,6 +1,6 @@
 import { applyWrite, type StoredState, type Write } from "@lentilramp/agreement";
 import { type DataFolder, DiskFullError, type Journal, type JournalContents } from "@lentilramp/journal";
-import type { Clock } from "@lentilramp/runtime";
+import type { Clock, EventLog } from "@lentilramp/runtime";
 import { decode, encode } from "@msgpack/msgpack";
 
 /** Number of writes after which the stored state is written as a snapshot, which bounds the recovery time. */
@@ -68,21 +68,29 @@
     private currentFlush: Promise<void> | undefined;
     private failure: unknown;
     private closing = false;
+    /** Instant since which the disk has refused the next write; undefined while it accepts writes. */
+    private fullSince: number | undefined;
 
     private constructor(
         private readonly journal: Journal,
         private state: StoredState,
         writes: number,
         private readonly clock: Clock,
+        private readonly log: EventLog,
     ) {
         this.writesSinceSnapshot = writes;
     }
 
     /** Recovers the stored state; `initial` is the state of a member that has not stored anything. */
-    static async open(folder: DataFolder, initial: StoredState, clock: Clock): Promise<AgreementStorage> {
+    static async open(
+        folder: DataFolder,
+        initial: StoredState,
+        clock: Clock,
+        log: EventLog,
+    ): Promise<AgreementStorage> {
         const { journal, contents } = await folder.openJournal("agreement");
         const { state, writes } = recoverState(contents, initial);
-        return new AgreementStorage(journal, state, writes, clock);
+        return new AgreementStorage(journal, state, writes, clock, log);
     }
 
     get stored(): StoredState {
@@ -122,6 +130,7 @@
             const batch = this.nextBatch();
             try {
                 await this.journal.append(encodeRecord(batch));
+                this.reportRoom();
                 this.writesSinceSnapshot += batch.length;
                 this.queuedWrites.splice(0, batch.length);
                 this.markDurable(this.durableCount + batch.length);
@@ -132,6 +141,7 @@
                     this.markFailed(err);
                 }
                 else {
+                    this.reportFullDisk(err);
                     await this.clock.sleepUntil(this.clock.now() + fullDiskRetryMs);
                 }
             }
@@ -140,6 +150,23 @@
         this.currentFlush = undefined;
     }
 
+    private reportFullDisk(err: DiskFullError): void {
+        if (this.fullSince === undefined) {
+            this.fullSince = this.clock.now();
+            this.log.warn("agreement.disk-full", { error: String(err) });
+        }
+    }
+
+    private reportRoom(): void {
+        if (this.fullSince !== undefined) {
+            this.log.info("agreement.disk-has-room", {
+                fullMs: Math.round(this.clock.now() - this.fullSince),
+                writes: this.queuedWrites.length,
+            });
+            this.fullSince = undefined;
+        }
+    }
+
     private nextBatch(): Write[] {
         let chars = 0;
         const end = this.queuedWrites.findIndex((write, i) => {
@@ -186,6 +213,7 @@
                 throw err;
             }
             this.snapshotDueAt = this.writesSinceSnapshot + writesPerRetry;
+            this.log.warn("agreement.snapshot-failed", { error: String(err) });
         }
     }
 }
--- a/packages/control/tests/agreement-driver.test.ts
+++ b/packages/control/tests/agreement-driver.test.ts
@@ -41,11 +41,12 @@
 }
 
 const clock = new SystemClock();
+const log = new MemoryEventLog();
 
 describe("AgreementDriver", () => {
     async function open(files: FaultyFiles, machine: StateMachine) {
         const folder = await DataFolder.open(files, "/data", "single-process");
-        const storage = await AgreementStorage.open(folder, founders, clock);
+        const storage = await AgreementStorage.open(folder, founders, clock, log);
         const transport = { send: () => undefined };
         const random = new SeededRandom(1);
         const driver = new AgreementDriver("m1", storage, machine, transport, clock, random, new MemoryEventLog());
@@ -75,7 +76,7 @@
     it("retries a failed write before later ones, and completes a sync only when the write is durable", async () => {
         const files = new FaultyFiles();
         const folder = await DataFolder.open(files, "/data", "single-process");
-        const storage = await AgreementStorage.open(folder, founders, clock);
+        const storage = await AgreementStorage.open(folder, founders, clock, log);
         const entry = (index: number) => ({ index, term: 1, content: { kind: "no-op" as const } });
         files.faults.freeBytes = 0;
         storage.write({ type: "append", sequence: 1, entries: [entry(1)] });
@@ -88,11 +89,35 @@
         await synced;
         await storage.sync();
         await storage.close();
-        const reopened = await AgreementStorage.open(folder, founders, clock);
+        const reopened = await AgreementStorage.open(folder, founders, clock, log);
         expect(reopened.stored.entries.map(({ index }) => index)).to.deep.equal([1, 2]);
     });
 });
 
+describe("Log of the agreement storage", () => {
+    // Without these lines, nothing on a steward shows why it answers its leader late.
+    it("tells once that the disk is full, and once that it has room again", async () => {
+        const files = new FaultyFiles();
+        const folder = await DataFolder.open(files, "/data", "single-process");
+        const manualClock = new ManualClock(1_000);
+        const ownLog = new MemoryEventLog();
+        const storage = await AgreementStorage.open(folder, founders, manualClock, ownLog);
+        files.faults.freeBytes = 0;
+        storage.write({ type: "save-state", sequence: 1, term: 1, votedFor: "m1", commitIndex: 0 });
+        for (let turn = 0; turn < 10; turn++) {
+            await runEventLoopTurns();
+            manualClock.advanceTo(manualClock.now() + 100);
+        }
+        files.faults.freeBytes = Infinity;
+        await storage.sync();
+        expect(ownLog.events.map(({ level, name }) => `${level} ${name}`)).to.deep.equal([
+            "warn agreement.disk-full",
+            "info agreement.disk-has-room",
+        ]);
+        expect(ownLog.events[1]?.fields).to.deep.equal({ fullMs: 1_000, writes: 1 });
+    });
+});
+
 describe("AgreementStorage on a nearly full disk", () => {
     // A disk without room for a snapshot still takes writes. Each of them waited for the next attempt at the snapshot
     // to fail, and left another segment file behind.
@@ -100,7 +125,7 @@
         const files = new FaultyFiles();
         const folder = await DataFolder.open(files, "/data", "single-process");
         // The clock stands still, so that no write can wait for it.
-        const storage = await AgreementStorage.open(folder, founders, new ManualClock(1_000));
+        const storage = await AgreementStorage.open(folder, founders, new ManualClock(1_000), log);
         const store = async (commitIndex: number) => {
             storage.write({ type: "save-state", sequence: commitIndex, term: 1, votedFor: "m1", commitIndex });
             await storage.sync();
@@ -127,7 +152,7 @@
     it("writes what has queued up, however large the changes are", async () => {
         const files = new FaultyFiles();
         const folder = await DataFolder.open(files, "/data", "single-process");
-        const storage = await AgreementStorage.open(folder, founders, clock);
+        const storage = await AgreementStorage.open(folder, founders, clock, log);
         files.faults.freeBytes = 0;
         const command = "x".repeat(2 ** 20);
         for (let index = 1; index <= 20; index++) {
@@ -139,7 +164,7 @@
         files.faults.freeBytes = Infinity;
         await synced;
         await storage.close();
-        const reopened = await AgreementStorage.open(folder, founders, clock);
+        const reopened = await AgreementStorage.open(folder, founders, clock, log);
         expect(reopened.stored.entries).to.have.length(20);
     });
 });
--- a/packages/steward/tests/steward-group.ts
+++ b/packages/steward/tests/steward-group.ts
@@ -175,9 +175,9 @@
         this.files.set(host, files);
         const folder = await DataFolder.open(files, "/data", "single-process");
         const initial = founders.length > 0 ? foundingState(members) : joiningState();
-        // A start on a full disk fails here, before any other part exists.
-        const storage = await AgreementStorage.open(folder, initial, clock);
         const log = new MemoryEventLog();
+        // A start on a full disk fails here, before any other part exists.
+        const storage = await AgreementStorage.open(folder, initial, clock, log);
         const state = new StewardState(() => undefined, () => undefined);
         const addresses = new Map<string, string>();
         const transport: AgreementTransport = {
