--- a/packages/steward/tests/full-disks.test.ts
+++ b/packages/steward/tests/full-disks.test.ts
@@ -56,21 +56,30 @@
         await this.group.run(ms);
     }
 
-    /** Fills a disk for `ms` milliseconds. */
-    async fill(host: string, ms: number, beside: Beside): Promise<void> {
+    /** Fills a disk; what fails on it besides writes is drawn. */
+    fill(host: string): void {
         const disk = this.group.disk(host);
         const { random } = this;
         const kind = random.nextInt(3);
         disk.freeBytes = kind === 0 ? Infinity : random.nextInt(2) * random.nextInt(400);
         disk.outOfSpace = new Set(kind === 0 ? ["sync"] : operations.filter(() => kind === 1 && random.next() < 0.5));
+    }
+
+    makeRoom(host: string): void {
+        Object.assign(this.group.disk(host), { freeBytes: Infinity, outOfSpace: new Set() });
+    }
+
+    /** Fills a disk for `ms` milliseconds. */
+    async fillFor(host: string, ms: number, beside: Beside): Promise<void> {
+        const { random } = this;
+        this.fill(host);
         const others = this.hosts.filter(other => other !== host);
         if (beside !== "nothing") {
             await this.run(ms / 3);
             this.restart(beside === "restart of its steward" ? host : others[random.nextInt(others.length)] ?? "");
         }
         await this.run(beside === "nothing" ? ms : ms * 2 / 3);
-        // A steward that has ended meanwhile has another copy of the disk.
-        Object.assign(this.group.disk(host), { freeBytes: Infinity, outOfSpace: new Set() });
+        this.makeRoom(host);
     }
 
     /** Fills every disk once, in random order. */
@@ -78,7 +87,7 @@
         const left = this.hosts;
         while (left.length > 0) {
             const [host = ""] = left.splice(this.random.nextInt(left.length), 1);
-            await this.fill(host, 1_000 + this.random.nextInt(4_000), beside);
+            await this.fillFor(host, 1_000 + this.random.nextInt(4_000), beside);
             await this.run(beside === "nothing" ? this.random.nextInt(1_000) : 2_000);
         }
     }
@@ -169,4 +178,23 @@
             }
         }
     }
+
+    // Five voters tolerate the loss of two.
+    for (const seed of [1, 2, 3]) {
+        it(`acknowledge changes in time and lose none while two disks are full at once, 5 stewards, seed ${seed}`, async () => {
+            const trial = new Trial(seed);
+            await trial.start(5);
+            for (const first of trial.hosts) {
+                for (const second of trial.hosts.filter(host => host > first)) {
+                    [first, second].forEach(host => trial.fill(host));
+                    await trial.run(1_500);
+                    [first, second].forEach(host => trial.makeRoom(host));
+                    await trial.run(200);
+                }
+            }
+            await trial.finish();
+            expect(trial.slowestMs).to.be.below(acknowledgedWithinMs);
+            await trial.expectNothingLost(5);
+        });
+    }
 });
