End a steward whose storage has failed, so that it is started again

What callers saw: after a failed write or sync that is not for lack of space (some storage reports a full volume as EIO), a steward took no further part in the agreement, while its process ran on until somebody restarted it. With the disks of a majority failing for a moment one after another, the group confirmed nothing any more.

Cause: the failure only silenced the agreement member. The restart that its error message asks for was left to the operator, although nothing a process of that kind still does needs it to stay.

Fix: the driver reports the failure, and the process stops like after SIGTERM and ends with exit code 1. Refused writes while the process is closing are no failure. Control processes of other deployments run on as before.

--- a/packages/cli/src/commands/fleet.ts
+++ b/packages/cli/src/commands/fleet.ts
@@ -40,27 +40,28 @@
         throw new CommandError(exitCodes.invalidDocument, policy.error.message);
     }
     const reader = new SettingsReader(path, settings.value);
-    const { lifecycle, log } = wireFleet(settings.value, keyFile, () => reader.reload(), policy.value);
+    const { lifecycle, log, failed } = wireFleet(settings.value, keyFile, () => reader.reload(), policy.value);
     process.on("SIGHUP", () => {
         log.info("process.reload", { seeds: reader.reload(true).seedHosts.join(",") });
     });
-    let exitCode: ExitCode = exitCodes.ok;
-    const stopped = new Promise<void>(resolve => {
+    const stopped = new Promise<ExitCode>(resolve => {
         const stop = (signal: NodeJS.Signals): void => {
             log.info("process.signal", { signal });
-            void lifecycle.stop().then(resolve);
+            void lifecycle.stop().then(() => resolve(exitCodes.ok));
         };
         process.on("SIGTERM", stop);
         process.on("SIGINT", stop);
-        stopAtFatalError(process, () => {
-            exitCode = exitCodes.failed;
-            void lifecycle.stop().then(resolve);
-        }, log);
+        const stopFailed = (): void => void lifecycle.stop().then(() => resolve(exitCodes.failed));
+        stopAtFatalError(process, stopFailed, log);
+        void failed.then(reason => {
+            log.error("process.failed", { reason });
+            stopFailed();
+        });
     });
     log.info("process.start", { pid: process.pid, failureDomain: settings.value.failureDomain });
     // A component that does not finish its start must not delay the exit.
     await Promise.race([lifecycle.start(), stopped]);
-    await stopped;
+    const exitCode = await stopped;
     setImmediate(() => process.exit(exitCode));
     return exitCode;
 }
--- a/packages/cli/src/wire-fleet.ts
+++ b/packages/cli/src/wire-fleet.ts
@@ -40,6 +40,10 @@
     metrics: PrometheusMetrics;
     /** Sets gauges before they are read. */
     gauges: (() => void)[];
+    /** Ends the process with an error, so that the platform starts it again. */
+    fail: (reason: string) => void;
+    /** Resolves with the reason of the first call of `fail`. */
+    failed: Promise<string>;
 }
 
 /** Builds the parts of a fleet process; `reload` reads the settings again when they may have changed. */
@@ -54,6 +58,8 @@
     const plain = new ProcessEventLog(() => Date.now(), { process: settings.name }, "info", line => sink.write(line));
     const log = new ThrottledEventLog(plain, clock, linesPerSecond);
     const key = ProcessKey.read(keyFile);
+    let fail: FleetProcess["fail"] = () => undefined;
+    const failed = new Promise<string>(resolve => fail = resolve);
     const base: FleetProcess = {
         clock,
         random: new SystemRandom(),
@@ -63,6 +69,8 @@
         key,
         metrics: new PrometheusMetrics(fleetMetrics),
         gauges: [],
+        fail,
+        failed,
     };
     addProcessGauges(base, sink);
     base.lifecycle.register(
--- a/packages/cli/src/wire-steward.ts
+++ b/packages/cli/src/wire-steward.ts
@@ -96,6 +96,7 @@
         );
         const transport = new RpcTransport(own, client, clock);
         const driver = new AgreementDriver(id, storage, replicated, transport, clock, random, log, agreementTiming);
+        void driver.storageFailed.then(base.fail);
         const core = new StewardCore(driver, replicated, codec, clock, log);
         const coordinator = new FleetCoordinator(clock, options.usageWindowMs);
         const duties = new PlatformDuties(
--- a/packages/cli/tests/fleet-harness.ts
+++ b/packages/cli/tests/fleet-harness.ts
@@ -159,10 +159,15 @@
         return join(this.folder, "key");
     }
 
+    /** Data folder of a steward. */
+    dataFolder(host: string): string {
+        return join(this.folder, `data-${host}`);
+    }
+
     /** Starts the process of a host, as the platform does after it has ended. */
     run(host: string): void {
         const steward = this.stewards.includes(host);
-        const data = join(this.folder, `data-${host}`);
+        const data = this.dataFolder(host);
         mkdirSync(data, { recursive: true });
         const settings = join(this.folder, `settings-${host}`);
         writeFileSync(
--- a/packages/control/src/agreement-driver.ts
+++ b/packages/control/src/agreement-driver.ts
@@ -54,6 +54,9 @@
     private closed = false;
     private readonly queuedEffects: Effect[] = [];
     private isExecuting = false;
+    private reportStorageFailure: (reason: string) => void = () => undefined;
+    /** Resolves with the reason when the storage has failed; this member then takes no further part. */
+    readonly storageFailed = new Promise<string>(resolve => this.reportStorageFailure = resolve);
 
     constructor(
         id: NodeId,
@@ -212,9 +215,13 @@
 
     private syncStorage(sequence: number): void {
         this.storage.sync().then(() => this.step({ type: "synced", sequence })).catch((err: unknown) => {
+            if (this.closed) {
+                return;
+            }
             this.log.error("agreement.storage-failed", { error: String(err) });
             this.rejectAll("the storage of this process failed; restart the process");
             this.step({ type: "storage-failed" });
+            this.reportStorageFailure(String(err));
         });
     }
 
