Sync the truncation of a refused write

What an operator saw: after a full disk and a loss of power, a steward did not start ("is corrupt at offset ...; remove the data folder"), although no acknowledged record was missing.

Cause: a write that a full disk refused halfway was truncated, but the truncation was not synced.

Fix: the repair after a refused write syncs the truncation, before anything else is written.

--- a/packages/journal/src/journal.ts
+++ b/packages/journal/src/journal.ts
@@ -238,7 +238,11 @@
         }
         catch (err) {
             // Without truncation, records of the failed write could follow a later, shorter write and be read as valid.
-            throw await this.failWrite(err, path, () => file.truncate(size));
+            // Without its sync, they could reappear after a crash in a segment that the next one has sealed.
+            throw await this.failWrite(err, path, async () => {
+                await file.truncate(size);
+                await file.sync();
+            });
         }
         this.syncCount++;
         this.segment.size += data.length;
--- a/packages/journal/tests/full-disk.test.ts
+++ b/packages/journal/tests/full-disk.test.ts
@@ -86,6 +86,25 @@
         });
     }
 
+    // The next segment seals the one before it. What a refused write has left there would count as damage of synced
+    // records, so that the process could not start after a loss of power.
+    it("starts after a loss of power, although a new segment followed a refused write", async () => {
+        for (let seed = 1; seed <= 100; seed++) {
+            const random = new SeededRandom(seed);
+            const files = new FaultyFiles();
+            const { journal } = await Journal.open(files, folder);
+            await journal.append(Buffer.from("first"));
+            files.faults.freeBytes = 50;
+            expect(await errorOf(journal.append(Buffer.alloc(100, "x")))).to.be.instanceOf(DiskFullError);
+            files.faults.freeBytes = 200;
+            expect(await errorOf(journal.saveSnapshot(Buffer.alloc(1_000), 1))).to.be.instanceOf(DiskFullError);
+            files.faults.freeBytes = Infinity;
+            await journal.append(Buffer.from("second"));
+            const { contents } = await Journal.open(files.crash(() => random.next() < 0.5), folder);
+            expect(recovered(contents), `seed ${seed}`).to.deep.equal(["first", "second"]);
+        }
+    });
+
     const step = fc.oneof(
         { weight: 6, arbitrary: fc.record({ kind: fc.constant("append" as const), sizes: fc.array(fc.nat(60)) }) },
         {
