--- a/packages/steward/tests/full-disks.test.ts
+++ b/packages/steward/tests/full-disks.test.ts
@@ -41,6 +41,10 @@
         return this.group.stewards.map(({ host }) => host).sort();
     }
 
+    get restartCount(): number {
+        return [...this.restarts.values()].reduce((sum, count) => sum + count, 0);
+    }
+
     get slowestMs(): number {
         return Math.max(...this.changes.map(({ sentAt, acknowledgedAt = Infinity }) => acknowledgedAt - sentAt));
     }
@@ -92,6 +96,16 @@
         }
     }
 
+    /** Fails a sync on every disk in turn; the process ends and is started again. */
+    async failSyncs(): Promise<void> {
+        for (const host of this.hosts) {
+            const steward = this.group.stewards.find(other => other.host === host);
+            this.group.disk(host).failNextSync = true;
+            void steward?.driver.storageFailed.then(() => this.restart(host));
+            await this.run(3_000);
+        }
+    }
+
     /** Stops the operators and lets their last changes end. */
     async finish(): Promise<void> {
         this.sending = false;
@@ -159,7 +173,7 @@
     }
 }
 
-describe("Stewards whose disks become full one after the other", () => {
+describe("Stewards whose disks are full or fail in turn", () => {
     // Guards against a group that loses its members to full disks one by one, until changes are refused or stay
     // unanswered although every disk has room again and every process runs.
     for (const beside of ["nothing", "restart of its steward", "restart of another steward"] as const) {
@@ -179,6 +193,20 @@
         }
     }
 
+    // A failed sync that is not for lack of space stops the storage until the process is started again.
+    for (const seed of [1, 2, 3]) {
+        it(`acknowledge changes in time and lose none when syncs fail in turn, 3 stewards, seed ${seed}`, async () => {
+            const trial = new Trial(seed);
+            await trial.start(3);
+            await trial.failSyncs();
+            await trial.failSyncs();
+            await trial.finish();
+            expect(trial.restartCount).to.equal(6);
+            expect(trial.slowestMs).to.be.below(acknowledgedWithinMs);
+            await trial.expectNothingLost(3);
+        });
+    }
+
     // Five voters tolerate the loss of two.
     for (const seed of [1, 2, 3]) {
         it(`acknowledge changes in time and lose none while two disks are full at once, 5 stewards, seed ${seed}`, async () => {
