--- a/packages/journal/tests/full-disk.test.ts
+++ b/packages/journal/tests/full-disk.test.ts
@@ -47,6 +47,7 @@
     giveRoom(): void {
         this.files.faults.freeBytes = Infinity;
         this.files.faults.outOfSpace = new Set();
+        this.files.refusedNames = undefined;
     }
 
     /** Loses power, makes room, starts again, and returns the records that the journal has recovered. */
@@ -112,10 +113,11 @@
             arbitrary: fc.record({
                 kind: fc.constant("full" as const),
                 room: fc.nat(200),
-                outOfSpace: fc.subarray([...operations]),
+                outOfSpace: fc.oneof(fc.constant([]), fc.subarray([...operations])),
+                refusedNames: fc.constantFrom(undefined, /snapshot/, /segment/),
             }),
         },
-        { weight: 2, arbitrary: fc.record({ kind: fc.constant("room" as const) }) },
+        { weight: 2, arbitrary: fc.record({ kind: fc.constant("room" as const), snapshot: fc.boolean() }) },
         { weight: 3, arbitrary: fc.record({ kind: fc.constant("snapshot" as const) }) },
         {
             weight: 2,
@@ -128,7 +130,11 @@
             fc.asyncProperty(fc.array(step, { maxLength: 30 }), fc.integer(), async (steps, seed) => {
                 const random = new SeededRandom(seed);
                 const writer = await Writer.open();
-                for (const current of [...steps, { kind: "room" as const }, { kind: "crash" as const, keep: 0.5 }]) {
+                const end = [
+                    { kind: "room" as const, snapshot: random.next() < 0.5 },
+                    { kind: "crash" as const, keep: 0.5 },
+                ];
+                for (const current of [...steps, ...end]) {
                     switch (current.kind) {
                         case "append":
                             await Promise.all(current.sizes.map(size => writer.append(size)));
@@ -136,11 +142,12 @@
                         case "full":
                             writer.files.faults.freeBytes = current.room;
                             writer.files.faults.outOfSpace = new Set(current.outOfSpace);
+                            writer.files.refusedNames = current.refusedNames;
                             break;
                         case "room":
                             writer.giveRoom();
                             expect(await writer.append()).to.equal(undefined);
-                            expect(await writer.saveSnapshot()).to.equal(undefined);
+                            expect(current.snapshot ? await writer.saveSnapshot() : undefined).to.equal(undefined);
                             expect(await writer.append()).to.equal(undefined);
                             break;
                         case "snapshot":
