--- a/packages/control/src/agreement-storage.ts
+++ b/packages/control/src/agreement-storage.ts
@@ -2,15 +2,23 @@
 import { type DataFolder, DiskFullError, type Journal, type JournalContents } from "@lentilramp/journal";
 import type { Clock, EventLog } from "@lentilramp/runtime";
 import { decode, encode } from "@msgpack/msgpack";
+import { type QueueLimits, WriteQueue } from "./write-queue.ts";
+
+/** Limits of the storage; the defaults bound the recovery time, and the memory while the disk is full. */
+export interface AgreementStorageLimits extends QueueLimits {
+    /** Number of writes after which the stored state is written as a snapshot. */
+    writesPerSnapshot: number;
+    /** Number of writes after which a snapshot that failed is tried again. */
+    writesPerRetry: number;
+}
 
-/** Number of writes after which the stored state is written as a snapshot, which bounds the recovery time. */
-const writesPerSnapshot = 1_000;
-/** Number of writes after which a snapshot that failed is tried again. */
-const writesPerRetry = 100;
+const defaultLimits: AgreementStorageLimits = {
+    writesPerSnapshot: 1_000,
+    writesPerRetry: 100,
+    maxQueuedWrites: 10_000,
+    maxQueuedChars: 16 * 1_048_576,
+};
 
-/** Limits of one journal record, in writes and in characters of their content. A larger write has its own record. */
-const maxWritesPerRecord = 64;
-const maxCharsPerRecord = 1_048_576;
 /** Delay before writes that failed because the disk was full are retried. */
 const fullDiskRetryMs = 100;
 
@@ -18,21 +26,6 @@
     return encode(value, { ignoreUndefined: true });
 }
 
-/** Returns the number of characters of a write that can be large. */
-function contentChars(write: Write): number {
-    switch (write.type) {
-        case "save-state":
-            return 0;
-        case "append":
-            return write.entries.reduce(
-                (sum, { content }) => sum + (content.kind === "command" ? content.command.length : 0),
-                0,
-            );
-        case "save-snapshot":
-            return write.snapshot.state.length;
-    }
-}
-
 function recoverState(contents: JournalContents, initial: StoredState): { state: StoredState; writes: number; } {
     let writes = 0;
     let state = contents.snapshot === undefined ? initial : decode(contents.snapshot.payload) as StoredState;
@@ -55,13 +48,14 @@
 
 /**
  * Durable log, term and vote of the agreement member. Queued writes share a journal record, so that a restart recovers
- * either all writes of the record or none of them. A full disk delays writes but neither drops nor reorders them.
+ * either all writes of the record or none of them. A full disk delays writes but neither drops nor reorders them; when
+ * many have queued up, the state after them is stored instead.
  */
 export class AgreementStorage {
     private writesSinceSnapshot: number;
     /** Number of writes since the snapshot at which the next one is due. */
-    private snapshotDueAt = writesPerSnapshot;
-    private queuedWrites: Write[] = [];
+    private snapshotDueAt: number;
+    private readonly queue: WriteQueue;
     private acceptedCount = 0;
     private durableCount = 0;
     private pendingSyncs: PendingSync[] = [];
@@ -77,8 +71,11 @@
         writes: number,
         private readonly clock: Clock,
         private readonly log: EventLog,
+        private readonly limits: AgreementStorageLimits,
     ) {
         this.writesSinceSnapshot = writes;
+        this.snapshotDueAt = limits.writesPerSnapshot;
+        this.queue = new WriteQueue(limits);
     }
 
     /** Recovers the stored state; `initial` is the state of a member that has not stored anything. */
@@ -87,10 +84,11 @@
         initial: StoredState,
         clock: Clock,
         log: EventLog,
+        limits: AgreementStorageLimits = defaultLimits,
     ): Promise<AgreementStorage> {
         const { journal, contents } = await folder.openJournal("agreement");
         const { state, writes } = recoverState(contents, initial);
-        return new AgreementStorage(journal, state, writes, clock, log);
+        return new AgreementStorage(journal, state, writes, clock, log, limits);
     }
 
     get stored(): StoredState {
@@ -100,7 +98,7 @@
     /** Queues a write; `sync` waits until the write is durable. */
     write(write: Write): void {
         this.state = applyWrite(this.state, write);
-        this.queuedWrites.push(write);
+        this.queue.push(write);
         this.acceptedCount++;
         this.currentFlush ??= this.flush();
     }
@@ -126,14 +124,11 @@
     private async flush(): Promise<void> {
         // Defers the first append, so that the writes of one step share a record.
         await Promise.resolve();
-        while (this.queuedWrites.length > 0 && this.failure === undefined) {
-            const batch = this.nextBatch();
+        while (this.durableCount < this.acceptedCount && this.failure === undefined) {
+            const waiting = this.acceptedCount - this.durableCount;
             try {
-                await this.journal.append(encodeRecord(batch));
-                this.reportRoom();
-                this.writesSinceSnapshot += batch.length;
-                this.queuedWrites.splice(0, batch.length);
-                this.markDurable(this.durableCount + batch.length);
+                await (this.queue.overflowed ? this.storeState() : this.storeBatch());
+                this.reportRoom(waiting);
                 await this.compactIfDue();
             }
             catch (err) {
@@ -150,6 +145,33 @@
         this.currentFlush = undefined;
     }
 
+    private async storeBatch(): Promise<void> {
+        const batch = this.queue.take();
+        try {
+            await this.journal.append(encodeRecord(batch));
+        }
+        catch (err) {
+            this.queue.putBack(batch);
+            throw err;
+        }
+        this.writesSinceSnapshot += batch.length;
+        this.markDurable(this.durableCount + batch.length);
+    }
+
+    private async storeState(): Promise<void> {
+        const count = this.acceptedCount;
+        this.queue.clear();
+        try {
+            await this.journal.saveSnapshot(encodeRecord(this.state), this.journal.lastIndex);
+        }
+        catch (err) {
+            this.queue.overflow();
+            throw err;
+        }
+        this.onSnapshotStored();
+        this.markDurable(count);
+    }
+
     private reportFullDisk(err: DiskFullError): void {
         if (this.fullSince === undefined) {
             this.fullSince = this.clock.now();
@@ -157,25 +179,16 @@
         }
     }
 
-    private reportRoom(): void {
+    private reportRoom(waiting: number): void {
         if (this.fullSince !== undefined) {
             this.log.info("agreement.disk-has-room", {
                 fullMs: Math.round(this.clock.now() - this.fullSince),
-                writes: this.queuedWrites.length,
+                writes: waiting,
             });
             this.fullSince = undefined;
         }
     }
 
-    private nextBatch(): Write[] {
-        let chars = 0;
-        const end = this.queuedWrites.findIndex((write, i) => {
-            chars += contentChars(write);
-            return i === maxWritesPerRecord || i > 0 && chars > maxCharsPerRecord;
-        });
-        return end === -1 ? [...this.queuedWrites] : this.queuedWrites.slice(0, end);
-    }
-
     private markDurable(durableCount: number): void {
         this.durableCount = durableCount;
         const completed = this.pendingSyncs.filter(sync => sync.writeNumber <= durableCount);
@@ -199,21 +212,25 @@
      * example because it does not fit on the disk, holds up no writes unless it has stopped the journal.
      */
     private async compactIfDue(): Promise<void> {
-        if (this.writesSinceSnapshot < this.snapshotDueAt || this.queuedWrites.length > 0) {
+        if (this.writesSinceSnapshot < this.snapshotDueAt || this.durableCount < this.acceptedCount) {
             return;
         }
         const encodedState = encodeRecord(this.state);
         try {
             await this.journal.saveSnapshot(encodedState, this.journal.lastIndex);
-            this.writesSinceSnapshot = 0;
-            this.snapshotDueAt = writesPerSnapshot;
+            this.onSnapshotStored();
         }
         catch (err) {
             if (this.journal.stopError !== undefined) {
                 throw err;
             }
-            this.snapshotDueAt = this.writesSinceSnapshot + writesPerRetry;
+            this.snapshotDueAt = this.writesSinceSnapshot + this.limits.writesPerRetry;
             this.log.warn("agreement.snapshot-failed", { error: String(err) });
         }
     }
+
+    private onSnapshotStored(): void {
+        this.writesSinceSnapshot = 0;
+        this.snapshotDueAt = this.limits.writesPerSnapshot;
+    }
 }
