Judge whole requests by the evidence that accuses prompt parts

Callers saw endpoints fail one after the other under a request that came again: the evidence named parts of prompts only, so that a request without a prompt was covered by nothing, and one with a prompt blocked a part that sound requests share.

A request is now a suspect beside the parts. Crash reports name the requests that were waiting and the parts that each carries. Three crashes accuse a request; the crashes of one request no longer accuse its parts, which need four crashes by three requests, of which each adds at most two. Crashes that a verdict on a request explains still count for the parts of that request.

An ingress reports a crash until the leader has confirmed it and again to another leader, does not repeat a request that two crashes accuse, and withholds one with three crashes until the fleet has decided.

The calls of the ingress and the steward are adapted only as far as they need to compile: each loss counts as one of a request of its own, so that the evidence against parts is as before.

Evidence: crashing-requests.test.ts; crash-evidence.test.ts holds with the new signature of recordCrash.

--- /dev/null
+++ b/packages/fleet/src/crash-judge.ts
@@ -0,0 +1,175 @@
+import type { z } from "zod";
+import {
+    type BlockedPart,
+    crashEvidenceMs,
+    type crashReportSchema,
+    isRequestKey,
+    suspectedRequestCrashes,
+} from "./crash-evidence.ts";
+import { type Crash, decideVerdicts, isExplained, type WaitingRequest } from "./crash-verdicts.ts";
+
+const maxCrashes = 256;
+const maxRequestsPerCrash = 256;
+const maxPartsPerRequest = 64;
+const maxSuspects = 128;
+/** Time for which the suspects are reused while the evidence does not change, in milliseconds. */
+const suspectsLifetimeMs = 1_000;
+
+interface RecordedCrash extends Crash {
+    requests: Map<string, WaitingRequest>;
+}
+
+/** The suspects as they were last computed. */
+interface ComputedSuspects {
+    counts: Record<string, number>;
+    /** Suspects with a verdict at that time. */
+    known: ReadonlySet<string>;
+    validUntil: number;
+}
+
+/**
+ * Decides which requests and which parts of prompts crash endpoints. A suspect is accused by crashes of distinct
+ * lifetimes in each of which a request with it was waiting for its answer to begin; an answer that begins on a suspect
+ * clears it of all earlier crashes. Crashes that an accused suspect explains do not accuse those that occur beside it.
+ */
+export class CrashJudge {
+    private crashes = new Map<string, RecordedCrash>();
+    private readonly begunAt = new Map<string, number>();
+    private computed: ComputedSuspects | undefined;
+
+    /** Merges a report that was sent at `sentAt`; reports of several ingresses on one lifetime are one crash. */
+    recordReport(
+        { endpoint, startedAt, ageMs, parts, requests = [] }: z.input<typeof crashReportSchema>,
+        sentAt: number,
+    ): void {
+        const key = `${endpoint} ${startedAt ?? ""}`;
+        const crash = this.crashes.get(key)
+            ?? { endpoint, at: sentAt - ageMs, requests: new Map<string, WaitingRequest>() };
+        crash.at = Math.min(crash.at, sentAt - ageMs);
+        this.crashes.set(key, crash);
+        const unattributed = new Set(parts);
+        for (const { id, parts: indices } of requests) {
+            const carried = indices.flatMap(i => parts[i] ?? []);
+            carried.forEach(part => unattributed.delete(part));
+            if (isRequestKey(id)) {
+                addRequest(crash, id, carried, sentAt);
+            }
+        }
+        if (unattributed.size > 0) {
+            // An earlier version names no requests; its parts count as those of one request that never comes again.
+            addRequest(crash, `unknown:${key}`, unattributed, sentAt);
+        }
+        this.limitRequests(crash);
+        this.computed = undefined;
+    }
+
+    /** Records that an answer on a suspect had begun by the instant `at`. */
+    recordBegun(key: string, at: number): void {
+        const before = this.begunAt.get(key) ?? -Infinity;
+        if (at > before) {
+            this.begunAt.set(key, at);
+            if ((this.computed?.counts[key] ?? 0) > 0) {
+                this.computed = undefined;
+            }
+        }
+    }
+
+    /** Returns the instant of the last answer that is known to have begun on a suspect. */
+    lastBegun(key: string): number | undefined {
+        return this.begunAt.get(key);
+    }
+
+    /** Drops all evidence against a suspect, for instance after an operator has lifted its verdict. */
+    clear(key: string, now: number): void {
+        this.recordBegun(key, now);
+    }
+
+    /**
+     * Returns the suspects and the number of crashes that accuse each, those with most first: parts from the first
+     * crash on, requests from the second on that none of `known`, the suspects with a verdict, explains.
+     */
+    suspects(now: number, known: ReadonlySet<string> = new Set()): Record<string, number> {
+        const { computed } = this;
+        if (computed === undefined || now >= computed.validUntil || !isSameSet(known, computed.known)) {
+            this.computed = {
+                counts: this.countSuspects(now, known),
+                known: new Set(known),
+                validUntil: now + suspectsLifetimeMs,
+            };
+        }
+        return this.computed?.counts ?? {};
+    }
+
+    /**
+     * Returns the suspects that crash endpoints. `settleMs` is the time that all ingresses need to report answers that
+     * have begun on a suspect; `known` are suspects whose verdict stands, which explain crashes too.
+     */
+    verdicts(now: number, settleMs: number, known: ReadonlySet<string> = new Set()): BlockedPart[] {
+        this.dropOld(now);
+        return decideVerdicts([...this.crashes.values()], (...args) => this.accuses(...args), now, settleMs, known);
+    }
+
+    private countSuspects(now: number, known: ReadonlySet<string>): Record<string, number> {
+        this.dropOld(now);
+        const parts = new Map<string, number>();
+        const requests = new Map<string, number>();
+        for (const crash of this.crashes.values()) {
+            const carried = new Set<string>();
+            const explained = isExplained(crash, known);
+            for (const [id, request] of crash.requests) {
+                request.parts.forEach(part => carried.add(part));
+                if (!explained && isRequestKey(id) && this.accuses(crash, id)) {
+                    requests.set(id, (requests.get(id) ?? 0) + 1);
+                }
+            }
+            for (const part of carried) {
+                if (this.accuses(crash, part)) {
+                    parts.set(part, (parts.get(part) ?? 0) + 1);
+                }
+            }
+        }
+        const suspected = [...requests].filter(([, crashes]) => crashes >= suspectedRequestCrashes);
+        return Object.fromEntries([...suspected, ...parts].sort(([, a], [, b]) => b - a).slice(0, maxSuspects));
+    }
+
+    private accuses(crash: Crash, key: string): boolean {
+        return (this.begunAt.get(key) ?? -Infinity) < crash.at;
+    }
+
+    /** Keeps the requests of a crash that other crashes accuse too, then the newest. */
+    private limitRequests(crash: RecordedCrash): void {
+        if (crash.requests.size <= maxRequestsPerCrash) {
+            return;
+        }
+        const others = [...this.crashes.values()].filter(other => other !== crash);
+        const [repeated, single]: [string[], string[]] = [[], []];
+        for (const id of crash.requests.keys()) {
+            (others.some(({ requests }) => requests.has(id)) ? repeated : single).push(id);
+        }
+        for (const id of [...single, ...repeated].slice(0, crash.requests.size - maxRequestsPerCrash)) {
+            crash.requests.delete(id);
+        }
+    }
+
+    private dropOld(now: number): void {
+        const recent = [...this.crashes].filter(([, { at }]) => now - at < crashEvidenceMs);
+        this.crashes = new Map(recent.sort(([, a], [, b]) => a.at - b.at).slice(-maxCrashes));
+        for (const [key, at] of this.begunAt) {
+            if (now - at >= crashEvidenceMs) {
+                this.begunAt.delete(key);
+            }
+        }
+    }
+}
+
+function addRequest(crash: RecordedCrash, id: string, parts: Iterable<string>, heardAt: number): void {
+    const request = crash.requests.get(id) ?? { parts: new Set<string>(), heardAt };
+    crash.requests.set(id, {
+        ...request,
+        parts: new Set([...request.parts, ...parts].slice(0, maxPartsPerRequest)),
+    });
+}
+
+function isSameSet(a: ReadonlySet<string>, b: ReadonlySet<string>): boolean {
+    return a.size === b.size && [...a].every(key => b.has(key));
+}
--- a/packages/fleet/src/prompt-crashes.ts
+++ b/packages/fleet/src/prompt-crashes.ts
@@ -1,80 +1,116 @@
-import type { BlockedPart, CrashReport } from "./crash-evidence.ts";
+import {
+    accusingRequestCrashes,
+    type BlockedPart,
+    crashEvidenceMs,
+    type CrashReport,
+    isRequestKey,
+    type RequestSuspects,
+    suspectedRequestCrashes,
+} from "./crash-evidence.ts";
 import type { EndpointLifetime } from "./endpoint-directory.ts";
+import { OwnCrashes } from "./own-crashes.ts";
 
 /** Number of parts of which the last begun answer is remembered. */
 const maxBegunParts = 4_096;
-const maxReports = 64;
-/** Time for which an ingress repeats a report, in milliseconds; a new leader learns of crashes from the repetitions. */
-const reportMs = 20_000;
+/** The same for requests, hardly any of which come again. */
+const maxBegunRequests = 16_384;
 /** Number of crashes from which requests with a suspected part are not repeated at another endpoint. */
-const unrepeatedFrom = 2;
+const unrepeatedPartCrashes = 2;
 
-/** What one ingress knows of prompt parts that crash engines: its own evidence, the suspects and the verdicts. */
-export class PromptCrashes {
-    /** Instant of the last answer that began on a part, in the order of these instants. */
+/** Instants at which answers last began, for a bounded number of keys. */
+class BegunAnswers {
+    /** In the order of the instants. */
     private readonly begunAt = new Map<string, number>();
-    private reports: { lifetime: EndpointLifetime; at: number; parts: Set<string>; }[] = [];
-    private suspects: Readonly<Record<string, number>> = {};
-    private blocked: ReadonlySet<string> = new Set();
-    private refused = new Set<string>();
 
-    /** Records that an answer to a prompt with these parts has begun. */
-    recordBegun(parts: readonly string[], now: number): void {
-        for (const part of parts) {
-            this.begunAt.delete(part);
-            this.begunAt.set(part, now);
-        }
-        for (const part of this.begunAt.keys()) {
-            if (this.begunAt.size <= maxBegunParts) {
+    constructor(private readonly maxKeys: number) {}
+
+    record(key: string, now: number): void {
+        this.begunAt.delete(key);
+        this.begunAt.set(key, now);
+        for (const [oldest, at] of this.begunAt) {
+            if (this.begunAt.size <= this.maxKeys && now - at < crashEvidenceMs) {
                 break;
             }
-            this.begunAt.delete(part);
+            this.begunAt.delete(oldest);
         }
     }
 
-    /** Records the crash at `at` of an endpoint at which prompts with these parts were waiting for their first token. */
-    recordCrash({ id, startedAt }: EndpointLifetime, parts: readonly string[], at: number): void {
-        const known = this.reports.find(({ lifetime }) => lifetime.id === id && lifetime.startedAt === startedAt);
-        const report = known ?? { lifetime: { id, startedAt }, at, parts: new Set<string>() };
-        parts.forEach(part => report.parts.add(part));
-        if (known === undefined) {
-            this.reports = [...this.reports, report].slice(-maxReports);
+    get(key: string): number | undefined {
+        return this.begunAt.get(key);
+    }
+}
+
+/** What one ingress knows of requests and prompt parts that crash endpoints: own evidence, suspects and verdicts. */
+export class PromptCrashes {
+    private readonly begunParts = new BegunAnswers(maxBegunParts);
+    private readonly begunRequests = new BegunAnswers(maxBegunRequests);
+    private readonly own = new OwnCrashes();
+    /** Evidence of the leader that has answered last; undefined if it has no id. */
+    private leader: string | undefined;
+    private suspects: Readonly<Record<string, number>> = {};
+    private blocked: ReadonlySet<string> = new Set();
+    private refused = new Set<string>();
+
+    /** Records that an answer to a request with these suspects has begun. */
+    recordBegun(keys: readonly string[], now: number): void {
+        for (const key of keys) {
+            (isRequestKey(key) ? this.begunRequests : this.begunParts).record(key, now);
         }
     }
 
-    /** Returns the crashes that this ingress has seen, for the leader. */
+    /** Records the crash at `at` of an endpoint at which this request was waiting for its answer to begin. */
+    recordCrash(lifetime: EndpointLifetime, suspects: RequestSuspects, at: number): void {
+        this.own.record(lifetime, suspects, at);
+    }
+
+    /** Returns the crashes that this ingress has seen and of which the leader is not known to have heard. */
     crashReports(now: number): CrashReport[] {
-        this.reports = this.reports.filter(({ at }) => now - at < reportMs);
-        return this.reports.map(({ lifetime, at, parts }) => ({
-            endpoint: lifetime.id,
-            startedAt: lifetime.startedAt,
-            ageMs: now - at,
-            parts: [...parts].filter(part => (this.begunAt.get(part) ?? -Infinity) <= at),
-        }));
+        return this.own.reports(
+            now,
+            this.leader,
+            (key, at) => (this.begunAt(key) ?? -Infinity) > at,
+            key => this.suspects[key] !== undefined,
+        );
     }
 
-    /** Returns the age in milliseconds of the last begun answer on each suspected part, for the leader. */
+    /**
+     * Records that a leader has answered a message with these reports; `leader` identifies its evidence. Returns whether
+     * it is a new one, which wants to hear of the earlier crashes soon.
+     */
+    acknowledge(leader: string | undefined, reports: readonly CrashReport[], now: number): boolean {
+        const isNew = this.leader !== leader;
+        this.leader = leader;
+        if (leader === undefined) {
+            return false;
+        }
+        this.own.acknowledge(leader, reports);
+        return isNew && this.crashReports(now).length > 0;
+    }
+
+    /** Returns the age in milliseconds of the last begun answer on each suspect, for the leader. */
     begunReports(now: number): Record<string, number> {
         const ages: Record<string, number> = {};
-        for (const part of [...Object.keys(this.suspects), ...this.blocked]) {
-            const at = this.begunAt.get(part);
+        for (const key of [...Object.keys(this.suspects), ...this.blocked]) {
+            const at = this.begunAt(key);
             if (at !== undefined) {
-                ages[part] = now - at;
+                ages[key] = now - at;
             }
         }
         return ages;
     }
 
-    /** Returns the blocked parts of requests that were refused since the last call. */
+    /** Returns the blocked suspects for which requests were refused since the last call. */
     takeRefused(): string[] {
-        const parts = [...this.refused];
+        const keys = [...this.refused];
         this.refused = new Set();
-        return parts;
+        return keys;
     }
 
     /** Applies the suspects of a leader; returns whether there are new ones, on which it wants to hear soon. */
     applySuspects(suspects: Readonly<Record<string, number>>): boolean {
-        const hasNew = Object.keys(suspects).some(part => this.suspects[part] === undefined && this.begunAt.has(part));
+        const hasNew = Object.keys(suspects).some(key =>
+            this.suspects[key] === undefined && this.begunAt(key) !== undefined
+        );
         this.suspects = suspects;
         return hasNew;
     }
@@ -83,36 +119,62 @@
     applyBlocked(blocked: readonly Pick<BlockedPart, "part">[]): { added: string[]; ended: string[]; } {
         const before = this.blocked;
         this.blocked = new Set(blocked.map(({ part }) => part));
-        const ended = [...before].filter(part => !this.blocked.has(part));
-        for (const part of ended) {
-            this.reports.forEach(({ parts }) => parts.delete(part));
-        }
-        return { added: [...this.blocked].filter(part => !before.has(part)), ended };
+        const ended = [...before].filter(key => !this.blocked.has(key));
+        ended.forEach(key => this.own.forget(key));
+        return { added: [...this.blocked].filter(key => !before.has(key)), ended };
     }
 
-    /** Number of parts whose requests are refused. */
+    /** Number of suspects whose requests are refused. */
     get blockedParts(): number {
         return this.blocked.size;
     }
 
-    /** Returns the part for which a request must not be sent, or undefined if it may be. */
-    blockingPart(parts: readonly string[]): string | undefined {
-        return this.blocked.size === 0 ? undefined : parts.find(part => this.blocked.has(part));
+    /** Returns the suspect for which a request must not be sent, or undefined if it may be. */
+    blockingPart(keys: readonly string[]): string | undefined {
+        return this.blocked.size === 0 ? undefined : keys.find(key => this.blocked.has(key));
     }
 
-    /** Records that a request was refused for a blocked part, so that its verdict stands while such requests come. */
-    recordRefusal(part: string): void {
-        this.refused.add(part);
+    /** Records that a request was refused for a blocked suspect, so that its verdict stands while such requests come. */
+    recordRefusal(key: string): void {
+        this.refused.add(key);
     }
 
     /** Whether a request whose endpoint crashed may be sent to another one. */
-    mayRepeat(parts: readonly string[]): boolean {
-        return this.blockingPart(parts) === undefined
-            && parts.every(part => (this.suspects[part] ?? 0) < unrepeatedFrom);
+    mayRepeat(keys: readonly string[]): boolean {
+        return this.blockingPart(keys) === undefined
+            && keys.every(key =>
+                this.countCrashes(key) < (isRequestKey(key) ? suspectedRequestCrashes : unrepeatedPartCrashes)
+            );
+    }
+
+    /**
+     * Returns the key of a request that has as many crashes as a verdict needs and must not be sent until the fleet has
+     * decided, or undefined. Requests that this ingress has seen answered lately are sent.
+     */
+    withheld(keys: readonly string[], now: number): string | undefined {
+        return keys.find(key =>
+            isRequestKey(key) && this.countCrashes(key) >= accusingRequestCrashes
+            && now - (this.begunAt(key) ?? -Infinity) >= crashEvidenceMs
+        );
     }
-}
 
-/** Returns the ids of the parts of a prompt that other prompts can share: all but the last. */
-export function sharedParts(parts: readonly { id: string; }[]): string[] {
-    return parts.slice(0, -1).map(({ id }) => id);
+    private begunAt(key: string): number | undefined {
+        return (isRequestKey(key) ? this.begunRequests : this.begunParts).get(key);
+    }
+
+    /** Number of crashes that accuse a suspect, by the leader's count and by those of which it has not heard. */
+    private countCrashes(key: string): number {
+        const counted = this.suspects[key] ?? 0;
+        const { reported, unreported } = this.own.count(
+            key,
+            this.begunAt(key) ?? -Infinity,
+            this.leader,
+            this.blocked,
+        );
+        // The crash of an endpoint is seen by many ingresses with the same parts, but only by one with the same request.
+        // The leader does not name requests with a single crash.
+        return isRequestKey(key)
+            ? Math.max(counted, Math.min(1, reported)) + unreported
+            : Math.max(counted, unreported);
+    }
 }
--- a/packages/fleet/tests/crash-evidence.test.ts
+++ b/packages/fleet/tests/crash-evidence.test.ts
@@ -57,7 +57,7 @@
         }
         crashes.applySuspects(Object.fromEntries(Array.from({ length: 5_000 }, (...[, i]) => [`p${i}`, 1])));
         expect(Object.keys(crashes.begunReports(5_000))).to.have.length(4_096);
-        crashes.recordCrash({ id: "e", startedAt: 1 }, ["bad", "x"], 5_000);
+        crashes.recordCrash({ id: "e", startedAt: 1 }, { request: "request:r", parts: ["bad", "x"] }, 5_000);
         expect(crashes.applyBlocked([{ part: "bad" }]).added).to.deep.equal(["bad"]);
         expect(crashes.blockingPart(["x", "bad"])).to.equal("bad");
         expect(crashes.applyBlocked([]).ended).to.deep.equal(["bad"]);
--- a/packages/fleet/tests/crashing-fleet.ts
+++ b/packages/fleet/tests/crashing-fleet.ts
@@ -1,4 +1,4 @@
-import { CrashJudge, PromptCrashes, syncIntervalMs } from "@lentilramp/fleet";
+import { CrashJudge, PromptCrashes, requestKey, syncIntervalMs } from "@lentilramp/fleet";
 import { SeededRandom } from "@lentilramp/runtime";
 
 const stepMs = 10;
@@ -32,6 +32,7 @@
 interface Sent {
     at: number;
     endpoint: number;
+    request: string;
     parts: string[];
     ingress: number;
 }
@@ -47,6 +48,7 @@
     const intervalMs = syncIntervalMs(ingresses);
     const settleMs = intervalMs * 1.25 + 200;
     let judge = new CrashJudge();
+    let leader = 1;
     let blocked: { part: string; endpoints: string[]; }[] = [];
     const views = Array.from({ length: ingresses }, () => new PromptCrashes());
     const nextSyncAt = views.map(() => random.next() * intervalMs);
@@ -55,11 +57,13 @@
     const crashesOf: Record<string, number[]> = {};
     const result: CrashingFleetResult = { blocked: new Set(), sentAfterBound: {}, falselyRefused: 0, soundServed: 0 };
     let inFlight: Sent[] = [];
+    let sentCount = 0;
 
     const crash = (endpoint: number, now: number): void => {
-        for (const { endpoint: at, ingress, parts } of inFlight) {
+        for (const { endpoint: at, ingress, request, parts } of inFlight) {
             if (at === endpoint) {
-                views[ingress]?.recordCrash({ id: `e${endpoint}`, startedAt: lifetimes[endpoint] }, parts, now);
+                const lifetime = { id: `e${endpoint}`, startedAt: lifetimes[endpoint] };
+                views[ingress]?.recordCrash(lifetime, { request, parts }, now);
             }
         }
         inFlight = inFlight.filter(sent => sent.endpoint !== endpoint);
@@ -82,12 +86,14 @@
         if (deadly !== undefined && fifth !== undefined && now > fifth + contactMs) {
             result.sentAfterBound[deadly] = (result.sentAfterBound[deadly] ?? 0) + 1;
         }
-        inFlight.push({ at: now, endpoint, parts, ingress });
+        inFlight.push({ at: now, endpoint, request: requestKey(String(sentCount++)), parts, ingress });
     };
     const sync = (ingress: number, now: number): void => {
         const view = views[ingress] as PromptCrashes;
-        view.crashReports(now).forEach(report => judge.recordReport(report, now));
+        const reports = view.crashReports(now);
+        reports.forEach(report => judge.recordReport(report, now));
         Object.entries(view.begunReports(now)).forEach(([part, ageMs]) => judge.recordBegun(part, now - ageMs));
+        view.acknowledge(String(leader), reports, now);
         view.applyBlocked(blocked);
         const hasNew = view.applySuspects(judge.suspects(now));
         nextSyncAt[ingress] = now + (hasNew ? intervalMs / 4 : intervalMs);
@@ -103,6 +109,7 @@
         }
         if (options.restarts === true && now === 7_000) {
             judge = new CrashJudge();
+            leader++;
         }
         const document = `d${random.nextInt(documents)}`;
         send(["system", document], now);
--- /dev/null
+++ b/packages/fleet/tests/crashing-requests.test.ts
@@ -0,0 +1,211 @@
+import { CrashJudge, PromptCrashes, requestKey, sharedParts } from "@lentilramp/fleet";
+import { expect } from "chai";
+
+const [deadly, sound, other] = [requestKey("deadly"), requestKey("sound"), requestKey("other")];
+const settleMs = 500;
+
+/** Returns a report of a crash whose waiting requests are given with their parts. */
+function report(endpoint: string, waiting: Record<string, readonly string[]>) {
+    const parts = [...new Set(Object.values(waiting).flat())];
+    const requests = Object.entries(waiting).map(([id, own]) => ({ id, parts: own.map(part => parts.indexOf(part)) }));
+    return { endpoint, startedAt: 1, ageMs: 0, parts, requests };
+}
+
+describe("CrashJudge with whole requests", () => {
+    let judge: CrashJudge;
+
+    beforeEach(() => {
+        judge = new CrashJudge();
+    });
+
+    const accused = (now: number, known?: ReadonlySet<string>) =>
+        judge.verdicts(now, settleMs, known).map(({ part }) => part);
+
+    // Guards against requests that come again and are covered by no part, for instance those without a prompt.
+    it("accuses a request at its third crash, after all ingresses could report answers", () => {
+        judge.recordReport(report("a", { [deadly]: [], [sound]: [] }), 1_000);
+        judge.recordReport(report("b", { [deadly]: [] }), 1_100);
+        expect(judge.suspects(1_150)).to.deep.equal({ [deadly]: 2 });
+        judge.recordReport(report("b", { [deadly]: [] }), 1_200);
+        expect(accused(9_000)).to.deep.equal([]);
+        judge.recordReport(report("c", { [deadly]: [] }), 2_000);
+        expect(accused(2_499)).to.deep.equal([]);
+        expect(judge.verdicts(2_500, settleMs)).to.deep.equal([{ part: deadly, endpoints: ["a", "b", "c"] }]);
+    });
+
+    // Guards against the refusal of a request that many callers send and that waits in every crash.
+    it("clears a request by an answer that began on it", () => {
+        ["a", "b", "c"].forEach(endpoint => judge.recordReport(report(endpoint, { [deadly]: [], [sound]: [] }), 1_000));
+        judge.recordBegun(sound, 1_010);
+        expect(accused(5_000)).to.deep.equal([deadly]);
+        expect(judge.suspects(5_000)).to.deep.equal({ [deadly]: 3 });
+    });
+
+    // Guards against blocking a part for the crashes of one request: sound requests with the part were refused too.
+    it("accuses one request that comes again, and not the parts that it carries", () => {
+        for (let i = 0; i < 8; i++) {
+            judge.recordReport(
+                report(`e${i}`, { [deadly]: ["system", "p"], [requestKey(`s${i}`)]: ["system"] }),
+                1_000,
+            );
+        }
+        expect(accused(5_000)).to.deep.equal([deadly]);
+        expect(accused(5_000, new Set([deadly]))).to.deep.equal([]);
+    });
+
+    it("accuses a part of crashes by three requests, also of those that verdicts on its requests explain", () => {
+        const [r, s, t] = [requestKey("r"), requestKey("s"), requestKey("t")];
+        for (const [i, request] of [r, r, r, s].entries()) {
+            judge.recordReport(report(`e${i}`, { [request]: ["p"] }), 1_000);
+        }
+        expect(accused(5_000)).to.deep.equal([r]);
+        judge.recordReport(report("e5", { [t]: ["p"] }), 4_900);
+        expect(accused(5_000, new Set([r]))).to.deep.equal([]);
+        expect(accused(5_400, new Set([r]))).to.deep.equal(["p"]);
+        expect(accused(5_400, new Set(["q"]))).to.deep.equal(["p"]);
+    });
+
+    it("does not count crashes against a part that verdicts on other parts or on requests without it explain", () => {
+        for (let i = 0; i < 4; i++) {
+            judge.recordReport(report(`e${i}`, { [requestKey(`${i}`)]: ["p"], [deadly]: ["q"] }), 1_000);
+        }
+        expect(accused(5_000, new Set([deadly]))).to.deep.equal([]);
+        expect(accused(5_000, new Set(["q"]))).to.deep.equal([]);
+    });
+
+    // Guards against the refusal of sound requests that are repeated through the crashes of a deadly part.
+    it("leaves a request alone while a part with crashes by three requests covers all of its crashes", () => {
+        for (let i = 0; i < 3; i++) {
+            judge.recordReport(report(`e${i}`, { [requestKey(`${i}`)]: ["p"], [sound]: ["q"] }), 1_000);
+        }
+        expect(accused(5_000)).to.deep.equal([]);
+        judge.recordReport(report("e3", { [requestKey("3")]: ["p"] }), 5_000);
+        expect(accused(5_500)).to.deep.equal(["p"]);
+    });
+
+    it("explains the crashes of those that wait beside an accused request", () => {
+        for (let i = 0; i < 4; i++) {
+            judge.recordReport(report(`e${i}`, i < 3 ? { [deadly]: [], [sound]: [] } : { [deadly]: [] }), 1_000);
+        }
+        expect(accused(5_000)).to.deep.equal([deadly]);
+        expect(judge.suspects(5_000, new Set([deadly]))).to.deep.equal({});
+    });
+
+    // Guards against reports of processes of an earlier version, and of callers that name parts like requests.
+    it("takes parts without requests as parts of distinct requests, and no part for a request", () => {
+        ["a", "b", "c"].forEach(endpoint =>
+            judge.recordReport({ endpoint, startedAt: 1, ageMs: 0, parts: ["p", deadly] }, 1_000)
+        );
+        expect(accused(5_000)).to.deep.equal([]);
+        judge.recordReport({ endpoint: "d", startedAt: 1, ageMs: 0, parts: ["p"] }, 1_000);
+        expect(accused(5_000)).to.deep.equal(["p"]);
+        expect(sharedParts([{ id: "p" }, { id: deadly }, { id: "last" }])).to.deep.equal(["p"]);
+    });
+
+    it("bounds the requests of a crash and keeps those of earlier crashes", () => {
+        judge.recordReport(report("a", { [deadly]: [] }), 1_000);
+        judge.recordReport(report("b", { [deadly]: [] }), 1_000);
+        judge.recordReport(report("c", { [deadly]: [] }), 1_000);
+        for (let batch = 0; batch < 8; batch++) {
+            const keys = Array.from({ length: 64 }).map((...[, i]) => [requestKey(`${batch}-${i}`), []] as const);
+            judge.recordReport(report("c", Object.fromEntries(keys)), 1_000);
+            judge.recordReport(report("d", Object.fromEntries(keys.slice(-1))), 1_000);
+        }
+        expect(judge.suspects(1_000)).to.include({ [deadly]: 3, [requestKey("7-63")]: 2 });
+        expect(accused(5_000)).to.deep.equal([deadly]);
+    });
+});
+
+describe("PromptCrashes with whole requests", () => {
+    let crashes: PromptCrashes;
+    const crash = (endpoint: string, request: string, at: number, parts: readonly string[] = []) =>
+        crashes.recordCrash({ id: endpoint, startedAt: 1 }, { request, parts }, at);
+
+    beforeEach(() => {
+        crashes = new PromptCrashes();
+    });
+
+    it("reports a crash until the leader has heard of it, and again to another leader", () => {
+        crash("a", deadly, 1_000, ["p"]);
+        const first = crashes.crashReports(1_100);
+        expect(first).to.deep.equal([
+            { endpoint: "a", startedAt: 1, ageMs: 100, parts: ["p"], requests: [{ id: deadly, parts: [0] }] },
+        ]);
+        crash("a", sound, 1_150);
+        // A sync whose answer is lost confirms nothing.
+        expect(crashes.crashReports(1_200)[0]?.requests).to.have.length(2);
+        crashes.acknowledge("x", first, 1_300);
+        expect(crashes.crashReports(1_300)[0]?.requests).to.deep.equal([{ id: sound, parts: [] }]);
+        crashes.acknowledge("x", crashes.crashReports(1_300), 1_400);
+        expect(crashes.crashReports(1_400)).to.deep.equal([]);
+        expect(crashes.acknowledge("y", [], 1_500)).to.equal(true);
+        expect(crashes.crashReports(1_500)[0]?.requests).to.have.length(2);
+        expect(crashes.crashReports(61_000)).to.deep.equal([]);
+    });
+
+    it("names at most 64 requests in a report, those with several crashes first, and the others later", () => {
+        crash("a", deadly, 1_000);
+        crashes.acknowledge("x", crashes.crashReports(1_000), 1_000);
+        crash("b", deadly, 1_000);
+        Array.from({ length: 100 }, (...[, i]) => crash("b", requestKey(`${i}`), 1_000));
+        const [{ requests } = { requests: [] }] = crashes.crashReports(1_000);
+        expect(requests).to.have.length(64);
+        expect(requests.slice(0, 2).map(({ id }) => id)).to.deep.equal([deadly, requestKey("99")]);
+        crashes.acknowledge("x", crashes.crashReports(1_000), 1_000);
+        expect(crashes.crashReports(1_000)[0]?.requests).to.have.length(37);
+    });
+
+    it("does not report requests whose answers have begun since the crash", () => {
+        crash("a", deadly, 1_000);
+        crash("a", sound, 1_000, ["p", "q"]);
+        crash("a", other, 1_000, ["p", "r"]);
+        crashes.recordBegun([sound, "p", "q"], 1_001);
+        expect(crashes.crashReports(1_100)[0]).to.deep.include({
+            parts: ["r"],
+            requests: [{ id: other, parts: [0] }, { id: deadly, parts: [] }],
+        });
+    });
+
+    // Guards against repeats of a request that the leader has not heard of yet.
+    it("does not repeat a request after two crashes that it has seen itself", () => {
+        crash("a", deadly, 1_000);
+        expect(crashes.mayRepeat([deadly])).to.equal(true);
+        crash("b", deadly, 1_100);
+        expect(crashes.mayRepeat(["p", deadly])).to.equal(false);
+        crashes.recordBegun([deadly], 1_200);
+        expect(crashes.mayRepeat([deadly])).to.equal(true);
+    });
+
+    it("adds crashes of which the leader has not heard to those that it counts", () => {
+        crashes.applySuspects({ [deadly]: 2 });
+        expect(crashes.withheld([deadly], 900)).to.equal(undefined);
+        crash("a", deadly, 1_000);
+        expect(crashes.withheld(["p", deadly], 1_100)).to.equal(deadly);
+        expect(crashes.withheld([sound], 1_100)).to.equal(undefined);
+        crashes.acknowledge("x", crashes.crashReports(1_100), 1_100);
+        expect(crashes.withheld([deadly], 1_100)).to.equal(undefined);
+        crashes.applySuspects({ [deadly]: 3 });
+        expect(crashes.withheld([deadly], 1_100)).to.equal(deadly);
+    });
+
+    // Guards against withholding a request that many callers send and that waited in each crash.
+    it("sends a suspected request that it has seen answered lately", () => {
+        crashes.recordBegun([sound], 500);
+        crashes.applySuspects({ [sound]: 5 });
+        expect(crashes.withheld([sound], 1_000)).to.equal(undefined);
+        expect(crashes.withheld([sound], 60_500)).to.equal(sound);
+    });
+
+    it("does not hold crashes that a verdict explains against the requests beside it", () => {
+        ["a", "b", "c"].forEach(endpoint => {
+            crash(endpoint, deadly, 1_000);
+            crash(endpoint, sound, 1_000);
+        });
+        expect(crashes.withheld([sound], 1_100)).to.equal(sound);
+        crashes.applyBlocked([{ part: deadly }]);
+        expect(crashes.withheld([sound], 1_100)).to.equal(undefined);
+        expect(crashes.mayRepeat([sound])).to.equal(true);
+        expect(crashes.mayRepeat([deadly])).to.equal(false);
+        expect(crashes.blockingPart([sound, deadly])).to.equal(deadly);
+    });
+});
--- a/packages/ingress/src/crash-detector.ts
+++ b/packages/ingress/src/crash-detector.ts
@@ -1,5 +1,6 @@
-import { type Endpoint, type PromptCrashes, sharedParts } from "@lentilramp/fleet";
+import { type Endpoint, type PromptCrashes, requestKey, sharedParts } from "@lentilramp/fleet";
 import type { Clock, EventLog } from "@lentilramp/runtime";
+import { randomUUID } from "node:crypto";
 import { connect } from "node:net";
 
 /** Time within which a live endpoint accepts a connection, in milliseconds. */
@@ -47,7 +48,7 @@
         const lostAt = this.clock.now();
         void this.probe(endpoint, lostAt).then(down => {
             if (down && !this.isLeaving(endpoint.id)) {
-                this.crashes.recordCrash(endpoint, parts, lostAt);
+                this.crashes.recordCrash(endpoint, { request: requestKey(randomUUID()), parts }, lostAt);
                 this.log.info("endpoint.crashed", {
                     endpoint: endpoint.id,
                     service: endpoint.service,
