--- a/packages/ingress/src/index.ts
+++ b/packages/ingress/src/index.ts
@@ -17,3 +17,4 @@
 export * from "./ingress-policy.ts";
 export * from "./platform-adapter.ts";
 export * from "./relay.ts";
+export * from "./request-fingerprint.ts";
