Log which requests were lost in a crash, those without a prompt too

The line endpoint.crashed named parts of prompts only, and plain services had none: nothing told a request that comes again from several that share a part. It now names the request by its id and by a fingerprint of caller, method, path and body, which is the same at each ingress and for each repeat. What is reported to the leader and decided is unchanged. Evidence: crash-detector.test.ts, the new test failed before: no line without a prompt.

--- a/packages/ingress/src/admission.ts
+++ b/packages/ingress/src/admission.ts
@@ -1,6 +1,6 @@
 import { type CatalogRoute, type CatalogWorkspace, drawService } from "@lentilramp/catalog";
 import type { DispatchRequest } from "@lentilramp/dispatch";
-import { CapMeter } from "@lentilramp/fleet";
+import { CapMeter, type RequestSuspects, sharedParts } from "@lentilramp/fleet";
 import { BodyTooLargeError, readBody } from "@lentilramp/protocol";
 import type { Clock, EventLog, Metrics, RandomSource } from "@lentilramp/runtime";
 import type { IncomingMessage, ServerResponse } from "node:http";
@@ -11,6 +11,7 @@
 import type { PlannedStop } from "./planned-stop.ts";
 import type { CallerHead, HeaderCodec } from "./platform-adapter.ts";
 import { sendRefusal, stoppingRetryMs } from "./refusal.ts";
+import { fingerprintRequest } from "./request-fingerprint.ts";
 
 /** Timeout of a caller that sends none, in milliseconds. */
 const defaultCallerTimeoutMs = 30_000;
@@ -27,6 +28,8 @@
     body: Buffer;
     route: CatalogRoute;
     workspace: CatalogWorkspace | undefined;
+    /** What the request is known by when endpoints crash under it; undefined if the policy switches that off. */
+    suspects: RequestSuspects | undefined;
     dispatch: DispatchRequest;
     /** Units taken from the workspace's cap. */
     units: number;
@@ -77,6 +80,16 @@
             await refuse(stoppingRefusal);
             return undefined;
         }
+        const suspects = this.ctx.view.crashes && {
+            request: fingerprintRequest({
+                workspace: workspace?.name ?? "",
+                method: req.method ?? "GET",
+                host: req.headers.host ?? "",
+                target: req.url ?? "/",
+                body,
+            }),
+            parts: sharedParts(head.work?.parts ?? []),
+        };
         const declared = head.work === undefined ? undefined : head.work.promptTokens + head.work.maxOutputTokens;
         const units = workspace === undefined ? 0 : CapMeter.requestUnits(workspace, declared);
         const now = this.ctx.clock.now();
@@ -107,6 +120,7 @@
             body,
             route,
             workspace,
+            suspects,
             units,
             dispatch: {
                 id: head.attemptId ?? "",
--- a/packages/ingress/src/crash-detector.ts
+++ b/packages/ingress/src/crash-detector.ts
@@ -1,4 +1,4 @@
-import { type Endpoint, type PromptCrashes, requestKey, sharedParts } from "@lentilramp/fleet";
+import { type Endpoint, type PromptCrashes, requestKey, type RequestSuspects } from "@lentilramp/fleet";
 import type { Clock, EventLog } from "@lentilramp/runtime";
 import { randomUUID } from "node:crypto";
 import { connect } from "node:net";
@@ -39,22 +39,25 @@
         private readonly log: EventLog,
     ) {}
 
-    /** Handles an attempt with this prompt that the endpoint ended before its answer had begun. */
-    recordLoss(endpoint: Endpoint, prompt: readonly { id: string; }[]): void {
-        const parts = sharedParts(prompt);
-        if (parts.length === 0 || this.isLeaving(endpoint.id)) {
+    /** Handles an attempt at the request `id` that the endpoint ended before its answer had begun. */
+    recordLoss(endpoint: Endpoint, { request, parts }: RequestSuspects, id: string): void {
+        if (this.isLeaving(endpoint.id)) {
             return;
         }
         const lostAt = this.clock.now();
         void this.probe(endpoint, lostAt).then(down => {
             if (down && !this.isLeaving(endpoint.id)) {
-                this.crashes.recordCrash(endpoint, { request: requestKey(randomUUID()), parts }, lostAt);
                 this.log.info("endpoint.crashed", {
                     endpoint: endpoint.id,
                     service: endpoint.service,
-                    parts: parts.join(","),
+                    id,
+                    request,
+                    parts: parts.join(",") || undefined,
                 });
-                this.onCrash();
+                if (parts.length > 0) {
+                    this.crashes.recordCrash(endpoint, { request: requestKey(randomUUID()), parts }, lostAt);
+                    this.onCrash();
+                }
             }
         }).catch((err: unknown) =>
             this.log.error("endpoint.probe-failed", { endpoint: endpoint.id, error: String(err) })
--- a/packages/ingress/src/prompt-outcome.ts
+++ b/packages/ingress/src/prompt-outcome.ts
@@ -51,7 +51,10 @@
 
     /** Called when an endpoint has ended an attempt before its answer had begun. */
     onLoss(endpoint: Endpoint): void {
-        this.ctx.crashDetector?.recordLoss(endpoint, this.admitted.dispatch.work?.parts ?? []);
+        const { suspects, dispatch } = this.admitted;
+        if (suspects !== undefined) {
+            this.ctx.crashDetector?.recordLoss(endpoint, suspects, dispatch.id);
+        }
     }
 
     private recordBegun(): void {
--- a/packages/ingress/tests/crash-detector.test.ts
+++ b/packages/ingress/tests/crash-detector.test.ts
@@ -1,3 +1,4 @@
+import { requestKey } from "@lentilramp/fleet";
 import { expect } from "chai";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { testCatalog } from "../../catalog/tests/fixtures.ts";
@@ -44,10 +45,29 @@
         });
         await callAndProbe();
         expect(reports()).to.deep.equal([["a", "b"]]);
-        expect(harness.log.events.find(({ name }) => name === "endpoint.crashed")?.fields).to.include({ parts: "a,b" });
+        const fields = harness.log.events.find(({ name }) => name === "endpoint.crashed")?.fields;
+        expect(fields).to.include({ id: "attempt-1", parts: "a,b" });
+        expect(String(fields?.request)).to.match(/^request:/);
     });
 
     // Guards against accusing parts of answers that were lost or reset while the endpoint lives on.
+    // Guards against crashes under requests without a prompt that leave no line.
+    it("logs the crash under a request without a prompt, with the same name for the request each time", async () => {
+        const names = [];
+        for (const id of ["first", "again"]) {
+            await start(() => endpoint.close());
+            await harness.call({ headers: { "x-attempt-id": id }, method: "POST", body: "x" }).catch(() => undefined);
+            await new Promise(resolve => setTimeout(resolve, probeMs));
+            const crashes = harness.log.events.filter(({ name }) => name === "endpoint.crashed");
+            expect(crashes.map(({ fields }) => fields.id)).to.deep.equal([id]);
+            names.push(crashes[0]?.fields.request);
+            if (id === "first") {
+                await harness.close();
+            }
+        }
+        expect(names[1]).to.equal(names[0]);
+    });
+
     it("reports nothing if the endpoint still accepts connections", async () => {
         await start((req, res) => {
             head(req, res);
@@ -71,7 +91,7 @@
             setTimeout(() => endpoint.close(), 20);
         });
         harness.view.endpoints.markLeaving("e");
-        harness.relay.crashDetector?.recordLoss(endpoint.endpoint, [{ id: "a" }, { id: "b" }]);
+        harness.relay.crashDetector?.recordLoss(endpoint.endpoint, { request: requestKey("r"), parts: ["a"] }, "x");
         await callAndProbe();
         expect(reports()).to.deep.equal([]);
     });
