Refuse requests that crash endpoints, at all ingresses

What callers saw: one request that came again ended endpoint after endpoint. Where it had a prompt, a part of it was blocked after six crashes and more, and sound requests with that part were refused too; without a prompt nothing stopped it. Cause: only parts of prompts could be suspects of the evidence. Change: a whole request is one more suspect, known by its fingerprint; three crashes accuse it, whichever ingresses saw them. Ingresses refuse it on arrival and in the queue, do not repeat one that two crashes accuse, and withhold one that three accuse until the verdict. Crash reports go to a leader until it has confirmed them; verdicts go out when their tag differs, instead of with each answer. At 256 verdicts the one that was refused least recently makes room. The policy crashingRequests switches it off, operators see and lift verdicts with crash-verdicts.

--- a/packages/cli/src/commands/prompt-parts.ts
+++ b/packages/cli/src/commands/prompt-parts.ts
@@ -1,14 +1,15 @@
+import { isRequestKey } from "@lentilramp/fleet";
 import { promptPartsAnswerSchema } from "@lentilramp/steward";
 import { CommandError, type ExitCode, exitCodes } from "../exit-codes.ts";
 import { type ConnectionOptions, withClient } from "../operator-client.ts";
 import { formatTable, type Output } from "../output.ts";
 
 export interface PromptPartsOptions extends ConnectionOptions {
-    /** Part whose verdict is to end. */
+    /** Prompt part or request whose verdict is to end. */
     lift?: string;
 }
 
-/** Shows the prompt parts whose requests a fleet refuses because they crash engines, or ends one verdict. */
+/** Shows the prompt parts and requests that a fleet refuses because they crash endpoints, or ends one verdict. */
 export async function promptParts(options: PromptPartsOptions, output: Output): Promise<ExitCode> {
     const { lift } = options;
     return await withClient(options, async client => {
@@ -25,13 +26,18 @@
             throw new CommandError(exitCodes.failed, "no steward leads; try again or name another one with --control");
         }
         if (answer.lifted === false) {
-            throw new CommandError(exitCodes.failed, `the part ${lift ?? ""} is not blocked`);
+            throw new CommandError(exitCodes.failed, `${lift ?? ""} is not blocked`);
         }
         output.result(
             { blocked: answer.blocked },
             formatTable([
-                ["part", "crashes", "endpoints"],
-                ...answer.blocked.map(({ part, endpoints }) => [part, String(endpoints.length), endpoints.join(",")]),
+                ["kind", "suspect", "crashes", "endpoints"],
+                ...answer.blocked.map(({ part, endpoints }) => [
+                    isRequestKey(part) ? "request" : "prompt part",
+                    part,
+                    String(endpoints.length),
+                    endpoints.join(","),
+                ]),
             ]),
         );
         return exitCodes.ok;
--- a/packages/cli/src/fleet-metrics.ts
+++ b/packages/cli/src/fleet-metrics.ts
@@ -16,7 +16,7 @@
     endpoints_ready: { kind: "gauge", help: "Endpoints that may get requests" },
     endpoints_limited: { kind: "gauge", help: "Endpoints that limit their requests" },
     list_age: { kind: "gauge", help: "Age of the list of endpoints in seconds" },
-    blocked_parts: { kind: "gauge", help: "Prompt parts whose requests are refused because they crash engines" },
+    blocked_parts: { kind: "gauge", help: "Prompt parts and requests that are refused because they crash endpoints" },
     syncs_waiting: { kind: "gauge", help: "Syncs of ingresses that wait for their turn at this steward" },
     syncs_dropped: { kind: "gauge", help: "Syncs since the start that were dropped because their senders gave up" },
     sync_delay: { kind: "gauge", help: "Seconds by which the last sync started late; the process was busy" },
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -113,10 +113,11 @@
         })
     );
 cli.command(
-    "prompt-parts",
-    "Show the prompt parts that a fleet refuses because they crash engines (--control: a steward)",
+    "crash-verdicts",
+    "Show the requests and prompt parts that a fleet refuses because they crash endpoints (--control: a steward)",
 )
-    .option("--lift <part>", "End the verdict on a part")
+    .alias("prompt-parts")
+    .option("--lift <suspect>", "End the verdict on a request or a prompt part")
     .action((options: PromptPartsOptions & CommonOptions) =>
         run(async () =>
             (await import("./commands/prompt-parts.ts")).promptParts(options, new Output(options.json === true))
--- a/packages/cli/src/wire-ingress.ts
+++ b/packages/cli/src/wire-ingress.ts
@@ -72,6 +72,7 @@
         crashes: view.crashes?.crashReports(clock.now()) ?? [],
         begunParts: view.crashes?.begunReports(clock.now()) ?? {},
         refusedParts: view.crashes?.takeRefused() ?? [],
+        blockedTag: view.blockedTag,
         demand: relay.takeDemand(),
     });
     const link: FleetSync = new FleetSync(
@@ -82,7 +83,7 @@
             return describe(elapsedMs);
         },
         (answer, req, sentAt) => {
-            view.applySyncAnswer(answer, sentAt, req.permits);
+            view.applySyncAnswer(answer, sentAt, req.permits, req.crashes);
             metrics.count("limit_permits", Object.values(answer.permits ?? {}).reduce((sum, count) => sum + count, 0));
         },
         () => view.memberCount,
--- a/packages/cli/src/wire-steward.ts
+++ b/packages/cli/src/wire-steward.ts
@@ -19,13 +19,13 @@
     FleetCoordinator,
     MemberRetirement,
     OperatorInterface,
-    PartVerdicts,
     PlatformDuties,
     RosterFollower,
     stewardAddress,
     StewardCore,
     type StewardOptions,
     StewardState,
+    SuspectVerdicts,
 } from "@lentilramp/steward";
 import type { FleetProcess } from "./wire-fleet.ts";
 
@@ -111,7 +111,7 @@
         );
         const repair = new MembershipRepair(driver, () => true, clock, log);
         const retirement = new MemberRetirement(driver, 2 * options.toleratedLosses + 1, clock, log);
-        const verdicts = new PartVerdicts(core, coordinator, () => duties.holdsDuties, clock, log);
+        const verdicts = new SuspectVerdicts(core, coordinator, () => duties.holdsDuties, clock, log);
         const server = new RpcServer(key, log);
         const syncs = attachStewardMethods(server, {
             core,
--- a/packages/cli/tests/crashing-parts.test.ts
+++ b/packages/cli/tests/crashing-parts.test.ts
@@ -2,10 +2,9 @@
 import { SystemClock } from "@lentilramp/runtime";
 import { promptPartsAnswerSchema } from "@lentilramp/steward";
 import { expect } from "chai";
-import { once } from "node:events";
-import { createServer, type Server } from "node:http";
-import { type AddressInfo } from "node:net";
+import type { IncomingMessage } from "node:http";
 import { setTimeout as sleep } from "node:timers/promises";
+import { CrashingEndpoint } from "./crashing-endpoint.ts";
 import {
     exchange,
     type FleetProcesses,
@@ -16,61 +15,8 @@
     until,
 } from "./fleet-harness.ts";
 
-const downMs = 800;
 const deadlyPart = "deadf00d";
 
-/** An engine that ends as it is about to answer a prompt with the deadly part, and comes back as a new lifetime. */
-class CrashingEngine {
-    crashes = 0;
-    private startedAt = Date.now();
-    private server: Server | undefined;
-    private port = 0;
-
-    constructor(readonly id: string, private readonly onDeadlyPrompt: () => void) {}
-
-    get entry(): unknown {
-        const { id, port, startedAt } = this;
-        return {
-            id,
-            service: "model",
-            address: `127.0.0.1:${port}`,
-            zone: "a",
-            slots: 8,
-            state: "ready",
-            born: startedAt,
-        };
-    }
-
-    async start(): Promise<void> {
-        this.server = createServer((req, res) => {
-            req.resume();
-            const isDeadly = String(req.headers["x-prompt-prefix"]).includes(deadlyPart);
-            res.writeHead(200, { "x-attempt-id": String(req.headers["x-attempt-id"]), "x-response-seal": "s" });
-            res.flushHeaders();
-            setTimeout(() => isDeadly ? this.crash() : res.end("id: 1\ndata: a\n\nid: 2\ndata: b\n\n"), 20);
-        });
-        this.server.listen(this.port, "127.0.0.1");
-        await once(this.server, "listening");
-        this.port = (this.server.address() as AddressInfo).port;
-    }
-
-    close(): void {
-        this.server?.close();
-        this.server?.closeAllConnections();
-        this.server = undefined;
-    }
-
-    private crash(): void {
-        if (this.server !== undefined) {
-            this.crashes++;
-            this.onDeadlyPrompt();
-            this.close();
-            this.startedAt = Date.now();
-            setTimeout(() => void this.start(), downMs);
-        }
-    }
-}
-
 const configuration = JSON.stringify({
     version: 1,
     routes: [{
@@ -98,8 +44,13 @@
 
 describe("A prompt part that crashes engines", function() {
     this.timeout(90_000);
-    let crashes = 0;
-    const engines = Array.from({ length: 10 }, (...[, i]) => new CrashingEngine(`i-${i}`, () => crashes++));
+    const isDeadly = (req: IncomingMessage): boolean => String(req.headers["x-prompt-prefix"]).includes(deadlyPart);
+    const answer = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+    const engines = Array.from(
+        { length: 10 },
+        (...[, i]) => new CrashingEndpoint(`i-${i}`, "model", isDeadly, answer),
+    );
+    const countCrashes = (): number => engines.reduce((sum, { crashes }) => sum + crashes, 0);
     const platform = new PlatformStandIn(() => engines.map(({ entry }) => entry));
     let fleet: FleetProcesses;
     let sent = 0;
@@ -140,10 +91,10 @@
             sound++;
             served += soundStatus === 200 ? 1 : 0;
             await sleep(150);
-            return status === 503 && crashes >= 4;
+            return status === 503 && countCrashes() >= 4;
         });
         await sleep(1_500);
-        const before = crashes;
+        const before = countCrashes();
         for (const host of fleet.ingresses) {
             for (let i = 0; i < 5; i++) {
                 expect(await call(host, deadlyPart)).to.equal(503);
@@ -155,7 +106,7 @@
         fleet.run(restarted);
         await until("the restarted ingress serves", async () => await call(restarted, "50f7") === 200);
         expect(await call(restarted, deadlyPart)).to.equal(503);
-        expect(crashes).to.equal(before);
+        expect(countCrashes()).to.equal(before);
         expect(served / sound).to.be.above(0.5);
     });
 
@@ -176,10 +127,10 @@
         expect(blocked[0]?.endpoints.length).to.be.at.least(4);
         expect(await ask("prompt-parts.lift", { part: deadlyPart })).to.include({ lifted: true });
         expect(await ask("prompt-parts.lift", { part: deadlyPart })).to.include({ lifted: false });
-        const before = crashes;
+        const before = countCrashes();
         await until("the part is sent again", async () => {
             await call(fleet.ingresses[1] ?? "", deadlyPart);
-            return crashes > before;
+            return countCrashes() > before;
         });
         await client.close();
     });
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -50,7 +50,15 @@
     }
     | {
         kind: "refuse";
-        reason: "no-endpoint" | "endpoint-limit" | "blocked-part" | "internal-error" | "overload" | "stopping";
+        reason:
+            | "no-endpoint"
+            | "endpoint-limit"
+            | "blocked-part"
+            | "blocked-request"
+            | "withheld-request"
+            | "internal-error"
+            | "overload"
+            | "stopping";
         retryAfterMs: number;
         /** The best candidate, which did not meet the conditions for dispatch. */
         best?: EndpointChoice<C>;
--- a/packages/fleet/src/crash-evidence.ts
+++ b/packages/fleet/src/crash-evidence.ts
@@ -49,6 +49,11 @@
     parts: readonly string[];
 }
 
+/** Returns the keys of all suspects that a request carries. */
+export function suspectKeys({ request, parts }: RequestSuspects): string[] {
+    return [request, ...parts];
+}
+
 /** Time for which a crash counts as evidence, in milliseconds. */
 export const crashEvidenceMs = 60_000;
 /** Number of crashes from which a request is suspected. */
--- a/packages/ingress/src/admission.ts
+++ b/packages/ingress/src/admission.ts
@@ -7,6 +7,7 @@
 import type { CallerConnections } from "./caller-connections.ts";
 import type { CallerExchange } from "./caller-cuts.ts";
 import { type CheckedRequest, checkRequest, type Refusal } from "./check-request.ts";
+import { decideOnSuspects, toRefusal } from "./crash-gate.ts";
 import type { FleetView } from "./fleet-view.ts";
 import type { PlannedStop } from "./planned-stop.ts";
 import type { CallerHead, HeaderCodec } from "./platform-adapter.ts";
@@ -90,6 +91,11 @@
             }),
             parts: sharedParts(head.work?.parts ?? []),
         };
+        const crashRefusal = decideOnSuspects(suspects, this.ctx.view, this.ctx.clock.now());
+        if (crashRefusal !== undefined) {
+            await refuse(toRefusal(crashRefusal));
+            return undefined;
+        }
         const declared = head.work === undefined ? undefined : head.work.promptTokens + head.work.maxOutputTokens;
         const units = workspace === undefined ? 0 : CapMeter.requestUnits(workspace, declared);
         const now = this.ctx.clock.now();
--- a/packages/ingress/src/check-request.ts
+++ b/packages/ingress/src/check-request.ts
@@ -1,11 +1,9 @@
 import type { CatalogRoute, CatalogWorkspace } from "@lentilramp/catalog";
-import { sharedParts } from "@lentilramp/fleet";
 import type { EventFields } from "@lentilramp/runtime";
 import type { IncomingMessage } from "node:http";
 import type { FleetView } from "./fleet-view.ts";
 import { hasInvalidHeaderName } from "./hop-by-hop-headers.ts";
 import type { CallerHead } from "./platform-adapter.ts";
-import { blockedPartRetryMs } from "./refusal.ts";
 
 /** Retry delay that a caller gets while no catalog is known to be the newest, in milliseconds. */
 const notReadyRetryMs = 500;
@@ -26,7 +24,7 @@
     workspace: CatalogWorkspace | undefined;
 }
 
-/** Checks the head of a request against the catalog and the verdicts on prompt parts. */
+/** Checks the head of a request against the catalog. */
 export function checkRequest(
     req: IncomingMessage,
     head: CallerHead,
@@ -60,15 +58,5 @@
     if (needsKey && workspace === undefined) {
         return { status: 401, reason: "unknown key" };
     }
-    const blockingPart = view.crashes?.blockingPart(sharedParts(head.work?.parts ?? []));
-    if (blockingPart !== undefined) {
-        view.crashes?.recordRefusal(blockingPart);
-        return {
-            status: 503,
-            reason: "prompt part crashes engines",
-            retryAfterMs: blockedPartRetryMs,
-            inputs: { part: blockingPart },
-        };
-    }
     return { route, workspace };
 }
--- a/packages/ingress/src/crash-detector.ts
+++ b/packages/ingress/src/crash-detector.ts
@@ -1,6 +1,5 @@
-import { type Endpoint, type PromptCrashes, requestKey, type RequestSuspects } from "@lentilramp/fleet";
+import type { Endpoint, PromptCrashes, RequestSuspects } from "@lentilramp/fleet";
 import type { Clock, EventLog } from "@lentilramp/runtime";
-import { randomUUID } from "node:crypto";
 import { connect } from "node:net";
 
 /** Time within which a live endpoint accepts a connection, in milliseconds. */
@@ -24,7 +23,7 @@
 }
 
 /**
- * Tells crashes of endpoints from lost answers: after an attempt has ended before its first token, it checks once
+ * Tells crashes of endpoints from lost answers: after an attempt has ended before its answer had begun, it checks once
  * whether the endpoint still accepts connections.
  */
 export class CrashDetector {
@@ -40,24 +39,22 @@
     ) {}
 
     /** Handles an attempt at the request `id` that the endpoint ended before its answer had begun. */
-    recordLoss(endpoint: Endpoint, { request, parts }: RequestSuspects, id: string): void {
+    recordLoss(endpoint: Endpoint, suspects: RequestSuspects, id: string): void {
         if (this.isLeaving(endpoint.id)) {
             return;
         }
         const lostAt = this.clock.now();
         void this.probe(endpoint, lostAt).then(down => {
             if (down && !this.isLeaving(endpoint.id)) {
+                this.crashes.recordCrash(endpoint, suspects, lostAt);
                 this.log.info("endpoint.crashed", {
                     endpoint: endpoint.id,
                     service: endpoint.service,
                     id,
-                    request,
-                    parts: parts.join(",") || undefined,
+                    request: suspects.request,
+                    parts: suspects.parts.join(",") || undefined,
                 });
-                if (parts.length > 0) {
-                    this.crashes.recordCrash(endpoint, { request: requestKey(randomUUID()), parts }, lostAt);
-                    this.onCrash();
-                }
+                this.onCrash();
             }
         }).catch((err: unknown) =>
             this.log.error("endpoint.probe-failed", { endpoint: endpoint.id, error: String(err) })
--- a/packages/ingress/src/endpoint-selection.ts
+++ b/packages/ingress/src/endpoint-selection.ts
@@ -7,7 +7,8 @@
 } from "@lentilramp/dispatch";
 import type { Endpoint } from "@lentilramp/fleet";
 import type { AdmittedRequest } from "./admission.ts";
-import { blockedPartRetryMs, internalErrorRetryMs } from "./refusal.ts";
+import { decideOnSuspects } from "./crash-gate.ts";
+import { internalErrorRetryMs } from "./refusal.ts";
 import type { RelayContext } from "./relay.ts";
 import { decideDuringStop } from "./stop-admission.ts";
 
@@ -15,8 +16,6 @@
 export const endpointRefusedRetryMs = 100;
 
 export interface SelectionHooks {
-    /** Whether the request must not be sent at all. */
-    isBlocked: () => boolean;
     /** Called once with the best endpoint of the first decision on the request, whatever that decision is. */
     onFirstDecision: (best: EndpointChoice<Endpoint> | undefined) => void;
     /** Called in the turn of the event loop in which an endpoint is chosen, so that its load counts at once. */
@@ -89,12 +88,13 @@
     }
 
     private decide(model: LatencyModel, ahead: number): DispatchDecision<Endpoint> {
-        const { admitted: { dispatch }, ctx, excluded, hooks } = this;
-        if (hooks.isBlocked()) {
-            return { kind: "refuse", reason: "blocked-part", retryAfterMs: blockedPartRetryMs };
+        const { admitted: { dispatch, suspects }, ctx, excluded, hooks } = this;
+        const now = ctx.clock.now();
+        const refusal = decideOnSuspects(suspects, ctx.view, now);
+        if (refusal !== undefined) {
+            return { kind: "refuse", reason: refusal.reason, retryAfterMs: refusal.retryAfterMs };
         }
         const candidates = ctx.candidates(dispatch.service);
-        const now = ctx.clock.now();
         const decision = ctx.dispatcher.decide(dispatch, candidates, model, now, excluded, ahead);
         if (!this.decided) {
             this.decided = true;
--- a/packages/ingress/src/fleet-messages.ts
+++ b/packages/ingress/src/fleet-messages.ts
@@ -48,12 +48,17 @@
     limits: limitReportsSchema.default({}),
     /** Permits that the sender wants and holds for limited endpoints. */
     permits: z.record(z.string(), permitDemandSchema).default({}),
-    /** Crashes of endpoints that the sender has seen lately, with the prompts that waited there. */
+    /** Crashes of endpoints that the sender has seen and of which the leader may not have heard. */
     crashes: z.array(crashReportSchema).default([]),
-    /** Age of the last answer that began on a suspected or blocked prompt part, in milliseconds. */
+    /**
+     * Age of the last answer that began on a suspected or blocked prompt part or request, in milliseconds. A key names
+     * a part by its id and a request by `request:` and its fingerprint, here and in the fields below.
+     */
     begunParts: z.record(z.string(), z.number()).default({}),
-    /** Blocked prompt parts for which the sender has refused requests since its last sync. */
+    /** Blocked prompt parts and requests for which the sender has refused requests since its last sync. */
     refusedParts: z.array(z.string()).default([]),
+    /** Tag of the verdicts that the sender obeys; 0 when it has none. */
+    blockedTag: z.number().default(0),
     /**
      * Work that arrived for each engine service since the last sync, including refused requests: prompt tokens that
      * are not in an engine's cache, all prompt tokens, and the time for which the requests would occupy slots, in
@@ -102,10 +107,17 @@
     leaving: z.array(endpointLifetimeSchema).optional(),
     /** Newest statement of each endpoint that has named a limit. */
     limits: limitReportsSchema.optional(),
-    /** Number of crashes that accuse each suspected prompt part. */
+    /** Id of the crash evidence of the leader, which a sender that has reported crashes to another leader lacks. */
+    evidence: z.string().optional(),
+    /** Number of crashes that accuse each suspected prompt part or request. */
     suspectedParts: z.record(z.string(), z.number()).optional(),
-    /** Prompt parts whose requests must be refused; absent if the steward does not know the newest verdicts. */
+    /**
+     * Prompt parts and requests that must be refused; absent if the steward does not know the newest verdicts or the
+     * sender has them.
+     */
     blockedParts: z.array(blockedPartSchema).optional(),
+    /** Tag of the newest verdicts; absent if the steward does not know them. */
+    blockedTag: z.number().optional(),
     /** Permits granted to the sender, by endpoint; absent if the steward grants none at all. */
     permits: z.record(z.string(), z.int().nonnegative()).optional(),
     /** Ingresses in contact with the leader; sent when the roster differs from the sender's. */
--- a/packages/ingress/src/fleet-view.ts
+++ b/packages/ingress/src/fleet-view.ts
@@ -6,9 +6,12 @@
     CatalogFreshness,
     EndpointDirectory,
     type IngressDescription,
+    isRequestKey,
     LimitPermits,
     ownRecord,
     PromptCrashes,
+    type RequestSuspects,
+    suspectKeys,
     UsageLedger,
 } from "@lentilramp/fleet";
 import type { Clock, EventLog } from "@lentilramp/runtime";
@@ -37,7 +40,7 @@
     readonly endpoints = new EndpointDirectory();
     /** Limits of endpoints, and the permits to send to those that have one. */
     readonly limits: LimitPermits;
-    /** Prompt parts that crash engines; undefined if the policy switches that off. */
+    /** Requests and prompt parts that crash endpoints; undefined if the policy switches that off. */
     readonly crashes: PromptCrashes | undefined;
     readonly loads: LoadTracker;
     readonly health: EndpointHealth;
@@ -53,6 +56,9 @@
     /** Ingresses in contact with the leading steward, including this one. */
     roster: readonly IngressDescription[] = [];
     rosterTag = 0;
+    /** Tag of the verdicts on requests and prompt parts; 0 before the first ones. */
+    blockedTag = 0;
+    private readonly judgesRequests: boolean;
     private syncedWithLeader = false;
     /** Number of ingresses that may be running, including this one; 0 until a steward has reported it. */
     reportedMemberCount = 0;
@@ -73,6 +79,7 @@
         private readonly hooks: FleetViewHooks,
     ) {
         this.crashes = components.policy.crashingParts ? new PromptCrashes() : undefined;
+        this.judgesRequests = components.policy.crashingRequests;
         this.loads = components.createLoadTracker();
         this.health = components.createEndpointHealth();
         this.prefixMemory = components.createPrefixMemory();
@@ -106,6 +113,11 @@
         return this.clock.now() + (this.fleetTimeOffsetMs ?? Date.now() - this.clock.now());
     }
 
+    /** Returns the suspects of a request for which this ingress may refuse it. */
+    judgedSuspects(suspects: RequestSuspects): string[] {
+        return this.judgesRequests ? suspectKeys(suspects) : [...suspects.parts];
+    }
+
     /** Asks for an early sync with the leading steward. */
     requestSync(): void {
         this.hooks.requestSync();
@@ -123,8 +135,16 @@
             && (this.caps.fleetSizeKnown || this.catalog.workspaces.every(({ capPerSecond }) => capPerSecond <= 0));
     }
 
-    /** Applies the answer to a sync that was sent at `sentAt` and asked for the permits `wanted`. */
-    applySyncAnswer(answer: SyncAnswer, sentAt: number, wanted: SyncRequest["permits"] = {}): void {
+    /**
+     * Applies the answer to a sync that was sent at `sentAt`, asked for the permits `wanted` and reported the crashes
+     * `reported`.
+     */
+    applySyncAnswer(
+        answer: SyncAnswer,
+        sentAt: number,
+        wanted: SyncRequest["permits"] = {},
+        reported: SyncRequest["crashes"] = [],
+    ): void {
         if (answer.catalog !== undefined) {
             this.applyCatalog(answer.catalog.version, answer.catalog.text, answer.leading);
         }
@@ -137,13 +157,11 @@
             this.reportedMemberCount = answer.members;
         }
         this.engineRates = answer.engineRates === undefined ? this.engineRates : ownRecord(answer.engineRates);
-        this.applyBlockedParts(answer.blockedParts);
+        this.applyVerdicts(answer);
         if (!answer.leading) {
             return;
         }
-        if (this.crashes?.applySuspects(answer.suspectedParts ?? {}) === true) {
-            this.hooks.requestSync();
-        }
+        this.applyCrashEvidence(answer, reported);
         this.syncedWithLeader = true;
         this.silentMemberCount = answer.silent ?? 0;
         this.leaderAnsweredAt = sentAt;
@@ -195,13 +213,36 @@
         }
     }
 
-    private applyBlockedParts(blocked: SyncAnswer["blockedParts"]): void {
-        const changes = blocked === undefined ? undefined : this.crashes?.applyBlocked(blocked);
-        for (const part of changes?.added ?? []) {
-            this.log.warn("prompt-part.refused-from-now", { part });
+    private applyVerdicts({ blockedParts, blockedTag }: SyncAnswer): void {
+        if (blockedParts === undefined) {
+            return;
+        }
+        this.blockedTag = blockedTag ?? 0;
+        const changes = this.crashes?.applyBlocked(blockedParts);
+        for (const key of changes?.added ?? []) {
+            if (isRequestKey(key)) {
+                this.log.warn("crashing-request.refused-from-now", { request: key });
+            }
+            else {
+                this.log.warn("prompt-part.refused-from-now", { part: key });
+            }
+        }
+        for (const key of changes?.ended ?? []) {
+            if (isRequestKey(key)) {
+                this.log.info("crashing-request.served-again", { request: key });
+            }
+            else {
+                this.log.info("prompt-part.served-again", { part: key });
+            }
         }
-        for (const part of changes?.ended ?? []) {
-            this.log.info("prompt-part.served-again", { part });
+    }
+
+    /** Applies what the leader knows of crashes; asks for an early sync if it lacks something that it wants to hear. */
+    private applyCrashEvidence({ evidence, suspectedParts = {} }: SyncAnswer, reported: SyncRequest["crashes"]): void {
+        const lacksReports = this.crashes?.acknowledge(evidence, reported, this.clock.now()) ?? false;
+        const wantsAnswers = this.crashes?.applySuspects(suspectedParts) ?? false;
+        if (lacksReports || wantsAnswers) {
+            this.hooks.requestSync();
         }
     }
 
--- a/packages/ingress/src/ingress-policy.ts
+++ b/packages/ingress/src/ingress-policy.ts
@@ -27,7 +27,8 @@
     readingWeight: mechanism("prefers an engine that has read a prompt to one that would answer a little sooner"),
     overbooking: mechanism("sends one request more than an endpoint has slots"),
     ejection: mechanism("sends nothing to endpoints that fail much more often than their siblings"),
-    crashingParts: mechanism("learns which prompt parts crash engines, and refuses requests with them"),
+    crashingParts: mechanism("learns which requests and prompt parts crash endpoints, and refuses requests with them"),
+    crashingRequests: mechanism("refuses whole requests that crash endpoints, beside prompt parts"),
     resumption: mechanism("resumes a broken stream at another endpoint"),
 });
 export type IngressPolicy = z.infer<typeof ingressPolicySchema>;
--- a/packages/ingress/src/prompt-outcome.ts
+++ b/packages/ingress/src/prompt-outcome.ts
@@ -1,47 +1,41 @@
-import { type Endpoint, sharedParts } from "@lentilramp/fleet";
+import { type Endpoint, suspectKeys } from "@lentilramp/fleet";
 import type { Timer } from "@lentilramp/runtime";
 import type { AdmittedRequest } from "./admission.ts";
 import type { BodyEnd } from "./answer-writer.ts";
 import type { RelayContext } from "./relay.ts";
 
 /**
- * Time that an answer must last after its first chunk to count as begun, in milliseconds. An engine that crashes as it
- * writes the first token may have sent a part of it.
+ * Time that an answer must last after its first chunk to count as begun, in milliseconds. An endpoint that crashes as it
+ * writes the first chunk may have sent a part of it.
  */
 const begunAfterMs = 100;
 
-/** Records what one request shows of its prompt: that an engine has begun to answer it, or has crashed before. */
+/** Records what one request shows of itself and its prompt: that an endpoint has begun to answer, or has crashed before. */
 export class PromptOutcome {
-    /** Parts of the prompt that others can share. */
-    readonly parts: readonly string[];
     private begun = false;
     private timer: Timer | undefined;
 
-    constructor(private readonly admitted: AdmittedRequest, private readonly ctx: RelayContext) {
-        this.parts = sharedParts(admitted.dispatch.work?.parts ?? []);
-    }
-
-    /** Whether requests with a part of this prompt are refused. */
-    get isBlocked(): boolean {
-        return this.ctx.view.crashes?.blockingPart(this.parts) !== undefined;
-    }
+    constructor(private readonly admitted: AdmittedRequest, private readonly ctx: RelayContext) {}
 
     /** Whether the request may be sent to another endpoint after one may have run it. */
     get mayRepeat(): boolean {
-        return this.ctx.view.crashes?.mayRepeat(this.parts) ?? true;
+        const { suspects } = this.admitted;
+        const { view } = this.ctx;
+        return suspects === undefined || (view.crashes?.mayRepeat(view.judgedSuspects(suspects)) ?? true);
     }
 
-    /** Called when the first chunk of an attempt's answer has arrived. */
+    /** Called when the first chunk of an attempt's streamed answer has arrived. */
     onFirstChunk(): void {
         const { clock } = this.ctx;
-        this.timer = clock.schedule(clock.now() + begunAfterMs, () => this.recordBegun());
+        this.timer = clock.schedule(clock.now() + begunAfterMs, () => this.recordBegun(this.keys));
     }
 
     /** Called when the answer of an attempt has ended. */
     onAnswerEnd(endpoint: Endpoint, end: BodyEnd, status: number): void {
         this.timer?.cancel();
-        if (end === "complete" && status === 200) {
-            this.recordBegun();
+        if (end === "complete" && status < 500) {
+            // Errors of engines may be given without a look at the prompt.
+            this.recordBegun(status === 200 ? this.keys : this.keys.slice(0, 1));
         }
         else if (end === "cut" && !this.begun) {
             this.onLoss(endpoint);
@@ -57,10 +51,15 @@
         }
     }
 
-    private recordBegun(): void {
+    private get keys(): string[] {
+        const { suspects } = this.admitted;
+        return suspects === undefined ? [] : suspectKeys(suspects);
+    }
+
+    private recordBegun(keys: readonly string[]): void {
         if (!this.begun) {
             this.begun = true;
-            this.ctx.view.crashes?.recordBegun(this.parts, this.ctx.clock.now());
+            this.ctx.view.crashes?.recordBegun(keys, this.ctx.clock.now());
         }
     }
 }
--- a/packages/ingress/src/refusal.ts
+++ b/packages/ingress/src/refusal.ts
@@ -1,8 +1,10 @@
 import { sendJson } from "@lentilramp/protocol";
 import type { ServerResponse } from "node:http";
 
-/** Retry delay of a request with a prompt part that crashes engines, in milliseconds; it is refused for minutes. */
-export const blockedPartRetryMs = 60_000;
+/** Retry delay of a request that crashes endpoints, in milliseconds; it is refused for minutes. */
+export const blockedRetryMs = 60_000;
+/** Retry delay of a request on which the fleet is about to decide, in milliseconds. */
+export const withheldRetryMs = 1_000;
 
 /** Reason that a caller gets after an unexpected error of this process. */
 export const internalErrorReason = "internal error";
--- a/packages/ingress/src/relayed-call.ts
+++ b/packages/ingress/src/relayed-call.ts
@@ -43,7 +43,6 @@
         );
         this.recorder.describeCuts(() => ({ runs: this.runs, endpoint: this.currentAttempt?.endpoint.id }));
         this.selection = new EndpointSelection(admitted, ctx, {
-            isBlocked: () => this.prompt.isBlocked,
             onFirstDecision: best => this.recorder.recordDemand(best),
             onChoice: choice => this.prepareAttempt(choice),
         });
--- a/packages/steward/src/fleet-coordinator.ts
+++ b/packages/steward/src/fleet-coordinator.ts
@@ -19,6 +19,7 @@
 import type { SyncAnswer, SyncRequest } from "@lentilramp/ingress";
 import type { Clock } from "@lentilramp/runtime";
 import murmurhash from "murmurhash";
+import { randomUUID } from "node:crypto";
 
 /** Time for which the overview of all ingresses is reused, in milliseconds. */
 const overviewLifetimeMs = 100;
@@ -52,7 +53,9 @@
     readonly medianClock = new MedianClock();
     readonly usageWindows: UsageWindows;
     readonly crashJudge = new CrashJudge();
-    /** Instant at which an ingress last refused a request for a blocked prompt part. */
+    /** Identifies what `crashJudge` has heard; ingresses repeat their reports to other evidence. */
+    private readonly evidence = randomUUID();
+    /** Instant at which an ingress last refused a request for a blocked prompt part or request. */
     readonly refusedPartAt = new Map<string, number>();
     private readonly ingresses = new Map<string, IngressState>();
     private readonly limits = new LimitAllocator();
@@ -90,8 +93,14 @@
         return changed;
     }
 
-    /** Records the report of an ingress and returns the answer to its sync. */
-    sync(req: SyncRequest): Omit<SyncAnswer, "leading" | "stewards" | "catalog" | "blockedParts"> {
+    /**
+     * Records the report of an ingress and returns the answer to its sync. `blocked` are the prompt parts and requests
+     * whose verdicts stand.
+     */
+    sync(
+        req: SyncRequest,
+        blocked: ReadonlySet<string> = new Set(),
+    ): Omit<SyncAnswer, "leading" | "stewards" | "catalog" | "blockedParts" | "blockedTag"> {
         const now = this.clock.now();
         const { name } = req.ingress;
         this.roster.recordContact(req.ingress, now);
@@ -124,7 +133,8 @@
             silent: overview.silent,
             trueMs: this.medianClock.timeOfDayMs(now),
             leaving: this.directory.leavingBeforeList,
-            suspectedParts: this.crashJudge.suspects(now),
+            evidence: this.evidence,
+            suspectedParts: this.crashJudge.suspects(now, blocked),
             limits: this.limits.statements.reports(now),
             permits: Object.fromEntries(
                 Object.entries(req.permits).map(([id, demand]) => [id, this.limits.grant(id, demand, overview, now)]),
--- a/packages/steward/src/steward-methods.ts
+++ b/packages/steward/src/steward-methods.ts
@@ -12,10 +12,10 @@
 import { z } from "zod";
 import type { FleetCoordinator } from "./fleet-coordinator.ts";
 import type { MemberRetirement } from "./member-retirement.ts";
-import type { PartVerdicts } from "./part-verdicts.ts";
 import type { StewardCore } from "./steward-core.ts";
 import { errorMessage } from "./steward-core.ts";
 import type { StewardState } from "./steward-state.ts";
+import type { SuspectVerdicts } from "./suspect-verdicts.ts";
 import { SyncServer } from "./sync-server.ts";
 
 export const submitAnswerSchema = z.discriminatedUnion("kind", [
@@ -33,7 +33,7 @@
     /** Address of the leader, if another steward leads. */
     leader: z.object({ host: z.string(), port: z.int() }).optional(),
     blocked: z.array(blockedPartSchema),
-    /** Whether the part was blocked and its verdict has been ended. */
+    /** Whether the part or request was blocked and its verdict has been ended. */
     lifted: z.boolean().optional(),
 });
 export const rosterAnswerSchema = z.object({
@@ -52,7 +52,7 @@
     repair: MembershipRepair;
     retirement: MemberRetirement;
     transport: RpcTransport;
-    verdicts: PartVerdicts;
+    verdicts: SuspectVerdicts;
     /** Whether this steward has assumed the duties in the current term. */
     holdsDuties: () => boolean;
 }
@@ -79,7 +79,11 @@
             : undefined,
         engineRates: state.engineRates,
         current: state.isCurrent,
-        blockedParts: state.isCurrent ? [...state.blockedParts] : undefined,
+        // Ingresses need the keys alone; the evidence is for operators.
+        blockedParts: state.isCurrent && state.blocked.tag !== req.blockedTag
+            ? state.blockedParts.map(({ part }) => ({ part, endpoints: [] }))
+            : undefined,
+        blockedTag: state.isCurrent ? state.blocked.tag : undefined,
     };
     if (!holdsDuties()) {
         return {
@@ -90,7 +94,7 @@
             members: state.ingressCount,
         };
     }
-    return { ...common, leading: true, ...coordinator.sync(req) };
+    return { ...common, leading: true, ...coordinator.sync(req, state.blocked.keys) };
 }
 
 /** Registers the RPC methods of a steward, and returns the server of the syncs for the metrics. */
--- a/packages/steward/src/steward-state.ts
+++ b/packages/steward/src/steward-state.ts
@@ -1,13 +1,14 @@
 import type { Entry, Role } from "@lentilramp/agreement";
 import type { StateMachine } from "@lentilramp/control";
 import { type BlockedPart, blockedPartSchema, ownRecord } from "@lentilramp/fleet";
+import murmurhash from "murmurhash";
 import { z } from "zod";
 
 /** Number of usage reports retained for retries; older ones are long past their due time. */
 const retainedReports = 40;
 
-/** Largest number of blocked prompt parts; the oldest verdict ends when there are more. */
-const maxBlockedParts = 64;
+/** Largest number of blocked prompt parts and requests; the oldest verdict ends when there are more. */
+export const maxBlockedParts = 256;
 
 const reportSchema = z.object({ window: z.number(), counts: z.record(z.string(), z.number()) });
 export type UsageReport = z.infer<typeof reportSchema>;
@@ -23,7 +24,7 @@
     z.object({ type: z.literal("members"), count: z.number() }),
     /** Prompt speed of the engines of a service, for processes that start without measurements. */
     z.object({ type: z.literal("engine-rate"), service: z.string(), tokensPerMs: z.number() }),
-    /** A prompt part that crashes engines: its requests are refused. */
+    /** A prompt part or a request that crashes endpoints, and is refused. */
     z.object({ type: z.literal("block-part"), verdict: blockedPartSchema }),
     /** The end of a verdict, by an operator or because it has lapsed. */
     z.object({ type: z.literal("unblock-part"), part: z.string() }),
@@ -78,6 +79,9 @@
         blockedParts: [],
         holders: [],
     };
+    private cachedBlocked:
+        | { blockedParts: readonly BlockedPart[]; keys: ReadonlySet<string>; tag: number; }
+        | undefined;
     private role: Role = "follower";
     private term = 0;
     /** Term of the last entry that was applied while this member followed or led without interruption. */
@@ -110,11 +114,22 @@
         return ownRecord(this.state.engineRates);
     }
 
-    /** Prompt parts whose requests are refused, in the order of the verdicts. */
+    /** Prompt parts and requests that are refused, in the order of the verdicts. */
     get blockedParts(): readonly BlockedPart[] {
         return this.state.blockedParts;
     }
 
+    /** Keys of the prompt parts and requests that are refused, and a tag of these verdicts that is never 0. */
+    get blocked(): { keys: ReadonlySet<string>; tag: number; } {
+        const { blockedParts } = this.state;
+        if (this.cachedBlocked?.blockedParts !== blockedParts) {
+            const keys = blockedParts.map(({ part }) => part);
+            const tag = murmurhash.v3(keys.join(",")) || 1;
+            this.cachedBlocked = { blockedParts, keys: new Set(keys), tag };
+        }
+        return this.cachedBlocked;
+    }
+
     get isLeader(): boolean {
         return this.role === "leader";
     }
--- a/packages/steward/src/part-verdicts.ts
+++ b/packages/steward/src/suspect-verdicts.ts
@@ -1,10 +1,11 @@
-import { syncIntervalMs } from "@lentilramp/fleet";
+import { type BlockedPart, isRequestKey, syncIntervalMs } from "@lentilramp/fleet";
 import { type Clock, type EventLog, PeriodicComponent } from "@lentilramp/runtime";
 import type { FleetCoordinator } from "./fleet-coordinator.ts";
 import { errorMessage, type StewardCore } from "./steward-core.ts";
+import { maxBlockedParts } from "./steward-state.ts";
 
 const checkIntervalMs = 100;
-/** Time after the last refusal for a blocked part until its verdict lapses, in milliseconds. */
+/** Time after the last refusal for a blocked suspect until its verdict lapses, in milliseconds. */
 const lapseMs = 600_000;
 /**
  * Syncs that pass from a crash until every ingress has heard of the suspects and reported its begun answers: one to
@@ -14,9 +15,12 @@
 /** Time for those syncs to travel and be answered, in milliseconds. */
 const settleMarginMs = 200;
 
-/** Decides, at the leader, which prompt parts crash engines, and ends verdicts that have lapsed or proved wrong. */
-export class PartVerdicts extends PeriodicComponent {
-    readonly name = "part-verdicts";
+/**
+ * Decides, at the leader, which requests and prompt parts crash endpoints, and ends verdicts that have lapsed or proved
+ * wrong.
+ */
+export class SuspectVerdicts extends PeriodicComponent {
+    readonly name = "suspect-verdicts";
     /** Instants at which this leader first saw the verdicts that stand. */
     private readonly standingSince = new Map<string, number>();
 
@@ -30,7 +34,7 @@
         super(clock, checkIntervalMs);
     }
 
-    /** Ends a verdict for an operator; returns false if the part is not blocked. Rejects with a ControlError. */
+    /** Ends a verdict for an operator; returns false if the suspect is not blocked. Rejects with a ControlError. */
     async lift(part: string): Promise<boolean> {
         if (!this.core.state.blockedParts.some(verdict => verdict.part === part)) {
             return false;
@@ -58,14 +62,35 @@
         }
         const members = coordinator.roster.countMembers(now);
         const settleMs = syncIntervalMs(members) * settleSyncs + settleMarginMs;
-        const known = new Set(state.blockedParts.map(({ part }) => part));
-        for (const verdict of coordinator.crashJudge.verdicts(now, settleMs, known)) {
+        for (const verdict of coordinator.crashJudge.verdicts(now, settleMs, state.blocked.keys)) {
+            await this.makeRoom();
             await this.core.propose({ type: "block-part", verdict });
-            this.log.warn("prompt-part.blocked", {
-                part: verdict.part,
-                crashes: verdict.endpoints.length,
-                endpoints: verdict.endpoints.join(","),
-            });
+            this.logBlocked(verdict);
+        }
+    }
+
+    /** Ends the verdict whose suspect was refused least recently if there are as many as the state holds. */
+    private async makeRoom(): Promise<void> {
+        const { coordinator, core: { state } } = this;
+        if (state.blockedParts.length < maxBlockedParts) {
+            return;
+        }
+        const usedAt = (key: string): number =>
+            Math.max(this.standingSince.get(key) ?? -Infinity, coordinator.refusedPartAt.get(key) ?? -Infinity);
+        const [idle] = state.blockedParts.map(({ part }) => part).sort((a, b) => usedAt(a) - usedAt(b));
+        if (idle !== undefined) {
+            await this.end(idle, "too many verdicts");
+        }
+    }
+
+    private logBlocked({ part, endpoints }: BlockedPart): void {
+        const service = this.coordinator.endpoints.find(({ id }) => endpoints.includes(id))?.service;
+        const evidence = { service, crashes: endpoints.length, endpoints: endpoints.join(",") };
+        if (isRequestKey(part)) {
+            this.log.warn("crashing-request.blocked", { request: part, ...evidence });
+        }
+        else {
+            this.log.warn("prompt-part.blocked", { part, ...evidence });
         }
     }
 
@@ -78,6 +103,11 @@
         this.coordinator.crashJudge.clear(part, this.clock.now());
         this.standingSince.delete(part);
         this.coordinator.refusedPartAt.delete(part);
-        this.log.warn("prompt-part.unblocked", { part, reason });
+        if (isRequestKey(part)) {
+            this.log.warn("crashing-request.unblocked", { request: part, reason });
+        }
+        else {
+            this.log.warn("prompt-part.unblocked", { part, reason });
+        }
     }
 }
--- a/packages/steward/tests/fleet-coordinator.test.ts
+++ b/packages/steward/tests/fleet-coordinator.test.ts
@@ -36,6 +36,7 @@
         crashes: [],
         begunParts: {},
         refusedParts: [],
+        blockedTag: 0,
         demand: {},
         ...overrides,
     };
