Tell other ingresses at once of requests that were lost in crashes

Cause: an ingress learns of the crashes that others saw with its next sync, up to 250 ms later. Change: the feed of an ingress carries the requests that it lost in a crash to those that follow it. For a second these crashes count beside the leader's number, for withholding a request and not repeating it.

--- a/packages/cli/src/wire-ingress.ts
+++ b/packages/cli/src/wire-ingress.ts
@@ -110,6 +110,7 @@
         runName,
         (scope, name) => follower.countCovered(scope, name),
         clock,
+        view.crashes?.fresh,
     );
     feed.attach(inner, base.key);
     const follower: ExchangeSubscriber = new ExchangeSubscriber(
@@ -118,6 +119,7 @@
             loads: view.loads,
             caps: view.caps,
             onMemberChange: name => feed.markBusy(name),
+            crashes: view.crashes?.fresh,
         },
         () => view.roster,
         base.key,
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -8,6 +8,7 @@
 export * from "./catalog-freshness.ts";
 export * from "./crash-evidence.ts";
 export * from "./crash-judge.ts";
+export * from "./crash-news.ts";
 export * from "./demand-forecast.ts";
 export * from "./endpoint-directory.ts";
 export * from "./exchange-topology.ts";
--- a/packages/fleet/src/prompt-crashes.ts
+++ b/packages/fleet/src/prompt-crashes.ts
@@ -7,6 +7,7 @@
     type RequestSuspects,
     suspectedRequestCrashes,
 } from "./crash-evidence.ts";
+import { FreshCrashes } from "./crash-news.ts";
 import type { EndpointLifetime } from "./endpoint-directory.ts";
 import { OwnCrashes } from "./own-crashes.ts";
 
@@ -45,6 +46,8 @@
     private readonly begunParts = new BegunAnswers(maxBegunParts);
     private readonly begunRequests = new BegunAnswers(maxBegunRequests);
     private readonly own = new OwnCrashes();
+    /** Crashes of the last second, of which the leader may not have heard. */
+    readonly fresh = new FreshCrashes();
     /** Evidence of the leader that has answered last; undefined if it has no id. */
     private leader: string | undefined;
     private suspects: Readonly<Record<string, number>> = {};
@@ -61,6 +64,7 @@
     /** Records the crash at `at` of an endpoint at which this request was waiting for its answer to begin. */
     recordCrash(lifetime: EndpointLifetime, suspects: RequestSuspects, at: number): void {
         this.own.record(lifetime, suspects, at);
+        this.fresh.record(lifetime, suspects.request, at);
     }
 
     /** Returns the crashes that this ingress has seen and of which the leader is not known to have heard. */
@@ -121,7 +125,12 @@
         this.blocked = new Set(blocked.map(({ part }) => part));
         const ended = [...before].filter(key => !this.blocked.has(key));
         ended.forEach(key => this.own.forget(key));
-        return { added: [...this.blocked].filter(key => !before.has(key)), ended };
+        const added = [...this.blocked].filter(key => !before.has(key));
+        if (added.length > 0) {
+            // The new verdict may explain them; the leader's count says what remains.
+            this.fresh.clear();
+        }
+        return { added, ended };
     }
 
     /** Number of suspects whose requests are refused. */
@@ -140,10 +149,10 @@
     }
 
     /** Whether a request whose endpoint crashed may be sent to another one. */
-    mayRepeat(keys: readonly string[]): boolean {
+    mayRepeat(keys: readonly string[], now: number): boolean {
         return this.blockingPart(keys) === undefined
             && keys.every(key =>
-                this.countCrashes(key) < (isRequestKey(key) ? suspectedRequestCrashes : unrepeatedPartCrashes)
+                this.countCrashes(key, now) < (isRequestKey(key) ? suspectedRequestCrashes : unrepeatedPartCrashes)
             );
     }
 
@@ -153,7 +162,7 @@
      */
     withheld(keys: readonly string[], now: number): string | undefined {
         return keys.find(key =>
-            isRequestKey(key) && this.countCrashes(key) >= accusingRequestCrashes
+            isRequestKey(key) && this.countCrashes(key, now) >= accusingRequestCrashes
             && now - (this.begunAt(key) ?? -Infinity) >= crashEvidenceMs
         );
     }
@@ -163,18 +172,14 @@
     }
 
     /** Number of crashes that accuse a suspect, by the leader's count and by those of which it has not heard. */
-    private countCrashes(key: string): number {
+    private countCrashes(key: string, now: number): number {
         const counted = this.suspects[key] ?? 0;
-        const { reported, unreported } = this.own.count(
-            key,
-            this.begunAt(key) ?? -Infinity,
-            this.leader,
-            this.blocked,
-        );
+        const begunAt = this.begunAt(key) ?? -Infinity;
+        const { reported, unreported } = this.own.count(key, begunAt, this.leader, this.blocked);
         // The crash of an endpoint is seen by many ingresses with the same parts, but only by one with the same request.
         // The leader does not name requests with a single crash.
         return isRequestKey(key)
-            ? Math.max(counted, Math.min(1, reported)) + unreported
+            ? Math.max(counted + unreported, Math.min(1, reported) + unreported, this.fresh.count(key, begunAt, now))
             : Math.max(counted, unreported);
     }
 }
--- a/packages/fleet/tests/crash-evidence.test.ts
+++ b/packages/fleet/tests/crash-evidence.test.ts
@@ -68,8 +68,8 @@
     it("does not repeat a request with a part that two crashes accuse", () => {
         const crashes = new PromptCrashes();
         crashes.applySuspects({ p: 1, q: 2 });
-        expect(crashes.mayRepeat(["p"])).to.equal(true);
-        expect(crashes.mayRepeat(["p", "q"])).to.equal(false);
+        expect(crashes.mayRepeat(["p"], 0)).to.equal(true);
+        expect(crashes.mayRepeat(["p", "q"], 0)).to.equal(false);
     });
 });
 
--- a/packages/fleet/tests/crashing-requests.test.ts
+++ b/packages/fleet/tests/crashing-requests.test.ts
@@ -169,11 +169,11 @@
     // Guards against repeats of a request that the leader has not heard of yet.
     it("does not repeat a request after two crashes that it has seen itself", () => {
         crash("a", deadly, 1_000);
-        expect(crashes.mayRepeat([deadly])).to.equal(true);
+        expect(crashes.mayRepeat([deadly], 0)).to.equal(true);
         crash("b", deadly, 1_100);
-        expect(crashes.mayRepeat(["p", deadly])).to.equal(false);
+        expect(crashes.mayRepeat(["p", deadly], 0)).to.equal(false);
         crashes.recordBegun([deadly], 1_200);
-        expect(crashes.mayRepeat([deadly])).to.equal(true);
+        expect(crashes.mayRepeat([deadly], 0)).to.equal(true);
     });
 
     it("adds crashes of which the leader has not heard to those that it counts", () => {
@@ -204,8 +204,8 @@
         expect(crashes.withheld([sound], 1_100)).to.equal(sound);
         crashes.applyBlocked([{ part: deadly }]);
         expect(crashes.withheld([sound], 1_100)).to.equal(undefined);
-        expect(crashes.mayRepeat([sound])).to.equal(true);
-        expect(crashes.mayRepeat([deadly])).to.equal(false);
+        expect(crashes.mayRepeat([sound], 0)).to.equal(true);
+        expect(crashes.mayRepeat([deadly], 0)).to.equal(false);
         expect(crashes.blockingPart([sound, deadly])).to.equal(deadly);
     });
 });
--- a/packages/ingress/src/exchange-feed.ts
+++ b/packages/ingress/src/exchange-feed.ts
@@ -1,5 +1,5 @@
 import type { EndpointLoad, LoadTracker } from "@lentilramp/dispatch";
-import { type CapMeter, type ExchangeScope, FeedPace } from "@lentilramp/fleet";
+import { type CapMeter, type ExchangeScope, FeedPace, type FreshCrashes } from "@lentilramp/fleet";
 import { type HttpServer, type ProcessKey, sendJson } from "@lentilramp/protocol";
 import { type Clock, Component, type Timer } from "@lentilramp/runtime";
 import type { ServerResponse } from "node:http";
@@ -33,6 +33,8 @@
     lastSentAt: number;
     /** Number of the last change of load that has been processed for the subscriber. */
     sentChange: number;
+    /** Number of the last lost request that the subscriber has been told of. */
+    toldLost: number;
 }
 
 /**
@@ -58,12 +60,16 @@
         /** Returns the number of ingresses whose load and cap usage a subscriber receives. */
         private readonly countCovered: (scope: ExchangeScope, subscriber: string) => number,
         private readonly clock: Clock,
+        /** Crashes of which the subscribers that follow this ingress itself are told. */
+        private readonly crashes?: FreshCrashes,
     ) {
         super();
-        loads.onChange(() => {
+        const onChange = (): void => {
             this.lastChange++;
             this.scheduleNext();
-        });
+        };
+        loads.onChange(onChange);
+        crashes?.onNews(onChange);
     }
 
     /** Serves the feed to subscribers that authenticate with the process key. */
@@ -94,6 +100,7 @@
                 sentUsage: new Map(),
                 lastSentAt: -Infinity,
                 sentChange: -1,
+                toldLost: 0,
             });
         });
     }
@@ -193,9 +200,11 @@
             covered: this.countCovered(subscriber.scope, subscriber.name),
             load: changedLoad(subscriber.sentLoad, load),
             used: changedUsage(subscriber.sentUsage, used),
+            lost: this.newsOfCrashes(subscriber, now),
         };
         subscriber.sentChange = this.lastChange;
-        if (line.load === undefined && line.used === undefined && now < subscriber.lastSentAt + heartbeatMs) {
+        const isUnchanged = line.load === undefined && line.used === undefined && line.lost === undefined;
+        if (isUnchanged && now < subscriber.lastSentAt + heartbeatMs) {
             // The change is outside the scope of this subscriber.
             return;
         }
@@ -205,6 +214,15 @@
         subscriber.res.write(`${JSON.stringify(line)}\n`);
     }
 
+    private newsOfCrashes(subscriber: Subscriber, now: number): ExchangeLine["lost"] {
+        if (this.crashes === undefined || subscriber.scope !== "own") {
+            return undefined;
+        }
+        const news = this.crashes.newsAfter(subscriber.toldLost, now);
+        subscriber.toldLost = this.crashes.lastNumber;
+        return news.length === 0 ? undefined : news;
+    }
+
     private currentLoad({ name, scope }: Subscriber): Map<string, EndpointLoad> {
         switch (scope) {
             case "own":
--- a/packages/ingress/src/exchange-messages.ts
+++ b/packages/ingress/src/exchange-messages.ts
@@ -1,4 +1,5 @@
 import type { EndpointLoad } from "@lentilramp/dispatch";
+import { crashNewsSchema } from "@lentilramp/fleet";
 import { z } from "zod";
 
 /** Path of the feed on the inner server of an ingress; the query holds the subscriber's name and the feed's scope. */
@@ -16,6 +17,8 @@
     load: z.record(z.string(), z.tuple([z.number(), z.number()])).optional(),
     /** Units used of caps since the start of the process, by workspace. */
     used: z.record(z.string(), z.number()).optional(),
+    /** Requests that the sender has lost in crashes of endpoints since the last line; in lines of scope `own` only. */
+    lost: z.array(crashNewsSchema).optional(),
 });
 export type ExchangeLine = z.infer<typeof exchangeLineSchema>;
 
--- a/packages/ingress/src/exchange-subscriber.ts
+++ b/packages/ingress/src/exchange-subscriber.ts
@@ -1,5 +1,11 @@
 import type { LoadTracker } from "@lentilramp/dispatch";
-import { type CapMeter, type ExchangeScope, type IngressDescription, peersToFollow } from "@lentilramp/fleet";
+import {
+    type CapMeter,
+    type ExchangeScope,
+    type FreshCrashes,
+    type IngressDescription,
+    peersToFollow,
+} from "@lentilramp/fleet";
 import type { ProcessKey } from "@lentilramp/protocol";
 import { type Clock, type EventLog, PeriodicComponent } from "@lentilramp/runtime";
 import { type ClientRequest, get, type IncomingMessage } from "node:http";
@@ -23,6 +29,8 @@
     caps: CapMeter;
     /** Called when a peer has reported a change of its own load. */
     onMemberChange: (name: string) => void;
+    /** Takes what peers tell of crashes. */
+    crashes?: FreshCrashes | undefined;
 }
 
 /** Subscribes to the feeds of the ingresses that the topology selects. */
@@ -165,7 +173,7 @@
             feed.close("unreadable line");
             return;
         }
-        const { loads, caps, onMemberChange } = this.consumers;
+        const { loads, caps, crashes, onMemberChange } = this.consumers;
         const isFull = line.lifetime !== undefined;
         feed.lifetime = line.lifetime ?? feed.lifetime;
         feed.covered = line.covered;
@@ -179,6 +187,7 @@
         if (isFull || line.used !== undefined) {
             caps.recordPeerUse(name, feed.lifetime ?? "", line.used ?? {}, feed.scope, this.clock.now());
         }
+        line.lost?.forEach(news => crashes?.recordNews(news, this.clock.now()));
         if (isMember && line.load !== undefined) {
             onMemberChange(name);
         }
--- a/packages/ingress/src/prompt-outcome.ts
+++ b/packages/ingress/src/prompt-outcome.ts
@@ -20,8 +20,9 @@
     /** Whether the request may be sent to another endpoint after one may have run it. */
     get mayRepeat(): boolean {
         const { suspects } = this.admitted;
-        const { view } = this.ctx;
-        return suspects === undefined || (view.crashes?.mayRepeat(view.judgedSuspects(suspects)) ?? true);
+        const { view, clock } = this.ctx;
+        return suspects === undefined
+            || (view.crashes?.mayRepeat(view.judgedSuspects(suspects), clock.now()) ?? true);
     }
 
     /** Called when the first chunk of an attempt's streamed answer has arrived. */
--- a/packages/ingress/tests/exchange.test.ts
+++ b/packages/ingress/tests/exchange.test.ts
@@ -1,5 +1,11 @@
 import { LoadTracker } from "@lentilramp/dispatch";
-import { CapMeter, type ExchangeScope, type FleetCoverage, type IngressDescription } from "@lentilramp/fleet";
+import {
+    CapMeter,
+    type ExchangeScope,
+    type FleetCoverage,
+    FreshCrashes,
+    type IngressDescription,
+} from "@lentilramp/fleet";
 import { defaultHttpServerOptions, HttpServer, ProcessKey } from "@lentilramp/protocol";
 import { MemoryEventLog, SystemClock } from "@lentilramp/runtime";
 import { expect } from "chai";
@@ -15,6 +21,7 @@
 class ExchangeNode {
     readonly loads = new LoadTracker();
     readonly caps: CapMeter;
+    readonly crashes = new FreshCrashes();
     readonly log = new MemoryEventLog();
     private readonly clock = new SystemClock();
     private readonly key = new ProcessKey("k".repeat(32));
@@ -42,6 +49,7 @@
                 loads: this.loads,
                 caps: this.caps,
                 onMemberChange: peer => this.feed.markBusy(peer),
+                crashes: this.crashes,
             },
             roster,
             this.key,
@@ -49,7 +57,7 @@
             this.log,
         );
         const covered = (scope: ExchangeScope, asker: string): number => this.subscriber.countCovered(scope, asker);
-        this.feed = new ExchangeFeed(this.loads, this.caps, `${name}/run`, covered, this.clock);
+        this.feed = new ExchangeFeed(this.loads, this.caps, `${name}/run`, covered, this.clock, this.crashes);
         this.feed.attach(this.http, this.key);
     }
 
@@ -111,6 +119,17 @@
         await waitUntil(() => two.loads.load("e1", 0).running === 0, 150);
     });
 
+    // Guards against a request that ends endpoint after endpoint while it is repeated faster than the leader can tell.
+    it("tells of the requests that were lost in a crash, once and without a change of load", async () => {
+        const [one, two] = await startPair();
+        const now = new SystemClock().now();
+        one.crashes.record({ id: "e1", startedAt: 1 }, "r", now);
+        await waitUntil(() => two.crashes.count("r", -Infinity, now) === 1, 150);
+        two.crashes.record({ id: "e2", startedAt: 1 }, "r", now);
+        await waitUntil(() => one.crashes.count("r", -Infinity, now) === 2, 150);
+        expect(two.crashes.count("r", -Infinity, now)).to.equal(2);
+    });
+
     it("sends its full load to an ingress that subscribes after the load arose", async () => {
         const roster = () => exchanges.map(exchange => exchange.description);
         const [one] = await startPair();
