--- a/packages/fleet/src/prompt-crashes.ts
+++ b/packages/fleet/src/prompt-crashes.ts
@@ -17,6 +17,8 @@
 const maxBegunRequests = 16_384;
 /** Number of crashes from which requests with a suspected part are not repeated at another endpoint. */
 const unrepeatedPartCrashes = 2;
+/** Time in which a new leader learns of all crashes; until then the suspects of the one before it count too. */
+const inheritedMs = 3_000;
 
 /** Instants at which answers last began, for a bounded number of keys. */
 class BegunAnswers {
@@ -51,6 +53,7 @@
     /** Evidence of the leader that has answered last; undefined if it has no id. */
     private leader: string | undefined;
     private suspects: Readonly<Record<string, number>> = {};
+    private inherited: { suspects: Readonly<Record<string, number>>; until: number; } | undefined;
     private blocked: ReadonlySet<string> = new Set();
     private refused = new Set<string>();
 
@@ -83,6 +86,9 @@
      */
     acknowledge(leader: string | undefined, reports: readonly CrashReport[], now: number): boolean {
         const isNew = this.leader !== leader;
+        if (isNew) {
+            this.inherited = { suspects: this.suspects, until: now + inheritedMs };
+        }
         this.leader = leader;
         if (leader === undefined) {
             return false;
@@ -161,8 +167,9 @@
      * decided, or undefined. Requests that this ingress has seen answered lately are sent.
      */
     withheld(keys: readonly string[], now: number): string | undefined {
+        const inherited = this.inherited !== undefined && now < this.inherited.until ? this.inherited.suspects : {};
         return keys.find(key =>
-            isRequestKey(key) && this.countCrashes(key, now) >= accusingRequestCrashes
+            isRequestKey(key) && Math.max(this.countCrashes(key, now), inherited[key] ?? 0) >= accusingRequestCrashes
             && now - (this.begunAt(key) ?? -Infinity) >= crashEvidenceMs
         );
     }
