Bound the time that a leader spends on the evidence of crashes

After an outage of 100 endpoints with 16 waiting requests each, an assessment took 61 ms, and each sync that reported a crash or an answer asked for a new one: at 200 syncs a second the leader would have done nothing else.

The assessment indexes the carriers of parts and the repeated requests, and keeps the cover of a part until one of its crashes is explained. It is made anew only for a change that can alter it, and no sooner than an eighth of a millisecond for each waiting request beyond 64; up to that number each change is assessed at once. An ingress looks up the request of an arriving call by its key.

--- a/packages/fleet/src/crash-judge.ts
+++ b/packages/fleet/src/crash-judge.ts
@@ -8,6 +8,13 @@
 const maxSuspects = 128;
 /** Time for which an assessment is reused while the evidence does not change, in milliseconds. */
 const assessmentLifetimeMs = 1_000;
+/** Number of requests in all crashes up to which each change of the evidence is assessed at once. */
+const assessedAtOnce = 64;
+/**
+ * Number of further requests for which an assessment is reused a millisecond longer, so that the leader spends a small
+ * part of its time on the evidence after an outage.
+ */
+const requestsPerReusedMs = 8;
 
 interface RecordedCrash extends Crash {
     requests: Map<string, WaitingRequest>;
@@ -17,6 +24,9 @@
 interface Assessed extends CrashAssessment {
     suspects: Record<string, number>;
     known: ReadonlySet<string>;
+    assessedAt: number;
+    /** Instant until which it is reused although the evidence has changed. */
+    reusedUntil: number;
     validUntil: number;
 }
 
@@ -30,6 +40,7 @@
     private readonly begunAt = new Map<string, number>();
     private readonly clearedAt = new Map<string, number>();
     private assessed: Assessed | undefined;
+    private hasChanged = false;
 
     /** Merges a report that was sent at `sentAt`; reports of several ingresses on one lifetime are one crash. */
     recordReport(
@@ -54,16 +65,18 @@
             addRequest(crash, `unknown:${key}`, unattributed, sentAt);
         }
         this.limitRequests(crash);
-        this.assessed = undefined;
+        this.hasChanged = true;
     }
 
     /** Records that an answer on a suspect had begun by the instant `at`. */
     recordBegun(key: string, at: number): void {
-        const before = this.begunAt.get(key) ?? -Infinity;
-        if (at > before) {
-            this.begunAt.set(key, at);
-            this.assessed = undefined;
+        const before = this.begunAt.get(key);
+        if (at <= (before ?? -Infinity)) {
+            return;
         }
+        this.begunAt.set(key, at);
+        this.hasChanged ||= before === undefined
+            || [...this.crashes.values()].some(crash => crash.at > before && crash.at <= at);
     }
 
     /** Returns the instant of the last answer that is known to have begun on a suspect. */
@@ -74,7 +87,7 @@
     /** Drops all evidence against a suspect, for instance after an operator has lifted its verdict. */
     clear(key: string, now: number): void {
         this.clearedAt.set(key, now);
-        this.assessed = undefined;
+        this.hasChanged = true;
     }
 
     /**
@@ -98,9 +111,13 @@
 
     private assess(now: number, known: ReadonlySet<string>): Assessed {
         const { assessed } = this;
-        if (assessed !== undefined && now < assessed.validUntil && isSameSet(known, assessed.known)) {
+        if (
+            assessed !== undefined && isSameSet(known, assessed.known) && now >= assessed.assessedAt
+            && now < (this.hasChanged ? assessed.reusedUntil : assessed.validUntil)
+        ) {
             return assessed;
         }
+        this.hasChanged = false;
         this.dropOld(now);
         const crashes = [...this.crashes.values()];
         const assessment = assessCrashes({
@@ -112,10 +129,13 @@
         });
         const suspects = [...assessment.requestCrashes, ...this.countParts(crashes)].sort(([, a], [, b]) => b - a)
             .slice(0, maxSuspects);
+        const waiting = crashes.reduce((sum, { requests }) => sum + requests.size, 0);
         return this.assessed = {
             ...assessment,
             suspects: Object.fromEntries(suspects),
             known: new Set(known),
+            assessedAt: now,
+            reusedUntil: now + Math.max(0, waiting - assessedAtOnce) / requestsPerReusedMs,
             validUntil: now + assessmentLifetimeMs,
         };
     }
--- a/packages/fleet/src/crash-verdicts.ts
+++ b/packages/fleet/src/crash-verdicts.ts
@@ -75,7 +75,7 @@
 /** The crashes that accuse a part, each assigned to one request that carries the part. */
 interface PartCover {
     key: string;
-    crashes: readonly Crash[];
+    crashes: ReadonlySet<Crash>;
     assigned: readonly { request: string; crashes: readonly Crash[]; }[];
 }
 
@@ -90,24 +90,44 @@
     /** Crashes of the requests that more than one accuses. */
     private readonly requests: Groups = new Map();
     private readonly parts: Groups = new Map();
-    private readonly explaining: Set<string>;
+    /** The requests that carry a part, by part and crash. */
+    private readonly carriers = new Map<string, Map<Crash, string[]>>();
+    /** The known suspects and those accused so far that waited in a crash. */
+    private readonly explaining = new Map<Crash, string[]>();
+    private readonly accused = new Set<string>();
+    /** The repeated requests that waited in a crash. */
+    private readonly repeated = new Map<Crash, string[]>();
+    private readonly covers = new Map<string, PartCover | undefined>();
 
     constructor(private readonly evidence: CrashEvidence) {
         const { crashes, known } = evidence;
-        this.explaining = new Set(known);
         for (const crash of crashes) {
-            const isOpen = !isExplained(crash, known);
-            const parts = new Set<string>();
-            for (const [id, request] of crash.requests) {
-                request.parts.forEach(part => parts.add(part));
-                if (isOpen && isRequestKey(id)) {
-                    this.add(this.requests, id, crash);
+            for (const [id, { parts }] of crash.requests) {
+                parts.forEach(part => this.addCarrier(part, crash, id));
+            }
+        }
+        known.forEach(key => this.explain(key));
+        for (const crash of crashes) {
+            for (const id of crash.requests.keys()) {
+                if (isRequestKey(id) && !this.isExplained(crash) && evidence.accuses(crash, id)) {
+                    addTo(this.requests, id, crash);
                 }
             }
-            parts.forEach(part => this.add(this.parts, part, crash));
         }
-        dropShort(this.requests, suspectedRequestCrashes);
-        dropShort(this.parts, accusingPartRequests);
+        for (const [part, byCrash] of this.carriers) {
+            const accusing = [...byCrash.keys()].filter(crash => evidence.accuses(crash, part));
+            if (accusing.length >= accusingPartRequests) {
+                this.parts.set(part, accusing);
+            }
+        }
+        for (const [id, group] of this.requests) {
+            if (group.length < suspectedRequestCrashes) {
+                this.requests.delete(id);
+            }
+            else {
+                group.forEach(crash => this.repeated.set(crash, [...this.repeated.get(crash) ?? [], id]));
+            }
+        }
     }
 
     assess(): CrashAssessment {
@@ -118,40 +138,57 @@
                 break;
             }
             accusations.push(accusation);
-            this.explaining.add(accusation.key);
+            this.explain(accusation.key);
         }
         const requestCrashes = [...this.requests].map(([key, crashes]): [string, number] => {
             // Requests that a part covers are withheld too until its answers or its verdict decide.
-            const isAccused = this.explaining.has(key) || this.accuseRequest(key, crashes) !== undefined;
+            const isAccused = this.accused.has(key) || this.accuseRequest(key, crashes) !== undefined;
             return [key, isAccused ? crashes.length : suspectedRequestCrashes];
         });
         return { accusations, requestCrashes: new Map(requestCrashes) };
     }
 
-    private add(groups: Groups, key: string, crash: Crash): void {
-        if (this.evidence.accuses(crash, key)) {
-            const group = groups.get(key);
-            if (group === undefined) {
-                groups.set(key, [crash]);
-            }
-            else {
-                group.push(crash);
+    private addCarrier(part: string, crash: Crash, request: string): void {
+        const byCrash = this.carriers.get(part) ?? new Map<Crash, string[]>();
+        this.carriers.set(part, byCrash);
+        const requests = byCrash.get(crash);
+        if (requests === undefined) {
+            byCrash.set(crash, [request]);
+        }
+        else {
+            requests.push(request);
+        }
+    }
+
+    private explain(key: string): void {
+        this.accused.add(key);
+        for (const crash of this.evidence.crashes) {
+            if (crash.requests.has(key) || this.carriers.get(key)?.has(crash) === true) {
+                this.explaining.set(crash, [...this.explaining.get(crash) ?? [], key]);
+                for (const { parts } of crash.requests.values()) {
+                    parts.forEach(part => this.covers.delete(part));
+                }
             }
         }
     }
 
+    private isExplained(crash: Crash): boolean {
+        return this.explaining.has(crash);
+    }
+
+    /** A crash that a request explains still counts for the parts of that request, since one of them may be the cause. */
+    private isExplainedForPart(crash: Crash, part: string): boolean {
+        return this.explaining.get(crash)?.some(key => crash.requests.get(key)?.parts.has(part) !== true) === true;
+    }
+
     private mostAccused(): Accusation | undefined {
-        const isOpen = ([key]: readonly [string, unknown]): boolean => !this.explaining.has(key);
-        const covers = [...this.parts].filter(isOpen)
-            .map(([key, crashes]) =>
-                coverPart(key, crashes.filter(crash => !isExplainedForPart(crash, key, this.explaining)))
-            )
-            .filter(({ assigned }) => assigned.length >= accusingPartRequests);
+        const isOpen = ([key]: readonly [string, unknown]): boolean => !this.accused.has(key);
+        const covers = [...this.parts].filter(isOpen).flatMap(([key, crashes]) => this.findCover(key, crashes) ?? []);
         const parts = covers.flatMap(cover => this.accusePart(cover) ?? []);
         const requests = [...this.requests].filter(isOpen)
             .flatMap(([key, crashes]) => this.accuseRequest(key, crashes) ?? [])
             // Sound requests that are repeated through a series of crashes must not take the blame for a part.
-            .filter(({ crashes }) => !covers.some(cover => crashes.every(crash => cover.crashes.includes(crash))));
+            .filter(({ crashes }) => !covers.some(cover => crashes.every(crash => cover.crashes.has(crash))));
         return [...parts, ...requests].reduce<Accusation | undefined>(
             (most, entry) => most === undefined || this.isMoreAccused(entry, most) ? entry : most,
             undefined,
@@ -173,20 +210,23 @@
 
     /** Returns the accusation of a part, or undefined if its crashes come from too few requests. */
     private accusePart({ key, crashes, assigned }: PartCover): Accusation | undefined {
-        const { now } = this.evidence;
-        const uncontested = crashes.filter(crash => !this.isContested(crash, key, crashes));
         let completeAt = partCompleteAt(assigned);
-        if (uncontested.length < crashes.length && now - completeAt < contestMs) {
-            completeAt = partCompleteAt(coverPart(key, uncontested).assigned);
+        if (completeAt === Infinity) {
+            return undefined;
+        }
+        const uncontested = [...crashes].filter(crash => !this.isContested(crash, key, crashes));
+        if (uncontested.length < crashes.size && this.evidence.now - completeAt < contestMs) {
+            completeAt = partCompleteAt(this.coverPart(key, uncontested).assigned);
         }
+        const all = [...crashes];
         return completeAt === Infinity
             ? undefined
-            : { key, crashes, completeAt, openUntil: this.mayBeOutage(key, crashes) ? Infinity : completeAt };
+            : { key, crashes: all, completeAt, openUntil: this.mayBeOutage(key, all) ? Infinity : completeAt };
     }
 
     /** Returns the accusation of a request, or undefined if it has too few crashes or others explain them. */
     private accuseRequest(key: string, crashes: readonly Crash[]): Accusation | undefined {
-        const unexplained = crashes.filter(crash => !isExplained(crash, this.explaining));
+        const unexplained = crashes.filter(crash => !this.isExplained(crash));
         if (crashes.length < accusingRequestCrashes || unexplained.length < minUnexplainedCrashes) {
             return undefined;
         }
@@ -200,11 +240,7 @@
                 ? Math.max(...heardAt) + contestedMs
                 : -Infinity,
         );
-        // Withheld as long as another request, that waited in all of its crashes and in more, is in doubt.
-        const isCovered = [...this.requests].some(([other, covered]) =>
-            other !== key && covered.length > crashes.length && crashes.every(crash => covered.includes(crash))
-        );
-        const isOpen = isCovered || this.mayBeOutage(key, crashes);
+        const isOpen = this.mayBeOutage(key, crashes) || this.isCovered(key, crashes);
         return { key, crashes: unexplained, completeAt, openUntil: isOpen ? Infinity : openUntil };
     }
 
@@ -213,61 +249,77 @@
         return this.evidence.wasAnswered(key) && Math.max(...instants) - Math.min(...instants) < outageMs;
     }
 
+    /** Whether another repeated request waited in all of these crashes and in more, so that it is in doubt first. */
+    private isCovered(key: string, crashes: readonly Crash[]): boolean {
+        return crashes[0] !== undefined && (this.repeated.get(crashes[0]) ?? []).some(other => {
+            const covered = other === key ? [] : this.requests.get(other) ?? [];
+            return covered.length > crashes.length && crashes.every(crash => covered.includes(crash));
+        });
+    }
+
     /**
      * Whether a repeated request that is not the suspect and does not carry it waited in a crash. Requests all of whose
      * crashes are among `explained` do not count.
      */
-    private isContested(crash: Crash, suspect: string, explained: readonly Crash[] = []): boolean {
-        return [...crash.requests].some(([id, { parts }]) => {
-            const crashes = id === suspect || parts.has(suspect) ? undefined : this.requests.get(id);
-            return crashes?.includes(crash) === true && crashes.some(other => !explained.includes(other));
-        });
+    private isContested(crash: Crash, suspect: string, explained: ReadonlySet<Crash> = new Set()): boolean {
+        return (this.repeated.get(crash) ?? []).some(id =>
+            id !== suspect && crash.requests.get(id)?.parts.has(suspect) !== true
+            && this.requests.get(id)?.some(other => !explained.has(other)) === true
+        );
     }
-}
 
-function dropShort(groups: Groups, crashes: number): void {
-    for (const [key, group] of groups) {
-        if (group.length < crashes) {
-            groups.delete(key);
+    /** Returns the unexplained crashes of a part, or undefined if they come from too few requests to accuse it. */
+    private findCover(key: string, crashes: readonly Crash[]): PartCover | undefined {
+        if (!this.covers.has(key)) {
+            const unexplained = crashes.filter(crash => !this.isExplainedForPart(crash, key));
+            const cover = unexplained.length < accusingPartRequests ? undefined : this.coverPart(key, unexplained);
+            const isShared = cover !== undefined && cover.assigned.length >= accusingPartRequests;
+            this.covers.set(key, isShared ? cover : undefined);
         }
+        return this.covers.get(key);
     }
-}
 
-/** Assigns the crashes of a part to the requests that carry it, the request that covers most of them first. */
-function coverPart(key: string, crashes: readonly Crash[]): PartCover {
-    let byRequest: Groups = new Map();
-    for (const crash of crashes) {
-        for (const [id, { parts }] of crash.requests) {
-            if (parts.has(key)) {
-                const group = byRequest.get(id);
-                byRequest.set(id, group === undefined ? [crash] : [...group, crash]);
+    /** Assigns the crashes of a part to the requests that carry it, the request that covers most of them first. */
+    private coverPart(key: string, crashes: readonly Crash[]): PartCover {
+        let byRequest: Groups = new Map();
+        for (const crash of crashes) {
+            this.carriers.get(key)?.get(crash)?.forEach(id => addTo(byRequest, id, crash));
+        }
+        const assigned: { request: string; crashes: readonly Crash[]; }[] = [];
+        const covered = new Set<Crash>();
+        const assign = (request: string, group: readonly Crash[]): void => {
+            const uncovered = group.filter(crash => !covered.has(crash));
+            if (uncovered.length > 0) {
+                assigned.push({ request, crashes: uncovered });
+                uncovered.forEach(crash => covered.add(crash));
             }
+        };
+        while (covered.size < crashes.length) {
+            const [request, group] = [...byRequest].reduce((most, entry) =>
+                entry[1].length > most[1].length ? entry : most
+            );
+            if (group.length === 1) {
+                byRequest.forEach((rest, id) => assign(id, rest));
+                break;
+            }
+            assign(request, group);
+            byRequest = new Map(
+                [...byRequest].map(([id, rest]): [string, Crash[]] => [id, rest.filter(crash => !covered.has(crash))])
+                    .filter(([, rest]) => rest.length > 0),
+            );
         }
+        return { key, crashes: new Set(crashes), assigned };
     }
-    const assigned: { request: string; crashes: readonly Crash[]; }[] = [];
-    const covered = new Set<Crash>();
-    const assign = (request: string, group: readonly Crash[]): void => {
-        const crashes = group.filter(crash => !covered.has(crash));
-        if (crashes.length > 0) {
-            assigned.push({ request, crashes });
-            crashes.forEach(crash => covered.add(crash));
-        }
-    };
-    while (covered.size < crashes.length) {
-        const [request, group] = [...byRequest].reduce((most, entry) =>
-            entry[1].length > most[1].length ? entry : most
-        );
-        if (group.length === 1) {
-            byRequest.forEach((rest, id) => assign(id, rest));
-            break;
-        }
-        assign(request, group);
-        byRequest = new Map(
-            [...byRequest].map(([id, rest]): [string, Crash[]] => [id, rest.filter(crash => !covered.has(crash))])
-                .filter(([, rest]) => rest.length > 0),
-        );
+}
+
+function addTo(groups: Groups, key: string, crash: Crash): void {
+    const group = groups.get(key);
+    if (group === undefined) {
+        groups.set(key, [crash]);
+    }
+    else {
+        group.push(crash);
     }
-    return { key, crashes, assigned };
 }
 
 /** Returns the instant at which the evidence against a part was complete, or Infinity if it is not. */
@@ -286,17 +338,3 @@
 function nthSmallest(values: readonly number[], n: number): number {
     return [...values].sort((a, b) => a - b)[n - 1] ?? Infinity;
 }
-
-/** Whether a crash holds one of the suspects that explain crashes. */
-export function isExplained({ requests }: Crash, explaining: ReadonlySet<string>): boolean {
-    return explaining.size > 0
-        && [...requests].some(([id, { parts }]) => explaining.has(id) || [...parts].some(part => explaining.has(part)));
-}
-
-/** A crash that a request explains still counts for the parts of that request, since one of them may be the cause. */
-function isExplainedForPart({ requests }: Crash, key: string, explaining: ReadonlySet<string>): boolean {
-    return explaining.size > 0
-        && [...requests].some(([id, { parts }]) =>
-            explaining.has(id) && !parts.has(key) || [...parts].some(part => explaining.has(part))
-        );
-}
--- a/packages/fleet/src/own-crashes.ts
+++ b/packages/fleet/src/own-crashes.ts
@@ -1,4 +1,4 @@
-import { crashEvidenceMs, type CrashReport, type RequestSuspects } from "./crash-evidence.ts";
+import { crashEvidenceMs, type CrashReport, isRequestKey, type RequestSuspects } from "./crash-evidence.ts";
 import type { EndpointLifetime } from "./endpoint-directory.ts";
 
 const maxCrashes = 64;
@@ -102,9 +102,9 @@
     count(key: string, begunAt: number, leader: string | undefined, blocked: ReadonlySet<string>): OwnCrashCount {
         const counts = { reported: 0, unreported: 0 };
         for (const { at, requests } of this.crashes) {
-            const holders = [...requests].filter(([id, { parts }]) => id === key || parts.has(key));
-            if (at >= begunAt && holders.length > 0 && !isExplained(requests, blocked)) {
-                counts[holders.every(([, { heardBy }]) => isHeard(heardBy, leader)) ? "reported" : "unreported"]++;
+            const holders = at < begunAt ? [] : holdersOf(requests, key);
+            if (holders.length > 0 && !isExplained(requests, blocked)) {
+                counts[holders.every(({ heardBy }) => isHeard(heardBy, leader)) ? "reported" : "unreported"]++;
             }
         }
         return counts;
@@ -127,6 +127,14 @@
     }
 }
 
+function holdersOf(requests: OwnCrash["requests"], key: string): WaitingRequest[] {
+    const request = requests.get(key);
+    if (request !== undefined) {
+        return [request];
+    }
+    return isRequestKey(key) ? [] : [...requests.values()].filter(({ parts }) => parts.has(key));
+}
+
 function isHeard(heardBy: string | undefined, leader: string | undefined): boolean {
     return leader !== undefined && heardBy === leader;
 }
