Bound the requests in the evidence of crashes

An assessment of 256 crashes with 64 waiting requests each took 760 ms in one block (measured when it was written), longer than an election timeout. Beyond 2,048 requests in all crashes, those of the oldest crashes that no other crash accuses are dropped. Evidence: the new test of crashing-requests.test.ts; without the bound the request of the oldest crash is still counted.

--- a/packages/fleet/src/crash-judge.ts
+++ b/packages/fleet/src/crash-judge.ts
@@ -4,6 +4,8 @@
 
 const maxCrashes = 256;
 const maxRequestsPerCrash = 256;
+/** Number of requests in all crashes; an assessment of so many stays well below an election timeout. */
+const maxRequests = 2_048;
 const maxPartsPerRequest = 64;
 const maxSuspects = 128;
 /** Time for which an assessment is reused while the evidence does not change, in milliseconds. */
@@ -171,9 +173,31 @@
         }
     }
 
+    /** Drops requests of the oldest crashes that no other crash accuses while there are too many in all crashes. */
+    private limitAllRequests(): void {
+        const crashes = [...this.crashes.values()];
+        let excess = crashes.reduce((sum, { requests }) => sum + requests.size, 0) - maxRequests;
+        if (excess <= 0) {
+            return;
+        }
+        const occurrences = new Map<string, number>();
+        for (const id of crashes.flatMap(({ requests }) => [...requests.keys()])) {
+            occurrences.set(id, (occurrences.get(id) ?? 0) + 1);
+        }
+        for (const { requests } of crashes) {
+            for (const id of requests.keys()) {
+                if (excess > 0 && occurrences.get(id) === 1) {
+                    requests.delete(id);
+                    excess--;
+                }
+            }
+        }
+    }
+
     private dropOld(now: number): void {
         const recent = [...this.crashes].filter(([, { at }]) => now - at < crashEvidenceMs);
         this.crashes = new Map(recent.sort(([, a], [, b]) => a.at - b.at).slice(-maxCrashes));
+        this.limitAllRequests();
         for (const instants of [this.begunAt, this.clearedAt]) {
             for (const [key, at] of instants) {
                 if (now - at >= crashEvidenceMs) {
--- a/packages/fleet/tests/crashing-requests.test.ts
+++ b/packages/fleet/tests/crashing-requests.test.ts
@@ -153,6 +153,21 @@
         expect(sharedParts([{ id: "p" }, { id: deadly }, { id: "last" }])).to.deep.equal(["p"]);
     });
 
+    // Guards against an outage after which the leader spends longer on the evidence than an election takes.
+    it("bounds the requests of all crashes, and keeps those that several crashes accuse", () => {
+        const waiting = (crash: number): Record<string, readonly string[]> =>
+            Object.fromEntries(Array.from({ length: 64 }, (...[, i]) => [requestKey(`${crash}-${i}`), []]));
+        for (let crash = 0; crash < 256; crash++) {
+            const repeated = crash % 50 === 0 ? { [deadly]: [] } : {};
+            judge.recordReport(report(`e${crash}`, { ...waiting(crash), ...repeated }), 1_000 + crash);
+        }
+        expect(judge.suspects(2_000)[deadly]).to.equal(6);
+        // The oldest ones that no other crash accuses were dropped, so that only the newest have a second crash now.
+        judge.recordReport(report("again", { [requestKey("0-5")]: [], [requestKey("255-5")]: [] }), 2_100);
+        expect(judge.suspects(9_000)).to.include({ [requestKey("255-5")]: 2 }).and.not.have.property(requestKey("0-5"));
+        expect(accused(9_000)).to.deep.equal([deadly]);
+    });
+
     it("bounds the requests of a crash and keeps those of earlier crashes", () => {
         judge.recordReport(report("a", { [deadly]: [] }), 1_000);
         judge.recordReport(report("b", { [deadly]: [] }), 1_000);
