--- a/packages/fleet/tests/repeating-fleet.test.ts
+++ b/packages/fleet/tests/repeating-fleet.test.ts
@@ -75,4 +75,15 @@
             }
         });
     }
+
+    // Guards against several requests that hide one another when each of their repeats meets the crashes of the others.
+    it("sends at most three late while three crash the only three endpoints, 3, 8 and 64 ingresses", () => {
+        const deadly = [plain, { ...plain, copies: 2 }, { ...plain, everyMs: 700, repeatable: false }];
+        const late = [3, 8, 64].flatMap(ingresses =>
+            [1, 2, 3].flatMap(seed =>
+                new RepeatingFleet({ deadly, ingresses, seed }).play().deadly.map(outcome => outcome.sentAfterBound)
+            )
+        );
+        expect(Math.max(...late)).to.be.at.most(3);
+    });
 });
