Read what has arrived before a silent endpoint is left

What callers saw: after a pause of the ingress (garbage collection, lack of processor time) each idempotent request in flight was sent once more although its answer had arrived. Cause: timers run before sockets are read. Change: a silent attempt is judged in the check phase of the event loop, after its sockets have been read.

--- a/packages/ingress/src/silence-watch.ts
+++ b/packages/ingress/src/silence-watch.ts
@@ -9,6 +9,7 @@
  */
 export class SilenceWatch {
     private timer: Timer | undefined;
+    private immediate: NodeJS.Immediate | undefined;
 
     constructor(
         private readonly clock: Clock,
@@ -21,18 +22,23 @@
     /** Expects the next sign of progress by the instant `until`, instead of any earlier expectation. */
     expectBy(until: number): void {
         this.cancel();
-        this.timer = this.clock.schedule(until, () => {
-            if (this.tryReplace()) {
-                this.onReplace();
-            }
-            else {
-                this.expectBy(this.clock.now() + recheckIntervalMs);
-            }
-        });
+        // Timers run before sockets are read: after a pause of this process, the answer may be there already.
+        this.timer = this.clock.schedule(until, () => this.immediate = setImmediate(() => this.onSilence()));
     }
 
     cancel(): void {
         this.timer?.cancel();
         this.timer = undefined;
+        clearImmediate(this.immediate);
+        this.immediate = undefined;
+    }
+
+    private onSilence(): void {
+        if (this.tryReplace()) {
+            this.onReplace();
+        }
+        else {
+            this.expectBy(this.clock.now() + recheckIntervalMs);
+        }
     }
 }
