Blame no endpoint for a request that cannot be written

What callers saw: a workspace whose name no header holds took up to half of the endpoints away from all other workspaces for seconds. Evidence: unsendable-requests.test.ts failed before (ejected after a few calls).

--- a/packages/ingress/src/attempt.ts
+++ b/packages/ingress/src/attempt.ts
@@ -15,6 +15,8 @@
         reason: string;
         /** Whether the endpoint received the request and rejected it. */
         received: boolean;
+        /** Whether the request cannot be written, which is not the endpoint's fault. */
+        unsendable?: boolean;
         head?: AnswerHead;
     }
     /** The endpoint may have run the request. */
@@ -121,7 +123,7 @@
         }
         catch (err) {
             // Node.js throws for an address or a head that cannot be sent, before it opens a connection.
-            settle({ kind: "not-run", reason: `cannot be sent: ${String(err)}`, received: false });
+            settle({ kind: "not-run", reason: `cannot be sent: ${String(err)}`, received: false, unsendable: true });
             return;
         }
         this.req = req;
--- a/packages/ingress/src/relayed-call.ts
+++ b/packages/ingress/src/relayed-call.ts
@@ -171,10 +171,10 @@
     private onFailure(inFlight: InFlightAttempt, outcome: Exclude<AttemptOutcome, { kind: "answer"; }>): boolean {
         this.lastFailureReason = outcome.reason;
         this.selection.exclude(inFlight.endpoint.id);
-        const rejected = outcome.kind === "not-run" && outcome.received;
+        const blameless = outcome.kind === "not-run" && (outcome.received || outcome.unsendable === true);
         const routeTimedOut = outcome.kind === "unknown" && outcome.timedOut === true
             && this.ctx.clock.now() < inFlight.silenceFaultFrom;
-        if (!rejected && !routeTimedOut) {
+        if (!blameless && !routeTimedOut) {
             this.recorder.recordHealth(inFlight.endpoint, "broken");
         }
         if (outcome.kind === "unknown" && outcome.timedOut !== true) {
