Answer what a caller is owed before anything that may fail

What callers saw: 503, which promises that the request has not run, for an at-most-once request that an endpoint has run, or a begun stream that stayed open: when the error that ended the request was met again while its end was written down. Cause: RelayedCall.giveUp wrote its log line first, and an error there reached Relay.handle, which takes it for one of the admission. An attempt whose preparation failed after it was booked left the endpoint booked. Change: the answer or the close comes first; errors after it are logged and change nothing for the caller. Relay.handle tells errors of the admission from those of the call. An attempt is booked last.

--- a/packages/ingress/src/call-recorder.ts
+++ b/packages/ingress/src/call-recorder.ts
@@ -9,6 +9,7 @@
 import type { EventFields } from "@lentilramp/runtime";
 import murmurhash from "murmurhash";
 import type { AdmittedRequest } from "./admission.ts";
+import type { CutCause } from "./caller-cuts.ts";
 import type { AnswerHead } from "./platform-adapter.ts";
 import { internalErrorReason } from "./refusal.ts";
 import type { RelayContext } from "./relay.ts";
@@ -159,13 +160,27 @@
         }));
     }
 
-    /** Reports that the caller's connection is closed in the middle of the answer. */
-    recordCut(reason: string): void {
+    /** Reports that the caller's connection is closed in the middle of the answer, and closes it in any case. */
+    reportCut(reason: string, close: () => void): void {
         const { caller, res } = this.admitted;
-        if (!res.destroyed) {
-            const broken = this.lastBreak === "stalled" ? "stalled" : "endpoint-cut";
-            const cause = reason === internalErrorReason ? "error" : reason === "time is up" ? "deadline" : broken;
-            caller.recordCut(cause, { reason });
+        try {
+            if (!res.destroyed) {
+                caller.recordCut(this.cutCause(reason), { reason });
+            }
+        }
+        finally {
+            close();
+        }
+    }
+
+    private cutCause(reason: string): CutCause {
+        switch (reason) {
+            case internalErrorReason:
+                return "error";
+            case "time is up":
+                return "deadline";
+            default:
+                return this.lastBreak === "stalled" ? "stalled" : "endpoint-cut";
         }
     }
 
--- a/packages/ingress/src/endpoint-selection.ts
+++ b/packages/ingress/src/endpoint-selection.ts
@@ -35,9 +35,9 @@
         private readonly hooks: SelectionHooks,
     ) {}
 
-    /** Instant at which the request was submitted to the queue of its service; undefined before. */
-    get queuedSince(): number | undefined {
-        return this.queuedAt;
+    /** Whether the request has waited in the queue of its service. */
+    hasWaited(now: number): boolean {
+        return this.queuedAt !== undefined && now > this.queuedAt;
     }
 
     /** Leaves an endpoint out of later choices. */
--- a/packages/ingress/src/in-flight-attempt.ts
+++ b/packages/ingress/src/in-flight-attempt.ts
@@ -31,13 +31,7 @@
 ): InFlightAttempt {
     const now = ctx.clock.now();
     const { dispatch } = admitted;
-    const booking = ctx.view.loads.trackRequest(endpoint.id, prediction, now);
-    ctx.view.health.recordDispatch(endpoint.id, now);
-    ctx.view.limits.recordSend(endpoint.id, now);
     const service = ctx.view.catalog?.services.get(dispatch.service);
-    if (dispatch.work !== undefined && service?.engine !== undefined) {
-        ctx.view.prefixMemory.record(endpoint.id, dispatch.work.parts, service.engine.kvCacheTokens, now);
-    }
     const firstByteExpectedBy = answerExpectedBy(admitted, prediction, now);
     const attempt = new Attempt(
         {
@@ -61,6 +55,13 @@
         ctx.headerCodec,
         ctx.clock,
     );
+    // Booked last, so that an attempt that cannot be prepared leaves nothing behind.
+    if (dispatch.work !== undefined && service?.engine !== undefined) {
+        ctx.view.prefixMemory.record(endpoint.id, dispatch.work.parts, service.engine.kvCacheTokens, now);
+    }
+    ctx.view.health.recordDispatch(endpoint.id, now);
+    ctx.view.limits.recordSend(endpoint.id, now);
+    const booking = ctx.view.loads.trackRequest(endpoint.id, prediction, now);
     return {
         attempt,
         endpoint,
--- a/packages/ingress/src/relay.ts
+++ b/packages/ingress/src/relay.ts
@@ -189,13 +189,19 @@
             if (!this.view.ready) {
                 await this.waitUntilReady(res, arrivedAt + startupWaitMs);
             }
-            const admitted = await this.admission.admit(req, res, caller, arrivedAt);
+            const admitted = await this.admission.admit(req, res, caller, arrivedAt).catch((err: unknown) =>
+                this.onFailedAdmission(err, req, res, caller)
+            );
             if (admitted !== undefined) {
                 await new RelayedCall(admitted, this).run();
             }
         }
         catch (err) {
-            this.onFailedAdmission(err, req, res, caller);
+            // What the caller is owed has been sent: a call answers before it does anything else that may fail.
+            this.log.error("request.broken", { error: describeError(err) });
+            if (!res.writableEnded) {
+                res.destroy();
+            }
         }
         finally {
             this.inFlight--;
@@ -203,11 +209,16 @@
     }
 
     /** Ends a request that was not admitted because of an error; nothing has been sent to an endpoint. */
-    private onFailedAdmission(err: unknown, req: IncomingMessage, res: ServerResponse, caller: CallerExchange): void {
+    private onFailedAdmission(
+        err: unknown,
+        req: IncomingMessage,
+        res: ServerResponse,
+        caller: CallerExchange,
+    ): undefined {
         if (err instanceof IncompleteBodyError) {
             caller.recordCut("incomplete-request");
             res.destroy();
-            return;
+            return undefined;
         }
         const { attemptId } = this.headerCodec.decodeCallerHead(req.headers);
         this.log.error("request.broken", { id: attemptId, error: describeError(err) });
@@ -215,6 +226,7 @@
             // The body may not have been read, so the connection cannot be kept.
             sendRefusal(res, 503, internalErrorReason, internalErrorRetryMs, true);
         }
+        return undefined;
     }
 
     queue(service: string): DispatchQueue<Endpoint> {
--- a/packages/ingress/src/relayed-call.ts
+++ b/packages/ingress/src/relayed-call.ts
@@ -150,8 +150,7 @@
         if (this.currentAttempt !== undefined) {
             return this.writer.started ? "resumption" : "retry";
         }
-        const { queuedSince } = this.selection;
-        return queuedSince !== undefined && now > queuedSince ? "queue" : "arrival";
+        return this.selection.hasWaited(now) ? "queue" : "arrival";
     }
 
     /** Records an attempt that this ingress aborted; the resulting reset does not count against the endpoint. */
@@ -354,10 +353,14 @@
     /** Ends the request after an unexpected error, with the answer that is true for what has been sent. */
     private onInternalError(err: unknown): void {
         this.recorder.recordInternalError(err);
-        if (!this.finished && !this.stopped && !this.admitted.res.writableEnded) {
-            this.giveUp(internalErrorReason, undefined);
+        try {
+            if (!this.finished && !this.stopped && !this.admitted.res.writableEnded) {
+                this.giveUp(internalErrorReason, undefined);
+            }
+        }
+        finally {
+            this.stop();
         }
-        this.stop();
     }
 
     /** Ends a request without an answer before a planned stop closes its connection; a begun answer may go on. */
@@ -371,25 +374,24 @@
     /** Ends the request without an endpoint's answer. A caller may retry a request that is certain not to have run. */
     private giveUp(reason: string, retryAfterMs: number | undefined, best?: EndpointChoice<Endpoint>): void {
         const { res, workspace, units } = this.admitted;
+        const cut = this.writer.started;
         const notRun = this.runs === 0
             && (this.currentAttempt === undefined || this.currentAttempt.slotReleased || retryAfterMs !== undefined);
-        // The attempt in progress is counted only when it has ended.
-        this.recorder.recordGiveUp(reason, notRun ? 0 : Math.max(1, this.runs), best);
         this.finished = true;
-        this.outcome = this.writer.started ? "cut" : notRun ? "refused" : "failed";
-        if (this.writer.started) {
-            this.recorder.recordCut(reason);
-            res.destroy();
-            return;
-        }
-        const close = this.ctx.connections.closesAfter(res);
-        if (!notRun) {
-            sendRefusal(res, reason === "time is up" ? 504 : 502, reason, undefined, close);
-            return;
-        }
-        if (workspace !== undefined) {
+        this.outcome = cut ? "cut" : notRun ? "refused" : "failed";
+        // What the caller is owed comes before anything that may fail.
+        if (cut) {
+            this.recorder.reportCut(reason, () => res.destroy());
+        }
+        else {
+            const status = notRun ? 503 : reason === "time is up" ? 504 : 502;
+            const retryMs = notRun ? retryAfterMs ?? endpointRefusedRetryMs : undefined;
+            sendRefusal(res, status, reason, retryMs, this.ctx.connections.closesAfter(res));
+        }
+        if (notRun && workspace !== undefined) {
             this.ctx.view.caps.refund(workspace, units);
         }
-        sendRefusal(res, 503, reason, retryAfterMs ?? endpointRefusedRetryMs, close);
+        // The attempt in progress is counted only when it has ended.
+        this.recorder.recordGiveUp(reason, notRun ? 0 : Math.max(1, this.runs), best);
     }
 }
