Return to a silent endpoint when no other one takes the request

What callers saw: a stream whose sound endpoint paused was closed, and an idempotent request got 502, with seconds of their time left, because the endpoint that was asked instead had no free slot or broke. Cause: a candidate counted as an alternative although it was full, and the silent endpoint stayed excluded. Change: only an endpoint with a free slot replaces a silent one, and when no other takes the request, the one that was left for its silence may be chosen again, within the attempts of the route and the retry budget.

--- a/packages/ingress/src/attempt.ts
+++ b/packages/ingress/src/attempt.ts
@@ -24,7 +24,7 @@
         kind: "unknown";
         reason: string;
         /** Whether the ingress ended the attempt for another one because the answer was overdue. */
-        timedOut?: boolean;
+        replaced?: boolean;
     };
 
 export interface AttemptInput {
@@ -147,7 +147,7 @@
             });
         });
         this.silence = new SilenceWatch(this.clock, tryReplace, () => {
-            settle({ kind: "unknown", reason: "no answer in time", timedOut: true });
+            settle({ kind: "unknown", reason: "no answer in time", replaced: true });
             req.destroy();
             this.pool.closeIdleConnections(endpoint.id);
         });
--- a/packages/ingress/src/endpoint-selection.ts
+++ b/packages/ingress/src/endpoint-selection.ts
@@ -25,6 +25,8 @@
 /** Chooses the endpoints of one request's attempts, and leaves out those that have failed it. */
 export class EndpointSelection {
     private readonly excluded = new Set<string>();
+    /** Endpoints that were left because they were silent; sound ones may go on. */
+    private readonly silent = new Set<string>();
     private withdraw: () => void = () => undefined;
     private queuedAt: number | undefined;
     private decided = false;
@@ -40,9 +42,9 @@
         return this.queuedAt !== undefined && now > this.queuedAt;
     }
 
-    /** Leaves an endpoint out of later choices. */
-    exclude(endpoint: string): void {
-        this.excluded.add(endpoint);
+    /** Leaves an endpoint out of later choices; one that was only silent as long as another one can take the request. */
+    exclude(endpoint: string, wasSilent = false): void {
+        (wasSilent ? this.silent : this.excluded).add(endpoint);
     }
 
     /** Withdraws the request from the queue. */
@@ -50,9 +52,10 @@
         this.withdraw();
     }
 
-    /** Whether an endpoint other than `current` could take the request now. */
+    /** Whether an endpoint other than `current` has a free slot for the request now. */
     hasAlternativeTo(current: Endpoint): boolean {
-        return this.choose(new Set([...this.excluded, current.id])) !== undefined;
+        const choice = this.choose(new Set([...this.excluded, ...this.silent, current.id]));
+        return choice !== undefined && choice.running < choice.endpoint.slots;
     }
 
     /** Waits in the queue of the service for an endpoint for the first attempt. */
@@ -111,7 +114,8 @@
      * says whether an endpoint may have run the request, so that it cannot be refused any more.
      */
     selectAnother(mayHaveRun: boolean): QueueOutcome<Endpoint> {
-        const choice = this.choose(this.excluded);
+        // A silent endpoint is better than none: the request may have been rejected everywhere else.
+        const choice = this.choose(new Set([...this.excluded, ...this.silent])) ?? this.choose(this.excluded);
         if (choice !== undefined) {
             const send = { kind: "send", choice } as const;
             const decision = mayHaveRun ? send : decideDuringStop(send, this.admitted, this.ctx);
--- a/packages/ingress/src/relayed-call.ts
+++ b/packages/ingress/src/relayed-call.ts
@@ -139,10 +139,11 @@
      * `runs` is the number of attempts so far, including the silent one.
      */
     private tryReplace(silent: Endpoint, runs: number): boolean {
-        const { dispatch, route } = this.admitted;
-        this.nextAttemptBudgeted = this.retryable && runs < route.maxAttempts && this.prompt.mayRepeat
-            && this.selection.hasAlternativeTo(silent)
-            && this.ctx.retryBudget(dispatch.service).tryWithdraw(this.ctx.clock.now());
+        const now = this.ctx.clock.now();
+        const budget = this.ctx.retryBudget(this.admitted.dispatch.service);
+        // Asked again and again while an endpoint is silent, so what costs least comes first.
+        this.nextAttemptBudgeted = this.retryable && runs < this.admitted.route.maxAttempts && budget.canWithdraw(now)
+            && this.prompt.mayRepeat && this.selection.hasAlternativeTo(silent) && budget.tryWithdraw(now);
         return this.nextAttemptBudgeted;
     }
 
@@ -169,14 +170,13 @@
     /** Handles a failed attempt; returns whether the request is finished, otherwise it may be retried. */
     private onFailure(inFlight: InFlightAttempt, outcome: Exclude<AttemptOutcome, { kind: "answer"; }>): boolean {
         this.lastFailureReason = outcome.reason;
-        this.selection.exclude(inFlight.endpoint.id);
         const blameless = outcome.kind === "not-run" && (outcome.received || outcome.unsendable === true);
-        const routeTimedOut = outcome.kind === "unknown" && outcome.timedOut === true
-            && this.ctx.clock.now() < inFlight.silenceFaultFrom;
-        if (!blameless && !routeTimedOut) {
+        const wasSilent = outcome.kind === "unknown" && outcome.replaced === true;
+        if (!blameless && !(wasSilent && this.ctx.clock.now() < inFlight.silenceFaultFrom)) {
             this.recorder.recordHealth(inFlight.endpoint, "broken");
         }
-        if (outcome.kind === "unknown" && outcome.timedOut !== true) {
+        this.selection.exclude(inFlight.endpoint.id, wasSilent);
+        if (outcome.kind === "unknown" && !wasSilent) {
             this.prompt.onLoss(inFlight.endpoint);
         }
         if (outcome.kind === "not-run" && outcome.head !== undefined) {
@@ -247,7 +247,7 @@
         if (end === "left") {
             return true;
         }
-        this.selection.exclude(inFlight.endpoint.id);
+        this.selection.exclude(inFlight.endpoint.id, end === "stalled");
         this.lastFailureReason = `answer ${end}`;
         this.recorder.recordFailedAttempt(inFlight, "cut", end);
         // An answer that has been partly sent can be continued only after a complete event.
--- a/packages/retries/src/retry-budget.ts
+++ b/packages/retries/src/retry-budget.ts
@@ -39,12 +39,18 @@
         this.requests[index] = (this.requests[index] ?? 0) + 1;
     }
 
+    /** Whether the budget allows one more retry or hedge now. */
+    canWithdraw(now: number): boolean {
+        this.advance(now);
+        return sum(this.withdrawals) + 1 < this.options.ratio * sum(this.requests) + this.reserve;
+    }
+
     /** Withdraws one retry or hedge from the budget and returns true, or returns false if the budget is exhausted. */
     tryWithdraw(now: number): boolean {
-        const index = this.advance(now);
-        if (sum(this.withdrawals) + 1 >= this.options.ratio * sum(this.requests) + this.reserve) {
+        if (!this.canWithdraw(now)) {
             return false;
         }
+        const index = this.advance(now);
         this.withdrawals[index] = (this.withdrawals[index] ?? 0) + 1;
         return true;
     }
