Contain errors of queued decisions in one place

The queue keeps it; an error of the first decision rejects the promise of the selection as before. No change for callers.

--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -56,7 +56,6 @@
             | "blocked-part"
             | "blocked-request"
             | "withheld-request"
-            | "internal-error"
             | "overload"
             | "stopping";
         retryAfterMs: number;
--- a/packages/ingress/src/endpoint-selection.ts
+++ b/packages/ingress/src/endpoint-selection.ts
@@ -8,7 +8,6 @@
 import type { Endpoint } from "@lentilramp/fleet";
 import type { AdmittedRequest } from "./admission.ts";
 import { decideOnSuspects } from "./crash-gate.ts";
-import { internalErrorRetryMs } from "./refusal.ts";
 import type { RelayContext } from "./relay.ts";
 import { decideDuringStop } from "./stop-admission.ts";
 
@@ -64,28 +63,16 @@
         const model = ctx.latencyModel(dispatch.service);
         ctx.view.limits.recordRequest(dispatch.service);
         this.queuedAt = ctx.clock.now();
-        return new Promise((resolve, reject) => {
-            // The queue also decides in the turn of another request, which an error of this one must not end.
-            const attempt = <T>(action: () => T, fallback: T): T => {
-                try {
-                    return action();
-                }
-                catch (err) {
-                    reject(err as Error);
-                    return fallback;
-                }
-            };
-            const failed = { kind: "refuse", reason: "internal-error", retryAfterMs: internalErrorRetryMs } as const;
+        return new Promise(resolve => {
             this.withdraw = ctx.queue(dispatch.service).submit(
                 dispatch,
-                ahead => attempt(() => this.decide(model, ahead), failed),
-                outcome =>
-                    attempt(() => {
-                        if (outcome.kind === "send") {
-                            hooks.onChoice(outcome.choice);
-                        }
-                        resolve(outcome);
-                    }, undefined),
+                ahead => this.decide(model, ahead),
+                outcome => {
+                    if (outcome.kind === "send") {
+                        hooks.onChoice(outcome.choice);
+                    }
+                    resolve(outcome);
+                },
             );
         });
     }
--- a/packages/ingress/src/relay.ts
+++ b/packages/ingress/src/relay.ts
@@ -175,7 +175,7 @@
         entry.placeMs += placeMs;
     }
 
-    /** Handles one request; resolves when it has been answered or its connection has closed. */
+    /** Handles one request; resolves when what its caller is owed has been sent or its connection has closed. */
     async handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
         const arrivedAt = this.clock.now();
         if (!this.connections.recordRequest(req, res)) {
