Refuse a malformed body only after the answers that are due before it

Callers that pipeline got 400 in place of the answer to a request that had run, if the body of the request after it was malformed: CallerConnections.pendingAnswer looked at the newest request of the connection only, whose body is incomplete, and found nothing to wait for. The open answers of a connection are now kept in the order of their requests. Bytes that are no request wait for the last answer that is due: its request has been read whole, or its head is written. The request whose body is malformed then gets its 400; if the bytes are part of no request, the connection closes as before.

--- a/packages/ingress/src/caller-connections.ts
+++ b/packages/ingress/src/caller-connections.ts
@@ -2,36 +2,62 @@
 import type { Socket } from "node:net";
 import type { PlannedStop } from "./planned-stop.ts";
 
+interface CallerConnection {
+    /** The answers that have not closed, in the order of their requests. */
+    openAnswers: Set<ServerResponse>;
+    announcedClose: boolean;
+}
+
 /**
- * Decides which answers announce the close of their connection. A caller may send several requests without waiting for
- * the answers (pipelining); no answer can follow the one that announces the close.
+ * Knows the answers that are due on each caller's connection, and decides which of them announce its close. A caller may
+ * send several requests without waiting for the answers (pipelining); no answer can follow the one that announces the
+ * close.
  */
 export class CallerConnections {
-    private readonly newestAnswers = new WeakMap<Socket, ServerResponse>();
-    private readonly closing = new WeakSet<Socket>();
+    private readonly connections = new WeakMap<Socket, CallerConnection>();
 
     constructor(private readonly stop: PlannedStop) {}
 
     /** Records a request. Returns false if an earlier answer has announced the close, so that it cannot be answered. */
     recordRequest(req: IncomingMessage, res: ServerResponse): boolean {
-        this.newestAnswers.set(req.socket, res);
-        return !this.closing.has(req.socket);
+        const { openAnswers, announcedClose } = this.connection(req.socket);
+        if (announcedClose) {
+            return false;
+        }
+        openAnswers.add(res);
+        res.once("close", () => openAnswers.delete(res));
+        return true;
     }
 
-    /** Returns the newest answer of a connection if its request has been read whole and the answer has not ended. */
-    pendingAnswer(socket: Socket): ServerResponse | undefined {
-        const res = this.newestAnswers.get(socket);
-        return res !== undefined && res.req.complete && !res.writableFinished ? res : undefined;
+    /** Returns the last answer that is due on a connection: its request has been read whole, or its head is written. */
+    lastDueAnswer(socket: Socket): ServerResponse | undefined {
+        return [...this.connection(socket).openAnswers].findLast(res =>
+            (res.req.complete || res.headersSent) && !res.writableFinished
+        );
+    }
+
+    /** Whether a request of the connection has no complete answer. */
+    hasOpenRequest(socket: Socket): boolean {
+        return this.connection(socket).openAnswers.size > 0;
     }
 
     /** Returns whether an answer has to announce the close of its connection; called when its head is written. */
     closesAfter(res: ServerResponse): boolean {
-        const { complete, socket } = res.req;
+        const connection = this.connection(res.req.socket);
         // A connection that is closed with unread data is reset, and its caller may lose the answer.
-        if (!this.stop.begun || !complete || this.newestAnswers.get(socket) !== res) {
+        if (!this.stop.begun || !res.req.complete || [...connection.openAnswers].at(-1) !== res) {
             return false;
         }
-        this.closing.add(socket);
+        connection.announcedClose = true;
         return true;
     }
+
+    private connection(socket: Socket): CallerConnection {
+        let connection = this.connections.get(socket);
+        if (connection === undefined) {
+            connection = { openAnswers: new Set(), announcedClose: false };
+            this.connections.set(socket, connection);
+        }
+        return connection;
+    }
 }
--- a/packages/ingress/src/caller-server.ts
+++ b/packages/ingress/src/caller-server.ts
@@ -28,7 +28,7 @@
     private readonly server: Server;
     private readonly readiness: Server;
     private readonly sockets = new Set<Socket>();
-    /** Sockets that close after the answer in progress, because the bytes that follow its request are no request. */
+    /** Sockets that close after the answers that are due, because the bytes that follow are no request. */
     private readonly brokenSockets = new WeakSet<Socket>();
 
     constructor(
@@ -131,23 +131,41 @@
         );
     }
 
-    /** Refuses what is no request to relay, after the answer that is due on its connection, and closes the connection. */
+    /** Refuses what is no request to relay, after the answers that are due on its connection. */
     private onBadRequest(error: string, status: string, socket: Socket): void {
         this.log.debug("caller.bad-request", { error });
-        const pendingAnswer = this.relay.connections.pendingAnswer(socket);
-        if (pendingAnswer !== undefined) {
-            // Another answer here would be taken for the answer to the request before, or for a part of it.
-            if (!this.brokenSockets.has(socket)) {
-                this.brokenSockets.add(socket);
-                pendingAnswer.once("close", () => socket.destroy());
-            }
+        const dueAnswer = this.relay.connections.lastDueAnswer(socket);
+        if (dueAnswer === undefined) {
+            this.refuseBadRequest(error, status, socket);
+        }
+        else if (!this.brokenSockets.has(socket)) {
+            // Another answer here would be taken for the one that is due, or for a part of it.
+            this.brokenSockets.add(socket);
+            dueAnswer.once("close", () => this.endBrokenConnection(error, status, socket));
+        }
+    }
+
+    /** Ends a connection with bytes that are no request, once the answers that were due have been sent. */
+    private endBrokenConnection(error: string, status: string, socket: Socket): void {
+        const { connections } = this.relay;
+        const dueAnswer = connections.lastDueAnswer(socket);
+        if (dueAnswer !== undefined) {
+            dueAnswer.once("close", () => this.endBrokenConnection(error, status, socket));
+        }
+        else if (socket.writable && connections.hasOpenRequest(socket)) {
+            this.refuseBadRequest(error, status, socket);
         }
         else {
-            this.relay.cuts.recordBadRequest(socket, error);
-            socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
+            // The bytes are part of no request, and a refusal would be taken for the answer to the caller's next one.
+            socket.destroy();
         }
     }
 
+    private refuseBadRequest(error: string, status: string, socket: Socket): void {
+        this.relay.cuts.recordBadRequest(socket, error);
+        socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
+    }
+
     private onRequest(req: IncomingMessage, res: ServerResponse): void {
         const idleMs = this.relay.view.catalog?.limits.idleTimeoutMs ?? initialIdleTimeoutMs;
         this.server.keepAliveTimeout = idleMs + idleMarginMs;
--- a/packages/ingress/tests/pipelined-requests.test.ts
+++ b/packages/ingress/tests/pipelined-requests.test.ts
@@ -50,6 +50,32 @@
         expect(caller.statuses[0]).to.equal(200);
     });
 
+    // Guards against leaving that next request, whose head has been read, without an answer, and against reporting the
+    // connection as cut for the first one.
+    it("refuses a request with a malformed body after the answer to the one before", async () => {
+        let release: () => void = () => undefined;
+        const released = new Promise<void>(resolve => release = resolve);
+        await start(async (req, res, received) => {
+            await released;
+            await sealed(200, "done")(req, res, received);
+        }, { execution: "at-most-once" });
+        const caller = await ingress.connect();
+        const second = post("second", 1).replace("Content-Length: 1", "Transfer-Encoding: chunked");
+        caller.send(`${post("first", 1)}x${second}not a length\r\n`);
+        expect(await until(() => endpoint.requests.length === 1, 2_000)).to.equal(true);
+        expect(await until(() => ingress.log.events.some(({ name }) => name === "caller.bad-request"), 2_000))
+            .to.equal(true);
+        release();
+        await caller.receive(" 400 ");
+        caller.disconnect();
+        await caller.closed();
+        expect(caller.statuses).to.deep.equal([200, 400]);
+        expect(await until(() => ingress.relay.requestsInFlight === 0, 2_000)).to.equal(true);
+        const cuts = ingress.log.events.filter(({ name }) => name === "caller.cut").map(({ fields }) => fields);
+        expect(cuts).to.have.length(1);
+        expect(cuts[0]).to.include({ id: "second", cause: "bad-request", error: "HPE_INVALID_CHUNK_SIZE" });
+    });
+
     // Guards against work for a caller that has left: an answer that waits behind another one of its connection gets no
     // close event from Node.js.
     it("ends both of two pipelined requests when their caller leaves", async () => {
