End all pipelined requests of a caller that has left

The second of two pipelined requests went on at its endpoint, and kept a slot, until its deadline or its answer after the caller had left: Node.js emits the close event only for the answer that holds the socket, and answers that wait behind it never get one. CallerConnections now closes the waiting answers when their connection closes, as Node.js does for the one that is being sent, so that everything that listens for the end of an answer hears of it. Evidence: pipelined-requests.test.ts, 'ends both of two pipelined requests when their caller leaves' (one request in flight before, none now).

--- a/packages/ingress/src/caller-connections.ts
+++ b/packages/ingress/src/caller-connections.ts
@@ -55,9 +55,22 @@
     private connection(socket: Socket): CallerConnection {
         let connection = this.connections.get(socket);
         if (connection === undefined) {
-            connection = { openAnswers: new Set(), announcedClose: false };
+            const openAnswers = new Set<ServerResponse>();
+            connection = { openAnswers, announcedClose: false };
             this.connections.set(socket, connection);
+            socket.once("close", () => [...openAnswers].forEach(closeQueuedAnswer));
         }
         return connection;
     }
 }
+
+/**
+ * Closes an answer that waits behind others when its connection has closed. Node.js closes only the answer that is being
+ * sent; nobody would tell the requests of the others that their caller has left.
+ */
+function closeQueuedAnswer(res: ServerResponse): void {
+    if (!res.socket && !res.writableFinished) {
+        res.destroy();
+        res.emit("close");
+    }
+}
