Report the requests that were pipelined behind a cut answer

When an ingress cuts an answer, it closes the connection, and whole requests that the caller had pipelined behind it got neither an answer nor a caller.cut line: they looked like requests of a caller that had left. The close of a connection now reports the requests behind a cut answer with its cause, and 'behind' names it. Evidence: the new test of caller-cuts.test.ts (one line before, two now).

--- a/packages/ingress/src/caller-cuts.ts
+++ b/packages/ingress/src/caller-cuts.ts
@@ -38,7 +38,7 @@
 export class CallerExchange {
     private readonly admittedCatalog: number | undefined;
     private lastWriteAt: number | undefined;
-    private reported = false;
+    private reportedCause: CutCause | undefined;
     private describeCall: () => EventFields = () => ({});
 
     constructor(
@@ -52,6 +52,15 @@
         this.admittedCatalog = context.catalogVersion();
     }
 
+    /** Cause of the cut that has been reported. */
+    get cutCause(): CutCause | undefined {
+        return this.reportedCause;
+    }
+
+    get id(): string | undefined {
+        return this.context.requestId(this.req);
+    }
+
     /** Sets what an admitted request adds to the report of a cut. */
     describeBy(describeCall: () => EventFields): void {
         this.describeCall = describeCall;
@@ -65,13 +74,13 @@
     /** Reports that the connection closes without the complete answer; only the first cause counts. */
     recordCut(cause: CutCause, fields: EventFields = {}): void {
         const { req, res, context } = this;
-        if (this.reported || res.writableFinished) {
+        if (this.reportedCause !== undefined || res.writableFinished) {
             return;
         }
-        this.reported = true;
+        this.reportedCause = cause;
         const now = this.clock.now();
         this.report(cause, {
-            id: context.requestId(req),
+            id: this.id,
             ...fields,
             ...this.describeCall(),
             ageMs: Math.round(now - this.arrivedAt),
@@ -109,7 +118,10 @@
     followConnection(socket: Socket): void {
         const connection = { exchanges: new Set<CallerExchange>(), answeredBytes: 0, idleSince: this.clock.now() };
         this.connections.set(socket, connection);
-        socket.once("close", () => this.connections.delete(socket));
+        socket.once("close", () => {
+            this.connections.delete(socket);
+            recordCutsBehind(connection.exchanges);
+        });
         socket.on("timeout", () => this.recordIdleClose(socket, connection));
     }
 
@@ -178,3 +190,16 @@
         this.log.info("caller.cut", { cause, ...fields });
     }
 }
+
+/** Records the requests of a closed connection whose answers had to follow one that was cut. */
+function recordCutsBehind(exchanges: ReadonlySet<CallerExchange>): void {
+    let firstCut: CallerExchange | undefined;
+    for (const exchange of exchanges) {
+        if (firstCut?.cutCause !== undefined) {
+            exchange.recordCut(firstCut.cutCause, { behind: firstCut.id });
+        }
+        else if (exchange.cutCause !== undefined) {
+            firstCut = exchange;
+        }
+    }
+}
--- a/packages/ingress/tests/caller-cuts.test.ts
+++ b/packages/ingress/tests/caller-cuts.test.ts
@@ -152,6 +152,30 @@
         }
     });
 
+    // Guards against whole requests that get neither an answer nor a line in the log, because the connection is closed for
+    // the answer before theirs.
+    it("reports the requests that were pipelined behind a cut answer", async () => {
+        const harness = await start((req, res, received) => {
+            if (req.headers["x-attempt-id"] === "first") {
+                void beginStream(req, res, received);
+            }
+        }, { ...streamRoute, resumable: false });
+        const caller = await harness.connect();
+        for (const [id, timeoutMs] of [["first", 300], ["second", 1_500]]) {
+            caller.send(
+                `GET /x HTTP/1.1\r\nHost: desk.example\r\nApi-Key: key-1\r\nX-Attempt-Id: ${id}\r\n`
+                    + `X-Deadline-Ms: ${timeoutMs}\r\n\r\n`,
+            );
+        }
+        await caller.closed();
+        while (harness.relay.requestsInFlight > 0) {
+            await new Promise(resolve => setTimeout(resolve, 5));
+        }
+        expect(cutsOf(harness.log)).to.have.length(2);
+        expect(cutsOf(harness.log)[0]).to.include({ id: "first", cause: "deadline", begun: true });
+        expect(cutsOf(harness.log)[1]).to.include({ id: "second", cause: "deadline", begun: false, behind: "first" });
+    });
+
     it("reports bytes that are not HTTP", async () => {
         const harness = await start(sealed(200, "ok"));
         expect(await harness.sendRaw("nonsense\r\n\r\n")).to.match(/^HTTP\/1.1 400 /);
