Forget refused requests whose callers have left already

A request that was refused after its connection had closed stayed in flight for good, and a planned stop waited for it until the end of the grace time: a caller left within its body while the request waited for the process to become ready, and Admission.refuse then waited for the end of the body, or the close, whose events were over. The body of a closed connection is no longer waited for. Evidence: startup-waits.test.ts, 'forgets a request whose caller left within its body while the process started'.

--- a/packages/ingress/src/admission.ts
+++ b/packages/ingress/src/admission.ts
@@ -166,7 +166,8 @@
             catalog: this.ctx.view.catalog?.version,
             ...refusal.inputs,
         });
-        if (!req.complete) {
+        // The events of a connection that has closed are over.
+        if (!req.complete && !req.destroyed) {
             req.resume();
             await this.ctx.stop.waitFor(
                 new Promise<void>(resolve => {
