Reject the body of a message whose connection has closed already

A request that waited for the list of endpoints, and whose caller had left meanwhile, stayed in flight for good: readBody waited for events of a message that was destroyed, whether its body had arrived in part or whole. readBody now rejects such a message at once. A request that had arrived whole is not reported as incomplete: its caller has left. Evidence: startup-waits.test.ts, 'forgets a half (whole) request whose caller left while the list of endpoints was empty' (both stayed in flight before).

--- a/packages/ingress/src/caller-cuts.ts
+++ b/packages/ingress/src/caller-cuts.ts
@@ -77,6 +77,10 @@
         if (this.reportedCause !== undefined || res.writableFinished) {
             return;
         }
+        if (cause === "incomplete-request" && req.complete) {
+            // The request has been received whole, but its caller left before it was read.
+            return;
+        }
         this.reportedCause = cause;
         const now = this.clock.now();
         this.report(cause, {
--- a/packages/ingress/tests/startup-waits.test.ts
+++ b/packages/ingress/tests/startup-waits.test.ts
@@ -41,6 +41,24 @@
         expect(ingress.relay.requestsInFlight).to.equal(0);
     });
 
+    // Guards against the same for requests that pass their checks: the body of a closed connection was waited for.
+    for (const [title, text] of [["half", halfRequest], ["whole", `${halfRequest}defghi`]] as const) {
+        it(`forgets a ${title} request whose caller left while the list of endpoints was empty`, async () => {
+            await start(testCatalog());
+            ingress.view.applyEndpointList([], ingress.clock.now(), 2);
+            const caller = await ingress.connect();
+            caller.send(text);
+            await untilInFlight(1, 1_000);
+            caller.disconnect();
+            await untilInFlight(0, 2_000);
+            expect(ingress.relay.requestsInFlight).to.equal(0);
+            const cuts = ingress.log.events.filter(({ name }) => name === "caller.cut").map(({ fields }) =>
+                fields.cause
+            );
+            expect(cuts).to.deep.equal(title === "half" ? ["incomplete-request"] : []);
+        });
+    }
+
     // Guards against holding a request for the full time of a start although its caller waits for less; the list of
     // endpoints can become empty at any time.
     it("answers a request in its time while the list of endpoints is empty", async () => {
--- a/packages/protocol/src/read-body.ts
+++ b/packages/protocol/src/read-body.ts
@@ -30,6 +30,11 @@
             reject(new BodyTooLargeError(limitBytes));
             return;
         }
+        if (message.destroyed) {
+            // Its events are over.
+            reject(new IncompleteBodyError());
+            return;
+        }
         message.on("data", (chunk: Buffer) => {
             receivedBytes += chunk.length;
             if (receivedBytes > limitBytes) {
