Hold a request until the process is ready for at most half of its time

A request that came while the process could not serve, at a start or whenever the list of endpoints was empty, was held for 900 ms whatever its own time was. One with less was answered after its caller had given up. The wait now ends at half of the time that the caller or its route gives the request, so that it can still be served, or tried at another ingress.

--- a/packages/ingress/src/relay.ts
+++ b/packages/ingress/src/relay.ts
@@ -29,6 +29,8 @@
 
 /** Longest time that a request waits for this process to become ready, in milliseconds; stewards start more slowly. */
 const startupWaitMs = 900;
+/** Fraction of a request's own time for which it waits at most. */
+const startupWaitFraction = 1 / 2;
 const startupCheckIntervalMs = 20;
 /** Fraction of the shared retry budget that is used; the rest covers calls whose attempts are counted late. */
 const usedBudgetFraction = 0.8;
@@ -285,10 +287,18 @@
         return Math.max(2, Math.floor(limit * usedConnectionFraction / this.view.memberCount));
     }
 
-    /** Delays a request that arrived during startup; the process is usually ready within a fraction of a second. */
+    /**
+     * Delays a request that arrived during startup; the process is usually ready within a fraction of a second. A
+     * request with little time waits for a part of it, so that it can still be served or tried at another ingress.
+     */
     private async waitUntilReady(res: ServerResponse, deadline: number): Promise<void> {
-        while (!this.view.ready && !res.destroyed && this.clock.now() < deadline) {
-            await this.clock.sleepUntil(this.clock.now() + startupCheckIntervalMs);
+        const { req } = res;
+        const { timeoutMs = Infinity } = this.headerCodec.decodeCallerHead(req.headers);
+        const route = this.view.routes?.find(req.headers.host ?? "", req.url ?? "/");
+        const ownTimeMs = Math.min(timeoutMs, route?.timeoutMs ?? Infinity);
+        const giveUpAt = Math.min(deadline, this.clock.now() + ownTimeMs * startupWaitFraction);
+        while (!this.view.ready && !res.destroyed && this.clock.now() < giveUpAt) {
+            await this.clock.sleepUntil(Math.min(giveUpAt, this.clock.now() + startupCheckIntervalMs));
         }
     }
 }
--- a/packages/ingress/tests/startup-waits.test.ts
+++ b/packages/ingress/tests/startup-waits.test.ts
@@ -1,6 +1,6 @@
 import type { Catalog } from "@lentilramp/catalog";
 import { expect } from "chai";
-import { testCatalog } from "../../catalog/tests/fixtures.ts";
+import { testCatalog, testRoute } from "../../catalog/tests/fixtures.ts";
 import { IngressHarness, ScriptedEndpoint, sealed } from "./ingress-harness.ts";
 
 const halfRequest = "POST /x HTTP/1.1\r\nHost: desk.example\r\nX-Attempt-Id: a\r\nApi-Key: key-1\r\n"
@@ -70,4 +70,17 @@
         expect(status).to.equal(503);
         expect(ingress.clock.now() - sentAt).to.be.below(timeoutMs + 500);
     });
+
+    // Guards against a wait that takes all the time of a request, so that it can be neither served nor tried elsewhere.
+    for (const [whose, timeoutMs, routeTimeoutMs] of [["the caller", 800, 8_000], ["the route", 8_000, 800]] as const) {
+        it(`leaves time for a request with little time of ${whose} while the list of endpoints is empty`, async () => {
+            await start(testCatalog({ routes: [testRoute({ timeoutMs: routeTimeoutMs })] }));
+            ingress.view.applyEndpointList([], ingress.clock.now(), 2);
+            const { status } = await ingress.call({ headers: { "x-deadline-ms": String(timeoutMs) } });
+            expect(status).to.equal(503);
+            const [givenUp] = ingress.log.events.filter(({ name }) => name === "request.given-up");
+            expect(givenUp?.fields).to.include({ reason: "no-endpoint" });
+            expect(givenUp?.fields.ageMs).to.be.below(Math.min(timeoutMs, routeTimeoutMs));
+        });
+    }
 });
