Refuse requests that wait for a process to be ready when it stops

A request that waited for the process to become ready got no answer if the grace time of a planned stop ended within the 900 ms: waitUntilReady did not look at the stop, so that the connection was closed first. The wait now ends when the stop takes no more requests, and the admission refuses the request with 503. Evidence: startup-waits.test.ts, 'refuses a request that waits until the process is ready before a planned stop closes its connection' (socket hang up before, with a grace time of 600 ms).

--- a/packages/ingress/src/relay.ts
+++ b/packages/ingress/src/relay.ts
@@ -297,8 +297,11 @@
         const route = this.view.routes?.find(req.headers.host ?? "", req.url ?? "/");
         const ownTimeMs = Math.min(timeoutMs, route?.timeoutMs ?? Infinity);
         const giveUpAt = Math.min(deadline, this.clock.now() + ownTimeMs * startupWaitFraction);
-        while (!this.view.ready && !res.destroyed && this.clock.now() < giveUpAt) {
-            await this.clock.sleepUntil(Math.min(giveUpAt, this.clock.now() + startupCheckIntervalMs));
+        for (let now = this.clock.now(); now < giveUpAt; now = this.clock.now()) {
+            if (this.view.ready || res.destroyed || this.stop.takesNone(now)) {
+                return;
+            }
+            await this.clock.sleepUntil(Math.min(giveUpAt, now + startupCheckIntervalMs));
         }
     }
 }
--- a/packages/ingress/tests/startup-waits.test.ts
+++ b/packages/ingress/tests/startup-waits.test.ts
@@ -1,4 +1,5 @@
 import type { Catalog } from "@lentilramp/catalog";
+import type { IngressOptions } from "@lentilramp/ingress";
 import { expect } from "chai";
 import { testCatalog, testRoute } from "../../catalog/tests/fixtures.ts";
 import { IngressHarness, ScriptedEndpoint, sealed } from "./ingress-harness.ts";
@@ -10,10 +11,10 @@
     let endpoint: ScriptedEndpoint;
     let ingress: IngressHarness;
 
-    async function start(catalog: Catalog | undefined): Promise<void> {
+    async function start(catalog: Catalog | undefined, options: Partial<IngressOptions> = {}): Promise<void> {
         endpoint = new ScriptedEndpoint("e1", sealed(200, "ok"));
         await endpoint.start();
-        ingress = await IngressHarness.start(catalog, [endpoint]);
+        ingress = await IngressHarness.start(catalog, [endpoint], {}, options);
     }
 
     afterEach(async () => {
@@ -83,4 +84,13 @@
             expect(givenUp?.fields.ageMs).to.be.below(Math.min(timeoutMs, routeTimeoutMs));
         });
     }
+
+    // Guards against closing the connection of a request that still waits when the grace time of a planned stop is over.
+    it("refuses a request that waits until the process is ready before a planned stop closes its connection", async () => {
+        await start(undefined, { graceMs: 600 });
+        const stopped = ingress.drain().then(() => ingress.close());
+        const answer = ingress.call({ headers: { "x-deadline-ms": "8000" } });
+        await Promise.all([answer, stopped]);
+        expect((await answer).status).to.equal(503);
+    });
 });
