Keep idle connections open for as long as their answers announced

After an operator shortened the idle time, connections of callers closed earlier than their Keep-Alive header had announced, and a caller that reused one in that time lost its request: Node.js takes the announced time when it creates an answer, before onRequest set the new one, and the time of the close from the server's present value when the answer ends. The server's keepAliveTimeout is now read from the present catalog, so that the first answer after a change announces the new time, and each connection closes by the time that its last answer announced. Evidence: announced-idle-time.test.ts.

--- a/packages/ingress/src/caller-server.ts
+++ b/packages/ingress/src/caller-server.ts
@@ -13,6 +13,8 @@
  * it at the end of that time.
  */
 const idleMarginMs = 1_000;
+/** Time for which a connection stays open beyond the announced time, in milliseconds, as callers get the answer later. */
+const idleCloseMarginMs = 1_000;
 const headTimeoutMs = 10_000;
 /** Interval between checks of the requests in flight during a drain, in milliseconds. */
 const drainCheckIntervalMs = 50;
@@ -45,9 +47,10 @@
             maxHeaderSize: maxHeaderBytes,
             headersTimeout: headTimeoutMs,
             requestTimeout: 0,
-            keepAliveTimeout: initialIdleTimeoutMs + idleMarginMs,
             noDelay: true,
         }, (req, res) => this.onRequest(req, res));
+        // Node.js reads the time that an answer announces before it emits the request.
+        Object.defineProperty(this.server, "keepAliveTimeout", { get: () => this.idleTimeoutMs() + idleMarginMs });
         this.server.on("connection", (socket: Socket) => {
             this.relay.cuts.followConnection(socket);
             this.sockets.add(socket);
@@ -166,9 +169,18 @@
         socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
     }
 
+    private idleTimeoutMs(): number {
+        return this.relay.view.catalog?.limits.idleTimeoutMs ?? initialIdleTimeoutMs;
+    }
+
     private onRequest(req: IncomingMessage, res: ServerResponse): void {
-        const idleMs = this.relay.view.catalog?.limits.idleTimeoutMs ?? initialIdleTimeoutMs;
-        this.server.keepAliveTimeout = idleMs + idleMarginMs;
+        const announcedMs = this.server.keepAliveTimeout;
+        res.once("finish", () => {
+            // Node.js has set a timeout by the present catalog, unless more answers follow on the connection.
+            if (req.socket.timeout) {
+                req.socket.setTimeout(announcedMs + idleCloseMarginMs);
+            }
+        });
         res.sendDate = false;
         void this.relay.handle(req, res);
     }
--- a/packages/ingress/tests/announced-idle-time.test.ts
+++ b/packages/ingress/tests/announced-idle-time.test.ts
@@ -21,4 +21,33 @@
         endpoint.close();
         expect(announcedMs).to.be.at.most(keptMs);
     });
+
+    // Guards against the same when the catalog comes into force between a request and the end of its answer.
+    it("keeps a connection as announced although the catalog changed while the answer was in progress", async () => {
+        const catalog = testCatalog();
+        catalog.limits.idleTimeoutMs = 2_000;
+        const endpoint = new ScriptedEndpoint("e1", (...request) => {
+            catalog.limits.idleTimeoutMs = 0;
+            return sealed(200, "ok")(...request);
+        });
+        await endpoint.start();
+        const ingress = await IngressHarness.start(catalog, [endpoint]);
+        const caller = await ingress.connect();
+        const get = "GET /x HTTP/1.1\r\nHost: desk.example\r\nX-Attempt-Id: a\r\nApi-Key: key-1\r\n\r\n";
+        caller.send(get);
+        await caller.receive("ok");
+        expect(caller.received).to.match(/keep-alive: timeout=3\r\n/i);
+        const closed = caller.closed().then(() => "closed");
+        const kept = new Promise(resolve => setTimeout(resolve, 3_000, "kept"));
+        expect(await Promise.race([closed, kept])).to.equal("kept");
+        caller.send(get);
+        await closed;
+        await ingress.close();
+        endpoint.close();
+        // The next answer announces the time of the present catalog.
+        expect([...caller.received.matchAll(/keep-alive: timeout=(\d+)/gi)].map(([, s]) => s)).to.deep.equal([
+            "3",
+            "1",
+        ]);
+    });
 });
