End a request whose caller leaves within its next request

A caller that left while a request was in progress, after it had sent a part of the next one, kept the first one running at its endpoint until its deadline or its answer. Node.js reports such a close as an error of its parser, which was taken for malformed bytes, and these wait for the answer that is due. The connection now ends, as Node.js ends it when a caller leaves between two requests.

--- a/packages/ingress/src/caller-server.ts
+++ b/packages/ingress/src/caller-server.ts
@@ -141,6 +141,10 @@
         if (dueAnswer === undefined) {
             this.refuseBadRequest(error, status, socket);
         }
+        else if (socket.readableEnded) {
+            // The caller has left within its next request. Node.js ends the connection itself only between requests.
+            socket.end();
+        }
         else if (!this.brokenSockets.has(socket)) {
             // Another answer here would be taken for the one that is due, or for a part of it.
             this.brokenSockets.add(socket);
--- a/packages/ingress/tests/pipelined-requests.test.ts
+++ b/packages/ingress/tests/pipelined-requests.test.ts
@@ -88,4 +88,19 @@
         expect(ingress.relay.requestsInFlight).to.equal(0);
         expect(ingress.view.loads.localRunning("e1")).to.equal(0);
     });
+
+    // Guards against work for a caller that has left: Node.js reports the close as an error of the parser when the bytes
+    // after the request are no request, or a part of one.
+    for (const bytes of ["not HTTP\r\n\r\n", "GET /x HTTP/1.1\r\nHost: de", post("second", 2)]) {
+        it(`ends a request whose caller leaves after it has sent ${JSON.stringify(bytes.slice(0, 20))}`, async () => {
+            await start(() => undefined, { execution: "at-most-once" });
+            const caller = await ingress.connect();
+            caller.send(`${post("first", 1)}x${bytes}`);
+            expect(await until(() => endpoint.requests.length === 1, 2_000)).to.equal(true);
+            caller.disconnect();
+            await until(() => ingress.relay.requestsInFlight === 0, 1_000);
+            expect(ingress.relay.requestsInFlight).to.equal(0);
+            expect(ingress.view.loads.localRunning("e1")).to.equal(0);
+        });
+    }
 });
