review: an answer of words without an end stalls the ingresses

Seen: one faulty model replica streams small chunks that end no event; plain requests for another service get no answer in time, nor later.

At fault: EventSplitter.push searches and copies the whole incomplete event with each chunk, up to 262,144 bytes.

--- a/review/stand-ins.mjs
+++ b/review/stand-ins.mjs
@@ -10,7 +10,7 @@
 import { setTimeout as sleep } from "node:timers/promises";
 
 const command = ["--max-old-space-size=160", "target/lentilramp.cjs", "fleet", "--policy", "deploy/policy.json"];
-const ports = { front: 8_221, ready: 8_224, control: 8_229, directory: 8_230, inner: 7_600, metrics: 9_464 };
+export const ports = { front: 8_221, ready: 8_224, control: 8_229, directory: 8_230, inner: 7_600, metrics: 9_464 };
 const configurationPath = "/lentilramp/configuration";
 
 /** Time that an operator waits for the answer to a small order, in milliseconds. */
