review: requests reach endpoints after their callers have left

At fault: an ingress passes a request on in the turn in which it reads it, before it has read that the connection behind it has ended.

--- a/review/stand-ins.mjs
+++ b/review/stand-ins.mjs
@@ -13,6 +13,8 @@
 export const ports = { front: 8_221, ready: 8_224, control: 8_229, directory: 8_230, inner: 7_600, metrics: 9_464 };
 const configurationPath = "/lentilramp/configuration";
 
+/** Time after which a case that has not ended gives up, in milliseconds. */
+const longestCaseMs = 117_000;
 /** Time that an operator waits for the answer to a small order, in milliseconds. */
 const orderMs = 1_000;
 
@@ -87,6 +89,9 @@
 
 /** A replica of a plain service: answers each request after its work, and tells which requests it ran. */
 export class Replica {
+    /** When each request began to run last. */
+    runs = new Map();
+
     constructor(id, service, record, workMs = 20) {
         Object.assign(this, { id, service, record, workMs });
         this.server = createServer((req, res) => void this.handle(req, res));
@@ -120,6 +125,7 @@
             res.writeHead(421, { ...own, "x-not-executed": "1", "content-length": 0 }).end();
             return;
         }
+        this.runs.set(id, Date.now());
         this.record.add(`run ${id} at ${this.id} tenant=${req.headers["x-tenant"]}`);
         await sleep(this.workMs);
         const body = `answer to ${id}`;
@@ -160,6 +166,7 @@
     exits = [];
     seeds = [];
     bootstrap = true;
+    closed = false;
 
     constructor(record, platform) {
         Object.assign(this, { record, platform });
@@ -187,6 +194,9 @@
 
     /** Starts the process of a machine with the settings that hold at this moment. */
     run(host) {
+        if (this.closed) {
+            return;
+        }
         const front = this.isFront(host);
         const data = join(this.folder, `data-${host}`);
         const settings = join(this.folder, `settings-${host}.conf`);
@@ -286,6 +296,7 @@
     }
 
     async close() {
+        this.closed = true;
         await Promise.all([...this.running.keys()].map(host => this.end(host, "SIGKILL")));
         if (process.env.KEEP === undefined) {
             rmSync(this.folder, { recursive: true, force: true });
@@ -465,6 +476,8 @@
     };
     process.once("SIGTERM", () => void stop(2));
     process.once("SIGINT", () => void stop(2));
+    process.on("exit", () => site.running.forEach(child => child.kill("SIGKILL")));
+    setTimeout(() => void stop(2), longestCaseMs).unref();
     let code = 2;
     try {
         const broken = await play({ site, platform, record });
