Give the vote of a steward back before its planned stop ends

Cause: a successor is promoted as soon as it has caught up, while the machine that it replaces kept its vote until 6 s of silence. Until then a group of three has four voters, one of them dead, and the loss of one disk leaves two of four, which elect no leader; without a leader no member can be admitted. The vote of a machine that crashed for good was kept longer than its successor's catch-up time too.

In the simulated group the fault shows with the loss right after the stop, not 7.5 s after it and not without the stop.

Change: a steward that stops as planned releases its vote first, if the group has one to spare (VoteRelease). A join that fails no longer holds up other joins and promotions.

--- a/packages/cli/src/wire-control.ts
+++ b/packages/cli/src/wire-control.ts
@@ -70,7 +70,7 @@
         );
         const proposer = new CommandProposer(driver, replicatedConfiguration, clock);
         const names = new Set(settings.members.map(member => member.name));
-        const membershipRepair = new MembershipRepair(driver, name => names.has(name), clock, log);
+        const membershipRepair = new MembershipRepair(driver, name => names.has(name), () => true, clock, log);
         const inFlightCounter = new InFlightCounter(client, clock);
         const parts = { driver, replicatedConfiguration, proposer, membershipRepair, transport, inFlightCounter };
         methods.attach(parts);
--- a/packages/cli/src/wire-steward.ts
+++ b/packages/cli/src/wire-steward.ts
@@ -26,6 +26,7 @@
     type StewardOptions,
     StewardState,
     SuspectVerdicts,
+    VoteRelease,
 } from "@lentilramp/steward";
 import type { FleetProcess } from "./wire-fleet.ts";
 
@@ -109,8 +110,8 @@
             clock,
             log,
         );
-        const repair = new MembershipRepair(driver, () => true, clock, log);
         const retirement = new MemberRetirement(driver, 2 * options.toleratedLosses + 1, clock, log);
+        const repair = new MembershipRepair(driver, () => true, id => retirement.mayVote(id), clock, log);
         const verdicts = new SuspectVerdicts(core, coordinator, () => duties.holdsDuties, clock, log);
         const server = new RpcServer(key, log);
         const syncs = attachStewardMethods(server, {
@@ -152,6 +153,8 @@
         this.inner.register(new RosterFollower(core, coordinator, client, clock));
         this.inner.register(duties);
         this.inner.register(verdicts);
+        // Drained first: the other parts still serve the group while its vote is released.
+        this.inner.register(new VoteRelease(driver, retirement, client, clock, log));
         await this.inner.start();
     }
 
--- a/packages/control/src/membership-repair.ts
+++ b/packages/control/src/membership-repair.ts
@@ -24,6 +24,8 @@
         private readonly driver: AgreementDriver,
         /** Whether a process with this name may belong to the group. */
         private readonly isAdmissible: (name: string) => boolean,
+        /** Whether the member with this identity may get a vote once it has caught up. */
+        private readonly mayVote: (identity: NodeId) => boolean,
         clock: Clock,
         private readonly log: EventLog,
     ) {
@@ -44,13 +46,16 @@
             this.pendingJoins.clear();
             return;
         }
-        const [nextJoin] = this.pendingJoins.values();
-        if (nextJoin !== undefined) {
-            await this.advance(nextJoin);
-        }
-        else {
-            await this.promoteLearners();
+        for (const join of [...this.pendingJoins.values()]) {
+            try {
+                await this.advance(join);
+            }
+            catch (err) {
+                // A process that cannot be admitted must not hold up the others.
+                this.onFailure(err);
+            }
         }
+        await this.promoteLearners();
     }
 
     protected override onFailure(err: unknown): void {
@@ -62,7 +67,6 @@
         const { members } = this.driver.status.membership;
         if (members.some(member => member.id === identity)) {
             this.pendingJoins.delete(address.name);
-            await this.promoteLearners();
             return;
         }
         const replacedMember = members.find(member => decodeMemberAddress(member).name === address.name);
@@ -84,7 +88,8 @@
 
     /** Promotes the learners that have caught up. One that is away must not hold up the others. */
     private async promoteLearners(): Promise<void> {
-        for (const learner of this.driver.status.membership.members.filter(member => !member.voter)) {
+        const learners = this.driver.status.membership.members.filter(({ id, voter }) => !voter && this.mayVote(id));
+        for (const learner of learners) {
             try {
                 await this.driver.changeMembership({ kind: "promote", id: learner.id });
             }
--- a/packages/steward/src/index.ts
+++ b/packages/steward/src/index.ts
@@ -16,3 +16,4 @@
 export * from "./steward-state.ts";
 export * from "./suspect-verdicts.ts";
 export * from "./sync-server.ts";
+export * from "./vote-release.ts";
--- a/packages/steward/src/operator-interface.ts
+++ b/packages/steward/src/operator-interface.ts
@@ -1,8 +1,9 @@
 import { type IngressDescription, selectLookupIngresses } from "@lentilramp/fleet";
 import type { RpcClient } from "@lentilramp/protocol";
 import type { FleetCoordinator } from "./fleet-coordinator.ts";
+import { leaderAddress } from "./leader-address.ts";
 import { errorMessage, type StewardCore, type SubmitOutcome } from "./steward-core.ts";
-import { leaderAddress, readAnswerSchema, submitAnswerSchema } from "./steward-methods.ts";
+import { readAnswerSchema, submitAnswerSchema } from "./steward-methods.ts";
 
 /** Timeout of a call, in milliseconds; operators wait about one second for an answer. */
 const callTimeoutMs = 850;
@@ -63,7 +64,7 @@
         const callDeadline = clock.now() + callTimeoutMs;
         while (clock.now() < callDeadline) {
             try {
-                const leader = leaderAddress(this.core);
+                const leader = leaderAddress(this.core.driver);
                 const result = this.core.state.isLeader
                     ? await runLocally()
                     : leader === undefined
--- a/packages/steward/src/roster-follower.ts
+++ b/packages/steward/src/roster-follower.ts
@@ -2,8 +2,9 @@
 import type { RpcClient } from "@lentilramp/protocol";
 import { type Clock, PeriodicComponent } from "@lentilramp/runtime";
 import type { FleetCoordinator } from "./fleet-coordinator.ts";
+import { leaderAddress } from "./leader-address.ts";
 import { errorMessage, type StewardCore } from "./steward-core.ts";
-import { leaderAddress, rosterAnswerSchema } from "./steward-methods.ts";
+import { rosterAnswerSchema } from "./steward-methods.ts";
 
 const pollIntervalMs = 400;
 const callTimeoutMs = 500;
@@ -29,7 +30,7 @@
     }
 
     protected override async runOnce(): Promise<void> {
-        const leader = leaderAddress(this.core);
+        const leader = leaderAddress(this.core.driver);
         if (this.core.state.isLeader || leader === undefined) {
             return;
         }
--- a/packages/steward/src/steward-methods.ts
+++ b/packages/steward/src/steward-methods.ts
@@ -1,5 +1,4 @@
 import {
-    addressOf,
     agreementMessagesSchema,
     memberAddressSchema,
     type MembershipRepair,
@@ -8,15 +7,17 @@
 import { decodeMemberAddress } from "@lentilramp/control";
 import { blockedPartSchema } from "@lentilramp/fleet";
 import { rosterSchema, type SyncAnswer, type SyncRequest, syncRequestSchema } from "@lentilramp/ingress";
-import type { PeerAddress, RpcServer } from "@lentilramp/protocol";
+import type { RpcServer } from "@lentilramp/protocol";
 import { z } from "zod";
 import type { FleetCoordinator } from "./fleet-coordinator.ts";
+import { leaderAddress } from "./leader-address.ts";
 import type { MemberRetirement } from "./member-retirement.ts";
 import type { StewardCore } from "./steward-core.ts";
 import { errorMessage } from "./steward-core.ts";
 import type { StewardState } from "./steward-state.ts";
 import type { SuspectVerdicts } from "./suspect-verdicts.ts";
 import { SyncServer } from "./sync-server.ts";
+import type { releaseAnswerSchema } from "./vote-release.ts";
 
 export const submitAnswerSchema = z.discriminatedUnion("kind", [
     z.object({ kind: z.literal("accepted"), version: z.number() }),
@@ -57,13 +58,6 @@
     holdsDuties: () => boolean;
 }
 
-/** Returns the address of the leader, or undefined if this steward knows of none. */
-export function leaderAddress(core: StewardCore): PeerAddress | undefined {
-    const { leader, membership } = core.driver.status;
-    const address = addressOf(membership, leader);
-    return address === undefined ? undefined : { host: address.host, port: address.port };
-}
-
 /** Answers the sync of an ingress. */
 function answerSync(req: SyncRequest, { core, state, coordinator, holdsDuties }: StewardParts): SyncAnswer {
     const { membership } = core.driver.status;
@@ -89,7 +83,7 @@
         return {
             ...common,
             leading: false,
-            leader: state.isLeader ? undefined : leaderAddress(core),
+            leader: state.isLeader ? undefined : leaderAddress(core.driver),
             // Lets an ingress that starts while there is no leader use its share of the caps.
             members: state.ingressCount,
         };
@@ -114,6 +108,13 @@
         z.object({ identity: z.string(), address: memberAddressSchema }),
         async join => ({ accepted: repair.requestJoin(join) }),
     );
+    server.method(
+        "control.release-vote",
+        z.object({ identity: z.string() }),
+        async ({ identity }): Promise<z.infer<typeof releaseAnswerSchema>> => ({
+            outcome: await retirement.releaseVote(identity),
+        }),
+    );
     server.method("fleet.sync", syncRequestSchema, req => syncs.handle(req));
     const rosterRequest = z.object({ tag: z.number(), usage: z.boolean() });
     server.method(
@@ -130,7 +131,7 @@
     );
     const promptParts = (lifted?: boolean): z.infer<typeof promptPartsAnswerSchema> => ({
         leading: parts.holdsDuties(),
-        leader: parts.holdsDuties() ? undefined : leaderAddress(core),
+        leader: parts.holdsDuties() ? undefined : leaderAddress(core.driver),
         blocked: [...core.state.blockedParts],
         lifted,
     });
--- a/packages/steward/tests/steward-group.ts
+++ b/packages/steward/tests/steward-group.ts
@@ -21,6 +21,7 @@
     StewardCore,
     StewardState,
     type SubmitOutcome,
+    VoteRelease,
 } from "@lentilramp/steward";
 import { Ok, type Result } from "ts-results-es";
 import { type DiskFaults, FaultyFiles } from "../../journal/tests/faulty-files.ts";
@@ -28,6 +29,7 @@
 const port = 7_000;
 const linkDelayMs = 5;
 const stepMs = 5;
+const graceMs = 8_000;
 const timing = { heartbeatMs: 100, electionTimeoutMinMs: 450, electionTimeoutMaxMs: 900, leaseMs: 0 };
 
 /** Catalogs of the simulation consist of their version number. */
@@ -44,6 +46,8 @@
     readonly state: StewardState;
     readonly log: MemoryEventLog;
     readonly operators: OperatorInterface;
+    /** Performs the planned stop of the process; takes until the clock has reached the end of its waits. */
+    readonly stopAsPlanned: () => Promise<void>;
     readonly stop: () => Promise<void>;
 }
 
@@ -56,7 +60,10 @@
     private readonly inboxes = new Map<string, (sender: string, message: Message) => void>();
     private readonly joins = new Map<string, MembershipRepair>();
     private readonly cores = new Map<string, StewardCore>();
+    private readonly retirements = new Map<string, MemberRetirement>();
     private readonly files = new Map<string, FaultyFiles>();
+    /** Number of disks that each host has lost. */
+    private readonly lostDisks = new Map<string, number>();
     private setup: { hosts: readonly string[]; founders: readonly string[]; toleratedLosses: number; } = {
         hosts: [],
         founders: [],
@@ -93,6 +100,7 @@
         this.inboxes.delete(host);
         this.joins.delete(host);
         this.cores.delete(host);
+        this.retirements.delete(host);
         const files = this.files.get(host) as FaultyFiles;
         const retained = files.crash(keep);
         Object.assign(retained.faults, files.faults);
@@ -100,6 +108,30 @@
         void steward.stop().catch(() => undefined);
     }
 
+    /** Lets a steward end as a SIGTERM does. */
+    async stopAsPlanned(steward: SimulatedSteward): Promise<void> {
+        let stopped = false;
+        const stopping = steward.stopAsPlanned().then(() => stopped = true);
+        while (!stopped) {
+            await this.run(stepMs);
+        }
+        await stopping;
+        this.kill(steward, () => true);
+    }
+
+    /** Starts a steward at an address that no steward has had. */
+    async addSuccessor(seed: number): Promise<SimulatedSteward> {
+        const host = `10.0.0.${this.setup.hosts.length + 1}`;
+        this.setup = { ...this.setup, hosts: [...this.setup.hosts, host] };
+        return await this.add(host, seed);
+    }
+
+    /** Removes the disk of a steward whose process has ended. */
+    loseDisk(host: string): void {
+        this.files.delete(host);
+        this.lostDisks.set(host, (this.lostDisks.get(host) ?? 0) + 1);
+    }
+
     /** Starts the process of a steward that has ended. Rejects if its disk does not let it start. */
     async startAgain(host: string, seed: number): Promise<SimulatedSteward> {
         return await this.add(host, seed);
@@ -143,6 +175,10 @@
             if (!this.connected(host, peer.host)) {
                 return undefined;
             }
+            if (method === "control.release-vote") {
+                const { identity } = params as { identity: string; };
+                return { outcome: await this.retirements.get(peer.host)?.releaseVote(identity) ?? "retry" };
+            }
             if (method === "control.join") {
                 return this.joins.get(peer.host)?.requestJoin(params as JoinRequest);
             }
@@ -162,11 +198,12 @@
     }
 
     private async add(host: string, seed: number): Promise<SimulatedSteward> {
-        const { hosts, toleratedLosses } = this.setup;
-        const founders = this.setup.founders.includes(host) ? this.setup.founders : [];
+        const { toleratedLosses } = this.setup;
+        const lostDisks = this.lostDisks.get(host) ?? 0;
+        const founders = this.setup.founders.includes(host) && lostDisks === 0 ? this.setup.founders : [];
         const { clock } = this;
         const own = stewardAddress(host, port);
-        const id = founders.length > 0 ? `founder@${host}` : `folder-${host}`;
+        const id = founders.length > 0 ? `founder@${host}` : `folder-${host}-${lostDisks}`;
         const members = founders.map(name => ({
             id: `founder@${name}`,
             address: encodeMemberAddress(stewardAddress(name, port)),
@@ -205,8 +242,9 @@
             log,
             this.options,
         );
-        const repair = new MembershipRepair(driver, () => true, clock, log);
         const retirement = new MemberRetirement(driver, 2 * toleratedLosses + 1, clock, log);
+        const repair = new MembershipRepair(driver, () => true, id => retirement.mayVote(id), clock, log);
+        this.retirements.set(host, retirement);
         this.inboxes.set(host, (sender, message) => {
             addresses.set(message.from, sender);
             retirement.recordContact(message.from);
@@ -222,7 +260,7 @@
         const joining = new JoinRequester(
             driver,
             own,
-            () => hosts.map(peer => stewardAddress(peer, port)),
+            () => this.setup.hosts.map(peer => stewardAddress(peer, port)),
             client,
             clock,
         );
@@ -235,6 +273,10 @@
             state,
             log,
             operators,
+            stopAsPlanned: async () => {
+                await new VoteRelease(driver, retirement, client, clock, log).drain(clock.now() + graceMs);
+                await driver.drain();
+            },
             stop: async () => {
                 await Promise.all([driver, repair, retirement, joining].map(part => part.close()));
             },
