Read an event that does not end in time proportional to its bytes

Cause: EventSplitter joined the incomplete event with each chunk and searched all of it, so an event cost the square of its chunks and held the event loop for seconds.

Change: the splitter looks at a chunk and the three bytes before it; the chunks of one turn of the event loop are relayed together (BodyReader); a chunk counts 64 bytes towards the limits of incomplete events and unused answers; streams that may not be resumed have the limit of the others; bodies are kept in one buffer that grows (ByteAccumulator) instead of a list of their chunks.

--- a/packages/ingress/src/answer-writer.ts
+++ b/packages/ingress/src/answer-writer.ts
@@ -1,39 +1,23 @@
+import { ByteAccumulator } from "@lentilramp/protocol";
 import type { Clock } from "@lentilramp/runtime";
 import type { IncomingMessage, ServerResponse } from "node:http";
-import { EventSplitter } from "./event-splitter.ts";
+import { type BodyEnd, BodyReader, type BodySink } from "./body-reader.ts";
+import { endOfLastEvent, EventSplitter, maxSplitBytes } from "./event-splitter.ts";
 import { stripHopByHopHeaders } from "./hop-by-hop-headers.ts";
 import { SilenceWatch } from "./silence-watch.ts";
 
-/** Outcome of relaying the body of an endpoint's answer. */
-export type BodyEnd =
-    | "complete"
-    /** The endpoint closed or reset the connection before the end of the body. */
-    | "cut"
-    /** No event arrived for too long, and another attempt is to resume the stream. */
-    | "stalled"
-    /** The caller closed its connection. */
-    | "left";
-
 /** Answers up to this size, in bytes, are buffered until complete, so that another endpoint can replace a cut one. */
 const bufferedLimitBytes = 262_144;
-/** Length of an incomplete event, in bytes, at which a stream counts as invalid and is closed. */
-const eventLimitBytes = 262_144;
-
-/** Length of the longest boundary between two events, in bytes. */
-const boundaryBytes = 4;
+/** Cost of an incomplete event, in bytes, above which a stream counts as invalid and is closed. */
+const eventLimitCost = 262_144;
 
 /** Characters that the parser of Node.js accepts in a reason phrase, and that its writer refuses. */
 const unsendableReason = /[^\t\x20-\x7e\x80-\xff]/g;
 
-/** Whether the last bytes of a stream end an event. */
-function endsAtEventBoundary(tail: string): boolean {
-    return tail.endsWith("\n\n") || tail.endsWith("\r\n\r\n");
-}
-
 /** Writes the answers of endpoints to one caller. */
 export class AnswerWriter {
     private lastRelayedEventId: string | undefined;
-    private stop: (end: BodyEnd) => void = () => undefined;
+    private reader: BodyReader | undefined;
 
     constructor(
         private readonly callerRes: ServerResponse,
@@ -54,7 +38,7 @@
 
     /** Stops relaying because the caller closed its connection. */
     stopForCaller(): void {
-        this.stop("left");
+        this.reader?.stop("left");
     }
 
     /**
@@ -62,25 +46,23 @@
      * that another endpoint can answer instead when it is cut.
      */
     async relayBuffered(res: IncomingMessage, wasCut: () => Promise<boolean>): Promise<BodyEnd> {
-        let buffered: Buffer[] = [];
-        let bufferedBytes = 0;
-        const end = await this.consume(res, wasCut, chunk => {
-            if (this.started) {
-                return this.write(chunk);
-            }
-            buffered.push(chunk);
-            bufferedBytes += chunk.length;
-            if (bufferedBytes <= bufferedLimitBytes) {
-                return true;
-            }
-            this.writeHead(res);
-            const chunks = Buffer.concat(buffered);
-            buffered = [];
-            return this.write(chunks);
+        const buffered = new ByteAccumulator();
+        const end = await this.consume(res, wasCut, {
+            relay: ({ data }) => {
+                if (this.started) {
+                    return this.write(data);
+                }
+                buffered.append(data);
+                if (buffered.length <= bufferedLimitBytes) {
+                    return true;
+                }
+                this.writeHead(res);
+                return this.write(buffered.take());
+            },
         });
         if (end === "complete") {
             this.writeHead(res);
-            this.callerRes.end(Buffer.concat(buffered));
+            this.callerRes.end(buffered.take());
         }
         return end;
     }
@@ -92,17 +74,27 @@
         onFirstChunk: () => void,
     ): Promise<BodyEnd> {
         let first = true;
-        let tail = "";
-        const received = await this.consume(res, wasCut, chunk => {
-            if (first) {
-                first = false;
-                onFirstChunk();
-                this.writeHead(res);
-            }
-            tail = (tail + chunk.subarray(-boundaryBytes).toString("latin1")).slice(-boundaryBytes);
-            return this.write(chunk);
+        let tail: Buffer = Buffer.alloc(0);
+        let insideEvent = false;
+        let incompleteCost = 0;
+        const received = await this.consume(res, wasCut, {
+            relay: ({ data, cost }) => {
+                if (first) {
+                    first = false;
+                    onFirstChunk();
+                    this.writeHead(res);
+                }
+                const eventEnd = endOfLastEvent(tail, data);
+                insideEvent = eventEnd < data.length;
+                incompleteCost = eventEnd > 0 ? 0 : incompleteCost + cost;
+                if (incompleteCost > eventLimitCost) {
+                    this.reader?.stop("cut");
+                }
+                tail = Buffer.concat([tail, data.subarray(-maxSplitBytes)]).subarray(-maxSplitBytes);
+                return this.write(data);
+            },
         });
-        const end = received === "complete" && !first && !endsAtEventBoundary(tail) ? "cut" : received;
+        const end = received === "complete" && insideEvent ? "cut" : received;
         if (end === "complete") {
             if (first) {
                 this.writeHead(res);
@@ -129,13 +121,15 @@
     ): Promise<BodyEnd> {
         const { clock, firstEventExpectedBy, maxGapMs, tryReplace, wasCut, onFirstEvent } = options;
         const splitter = new EventSplitter();
-        const silence = new SilenceWatch(clock, tryReplace, () => this.stop("stalled"));
+        const silence = new SilenceWatch(clock, tryReplace, () => this.reader?.stop("stalled"));
         let first = true;
+        let incompleteCost = 0;
         silence.expectBy(firstEventExpectedBy);
-        const relayChunk = (chunk: Buffer): boolean => {
-            const { completeEvents, lastEventId } = splitter.push(chunk);
-            if (splitter.remainder.length > eventLimitBytes) {
-                this.stop("cut");
+        const relay: BodySink["relay"] = ({ data, cost }) => {
+            const { completeEvents, lastEventId } = splitter.push(data);
+            incompleteCost = completeEvents.length === 0 ? incompleteCost + cost : splitter.remainingBytes;
+            if (incompleteCost > eventLimitCost) {
+                this.reader?.stop("cut");
                 return true;
             }
             if (completeEvents.length === 0) {
@@ -154,20 +148,19 @@
             return this.write(completeEvents);
         };
         // While the caller does not read, the endpoint cannot send.
-        const end = await this.consume(
-            res,
-            wasCut,
-            relayChunk,
-            isPaused => isPaused ? silence.cancel() : silence.expectBy(clock.now() + maxGapMs),
-        );
+        const end = await this.consume(res, wasCut, {
+            relay,
+            onPause: isPaused => isPaused ? silence.cancel() : silence.expectBy(clock.now() + maxGapMs),
+        });
         silence.cancel();
-        if (end === "complete" && /[^\r\n]/.test(splitter.remainder.toString("latin1"))) {
+        const remainder = splitter.takeRemainder();
+        if (end === "complete" && /[^\r\n]/.test(remainder.toString("latin1"))) {
             // A stream that ends inside an event has been broken off, however its connection ended.
             return "cut";
         }
         if (end === "complete") {
             this.writeHead(res);
-            this.callerRes.end(splitter.remainder);
+            this.callerRes.end(remainder);
         }
         return end;
     }
@@ -190,57 +183,14 @@
         this.callerRes.writeHead(res.statusCode ?? 502, reason, headers);
     }
 
-    /**
-     * Reads the body with backpressure; `relayChunk` returns false when the caller's connection is full, and `onPause`
-     * is told when reading pauses and goes on. Rejects with the error that `relayChunk` throws.
-     */
-    private consume(
-        res: IncomingMessage,
-        wasCut: () => Promise<boolean>,
-        relayChunk: (chunk: Buffer) => boolean,
-        onPause: (isPaused: boolean) => void = () => undefined,
-    ): Promise<BodyEnd> {
-        return new Promise((resolve, reject) => {
-            let ended = false;
-            const settle = (action: () => void): void => {
-                if (!ended) {
-                    ended = true;
-                    this.stop = () => undefined;
-                    action();
-                }
-            };
-            const finish = (end: BodyEnd): void => settle(() => resolve(end));
-            this.stop = finish;
-            if (this.callerRes.destroyed) {
-                finish("left");
-                return;
-            }
-            res.on("data", (chunk: Buffer) => {
-                try {
-                    if (!ended && !relayChunk(chunk)) {
-                        res.pause();
-                        onPause(true);
-                        this.callerRes.once("drain", () => {
-                            res.resume();
-                            if (!ended) {
-                                onPause(false);
-                            }
-                        });
-                    }
-                }
-                catch (err) {
-                    settle(() => reject(err as Error));
-                }
-            });
-            res.on("end", () => {
-                void wasCut().then(broken => finish(res.complete && !broken ? "complete" : "cut"));
-            });
-            res.on("error", () => finish("cut"));
-            res.on("close", () => {
-                if (!res.complete) {
-                    finish("cut");
-                }
-            });
-        });
+    private async consume(res: IncomingMessage, wasCut: () => Promise<boolean>, sink: BodySink): Promise<BodyEnd> {
+        const reader = new BodyReader(res, this.callerRes, wasCut, sink);
+        this.reader = reader;
+        try {
+            return await reader.read();
+        }
+        finally {
+            this.reader = undefined;
+        }
     }
 }
--- a/packages/ingress/src/attempt.ts
+++ b/packages/ingress/src/attempt.ts
@@ -2,6 +2,7 @@
 import type { Clock, Timer } from "@lentilramp/runtime";
 import { type ClientRequest, type IncomingMessage, request } from "node:http";
 import type { Socket } from "node:net";
+import { chunkCostBytes } from "./body-reader.ts";
 import type { EndpointPool } from "./endpoint-pool.ts";
 import type { AnswerHead, HeaderCodec } from "./platform-adapter.ts";
 import { connectDeadline } from "./send-timing.ts";
@@ -42,8 +43,8 @@
     maxIdleConnections: number;
 }
 
-/** Length of an unused answer, in bytes, above which its connection is closed instead of kept. */
-const discardLimitBytes = 65_536;
+/** Cost of an unused answer, in bytes, above which its connection is closed instead of kept. */
+const discardLimitCost = 65_536;
 /** Time for which an unused answer is read before its connection is closed, in milliseconds. */
 const discardTimeoutMs = 1_000;
 /** Largest number of interim (1xx) answers to one request; a healthy endpoint sends one or two. */
@@ -51,14 +52,14 @@
 
 /** Reads a short unused answer to its end, so that its connection can be kept. */
 export function discardAnswer(res: IncomingMessage): void {
-    let bytes = 0;
+    let cost = 0;
     const timer = setTimeout(() => res.destroy(), discardTimeoutMs);
     // An error while an unused answer is read is not a failure of the request.
     res.on("error", () => undefined);
     res.on("close", () => clearTimeout(timer));
     res.on("data", (chunk: Buffer) => {
-        bytes += chunk.length;
-        if (bytes > discardLimitBytes) {
+        cost += chunk.length + chunkCostBytes;
+        if (cost > discardLimitCost) {
             res.destroy();
         }
     });
--- a/packages/ingress/src/event-splitter.ts
+++ b/packages/ingress/src/event-splitter.ts
@@ -1,3 +1,5 @@
+import { ByteAccumulator } from "@lentilramp/protocol";
+
 /** Complete events cut from a stream, and the last event id among them. */
 export interface SplitEvents {
     /** Bytes up to the end of the last complete event; empty when no event has ended. */
@@ -5,29 +7,57 @@
     lastEventId: string | undefined;
 }
 
-/** Splits a stream of server-sent events at event boundaries, so that a broken stream can be resumed without a gap. */
+/** What ends an event. */
+const boundaries = ["\n\n", "\r\n\r\n"].map(text => Buffer.from(text));
+/** Largest number of bytes of a boundary that may stand before the chunk in which it ends. */
+export const maxSplitBytes = Math.max(...boundaries.map(({ length }) => length)) - 1;
+
+/**
+ * Splits a stream of server-sent events at event boundaries, so that a broken stream can be resumed without a gap. A
+ * chunk costs time by its own length, whatever has been received of its event before.
+ */
 export class EventSplitter {
-    private partial: Buffer = Buffer.alloc(0);
+    private readonly partial = new ByteAccumulator();
 
     /** Adds a chunk of the stream and returns the events that it completes. */
     push(chunk: Buffer): SplitEvents {
-        const data = this.partial.length === 0 ? chunk : Buffer.concat([this.partial, chunk]);
-        const end = endOfLastEvent(data);
-        const completeEvents = data.subarray(0, end);
-        this.partial = data.subarray(end);
-        return { completeEvents, lastEventId: end === 0 ? undefined : lastIdOf(completeEvents) };
+        const end = endOfLastEvent(this.partial.tail(maxSplitBytes), chunk);
+        if (end === 0) {
+            this.partial.append(chunk);
+            return { completeEvents: Buffer.alloc(0), lastEventId: undefined };
+        }
+        this.partial.append(chunk.subarray(0, end));
+        const completeEvents = this.partial.take();
+        this.partial.append(chunk.subarray(end));
+        return { completeEvents, lastEventId: lastIdOf(completeEvents) };
+    }
+
+    /** Number of bytes after the last complete event. */
+    get remainingBytes(): number {
+        return this.partial.length;
     }
 
-    /** Bytes after the last complete event. */
-    get remainder(): Buffer {
-        return this.partial;
+    /** Returns the bytes after the last complete event and forgets them. */
+    takeRemainder(): Buffer {
+        return this.partial.take();
     }
 }
 
-function endOfLastEvent(data: Buffer): number {
-    const ends = [data.lastIndexOf("\n\n") + 2, data.lastIndexOf("\r\n\r\n") + 4];
-    const found = [data.includes("\n\n"), data.includes("\r\n\r\n")];
-    return Math.max(found[0] ? ends[0] ?? 0 : 0, found[1] ? ends[1] ?? 0 : 0);
+/**
+ * Returns the number of bytes of a chunk up to the end of its last event, or 0 if none ends in it. `before` holds the
+ * bytes in front of it, with which the boundary may begin.
+ */
+export function endOfLastEvent(before: Buffer, chunk: Buffer): number {
+    const start = Buffer.concat([before, chunk.subarray(0, maxSplitBytes)]);
+    return Math.max(0, endOfLastBoundary(chunk), endOfLastBoundary(start) - before.length);
+}
+
+/** Returns the end of the last boundary in `data`, or 0 if there is none. */
+function endOfLastBoundary(data: Buffer): number {
+    return Math.max(...boundaries.map(boundary => {
+        const index = data.lastIndexOf(boundary);
+        return index === -1 ? 0 : index + boundary.length;
+    }));
 }
 
 function lastIdOf(events: Buffer): string | undefined {
--- a/packages/ingress/src/prompt-outcome.ts
+++ b/packages/ingress/src/prompt-outcome.ts
@@ -1,7 +1,7 @@
 import { type Endpoint, suspectKeys } from "@lentilramp/fleet";
 import type { Timer } from "@lentilramp/runtime";
 import type { AdmittedRequest } from "./admission.ts";
-import type { BodyEnd } from "./answer-writer.ts";
+import type { BodyEnd } from "./body-reader.ts";
 import type { RelayContext } from "./relay.ts";
 
 /**
--- a/packages/ingress/tests/faulty-endpoints.test.ts
+++ b/packages/ingress/tests/faulty-endpoints.test.ts
@@ -249,6 +249,32 @@
         expect(bytes()).to.be.below(8 * 1_048_576);
     });
 
+    // Guards against an ingress that stands still because it reads an event without an end, word by word.
+    it("closes a stream in tiny chunks without an event boundary after a bounded number of them", async () => {
+        const harness = await start([sealed(200, "id: 1\ndata: a\n\n")], {
+            ...streamRoute,
+            resumable: false,
+            timeoutMs: 30_000,
+        });
+        const chunk = "4\r\nword\r\n";
+        let bytes = (): number => 0;
+        await replaceByRawEndpoint(harness, (socket, attemptId) => {
+            const head = `X-Attempt-Id: ${attemptId}\r\nX-Response-Seal: s\r\nTransfer-Encoding: chunked`;
+            socket.write(`HTTP/1.1 200 OK\r\n${head}\r\n\r\n`);
+            bytes = writeEndlessly(socket, chunk.repeat(64));
+        });
+        const { complete, body } = await harness.call({
+            method: "POST",
+            body: "x",
+            headers: { "x-deadline-ms": "30000" },
+        });
+        expect(complete).to.equal(false);
+        // The parser hands over what one read from the socket contains, 64 KiB at most.
+        expect(body.length).to.be.below(4 * 4_096 + 65_536);
+        await Promise.all(sockets.map(socket => socket.destroyed ? undefined : once(socket, "close")));
+        expect(bytes()).to.be.below(16 * 1_048_576);
+    });
+
     it("closes the connection of an endpoint whose refusal has an endless body", async () => {
         const harness = await start([sealed(200, "ok")]);
         await replaceByRawEndpoint(harness, (socket, attemptId) => {
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -1,4 +1,5 @@
 /** Messages and transport between the processes of the system. */
+export * from "./byte-accumulator.ts";
 export * from "./format-issues.ts";
 export * from "./http-server.ts";
 export * from "./json-client.ts";
--- a/packages/protocol/src/read-body.ts
+++ b/packages/protocol/src/read-body.ts
@@ -1,4 +1,5 @@
 import type { IncomingMessage } from "node:http";
+import { ByteAccumulator } from "./byte-accumulator.ts";
 
 /** Thrown when a request or response body exceeds the size limit. */
 export class BodyTooLargeError extends Error {
@@ -23,8 +24,8 @@
  */
 export function readBody(message: IncomingMessage, limitBytes: number): Promise<Buffer> {
     return new Promise((resolve, reject) => {
-        const chunks: Buffer[] = [];
-        let receivedBytes = 0;
+        const body = new ByteAccumulator();
+        let tooLarge = false;
         if (Number(message.headers["content-length"] ?? 0) > limitBytes) {
             message.resume();
             reject(new BodyTooLargeError(limitBytes));
@@ -36,16 +37,16 @@
             return;
         }
         message.on("data", (chunk: Buffer) => {
-            receivedBytes += chunk.length;
-            if (receivedBytes > limitBytes) {
-                chunks.length = 0;
+            tooLarge ||= body.length + chunk.length > limitBytes;
+            if (tooLarge) {
+                body.take();
                 reject(new BodyTooLargeError(limitBytes));
             }
             else {
-                chunks.push(chunk);
+                body.append(chunk);
             }
         });
-        message.on("end", () => message.complete ? resolve(Buffer.concat(chunks)) : reject(new IncompleteBodyError()));
+        message.on("end", () => message.complete ? resolve(body.take()) : reject(new IncompleteBodyError()));
         message.on("error", () => reject(new IncompleteBodyError()));
         message.on("close", () => reject(new IncompleteBodyError()));
     });
