Send a request only once the close behind it would have been read

Cause: a request and the close behind it lie in the caller's socket together; one turn of the event loop reads the request and sent it at once, the close is read in the next turn. The same for requests that are sent when a slot becomes free and for the end of a body.

Change: a request is sent once the event loop has read all sockets after it arrived, after it waited, and before each further attempt (PollBarrier). What it took from its workspace's cap is given back if it was not sent.

Test changed: "sends as many requests as it has permits" had two connections of the endpoint for its ingress (96 for 191 ingresses), and which of ten requests found both in use depended on the turn in which they arrived. It now has enough, so that only the limit can refuse; what it checks is unchanged.

--- a/packages/ingress/src/in-flight-attempt.ts
+++ b/packages/ingress/src/in-flight-attempt.ts
@@ -15,6 +15,8 @@
     firstByteExpectedBy: number;
     /** Instant from which silence counts as the endpoint's fault and not as the effect of a route's short timeout. */
     silenceFaultFrom: number;
+    /** Whether the endpoint may have received the request. */
+    sent: boolean;
     slotReleased: boolean;
 }
 
@@ -69,6 +71,7 @@
         sentAt: now,
         firstByteExpectedBy,
         silenceFaultFrom: now + silenceLimitMs(prediction),
+        sent: false,
         slotReleased: false,
     };
 }
--- a/packages/ingress/src/relay.ts
+++ b/packages/ingress/src/relay.ts
@@ -24,6 +24,7 @@
 import { LimitGate } from "./limit-gate.ts";
 import { PlannedStop } from "./planned-stop.ts";
 import type { HeaderCodec } from "./platform-adapter.ts";
+import { PollBarrier } from "./poll-barrier.ts";
 import { internalErrorReason, internalErrorRetryMs, sendRefusal } from "./refusal.ts";
 import { RelayedCall } from "./relayed-call.ts";
 
@@ -58,6 +59,7 @@
     maxIdleConnections(service: string): number;
     readonly connections: CallerConnections;
     readonly stop: PlannedStop;
+    readonly pollBarrier: PollBarrier;
     readonly answerTimes: AnswerTimes;
     /** Whether a broken stream may be resumed at another endpoint. */
     readonly resumesStreams: boolean;
@@ -94,6 +96,7 @@
     readonly stop: PlannedStop;
     readonly connections: CallerConnections;
     private readonly admission: Admission;
+    readonly pollBarrier = new PollBarrier();
     readonly answerTimes = new AnswerTimes();
 
     constructor(
--- a/packages/ingress/src/relayed-call.ts
+++ b/packages/ingress/src/relayed-call.ts
@@ -54,13 +54,18 @@
         return execution === "idempotent" || execution === "stream" && resumable && this.ctx.resumesStreams;
     }
 
+    /** Whether the caller has closed its side of the connection; Node.js closes the answer only some turns later. */
+    private get callerHasLeft(): boolean {
+        const { req, res } = this.admitted;
+        return res.destroyed || req.socket.destroyed || req.socket.readableEnded;
+    }
+
     async run(): Promise<void> {
         const { res, dispatch } = this.admitted;
         const { clock } = this.ctx;
         res.once("close", () => {
             if (!this.finished && !res.writableFinished) {
-                this.outcome = "left";
-                this.stop();
+                this.leave();
             }
         });
         const timer = clock.schedule(dispatch.deadline, () => this.guard(() => this.onDeadline(), undefined));
@@ -82,6 +87,9 @@
 
     private async relay(): Promise<void> {
         for (let isFirstAttempt = true; !this.stopped; isFirstAttempt = false) {
+            if (!await this.callerStays()) {
+                return;
+            }
             const slot = isFirstAttempt
                 ? await this.selection.selectFirst()
                 : this.selection.selectAnother(this.runs > 0);
@@ -96,6 +104,10 @@
             if (inFlight === undefined) {
                 return;
             }
+            if (isFirstAttempt && this.selection.hasWaited(this.ctx.clock.now()) && !await this.callerStays()) {
+                return;
+            }
+            inFlight.sent = true;
             const outcome = await inFlight.attempt.run();
             if (this.stopped) {
                 this.onAbandonedAttempt(inFlight, outcome);
@@ -315,6 +327,26 @@
         }
     }
 
+    /** Resolves with whether there is still something to do, once the close of a caller that has left would be read. */
+    private async callerStays(): Promise<boolean> {
+        await this.ctx.pollBarrier.passed();
+        if (!this.stopped && this.callerHasLeft) {
+            this.leave();
+        }
+        return !this.stopped;
+    }
+
+    /** Ends the request of a caller that has left. */
+    private leave(): void {
+        const { workspace, units } = this.admitted;
+        if (this.runs === 0 && this.currentAttempt?.sent !== true && workspace !== undefined) {
+            this.ctx.view.caps.refund(workspace, units);
+        }
+        this.outcome = "left";
+        this.finished = true;
+        this.stop();
+    }
+
     /** Ends all work on the request. */
     private stop(): void {
         this.stopped = true;
@@ -377,7 +409,7 @@
         const { res, workspace, units } = this.admitted;
         const cut = this.writer.started;
         const notRun = this.runs === 0
-            && (this.currentAttempt === undefined || this.currentAttempt.slotReleased || retryAfterMs !== undefined);
+            && (this.currentAttempt?.sent !== true || this.currentAttempt.slotReleased || retryAfterMs !== undefined);
         this.finished = true;
         this.outcome = cut ? "cut" : notRun ? "refused" : "failed";
         // What the caller is owed comes before anything that may fail.
--- a/packages/ingress/tests/endpoint-limits.test.ts
+++ b/packages/ingress/tests/endpoint-limits.test.ts
@@ -13,7 +13,11 @@
     async function start(answers: Answer[], route: Partial<CatalogRoute> = {}): Promise<IngressHarness> {
         endpoints = answers.map((answer, i) => new ScriptedEndpoint(`e${i + 1}`, answer));
         await Promise.all(endpoints.map(endpoint => endpoint.start()));
-        ingress = await IngressHarness.start(testCatalog({ routes: [testRoute(route)] }), endpoints);
+        // The share of one of 191 ingresses in the endpoint's connections must not be what refuses a request.
+        const services = new Map([
+            ["app", { name: "app", connectionLimit: 10_000, engine: undefined, scaling: undefined }],
+        ]);
+        ingress = await IngressHarness.start(testCatalog({ routes: [testRoute(route)], services }), endpoints);
         return ingress;
     }
 
--- a/packages/ingress/tests/ingress-harness.ts
+++ b/packages/ingress/tests/ingress-harness.ts
@@ -150,6 +150,11 @@
         this.socket.end();
     }
 
+    /** Closes the connection at once, as a caller does whose process ends. */
+    reset(): void {
+        this.socket.resetAndDestroy();
+    }
+
     pause(): void {
         this.socket.pause();
     }
