Bound the log of the core by the size of its commands

A leader repeated a large entry with each heartbeat, and a message had 300 ms whatever its size.

What is in flight is repeated only once there was time for it to arrive, and the deadline of a message grows with its size.

--- a/packages/agreement/src/follower.ts
+++ b/packages/agreement/src/follower.ts
@@ -76,6 +76,7 @@
     state.base = base;
     state.snapshot = snapshot;
     state.requestedSnapshotIndex = snapshot.index;
+    state.charsSinceSnapshot = 0;
     state.commitIndex = snapshot.index;
     ctx.write({ type: "save-snapshot", snapshot, base, keepLog }, true);
     state.durableIndex = keepLog ? state.durableIndex : 0;
--- a/packages/agreement/src/index.ts
+++ b/packages/agreement/src/index.ts
@@ -1,6 +1,7 @@
 /**
  * Embeddable consensus core: leader election, log replication, snapshots, membership change.
  */
+export { entryChars } from "./log.ts";
 export type { Message } from "./messages.ts";
 export { AgreementNode, type NodeSettings } from "./node.ts";
 export { type AgreementOptions, defaultAgreementOptions, OptionsError, resolveOptions } from "./options.ts";
--- a/packages/agreement/src/log.ts
+++ b/packages/agreement/src/log.ts
@@ -31,6 +31,11 @@
     return log.entries.slice(Math.max(0, from - log.base.index - 1), Math.max(0, to - log.base.index));
 }
 
+/** Returns the number of characters of an entry's command. */
+export function entryChars({ content }: Entry): number {
+    return content.kind === "command" ? content.command.length : 0;
+}
+
 /** Returns the newest membership at or before `index`, and the index of its entry or snapshot. */
 export function membershipAt(log: LogView, index: number): { membership: Membership; index: number; } {
     for (const entry of entriesBetween(log, log.snapshot.index + 1, index).reverse()) {
--- a/packages/agreement/src/options.ts
+++ b/packages/agreement/src/options.ts
@@ -10,11 +10,22 @@
     readonly handOverTimeoutMs: number;
     /** Number of applied entries after which a snapshot is due. */
     readonly snapshotIntervalEntries: number;
-    /** Number of entries retained before a snapshot, so that a follower slightly behind needs no snapshot. */
+    /**
+     * Number of characters of applied commands after which a snapshot is due. If the last snapshot was larger, one is due
+     * after as many characters as it had, so that snapshots cost no more than the entries that they replace.
+     */
+    readonly snapshotIntervalChars: number;
+    /** Limits of what is retained before a snapshot, so that a follower slightly behind needs no snapshot. */
     readonly retainedEntries: number;
+    readonly retainedChars: number;
     /** Limits of one append message, in entries and in characters of their commands. */
     readonly maxBatchEntries: number;
     readonly maxBatchChars: number;
+    /**
+     * Characters of commands or snapshots that a member receives in a millisecond even when it is slow; what is in flight
+     * is repeated only after the time that this leaves for it.
+     */
+    readonly transferCharsPerMs: number;
     /** Number of uncommitted entries at which further proposals are refused. */
     readonly maxUncommittedEntries: number;
 }
@@ -28,9 +39,12 @@
     clockRateError: 0.01,
     handOverTimeoutMs: 400,
     snapshotIntervalEntries: 1_000,
+    snapshotIntervalChars: 1_048_576,
     retainedEntries: 100,
+    retainedChars: 262_144,
     maxBatchEntries: 64,
     maxBatchChars: 262_144,
+    transferCharsPerMs: 2_000,
     maxUncommittedEntries: 1_000,
 };
 
@@ -60,6 +74,9 @@
                 + `electionTimeoutMinMs ${electionTimeoutMinMs}`,
         );
     }
+    if (!(options.transferCharsPerMs > 0)) {
+        throw new OptionsError(`transferCharsPerMs must be above 0, got ${options.transferCharsPerMs}`);
+    }
     if (options.maxBatchEntries < 1 || options.snapshotIntervalEntries < 1 || options.maxUncommittedEntries < 1) {
         throw new OptionsError("maxBatchEntries, snapshotEvery and maxUncommitted must be at least 1");
     }
--- a/packages/agreement/src/replication.ts
+++ b/packages/agreement/src/replication.ts
@@ -1,5 +1,5 @@
 import { advanceHandOver } from "./hand-over.ts";
-import { entriesBetween, lastIndex, termAt } from "./log.ts";
+import { entriesBetween, entryChars, lastIndex, termAt } from "./log.ts";
 import { isMember, quorumValue } from "./membership.ts";
 import type { AppendReply } from "./messages.ts";
 import { confirmReads, extendLease } from "./reads.ts";
@@ -15,7 +15,7 @@
         lastReplyAt: ctx.now,
         lastAnsweredSentAt: ctx.now - ctx.options.electionTimeoutMinMs,
         lastAnsweredRound: -1,
-        lastSnapshotSentAt: ctx.now - ctx.options.electionTimeoutMinMs,
+        resendAt: ctx.now,
     };
 }
 
@@ -41,7 +41,7 @@
 
 /**
  * Sends to each peer the entries that it lacks. A heartbeat also goes to peers that lack nothing, and repeats entries
- * that were lost.
+ * that were lost once there was time for them to arrive.
  */
 export function broadcast(ctx: StepContext, heartbeat: boolean): void {
     reconcilePeers(ctx);
@@ -57,11 +57,15 @@
     const stamp = { round: state.readRound, sentAt: now };
     const prevTerm = termAt(state, peer.nextIndex - 1);
     if (prevTerm !== undefined && peer.nextIndex > state.base.index) {
-        const entries = nextBatch(ctx, peer.nextIndex);
+        const isInFlight = peer.awaitingReply && now < peer.resendAt;
+        const entries = isInFlight ? [] : nextBatch(ctx, peer.nextIndex);
         if (entries.length === 0 && !heartbeat) {
             return;
         }
-        peer.awaitingReply = entries.length > 0;
+        if (!isInFlight) {
+            peer.awaitingReply = entries.length > 0;
+            peer.resendAt = now + transferMs(ctx, entries.reduce((sum, entry) => sum + entryChars(entry), 0));
+        }
         ctx.send(id, {
             type: "append",
             prevIndex: peer.nextIndex - 1,
@@ -72,9 +76,8 @@
         });
         return;
     }
-    // A snapshot can be large, so it is repeated only after the minimum election timeout without a reply.
-    if (now - peer.lastSnapshotSentAt >= ctx.options.electionTimeoutMinMs) {
-        peer.lastSnapshotSentAt = now;
+    if (!peer.awaitingReply || now >= peer.resendAt) {
+        peer.resendAt = now + ctx.options.electionTimeoutMinMs + transferMs(ctx, state.snapshot.state.length);
         peer.awaitingReply = true;
         ctx.send(id, { type: "snapshot", snapshot: state.snapshot, ...stamp });
     }
@@ -83,12 +86,17 @@
     }
 }
 
+/** Returns the time within which a member receives so many characters, in milliseconds. */
+function transferMs({ options }: StepContext, chars: number): number {
+    return Math.floor(chars / options.transferCharsPerMs);
+}
+
 function nextBatch(ctx: StepContext, from: number): Entry[] {
     const { maxBatchEntries, maxBatchChars } = ctx.options;
     const candidates = entriesBetween(ctx.state, from, from + maxBatchEntries - 1);
     let chars = 0;
     const batchLength = candidates.findIndex((entry, i) => {
-        chars += entry.content.kind === "command" ? entry.content.command.length : 0;
+        chars += entryChars(entry);
         return i > 0 && chars > maxBatchChars;
     });
     return batchLength === -1 ? candidates : candidates.slice(0, batchLength);
--- a/packages/agreement/src/state.ts
+++ b/packages/agreement/src/state.ts
@@ -15,7 +15,8 @@
     lastAnsweredSentAt: number;
     /** Read round of the latest request that the member has answered. */
     lastAnsweredRound: number;
-    lastSnapshotSentAt: number;
+    /** Instant before which the entries or the snapshot in flight are not repeated. */
+    resendAt: number;
 }
 
 export interface PendingRead {
@@ -68,6 +69,8 @@
     unsyncedWrites: { sequence: number; index: number; }[];
     /** Index of the latest snapshot that was requested from the caller or received from a leader. */
     requestedSnapshotIndex: number;
+    /** Number of characters of the commands that were applied since then. */
+    charsSinceSnapshot: number;
     storageFailed: boolean;
     // The following fields are used only by a leader.
     peers: Map<NodeId, PeerProgress>;
@@ -107,6 +110,7 @@
         durableIndex: lastIndex,
         unsyncedWrites: [],
         requestedSnapshotIndex: stored.snapshot.index,
+        charsSinceSnapshot: 0,
         storageFailed: false,
         peers: new Map(),
         termStartIndex: 0,
--- a/packages/agreement/src/step-context.ts
+++ b/packages/agreement/src/step-context.ts
@@ -1,4 +1,4 @@
-import { entriesBetween, entryAt, lastIndex, membershipAt } from "./log.ts";
+import { entriesBetween, entryAt, entryChars, lastIndex, membershipAt } from "./log.ts";
 import { isVoter } from "./membership.ts";
 import type { Message } from "./messages.ts";
 import type { AgreementOptions } from "./options.ts";
@@ -166,12 +166,21 @@
         state.commitIndex = index;
         this.saveState(false);
         this.effects.push({ type: "apply", entries });
-        if (index - state.requestedSnapshotIndex >= this.options.snapshotIntervalEntries) {
+        state.charsSinceSnapshot += entries.reduce((sum, entry) => sum + entryChars(entry), 0);
+        if (this.isSnapshotDue(index)) {
             state.requestedSnapshotIndex = index;
+            state.charsSinceSnapshot = 0;
             this.effects.push({ type: "snapshot-due", index });
         }
     }
 
+    private isSnapshotDue(index: number): boolean {
+        const { state, options } = this;
+        const dueChars = Math.max(options.snapshotIntervalChars, state.snapshot.state.length);
+        return index - state.requestedSnapshotIndex >= options.snapshotIntervalEntries
+            || state.charsSinceSnapshot >= dueChars;
+    }
+
     hasEntry(index: number): boolean {
         return entryAt(this.state, index) !== undefined;
     }
--- a/packages/agreement/tests/node.test.ts
+++ b/packages/agreement/tests/node.test.ts
@@ -1,7 +1,9 @@
 import {
     AgreementNode,
     type AgreementOptions,
+    type Effect,
     foundingState,
+    type Input,
     OptionsError,
     resolveOptions,
     StorageRollbackError,
@@ -92,6 +94,84 @@
         expect(simulation.host(lateSlot).node!.status.snapshotIndex).to.be.above(100);
     });
 
+    // Guards against a log of whole configurations that fills the disk, and that a successor receives one by one.
+    it("bounds its log by the size of the commands, however few they are", () => {
+        const { simulation, leader } = startSettledGroup({
+            snapshotIntervalEntries: 1_000,
+            snapshotIntervalChars: 1_000,
+            retainedEntries: 100,
+            retainedChars: 300,
+        });
+        const lateSlot = (leader.slot + 1) % 3;
+        simulation.crash(lateSlot);
+        for (let i = 0; i < 60; i++) {
+            simulation.step(leader, { type: "propose", id: `c${i}`, command: `${i}`.padEnd(200, "x") });
+            simulation.run(20);
+        }
+        // One command is retained before the newest snapshot, five make the next one due.
+        expect(leader.node!.status.logEntries).to.be.at.most(1 + 5 + 1);
+        simulation.restart(lateSlot);
+        simulation.run(1_000);
+        expect(simulation.host(lateSlot).digest).to.equal(leader.digest);
+        expect(simulation.host(lateSlot).node!.status.snapshotIndex).to.be.above(50);
+    });
+
+    it("takes no snapshots more often than their size pays for", () => {
+        const stored = foundingState([{ id: "a", address: "a" }]);
+        const node = new AgreementNode({
+            id: "a",
+            stored,
+            options: { snapshotIntervalChars: 100 },
+            random: () => 0.5,
+            now: 0,
+        });
+        const snapshotState = "s".repeat(1_000);
+        let snapshots = 0;
+        const run = (input: Input, now: number): void => {
+            for (const effect of node.step(input, now)) {
+                if (effect.type === "sync") {
+                    run({ type: "synced", sequence: effect.sequence }, now);
+                }
+                else if (effect.type === "snapshot-due") {
+                    snapshots++;
+                    run({ type: "snapshot-taken", index: effect.index, state: snapshotState }, now);
+                }
+            }
+        };
+        node.start();
+        run({ type: "tick" }, 1_000);
+        run({ type: "tick" }, 2_000);
+        for (let i = 0; i < 110; i++) {
+            run({ type: "propose", id: `c${i}`, command: "x".repeat(100) }, 2_000 + i);
+        }
+        expect(snapshots).to.equal(1 + 10);
+    });
+
+    // Guards against a leader that spends its time on sending one large configuration again and again, so that no
+    // change is confirmed any more.
+    it("does not repeat a large command before there was time for it to arrive", () => {
+        const { simulation, leader } = startSettledGroup({ transferCharsPerMs: 1_000 });
+        const command = "x".repeat(300_000);
+        const { now } = simulation;
+        const sent = leader.node!.step({ type: "propose", id: "large", command }, leader.localTime(now));
+        let times = 0;
+        const count = (effects: readonly Effect[]): void => {
+            times +=
+                effects.filter(effect =>
+                    effect.type === "send" && effect.message.type === "append" && effect.message.entries.length > 0
+                ).length;
+        };
+        count(sent);
+        for (let ms = 0; ms < 290; ms += 10) {
+            count(leader.node!.step({ type: "tick" }, leader.localTime(now + ms)));
+        }
+        expect(times).to.equal(2);
+        for (let ms = 300; ms < 450; ms += 10) {
+            count(leader.node!.step({ type: "tick" }, leader.localTime(now + ms)));
+        }
+        expect(times).to.equal(4);
+    });
+
     // A member whose disk is full cannot store its vote, so no campaign of it succeeds. Terms that it raises meanwhile
     // keep it from following the next leader, and depose that leader as soon as the disk has room.
     it("does not raise its term again before its vote of the term before is durable", () => {
--- a/packages/control/src/agreement-storage.ts
+++ b/packages/control/src/agreement-storage.ts
@@ -8,12 +8,18 @@
 export interface AgreementStorageLimits extends QueueLimits {
     /** Number of writes after which the stored state is written as a snapshot. */
     writesPerSnapshot: number;
+    /**
+     * Number of bytes in the journal after which the stored state is written as a snapshot. If the last snapshot was
+     * larger, the next one is written after as many bytes as it had.
+     */
+    bytesPerSnapshot: number;
     /** Number of writes after which a snapshot that failed is tried again. */
     writesPerRetry: number;
 }
 
 const defaultLimits: AgreementStorageLimits = {
     writesPerSnapshot: 1_000,
+    bytesPerSnapshot: 4 * 1_048_576,
     writesPerRetry: 100,
     maxQueuedWrites: 10_000,
     maxQueuedChars: 16 * 1_048_576,
@@ -26,17 +32,26 @@
     return encode(value, { ignoreUndefined: true });
 }
 
-function recoverState(contents: JournalContents, initial: StoredState): { state: StoredState; writes: number; } {
+/** What a journal holds beside its snapshot. */
+interface JournalUse {
+    writes: number;
+    bytes: number;
+    snapshotBytes: number;
+}
+
+function recoverState(contents: JournalContents, initial: StoredState): { state: StoredState; use: JournalUse; } {
     let writes = 0;
+    let bytes = 0;
     let state = contents.snapshot === undefined ? initial : decode(contents.snapshot.payload) as StoredState;
     for (const record of contents.records) {
+        bytes += record.payload.length;
         const decoded = decode(record.payload) as Write | Write[];
         for (const write of Array.isArray(decoded) ? decoded : [decoded]) {
             state = applyWrite(state, write);
             writes++;
         }
     }
-    return { state, writes };
+    return { state, use: { writes, bytes, snapshotBytes: contents.snapshot?.payload.length ?? 0 } };
 }
 
 interface PendingSync {
@@ -53,8 +68,9 @@
  */
 export class AgreementStorage {
     private writesSinceSnapshot: number;
-    /** Number of writes since the snapshot at which the next one is due. */
-    private snapshotDueAt: number;
+    private bytesSinceSnapshot: number;
+    /** Numbers of writes and bytes since the snapshot at which the next one is due. */
+    private snapshotDueAt: { writes: number; bytes: number; };
     private readonly queue: WriteQueue;
     private acceptedCount = 0;
     private durableCount = 0;
@@ -68,13 +84,14 @@
     private constructor(
         private readonly journal: Journal,
         private state: StoredState,
-        writes: number,
+        use: JournalUse,
         private readonly clock: Clock,
         private readonly log: EventLog,
         private readonly limits: AgreementStorageLimits,
     ) {
-        this.writesSinceSnapshot = writes;
-        this.snapshotDueAt = limits.writesPerSnapshot;
+        this.writesSinceSnapshot = use.writes;
+        this.bytesSinceSnapshot = use.bytes;
+        this.snapshotDueAt = snapshotDue(limits, use.snapshotBytes);
         this.queue = new WriteQueue(limits);
     }
 
@@ -87,8 +104,8 @@
         limits: AgreementStorageLimits = defaultLimits,
     ): Promise<AgreementStorage> {
         const { journal, contents } = await folder.openJournal("agreement");
-        const { state, writes } = recoverState(contents, initial);
-        return new AgreementStorage(journal, state, writes, clock, log, limits);
+        const { state, use } = recoverState(contents, initial);
+        return new AgreementStorage(journal, state, use, clock, log, limits);
     }
 
     get stored(): StoredState {
@@ -147,28 +164,31 @@
 
     private async storeBatch(): Promise<void> {
         const batch = this.queue.take();
+        const record = encodeRecord(batch);
         try {
-            await this.journal.append(encodeRecord(batch));
+            await this.journal.append(record);
         }
         catch (err) {
             this.queue.putBack(batch);
             throw err;
         }
         this.writesSinceSnapshot += batch.length;
+        this.bytesSinceSnapshot += record.length;
         this.markDurable(this.durableCount + batch.length);
     }
 
     private async storeState(): Promise<void> {
         const count = this.acceptedCount;
         this.queue.clear();
+        const encodedState = encodeRecord(this.state);
         try {
-            await this.journal.saveSnapshot(encodeRecord(this.state), this.journal.lastIndex);
+            await this.journal.saveSnapshot(encodedState, this.journal.lastIndex);
         }
         catch (err) {
             this.queue.overflow();
             throw err;
         }
-        this.onSnapshotStored();
+        this.onSnapshotStored(encodedState.length);
         this.markDurable(count);
     }
 
@@ -212,25 +232,36 @@
      * example because it does not fit on the disk, holds up no writes unless it has stopped the journal.
      */
     private async compactIfDue(): Promise<void> {
-        if (this.writesSinceSnapshot < this.snapshotDueAt || this.durableCount < this.acceptedCount) {
+        const { writes, bytes } = this.snapshotDueAt;
+        const isDue = this.writesSinceSnapshot >= writes || this.bytesSinceSnapshot >= bytes;
+        if (!isDue || this.durableCount < this.acceptedCount) {
             return;
         }
         const encodedState = encodeRecord(this.state);
         try {
             await this.journal.saveSnapshot(encodedState, this.journal.lastIndex);
-            this.onSnapshotStored();
+            this.onSnapshotStored(encodedState.length);
         }
         catch (err) {
             if (this.journal.stopError !== undefined) {
                 throw err;
             }
-            this.snapshotDueAt = this.writesSinceSnapshot + this.limits.writesPerRetry;
+            this.snapshotDueAt = { writes: this.writesSinceSnapshot + this.limits.writesPerRetry, bytes: Infinity };
             this.log.warn("agreement.snapshot-failed", { error: String(err) });
         }
     }
 
-    private onSnapshotStored(): void {
+    private onSnapshotStored(bytes: number): void {
         this.writesSinceSnapshot = 0;
-        this.snapshotDueAt = this.limits.writesPerSnapshot;
+        this.bytesSinceSnapshot = 0;
+        this.snapshotDueAt = snapshotDue(this.limits, bytes);
     }
 }
+
+/** Returns the numbers of writes and bytes after which a snapshot is due that follows one of `snapshotBytes`. */
+function snapshotDue(
+    { writesPerSnapshot, bytesPerSnapshot }: AgreementStorageLimits,
+    snapshotBytes: number,
+): { writes: number; bytes: number; } {
+    return { writes: writesPerSnapshot, bytes: Math.max(bytesPerSnapshot, snapshotBytes) };
+}
--- a/packages/control/src/rpc-transport.ts
+++ b/packages/control/src/rpc-transport.ts
@@ -1,11 +1,11 @@
-import type { Membership, Message, NodeId } from "@lentilramp/agreement";
+import { defaultAgreementOptions, entryChars, type Membership, type Message, type NodeId } from "@lentilramp/agreement";
 import type { RpcClient } from "@lentilramp/protocol";
 import type { Clock } from "@lentilramp/runtime";
 import { z } from "zod";
 import type { AgreementTransport } from "./agreement-driver.ts";
 import { addressOf, type MemberAddress } from "./member-address.ts";
 
-/** Call timeout. A message that is delayed longer is obsolete, since a heartbeat is sent every 100 ms. */
+/** Call timeout of small messages. One that is delayed longer is obsolete, since a heartbeat is sent every 100 ms. */
 const messageTimeoutMs = 300;
 /** Maximum number of calls in flight to a member; others carry heartbeats while one waits on a silent connection. */
 const maxCallsPerMember = 4;
@@ -26,6 +26,8 @@
         private readonly selfAddress: MemberAddress,
         private readonly client: RpcClient,
         private readonly clock: Clock,
+        /** Characters of commands or snapshots that a member receives in a millisecond. */
+        private readonly charsPerMs = defaultAgreementOptions.transferCharsPerMs,
     ) {}
 
     /** Records the address of a sender, since a joining member has no membership yet to look up where to reply. */
@@ -55,7 +57,8 @@
         const messages = sendQueue.messages;
         sendQueue.messages = [];
         sendQueue.callsInFlight++;
-        const deadline = this.clock.now() + messageTimeoutMs;
+        const chars = messages.reduce((sum, message) => sum + contentChars(message), 0);
+        const deadline = this.clock.now() + messageTimeoutMs + chars / this.charsPerMs;
         this.client.call(
             sendQueue.address,
             "agreement.step",
@@ -70,3 +73,15 @@
             });
     }
 }
+
+/** Returns the number of characters of a message that can be large. */
+function contentChars(message: Message): number {
+    switch (message.type) {
+        case "append":
+            return message.entries.reduce((sum, entry) => sum + entryChars(entry), 0);
+        case "snapshot":
+            return message.snapshot.state.length;
+        default:
+            return 0;
+    }
+}
--- a/packages/control/src/write-queue.ts
+++ b/packages/control/src/write-queue.ts
@@ -1,4 +1,4 @@
-import type { Write } from "@lentilramp/agreement";
+import { entryChars, type Write } from "@lentilramp/agreement";
 
 /** Limits of one journal record, in writes and in characters of their content. A larger write has its own record. */
 const maxWritesPerRecord = 64;
@@ -17,10 +17,7 @@
         case "save-state":
             return 0;
         case "append":
-            return write.entries.reduce(
-                (sum, { content }) => sum + (content.kind === "command" ? content.command.length : 0),
-                0,
-            );
+            return write.entries.reduce((sum, entry) => sum + entryChars(entry), 0);
         case "save-snapshot":
             return write.snapshot.state.length;
     }
--- a/packages/control/tests/agreement-storage.test.ts
+++ b/packages/control/tests/agreement-storage.test.ts
@@ -10,7 +10,13 @@
 const founders = foundingState([{ id: "m1", address: "a" }]);
 const log = new MemoryEventLog();
 const operations: readonly SpaceOperation[] = ["open", "sync", "truncate", "rename", "remove", "syncFolder"];
-const limits = { writesPerSnapshot: 12, writesPerRetry: 4, maxQueuedWrites: 8, maxQueuedChars: 400 };
+const limits = {
+    writesPerSnapshot: 12,
+    bytesPerSnapshot: 2_000,
+    writesPerRetry: 4,
+    maxQueuedWrites: 8,
+    maxQueuedChars: 400,
+};
 
 /** Returns a copy without undefined fields, which the journal does not store. */
 function plain(state: StoredState): unknown {
@@ -148,6 +154,31 @@
     });
 
     // The writes that queued up on a full disk took as much memory, and later space, as all entries of that time.
+    // Guards against large configurations that fill the disk long before they are many.
+    it("needs space for its state and a bounded journal, however large the entries are", async () => {
+        const files = new FaultyFiles();
+        const folder = await DataFolder.open(files, "/data", "single-process");
+        const storage = await AgreementStorage.open(folder, founders, new ManualClock(1_000), log);
+        let mostBytes = 0;
+        const command = "x".repeat(500_000);
+        const { membership } = founders.snapshot;
+        for (let index = 1; index <= 200; index++) {
+            const entry = { index, term: 1, content: { kind: "command" as const, command } };
+            storage.write({ type: "append", sequence: index, entries: [entry] });
+            if (index % 4 === 0) {
+                const position = { index, term: 1 };
+                const snapshot = { ...position, membership, state: command };
+                storage.write({ type: "save-snapshot", sequence: index, snapshot, base: position, keepLog: true });
+            }
+            await storage.sync();
+            mostBytes = Math.max(mostBytes, files.usedBytes);
+        }
+        await storage.close();
+        expect(mostBytes).to.be.below(24 * 1_048_576);
+        const reopened = await AgreementStorage.open(folder, founders, new ManualClock(1_000), log);
+        expect(reopened.stored.snapshot.index).to.equal(200);
+    });
+
     it("needs no more space than its state after a disk was full for long", async () => {
         const files = new FaultyFiles();
         const clock = new ManualClock(1_000);
--- a/packages/journal/tests/faulty-files.ts
+++ b/packages/journal/tests/faulty-files.ts
@@ -77,6 +77,11 @@
     names = new Map<string, Inode>();
     private durableNames = new Map<string, Inode>();
 
+    /** Length of all files, in bytes. */
+    get usedBytes(): number {
+        return [...this.names.values()].reduce((sum, { current }) => sum + current.length, 0);
+    }
+
     override async open(path: string): Promise<OpenFile> {
         if (!this.names.has(path)) {
             requireSpace(this.faults, "open");
--- a/packages/model-check/src/agreement-state.ts
+++ b/packages/model-check/src/agreement-state.ts
@@ -100,7 +100,7 @@
     for (const peer of node.peers.values()) {
         peer.lastReplyAt = 0;
         peer.lastAnsweredSentAt = -stale;
-        peer.lastSnapshotSentAt = -stale;
+        peer.resendAt = -stale;
     }
     shiftSequences(node, synced);
 }
--- a/packages/steward/tests/planned-replacement.test.ts
+++ b/packages/steward/tests/planned-replacement.test.ts
@@ -10,11 +10,12 @@
 
 /** Group of three stewards that may lose one disk, and the disk that is lost at the earliest allowed moment. */
 class Trial {
-    readonly group = new StewardGroup();
+    readonly group: StewardGroup;
     private readonly random: SeededRandom;
     private nextSeed: number;
 
-    constructor(seed: number) {
+    constructor(seed: number, linkCharsPerMs = Infinity) {
+        this.group = new StewardGroup(undefined, linkCharsPerMs);
         this.random = new SeededRandom(seed);
         this.nextSeed = seed * 1_000;
     }
@@ -61,6 +62,27 @@
     }
 }
 
+describe("A group of stewards with a large configuration", () => {
+    for (const seed of seeds) {
+        // Guards against the end of the group: a successor received each configuration since the start of the log, one
+        // in a round trip, and had no vote when the next member was replaced.
+        it(`bears the replacement of two members one after the other, seed ${seed}`, async () => {
+            const trial = new Trial(seed, 2_000);
+            await trial.start();
+            for (let version = 2; version <= 40; version++) {
+                await trial.group.storeCatalog(version, `catalog ${version}`.padEnd(500_000, "x"));
+            }
+            for (let round = 0; round < 2; round++) {
+                trial.group.kill(trial.one("leader"), () => true);
+                await trial.group.run(1_000);
+                await trial.addSuccessor();
+                await trial.group.run(catchUpMs);
+            }
+            await trial.expectChanges(41);
+        });
+    }
+});
+
 describe("A group of stewards whose member is replaced", () => {
     for (const seed of seeds) {
         for (const role of ["leader", "follower"] as const) {
--- a/packages/steward/tests/steward-group.ts
+++ b/packages/steward/tests/steward-group.ts
@@ -70,7 +70,11 @@
         toleratedLosses: 1,
     };
 
-    constructor(private readonly options: Partial<AgreementOptions> = timing) {}
+    constructor(
+        private readonly options: Partial<AgreementOptions> = timing,
+        /** Characters that a link carries in a millisecond. */
+        private readonly linkCharsPerMs = Infinity,
+    ) {}
 
     /** Starts `founders` stewards that found the group, and `joiners` that join it. */
     async start(seed: number, founders: number, joiners: number, toleratedLosses: number): Promise<void> {
@@ -156,13 +160,13 @@
     }
 
     /** Stores a catalog through the leader and waits until it is committed. */
-    async storeCatalog(version: number): Promise<void> {
+    async storeCatalog(version: number, text = `catalog ${version}`): Promise<void> {
         const { leader } = this;
         if (leader === undefined) {
             throw new Error("no steward leads");
         }
-        const stored = leader.driver.propose(JSON.stringify({ type: "catalog", version, text: `catalog ${version}` }));
-        await this.run(100);
+        const stored = leader.driver.propose(JSON.stringify({ type: "catalog", version, text }));
+        await this.run(100 + 2 * text.length / this.linkCharsPerMs);
         await stored;
     }
 
@@ -224,7 +228,10 @@
                     ? addresses.get(message.to)
                     : (JSON.parse(member.address) as { host: string; }).host;
                 if (to !== undefined) {
-                    clock.schedule(clock.now() + linkDelayMs, () => {
+                    const transferMs = this.linkCharsPerMs === Infinity
+                        ? 0
+                        : JSON.stringify(message).length / this.linkCharsPerMs;
+                    clock.schedule(clock.now() + linkDelayMs + transferMs, () => {
                         if (this.connected(host, to)) {
                             this.inboxes.get(to)?.(host, message);
                         }
