Refuse a request for good only by a confirmed catalog

Cause: an ingress that no steward answers goes on with its catalog, also for final refusals, although a newer one may allow the request. After a pause of the process, requests were read before the timer of the sync ran, and the lateness of a sync counted only from its start.

Change: 404 and 401 need a catalog that was confirmed within the bound, otherwise the answer is 503 with a time to return. A sync that is overdue counts as late, so that requests are held until the catalog is confirmed.

--- a/packages/cli/src/wire-ingress.ts
+++ b/packages/cli/src/wire-ingress.ts
@@ -43,6 +43,7 @@
             onEndpointGone: id => relay.pool.remove(id),
             countCovered: () => follower.countCovered("fleet"),
             requestSync: () => link.requestSync(),
+            nextSyncAt: () => link.nextSyncAt,
         },
     );
     const lingerMs = lookupMs * keptAnswers;
--- a/packages/fleet/src/catalog-freshness.ts
+++ b/packages/fleet/src/catalog-freshness.ts
@@ -18,8 +18,12 @@
     private confirmedAt = -Infinity;
     private syncDelayMs = 0;
 
-    /** `boundMs` is the time within which a confirmed catalog must be in force. */
-    constructor(private readonly boundMs: number) {}
+    constructor(
+        /** Time within which a confirmed catalog must be in force, in milliseconds. */
+        private readonly boundMs: number,
+        /** Returns the instant at which the next sync is due; Infinity while one is in progress. */
+        private readonly nextSyncAt: () => number = () => Infinity,
+    ) {}
 
     /** Records the start of a sync that was due `delayMs` before. */
     recordSyncStart(delayMs: number): void {
@@ -34,12 +38,23 @@
         }
     }
 
+    /** Whether the catalog was the newest so lately that no newer one can be owed to a caller. */
+    isConfirmed(now: number): boolean {
+        return now - this.confirmedAt <= this.boundMs;
+    }
+
     /** Whether requests may be served with the present catalog. */
     mayServe(now: number): boolean {
-        return now - this.confirmedAt <= this.boundMs || this.syncDelayMs < starvedSyncDelayMs;
+        return this.isConfirmed(now) || this.latenessMs(now) < starvedSyncDelayMs;
     }
 
     describe(now: number): FreshnessInputs {
-        return { confirmedMs: Math.round(now - this.confirmedAt), syncDelayMs: Math.round(this.syncDelayMs) };
+        return { confirmedMs: Math.round(now - this.confirmedAt), syncDelayMs: Math.round(this.latenessMs(now)) };
+    }
+
+    /** Largest lateness of a sync since the last confirmation, the one that is due included. */
+    private latenessMs(now: number): number {
+        // After a pause of the process, requests are read before the timer of the sync runs.
+        return Math.max(this.syncDelayMs, now - this.nextSyncAt());
     }
 }
--- a/packages/fleet/tests/catalog-freshness.test.ts
+++ b/packages/fleet/tests/catalog-freshness.test.ts
@@ -24,6 +24,18 @@
         }
     });
 
+    // Guards against requests that are served with an old catalog right after a pause of the process: they are read before
+    // the timer of the sync runs.
+    it("counts a sync that is overdue as a late one", () => {
+        let nextSyncAt = 1_300;
+        const freshness = new CatalogFreshness(boundMs, () => nextSyncAt);
+        freshness.recordConfirmation(1_000);
+        expect(freshness.mayServe(3_000)).to.equal(true);
+        expect(freshness.mayServe(3_001)).to.equal(false);
+        nextSyncAt = Infinity;
+        expect(freshness.mayServe(3_001)).to.equal(true);
+    });
+
     it("does not take the answer to an earlier sync for a newer confirmation", () => {
         const freshness = new CatalogFreshness(boundMs);
         freshness.recordConfirmation(5_000);
--- a/packages/ingress/src/check-request.ts
+++ b/packages/ingress/src/check-request.ts
@@ -39,24 +39,36 @@
         return { status: 503, reason: "no catalog yet", retryAfterMs: notReadyRetryMs };
     }
     if (!view.freshness.mayServe(now)) {
-        return {
-            status: 503,
-            reason: "catalog not confirmed",
-            retryAfterMs: notReadyRetryMs,
-            inputs: { ...view.freshness.describe(now) },
-        };
+        return unconfirmedRefusal(view, now);
     }
     if (head.timeoutMs !== undefined && head.timeoutMs <= 0) {
         return { status: 503, reason: "no time left" };
     }
     const route = routes.find(req.headers.host ?? "", req.url ?? "/");
     if (route === undefined) {
-        return { status: 404, reason: "no route" };
+        return finalRefusal({ status: 404, reason: "no route" }, view, now);
     }
     const needsKey = !route.public && catalog.workspaces.length > 0;
     const workspace = needsKey ? workspaceKeys.find(head.apiKey) : undefined;
     if (needsKey && workspace === undefined) {
-        return { status: 401, reason: "unknown key" };
+        return finalRefusal({ status: 401, reason: "unknown key" }, view, now);
     }
     return { route, workspace };
 }
+
+/**
+ * Returns a refusal after which callers do not return, or a temporary one while a newer catalog, which this ingress has
+ * not received, may allow the request.
+ */
+function finalRefusal(refusal: Refusal, view: FleetView, now: number): Refusal {
+    return view.freshness.isConfirmed(now) ? refusal : unconfirmedRefusal(view, now);
+}
+
+function unconfirmedRefusal(view: FleetView, now: number): Refusal {
+    return {
+        status: 503,
+        reason: "catalog not confirmed",
+        retryAfterMs: notReadyRetryMs,
+        inputs: { ...view.freshness.describe(now) },
+    };
+}
--- a/packages/ingress/src/fleet-sync.ts
+++ b/packages/ingress/src/fleet-sync.ts
@@ -67,6 +67,11 @@
         return this.lateMs;
     }
 
+    /** Instant at which the next sync is due; Infinity while one is in progress. */
+    get nextSyncAt(): number {
+        return this.plannedAt ?? Infinity;
+    }
+
     /** Asks for a sync before its usual time. */
     requestSync(): void {
         if (!this.isEarlyWanted) {
@@ -100,6 +105,7 @@
         const sentAt = this.clock.now();
         this.lateMs = Math.max(this.timeoutLateMs, sentAt - (this.plannedAt ?? sentAt), 0);
         this.timeoutLateMs = 0;
+        this.plannedAt = undefined;
         this.lastSentAt = sentAt;
         this.isEarlyWanted = false;
         const key = addressKey(steward);
--- a/packages/ingress/src/fleet-view.ts
+++ b/packages/ingress/src/fleet-view.ts
@@ -30,6 +30,8 @@
     countCovered: () => number;
     /** Asks for an early sync with the leading steward. */
     requestSync: () => void;
+    /** Returns the instant at which the next sync is due; Infinity while one is in progress. */
+    nextSyncAt: () => number;
 }
 
 /** State of the fleet as this ingress last received or measured it. */
@@ -84,7 +86,7 @@
         this.health = components.createEndpointHealth();
         this.prefixMemory = components.createPrefixMemory();
         this.usage = new UsageLedger(usageWindowMs);
-        this.freshness = new CatalogFreshness(catalogBoundMs * usedBoundPart);
+        this.freshness = new CatalogFreshness(catalogBoundMs * usedBoundPart, () => this.hooks.nextSyncAt());
         this.caps = new CapMeter(
             tolerance,
             () => ({
