Refuse a configuration that names an unknown service beside a split

Cause: of a route with both a service and a split only the split was looked at; two workspaces of the same name could share a key.

--- a/packages/catalog/src/catalog.ts
+++ b/packages/catalog/src/catalog.ts
@@ -30,6 +30,8 @@
     /** Priority rank; 0 is the most urgent. */
     rank: number;
     targets: readonly RouteTarget[];
+    /** A service that the route names beside its targets; it gets no requests. */
+    unusedService?: string;
     /** Largest number of endpoints at which one request may run. */
     maxAttempts: number;
     /** Whether requests need no key. */
--- a/packages/catalog/src/check-catalog.ts
+++ b/packages/catalog/src/check-catalog.ts
@@ -1,10 +1,13 @@
-import type { Catalog, CatalogRoute } from "./catalog.ts";
+import type { Catalog, CatalogRoute, CatalogWorkspace } from "./catalog.ts";
 
 function checkRoute(route: CatalogRoute, catalog: Catalog): string | undefined {
-    for (const target of route.targets) {
-        if (!catalog.services.has(target.service)) {
-            return `route ${route.name} names the unknown service ${target.service}`;
-        }
+    const named = route.targets.map(({ service }) => service);
+    if (route.unusedService !== undefined) {
+        named.push(route.unusedService);
+    }
+    const unknown = named.find(service => !catalog.services.has(service));
+    if (unknown !== undefined) {
+        return `route ${route.name} names the unknown service ${unknown}`;
     }
     const totalWeight = route.targets.reduce((sum, target) => sum + target.weight, 0);
     if (!(totalWeight > 0) || !Number.isFinite(totalWeight)) {
@@ -36,14 +39,14 @@
         }
         hostsAndPrefixes.add(hostAndPrefix);
     }
-    const workspaceByKey = new Map<string, string>();
+    const workspaceByKey = new Map<string, CatalogWorkspace>();
     for (const workspace of catalog.workspaces) {
         for (const key of workspace.keys) {
             const otherWorkspace = workspaceByKey.get(key);
-            if (otherWorkspace !== undefined && otherWorkspace !== workspace.name) {
-                return `the workspaces ${otherWorkspace} and ${workspace.name} share a key`;
+            if (otherWorkspace !== undefined && otherWorkspace !== workspace) {
+                return `the workspaces ${otherWorkspace.name} and ${workspace.name} share a key`;
             }
-            workspaceByKey.set(key, workspace.name);
+            workspaceByKey.set(key, workspace);
         }
     }
     return undefined;
--- a/packages/catalog/tests/catalog.test.ts
+++ b/packages/catalog/tests/catalog.test.ts
@@ -43,6 +43,9 @@
 describe("checkCatalog", () => {
     it("accepts a valid catalog", () => {
         expect(checkCatalog(testCatalog())).to.equal(undefined);
+        const keys = ["key-1", "key-1"];
+        expect(checkCatalog(testCatalog({ workspaces: [testWorkspace({ keys })] }))).to.equal(undefined);
+        expect(checkCatalog(testCatalog({ routes: [testRoute({ unusedService: "model" })] }))).to.equal(undefined);
     });
 
     const invalid: [string, ReturnType<typeof testCatalog>][] = [
@@ -60,6 +63,8 @@
         ["no target", testCatalog({ routes: [testRoute({ targets: [] })] })],
         ["a timeout of 0", testCatalog({ routes: [testRoute({ timeoutMs: 0 })] })],
         ["two routes with the same host and prefix", testCatalog({ routes: [testRoute(), testRoute({ name: "s" })] })],
+        ["an unknown service beside the targets", testCatalog({ routes: [testRoute({ unusedService: "x" })] })],
+        ["two workspaces of one name with one key", testCatalog({ workspaces: [testWorkspace(), testWorkspace()] })],
         ["two workspaces with one key", testCatalog({ workspaces: [testWorkspace(), testWorkspace({ name: "v" })] })],
     ];
     for (const [fault, catalog] of invalid) {
