Bound what inner calls and refused requests read

What was left: a response to an inner call that exceeds its limit was read on for as long as the peer sent, and a refusal waited for the end of the request's body, which need not come.

Change: readResponseBody closes the connection of such a response; a refusal waits for the body for 1 s, then it is sent and the connection closes. The exchange looks for the end of a line only in what is new.

--- a/packages/entry/src/reclaim-mover.ts
+++ b/packages/entry/src/reclaim-mover.ts
@@ -1,5 +1,5 @@
 import type { Endpoint } from "@lentilramp/configuration";
-import { readBody } from "@lentilramp/protocol";
+import { readResponseBody } from "@lentilramp/protocol";
 import type { Clock, EventLog, Metrics } from "@lentilramp/runtime";
 import { planReclaim, type ReclaimedStream, type ReclaimPlan, type ReclaimStep } from "@lentilramp/streams";
 import { z } from "zod";
@@ -159,7 +159,7 @@
                 body: JSON.stringify({ host: target.host, port: target.port, targetId: kvId, pause: true }),
                 deadline: reclaimAt,
             });
-            const text = (await readBody(res, answerLimitBytes)).toString("utf8");
+            const text = (await readResponseBody(res, answerLimitBytes)).toString("utf8");
             const { tokens, bytes, nextOffset } = pushAnswerSchema.parse(JSON.parse(text));
             this.kvBytesPerToken = tokens > 0 ? bytes / tokens : this.kvBytesPerToken;
             await this.waitForTokensInTransit(stream, nextOffset);
--- a/packages/entry/src/service-dispatcher.ts
+++ b/packages/entry/src/service-dispatcher.ts
@@ -1,5 +1,5 @@
 import type { Configuration, Endpoint } from "@lentilramp/configuration";
-import { IncompleteBodyError, readBody } from "@lentilramp/protocol";
+import { IncompleteBodyError, readResponseBody } from "@lentilramp/protocol";
 import { LatencyAwarePolicy } from "@lentilramp/routing";
 import type { Clock, RandomSource } from "@lentilramp/runtime";
 import type { EndpointObserver } from "./endpoint-observer.ts";
@@ -87,7 +87,7 @@
                     deadline: context.deadline,
                     signal: abortController.signal,
                 });
-                const body = await readBody(res, answerLimitBytes);
+                const body = await readResponseBody(res, answerLimitBytes);
                 table.recordSuccess(endpoint.id, this.clock.now() - startedAt, this.clock.now());
                 const contentType = res.headers["content-type"] ?? "application/octet-stream";
                 return { endpoint: endpoint.id, status: res.statusCode ?? 502, contentType, body };
--- a/packages/entry/src/silence-monitor.ts
+++ b/packages/entry/src/silence-monitor.ts
@@ -1,5 +1,5 @@
 import type { Endpoint } from "@lentilramp/configuration";
-import { readBody } from "@lentilramp/protocol";
+import { readResponseBody } from "@lentilramp/protocol";
 import { type Clock, Component, type EventLog, type Metrics, type Timer } from "@lentilramp/runtime";
 import { type DeadReason, type ProbeAnswer, type SilenceAction, SilenceDetector } from "@lentilramp/streams";
 import { z } from "zod";
@@ -125,6 +125,6 @@
             deadline,
             newConnection: true,
         });
-        return parseProbeAnswer(res.statusCode ?? 0, (await readBody(res, statusLimitBytes)).toString("utf8"));
+        return parseProbeAnswer(res.statusCode ?? 0, (await readResponseBody(res, statusLimitBytes)).toString("utf8"));
     }
 }
--- a/packages/ingress/src/admission.ts
+++ b/packages/ingress/src/admission.ts
@@ -18,6 +18,8 @@
 const defaultCallerTimeoutMs = 30_000;
 /** Longest retry delay that a caller gets when its workspace is over the cap, in milliseconds, before the jitter. */
 const maxCapRetryMs = 2_000;
+/** Time for which the body of a refused request is read before its connection is closed, in milliseconds. */
+const refusedBodyMs = 1_000;
 const stoppingRefusal: Refusal = { status: 503, reason: "stopping", retryAfterMs: stoppingRetryMs };
 
 /** A request that has passed admission. */
@@ -149,8 +151,8 @@
     }
 
     /**
-     * Logs and sends a refusal. Reads the request's body first, so that the connection can be kept, unless a planned
-     * stop leaves no time for that.
+     * Logs and sends a refusal. Reads the request's body first, so that the connection can be kept, unless the body
+     * takes long or a planned stop leaves no time for that.
      */
     private async refuse(
         req: IncomingMessage,
@@ -169,13 +171,20 @@
         // The events of a connection that has closed are over.
         if (!req.complete && !req.destroyed) {
             req.resume();
+            const { clock } = this.ctx;
             await this.ctx.stop.waitFor(
                 new Promise<void>(resolve => {
-                    req.once("end", resolve);
-                    req.once("close", resolve);
+                    const timer = clock.schedule(clock.now() + refusedBodyMs, resolve);
+                    for (const event of ["end", "close"]) {
+                        req.once(event, () => {
+                            timer.cancel();
+                            resolve();
+                        });
+                    }
                 }),
             );
         }
-        sendRefusal(res, refusal.status, refusal.reason, refusal.retryAfterMs, this.ctx.connections.closesAfter(res));
+        const close = this.ctx.connections.closesAfter(res) || !req.complete;
+        sendRefusal(res, refusal.status, refusal.reason, refusal.retryAfterMs, close);
     }
 }
--- a/packages/ingress/src/exchange-subscriber.ts
+++ b/packages/ingress/src/exchange-subscriber.ts
@@ -275,7 +275,8 @@
         res.on("close", () => this.onConnectionEnd("ended"));
         res.setEncoding("utf8").on("data", (text: string) => {
             this.lastDataAt = this.clock.now();
-            const lines = (this.partialLine + text).split("\n");
+            const lines = text.split("\n");
+            lines[0] = this.partialLine + (lines[0] ?? "");
             this.partialLine = lines.pop() ?? "";
             if (this.partialLine.length > maxLineLength) {
                 this.close("line too long");
--- /dev/null
+++ b/packages/ingress/tests/endless-answers.test.ts
@@ -0,0 +1,179 @@
+import type { CatalogRoute } from "@lentilramp/catalog";
+import type { Endpoint } from "@lentilramp/fleet";
+import { expect } from "chai";
+import { once } from "node:events";
+import { type AddressInfo, createServer, type Server, type Socket } from "node:net";
+import { testCatalog, testRoute } from "../../catalog/tests/fixtures.ts";
+import { type CallerAnswer, IngressHarness } from "./ingress-harness.ts";
+
+const timeoutMs = 1_500;
+/** What the buffers of two connections on loopback and one read hold at most, in bytes. */
+const bufferedBytes = 24 * 1_048_576;
+
+interface EndlessBytes {
+    what: string;
+    /** Follows the first header lines of the answer. */
+    start: string;
+    piece: string;
+    route?: Partial<CatalogRoute>;
+}
+
+const head = "HTTP/1.1 200 OK\r\nX-Attempt-Id: a1\r\nX-Response-Seal: s\r\n";
+const chunked = `${head}Transfer-Encoding: chunked\r\n\r\n`;
+const stream: Partial<CatalogRoute> = { execution: "stream", gapTargetMs: 200 };
+
+const cases: readonly EndlessBytes[] = [
+    { what: "empty lines before the head", start: "", piece: "\r\n" },
+    { what: "a status line", start: "HTTP/1.1 200 ", piece: "OK " },
+    { what: "a header", start: `${head}X-Long: `, piece: "x" },
+    { what: "headers", start: head, piece: "X-More: y\r\n" },
+    { what: "interim answers", start: "", piece: "HTTP/1.1 100 Continue\r\n\r\n" },
+    { what: "trailers", start: `${chunked}1\r\nx\r\n0\r\n`, piece: "X-More: y\r\n" },
+    { what: "a chunk extension", start: `${chunked}1;`, piece: "x" },
+    { what: "a chunk length", start: chunked, piece: "0" },
+    { what: "a body in chunks of one byte", start: chunked, piece: "1\r\nx\r\n" },
+    { what: "a body without a length", start: `${head}\r\n`, piece: "x" },
+    { what: "a refusal", start: "HTTP/1.1 503 Full\r\nX-Attempt-Id: a1\r\nX-Not-Executed: 1\r\n\r\n", piece: "x" },
+    ...[true, false].flatMap(resumable => [
+        {
+            what: `words, resumable ${resumable}`,
+            start: chunked,
+            piece: "4\r\nword\r\n",
+            route: { ...stream, resumable },
+        },
+        {
+            what: `comments, resumable ${resumable}`,
+            start: chunked,
+            piece: "3\r\n:\n\n\r\n",
+            route: { ...stream, resumable },
+        },
+        {
+            what: `events without a number, resumable ${resumable}`,
+            start: chunked,
+            piece: "9\r\ndata: x\n\n\r\n",
+            route: { ...stream, resumable },
+        },
+    ]),
+];
+
+/** One endpoint that answers every request with bytes that do not end, until its connections close. */
+class EndlessEndpoint {
+    written = 0;
+    readonly sockets: Socket[] = [];
+    private readonly server: Server;
+
+    constructor(bytes: EndlessBytes) {
+        const block = bytes.piece.repeat(Math.ceil(16_384 / bytes.piece.length));
+        this.server = createServer(socket => {
+            this.sockets.push(socket);
+            socket.on("error", () => undefined);
+            const more = (): void => {
+                while (!socket.destroyed && socket.write(block)) {
+                    this.written += block.length;
+                }
+            };
+            socket.on("drain", more);
+            socket.once("data", () => {
+                socket.write(bytes.start);
+                more();
+            });
+        });
+    }
+
+    async start(): Promise<void> {
+        this.server.listen(0, "127.0.0.1");
+        await once(this.server, "listening");
+    }
+
+    get endpoint(): Endpoint {
+        const { port } = this.server.address() as AddressInfo;
+        return {
+            id: "endless",
+            service: "app",
+            host: "127.0.0.1",
+            port,
+            failureDomain: "a",
+            slots: 64,
+            ready: true,
+            reclaimable: false,
+        };
+    }
+
+    /** Resolves when the ingress has closed all connections. */
+    async closed(): Promise<void> {
+        await Promise.all(
+            this.sockets.map(socket =>
+                socket.destroyed ? undefined : new Promise<void>(resolve => socket.once("close", () => resolve()))
+            ),
+        );
+    }
+
+    close(): void {
+        this.server.close();
+        this.sockets.forEach(socket => socket.destroy());
+    }
+}
+
+describe("Relay with answers without end", () => {
+    let endpoint: EndlessEndpoint;
+    let ingress: IngressHarness;
+
+    async function start(bytes: EndlessBytes): Promise<void> {
+        endpoint = new EndlessEndpoint(bytes);
+        await endpoint.start();
+        ingress = await IngressHarness.start(testCatalog({ routes: [testRoute({ timeoutMs, ...bytes.route })] }), []);
+        ingress.view.applyEndpointList([endpoint.endpoint], ingress.clock.now(), 1);
+    }
+
+    afterEach(async () => {
+        await ingress.close();
+        endpoint.close();
+    });
+
+    const call = (): Promise<CallerAnswer> =>
+        ingress.call({ method: "POST", body: "x", headers: { "x-attempt-id": "a1" } });
+    /** Resolves once the ingress has no request left. */
+    async function settled(): Promise<void> {
+        while (ingress.relay.requestsInFlight > 0) {
+            await new Promise(resolve => setTimeout(resolve, 5));
+        }
+    }
+
+    const usedBytes = (): number => {
+        const { heapUsed, external } = process.memoryUsage();
+        return heapUsed + external;
+    };
+
+    for (const bytes of cases) {
+        // Guards against a process that keeps what never ends until it is out of memory, and ends with the requests of all
+        // its callers; and against a caller that gets such bytes as a whole answer.
+        it(`ends ${bytes.what} in bounded time and memory, with no complete success`, async () => {
+            await start(bytes);
+            const before = usedBytes();
+            const answers = await Promise.all(Array.from({ length: 8 }, () => call().catch(() => undefined)));
+            await endpoint.closed();
+            expect(answers.filter(answer => answer?.status === 200 && answer.complete)).to.deep.equal([]);
+            const received = answers.reduce((sum, answer) => sum + (answer?.body.length ?? 0), 0);
+            expect(usedBytes() - before - received).to.be.below(64 * 1_048_576);
+            await settled();
+        });
+    }
+
+    it("reads no more of an answer than its caller does", async () => {
+        await start({ what: "", start: `${head}\r\n`, piece: "x".repeat(1_024) });
+        const callers = await Promise.all(Array.from({ length: 4 }, () => ingress.connect()));
+        for (const caller of callers) {
+            caller.pause();
+            caller.send(
+                "GET /x HTTP/1.1\r\nHost: desk.example\r\nX-Attempt-Id: a1\r\nApi-Key: key-1\r\nX-Deadline-Ms: 8000\r\n\r\n",
+            );
+        }
+        while (endpoint.sockets.length < callers.length) {
+            await new Promise(resolve => setTimeout(resolve, 20));
+        }
+        await settled();
+        await endpoint.closed();
+        expect(endpoint.written).to.be.below(callers.length * bufferedBytes);
+        callers.forEach(caller => caller.reset());
+    });
+});
--- a/packages/ingress/tests/relay.test.ts
+++ b/packages/ingress/tests/relay.test.ts
@@ -273,6 +273,24 @@
         });
     });
 
+    // Guards against a refusal that waits for the end of a body which never ends.
+    it("refuses a request whose body does not end, and closes its connection", async () => {
+        const { harness } = await startWithCall([sealed(200, "ok")]);
+        harness.confirmCatalog();
+        for (const host of ["desk.example", "other.example"]) {
+            const caller = await harness.connect();
+            caller.send(
+                `POST /x HTTP/1.1\r\nHost: ${host}\r\nApi-Key: key-1\r\nTransfer-Encoding: chunked\r\n\r\n`,
+            );
+            const timer = setInterval(() => caller.send(`10000\r\n${"x".repeat(65_536)}\r\n`), 1);
+            await caller.receive("HTTP/1.1 4");
+            clearInterval(timer);
+            expect(caller.statuses).to.deep.equal([host === "desk.example" ? 413 : 404]);
+            expect(caller.received.toLowerCase()).to.contain("connection: close");
+            caller.disconnect();
+        }
+    });
+
     it("refuses unknown routes and API keys, and every request before the first catalog", async () => {
         const { call, harness } = await startWithCall([sealed(200, "ok")]);
         harness.confirmCatalog();
--- a/packages/protocol/src/json-client.ts
+++ b/packages/protocol/src/json-client.ts
@@ -1,7 +1,7 @@
 import type { Clock } from "@lentilramp/runtime";
 import { Agent, request } from "node:http";
 import type { z } from "zod";
-import { readBody } from "./read-body.ts";
+import { readResponseBody } from "./read-body.ts";
 
 const maxResponseBytes = 4 * 1_048_576;
 
@@ -91,7 +91,7 @@
             });
             req.on("error", err => fail(err.message));
             req.on("response", res => {
-                readBody(res, maxResponseBytes).then(responseBody => {
+                readResponseBody(res, maxResponseBytes).then(responseBody => {
                     timer.cancel();
                     resolve({ status: res.statusCode ?? 0, text: responseBody.toString("utf8") });
                 }, (err: unknown) => fail(String(err)));
--- a/packages/protocol/src/read-body.ts
+++ b/packages/protocol/src/read-body.ts
@@ -17,6 +17,20 @@
     }
 }
 
+/**
+ * Reads the whole body of a response like `readBody`. Closes the connection of one that exceeds `limitBytes`, which may
+ * never end.
+ */
+export async function readResponseBody(res: IncomingMessage, limitBytes: number): Promise<Buffer> {
+    try {
+        return await readBody(res, limitBytes);
+    }
+    catch (err) {
+        res.destroy();
+        throw err;
+    }
+}
+
 /**
  * Reads the whole body of a request or response. Rejects with an IncompleteBodyError, or with a BodyTooLargeError if
  * the body exceeds `limitBytes`. The rest of such a body is then discarded without destroying the connection, so that
--- a/packages/protocol/src/rpc-client.ts
+++ b/packages/protocol/src/rpc-client.ts
@@ -2,7 +2,7 @@
 import { Agent, type ClientRequest, request } from "node:http";
 import { z } from "zod";
 import type { ProcessKey } from "./process-key.ts";
-import { readBody } from "./read-body.ts";
+import { readResponseBody } from "./read-body.ts";
 import { RpcError, rpcErrorCodes } from "./rpc-error.ts";
 
 const maxResponseBytes = 16 * 1_048_576;
@@ -90,7 +90,7 @@
                 reject(new RpcError(failure, `${peer.host}:${peer.port}: ${err.code ?? err.message}`));
             });
             req.on("response", res => {
-                readBody(res, maxResponseBytes).then(responseBody => {
+                readResponseBody(res, maxResponseBytes).then(responseBody => {
                     timer.cancel();
                     resolve(parseResponse(res.statusCode ?? 0, responseBody.toString("utf8")));
                 }).catch((err: unknown) => {
--- a/packages/protocol/tests/rpc.test.ts
+++ b/packages/protocol/tests/rpc.test.ts
@@ -121,6 +121,37 @@
     });
 
     // Guards against a process that ends at a request that is nested more deeply than its parts can be written.
+    // Guards against a process that reads what a peer sends without end, for as long as it sends.
+    it("closes the connection of a peer whose response does not end", async () => {
+        let closed: (what: string) => void;
+        const connectionClosed = new Promise<string>(resolve => closed = resolve);
+        const peer = createServer((req, res) => {
+            void req;
+            res.on("close", () => closed("closed"));
+            const more = (): void => {
+                while (!res.destroyed && res.write("x".repeat(65_536))) {
+                    // Writes until the connection is full.
+                }
+            };
+            res.on("drain", more);
+            more();
+        });
+        peer.listen(0, "127.0.0.1");
+        await once(peer, "listening");
+        const { port } = peer.address() as AddressInfo;
+        try {
+            const err = await rejectionOf(
+                client.call({ host: "127.0.0.1", port }, "add", {}, z.number(), deadline()),
+            );
+            expect(err.failure).to.equal("broken");
+            expect(await connectionClosed).to.equal("closed");
+        }
+        finally {
+            peer.close();
+            peer.closeAllConnections();
+        }
+    });
+
     it("answers requests that are nested deeply or hold odd numbers", async () => {
         const deep = "[".repeat(100_000) + "]".repeat(100_000);
         const call = (id: string, method: string, params: string) =>
