Play planned replacements, lost disks, endless answers and stops under streams in the soak

After the random faults a steward is now replaced as planned and another one loses its disk as soon as the fleet must bear it; a change must be confirmed afterwards. Then ingresses are stopped one after the other under streams of 1.6 s whose requests have bodies in chunks and half of whose callers read slowly: each request that an endpoint has run must get its whole answer. By turns one endpoint sends an event, a head or a body without end, and requests at undisturbed ingresses must be answered at their time limit.

A path keeps the order now. A caller that read slowly took the close of its connection for the end of its answer; it reads to the end now.

--- a/packages/cli/tests/fleet-harness.ts
+++ b/packages/cli/tests/fleet-harness.ts
@@ -128,18 +128,21 @@
 
 /** Processes of a fleet on loopback addresses of this test alone. */
 export class FleetProcesses {
-    readonly stewards: readonly string[];
+    /** Hosts of the stewards that belong to the fleet. */
+    stewards: readonly string[];
     readonly ingresses: readonly string[];
     private readonly folder = mkdtempSync(join(tmpdir(), "lentilramp-fleet-"));
     private readonly running = new Map<string, ChildProcess>();
     private readonly ending = new Set<string>();
     private started = false;
+    private lastSteward: number;
     /** Processes that ended without being told to. */
     readonly unexpectedExits: { host: string; code: number | null; signal: NodeJS.Signals | null; }[] = [];
 
     constructor(private readonly cloudAddress: string, stewards: number, ingresses: number) {
         const net = `127.${1 + process.pid % 250}`;
         this.stewards = Array.from({ length: stewards }, (...[, i]) => `${net}.1.${i + 1}`);
+        this.lastSteward = stewards;
         this.ingresses = Array.from({ length: ingresses }, (...[, i]) => `${net}.2.${i + 1}`);
     }
 
@@ -164,6 +167,25 @@
         return join(this.folder, `data-${host}`);
     }
 
+    /** Starts a steward with an empty disk at an address that no steward has had, and returns its host. */
+    addSteward(): string {
+        const [first = ""] = this.ingresses;
+        const host = `${first.split(".").slice(0, 2).join(".")}.1.${++this.lastSteward}`;
+        this.stewards = [...this.stewards, host];
+        this.run(host);
+        return host;
+    }
+
+    /** Lets a steward whose process has ended leave the fleet for good. */
+    removeSteward(host: string): void {
+        this.stewards = this.stewards.filter(other => other !== host);
+    }
+
+    /** Removes the disk of a steward whose process has ended. */
+    loseDisk(host: string): void {
+        rmSync(this.dataFolder(host), { recursive: true, force: true });
+    }
+
     /** Starts the process of a host, as the platform does after it has ended. */
     run(host: string): void {
         const steward = this.stewards.includes(host);
--- a/packages/cli/tests/soak/chaos-proxy.ts
+++ b/packages/cli/tests/soak/chaos-proxy.ts
@@ -1,4 +1,5 @@
 import { type AddressInfo, connect, createServer, type Server, type Socket } from "node:net";
+import { setTimeout as sleep } from "node:timers/promises";
 
 /** What the proxy does to the bytes between the fleet and one endpoint. */
 export type ProxyMode = "pass" | "delay" | "reset" | "silent" | "one-way";
@@ -45,6 +46,12 @@
 
     private pipe(from: Socket, to: Socket, direction: "there" | "back"): void {
         this.sockets.add(from);
+        // A path delays bytes but never changes their order, also when the delay ends while some are on their way.
+        let passed = Promise.resolve();
+        const passOn = (action: () => void): void => {
+            const dueAt = Date.now() + (this.current === "delay" ? delayMs : 0);
+            passed = passed.then(() => dueAt > Date.now() ? sleep(dueAt - Date.now()) : undefined).then(action);
+        };
         from.on("error", () => to.destroy());
         from.on("close", () => {
             this.sockets.delete(from);
@@ -57,13 +64,10 @@
                 from.removeAllListeners("data");
                 from.resume();
             }
-            else if (this.current === "delay") {
-                setTimeout(() => to.write(data), delayMs);
-            }
             else {
-                to.write(data);
+                passOn(() => to.write(data));
             }
         });
-        from.on("end", () => setTimeout(() => to.end(), this.current === "delay" ? delayMs : 0));
+        from.on("end", () => passOn(() => to.end()));
     }
 }
--- a/packages/cli/tests/soak/promises.ts
+++ b/packages/cli/tests/soak/promises.ts
@@ -1,7 +1,12 @@
-import { type Run, streamEvents, wholeBody } from "./soak-endpoint.ts";
+import { longStreamEvents, type Run, streamEvents, wholeBody } from "./soak-endpoint.ts";
 
 /** Kinds of request that the soak sends. */
-export type CallKind = "safe" | "unsafe" | "stream" | "once";
+export type CallKind = "safe" | "unsafe" | "stream" | "once" | "long";
+
+/** Whether requests of a kind have a body, which is their id. */
+export function hasBody(kind: CallKind): boolean {
+    return kind === "unsafe" || kind === "long";
+}
 
 /** What a caller saw of one request. */
 export interface CallSeen {
@@ -48,7 +53,7 @@
         if (call.kind === "unsafe" && notRunStatuses.has(call.status ?? 0) && own.length > 0) {
             broken.push(`refused as not run, and ran: ${name}`);
         }
-        if (own.some(run => run.workspace !== "w" || run.body !== (call.kind === "unsafe" ? call.id : ""))) {
+        if (own.some(run => run.workspace !== "w" || run.body !== (hasBody(call.kind) ? call.id : ""))) {
             broken.push(`changed on its way: ${name}`);
         }
         if (call.status === 200 && call.complete && !isWhole(call)) {
@@ -70,7 +75,7 @@
         return body === wholeBody(id);
     }
     let expected = "";
-    for (let event = 1; event <= streamEvents; event++) {
+    for (let event = 1; event <= (kind === "long" ? longStreamEvents : streamEvents); event++) {
         expected += `id: ${event}\ndata: ${id}.${event}\n\n`;
     }
     return body === expected;
@@ -112,3 +117,20 @@
     }
     return broken;
 }
+
+/** Time after its time limit by which a request must have been answered, in milliseconds. */
+const lateMs = 500;
+/** Requests without an answer at their time limit from which the share of those that are later still is judged. */
+const judgedFrom = 8;
+
+/**
+ * Checks that most of the requests that are not answered within their time limit are answered soon after it. `limitMs`
+ * returns the limit of a kind, in milliseconds.
+ */
+export function brokenTimeLimits(calls: readonly CallSeen[], limitMs: (kind: CallKind) => number): string[] {
+    const overdue = calls.map(({ sentAt, endedAt, kind }) => endedAt - sentAt - limitMs(kind)).filter(ms => ms > 0);
+    const later = overdue.filter(ms => ms > lateMs);
+    return overdue.length >= judgedFrom && later.length > overdue.length / 2
+        ? [`not answered at the time limit: ${overdue.length}, ${later.length} of them ${lateMs} ms later either`]
+        : [];
+}
--- a/packages/cli/tests/soak/schedule.ts
+++ b/packages/cli/tests/soak/schedule.ts
@@ -1,5 +1,6 @@
 import { SeededRandom } from "@lentilramp/runtime";
 import type { ProxyMode } from "./chaos-proxy.ts";
+import { type EndlessPart, endlessParts } from "./soak-endpoint.ts";
 
 /** One fault: what happens to which target, from when, and for how long, in milliseconds from the start. */
 export interface Fault {
@@ -76,3 +77,33 @@
 export function describeLimit({ at, forMs, target, value }: LimitPhase): string {
     return `at=${at} forMs=${forMs} kind=limit target=endpoint-${target} value=${value}`;
 }
+
+/** What an endpoint sends without end, from when and for how long, in milliseconds from the start. */
+export interface EndlessPhase {
+    at: number;
+    forMs: number;
+    /** Index among the endpoints. */
+    target: number;
+    part: EndlessPart;
+}
+
+/** Returns the phases of a seed in which one endpoint after the other sends without end. */
+export function endlessSchedule(seed: number, seconds: number, endpoints: number): EndlessPhase[] {
+    const random = new SeededRandom(seed + 2_000_003);
+    const phases: EndlessPhase[] = [];
+    for (let at = quietMs + random.next() * 2_000; at < seconds * 1_000;) {
+        const forMs = 500 + random.next() * 2_000;
+        phases.push({
+            at: Math.round(at),
+            forMs: Math.round(forMs),
+            target: random.nextInt(endpoints),
+            part: endlessParts[random.nextInt(endlessParts.length)] ?? "event",
+        });
+        at += forMs + random.next() * 4_000;
+    }
+    return phases;
+}
+
+export function describeEndless({ at, forMs, target, part }: EndlessPhase): string {
+    return `at=${at} forMs=${forMs} kind=endless-${part} target=endpoint-${target}`;
+}
--- /dev/null
+++ b/packages/cli/tests/soak/soak-catalog.ts
@@ -0,0 +1,46 @@
+import type { CallKind } from "./promises.ts";
+
+const patienceMs = 1_500;
+/** Kinds whose requests last for tens of milliseconds. */
+export const shortKinds: readonly CallKind[] = ["safe", "unsafe", "stream", "once"];
+export const kinds: readonly CallKind[] = [...shortKinds, "long"];
+/** Time limit of the route of long streams, in milliseconds. */
+const longPatienceMs = 6_000;
+
+/** Time limit of a kind of request, in milliseconds. */
+export function patienceOf(kind: CallKind): number {
+    return kind === "long" ? longPatienceMs : patienceMs;
+}
+
+/** A configuration with a route for each kind of request. */
+export function catalog(version: number): string {
+    const route = (name: string, kind: string, service: string, extra: object) => ({
+        name,
+        host: "soak.example",
+        path_prefix: `/${name}/`,
+        kind,
+        timeout_ms: patienceMs,
+        target_latency_ms: 300,
+        priority: 0,
+        service,
+        max_attempts: 2,
+        public: false,
+        ...extra,
+    });
+    return JSON.stringify({
+        version,
+        routes: [
+            route("safe", "safe", "app", {}),
+            route("unsafe", "unsafe", "app", { max_attempts: 1 }),
+            route("stream", "streaming", "model", { resumable: true, gap_target_ms: 300 }),
+            route("long", "streaming", "model", { resumable: true, gap_target_ms: 300, timeout_ms: longPatienceMs }),
+            route("once", "streaming", "model", { resumable: false, max_attempts: 1, gap_target_ms: 300 }),
+        ],
+        services: [
+            { name: "app", health_check_path: "/h", connection_limit: 200 },
+            { name: "model", health_check_path: "/h", connection_limit: 200 },
+        ],
+        limits: { max_header_bytes: 16_384, max_body_bytes: 65_536, header_timeout_ms: 3_000, idle_timeout_ms: 15_000 },
+        tenants: [{ name: "w", api_keys: ["soak-key"], priority: 0 }],
+    });
+}
--- a/packages/cli/tests/soak/soak-endpoint.ts
+++ b/packages/cli/tests/soak/soak-endpoint.ts
@@ -6,8 +6,20 @@
 /** Events of a whole stream. */
 export const streamEvents = 6;
 const eventGapMs = 15;
+/** Events of a stream that lasts long enough for a stop to begin and end within it. */
+export const longStreamEvents = 40;
+const longEventGapMs = 40;
 const workMs = 20;
 
+/** What an endpoint may send without end instead of an answer, until the caller closes. */
+export type EndlessPart = "event" | "head" | "body";
+export const endlessParts: readonly EndlessPart[] = ["event", "head", "body"];
+const endlessPieces: Record<EndlessPart, string> = {
+    event: "4\r\nword\r\n",
+    head: "X-More: y\r\n",
+    body: "1\r\nx\r\n",
+};
+
 /** One run of a request, as an endpoint saw it. */
 export interface Run {
     at: number;
@@ -25,6 +37,8 @@
 
 /** An endpoint that records what it runs and answers with what belongs to the request. */
 export class SoakEndpoint {
+    /** What the endpoint sends without end; undefined while it is sound. */
+    endless: EndlessPart | undefined;
     private naming: { value: string; } | undefined;
     private readonly server: Server = createServer((req, res) => void this.handle(req, res));
 
@@ -88,16 +102,39 @@
             endpoint: this.id,
         });
         await sleep(workMs);
+        if (this.endless !== undefined) {
+            sendEndlessly(res, id, this.endless);
+            return;
+        }
         res.writeHead(200, { "x-attempt-id": id, "x-response-seal": `${this.id}.${id}` });
-        if (!(req.url ?? "").startsWith("/stream/") && !(req.url ?? "").startsWith("/once/")) {
+        const [, kind] = (req.url ?? "").split("/");
+        if (kind === "safe" || kind === "unsafe") {
             res.end(wholeBody(id));
             return;
         }
+        const events = kind === "long" ? longStreamEvents : streamEvents;
+        const gapMs = kind === "long" ? longEventGapMs : eventGapMs;
         const from = Number(req.headers["last-event-id"] ?? 0);
-        for (let event = from + 1; event <= streamEvents && !res.destroyed; event++) {
+        for (let event = from + 1; event <= events && !res.destroyed; event++) {
             res.write(`id: ${event}\ndata: ${id}.${event}\n\n`);
-            await sleep(eventGapMs);
+            await sleep(gapMs);
         }
         res.end();
     }
 }
+
+/** Writes bytes that never become an answer until the connection closes. */
+function sendEndlessly(res: ServerResponse, id: string, part: EndlessPart): void {
+    const { socket } = res;
+    const head = `HTTP/1.1 200 OK\r\nX-Attempt-Id: ${id}\r\nX-Response-Seal: s.${id}\r\n`;
+    socket?.write(part === "head" ? head : `${head}Transfer-Encoding: chunked\r\n\r\n`);
+    const block = endlessPieces[part].repeat(1_024);
+    const more = (): void => {
+        while (socket?.destroyed === false && socket.write(block)) {
+            // Writes until the connection is full.
+        }
+    };
+    socket?.on("error", () => undefined);
+    socket?.on("drain", more);
+    more();
+}
--- a/packages/cli/tests/soak/soak-run.ts
+++ b/packages/cli/tests/soak/soak-run.ts
@@ -3,8 +3,28 @@
 import { exchange, FleetProcesses, PlatformStandIn, ports, until } from "../fleet-harness.ts";
 import { ChaosProxy } from "./chaos-proxy.ts";
 import { type Arrival, brokenLimits, type LimitNamed } from "./limits.ts";
-import { brokenDuties, brokenPromises, type CallKind, type CallSeen, type DutySeen } from "./promises.ts";
-import { describeFault, describeLimit, type Fault, type LimitPhase, limitSchedule, schedule } from "./schedule.ts";
+import {
+    brokenDuties,
+    brokenPromises,
+    brokenTimeLimits,
+    type CallKind,
+    type CallSeen,
+    type DutySeen,
+    hasBody,
+} from "./promises.ts";
+import {
+    describeEndless,
+    describeFault,
+    describeLimit,
+    type EndlessPhase,
+    endlessSchedule,
+    type Fault,
+    type LimitPhase,
+    limitSchedule,
+    schedule,
+} from "./schedule.ts";
+import { replaceStewardAndLoseDisk, stopIngresses } from "./series.ts";
+import { catalog, kinds, patienceOf, shortKinds } from "./soak-catalog.ts";
 import { type Run, SoakEndpoint } from "./soak-endpoint.ts";
 
 export interface SoakOptions {
@@ -25,46 +45,17 @@
 /** Time after which the platform starts a process again that has ended, in milliseconds. */
 const restartMs = 300;
 const endpointsPerService = 3;
+/** Ingresses that are stopped at the end of a run, while nothing else is wrong. */
+const stoppedIngresses = 3;
 const callers = 6;
-const patienceMs = 1_500;
 /** Pause of a caller between two requests, in milliseconds. */
 const pauseMs = 25;
 /** Time from the end of the last fault in which everything must be served again, in milliseconds. */
 const recoveryMs = 12_000;
 /** A request that was in flight this long around a fault of its ingress may have been cut by it, in milliseconds. */
 const blameMs = 3_000;
-const kinds: readonly CallKind[] = ["safe", "unsafe", "stream", "once"];
-
-function catalog(version: number): string {
-    const route = (name: string, kind: string, service: string, extra: object) => ({
-        name,
-        host: "soak.example",
-        path_prefix: `/${name}/`,
-        kind,
-        timeout_ms: patienceMs,
-        target_latency_ms: 300,
-        priority: 0,
-        service,
-        max_attempts: 2,
-        public: false,
-        ...extra,
-    });
-    return JSON.stringify({
-        version,
-        routes: [
-            route("safe", "safe", "app", {}),
-            route("unsafe", "unsafe", "app", { max_attempts: 1 }),
-            route("stream", "streaming", "model", { resumable: true, gap_target_ms: 300 }),
-            route("once", "streaming", "model", { resumable: false, max_attempts: 1, gap_target_ms: 300 }),
-        ],
-        services: [
-            { name: "app", health_check_path: "/h", connection_limit: 200 },
-            { name: "model", health_check_path: "/h", connection_limit: 200 },
-        ],
-        limits: { max_header_bytes: 16_384, max_body_bytes: 65_536, header_timeout_ms: 3_000, idle_timeout_ms: 15_000 },
-        tenants: [{ name: "w", api_keys: ["soak-key"], priority: 0 }],
-    });
-}
+/** Pause of a slow caller within an answer, in milliseconds. */
+const readPauseMs = 120;
 
 /** One run of real processes under the faults of a seed, and what was seen of it. */
 class SoakRun {
@@ -75,6 +66,10 @@
     private readonly broken: string[] = [];
     private readonly faults: Fault[];
     private readonly limitPhases: LimitPhase[];
+    private readonly endlessPhases: EndlessPhase[];
+    private readonly series: string[] = [];
+    /** When ingresses were stopped while nothing else was wrong, in milliseconds since the epoch. */
+    private calmStops: { from: number; until: number; } | undefined;
     private readonly endpoints: SoakEndpoint[] = [];
     private readonly proxies: ChaosProxy[] = [];
     private readonly platform = new PlatformStandIn(() => this.listed());
@@ -100,6 +95,7 @@
             path: this.proxies.length,
         });
         this.limitPhases = limitSchedule(options.seed, options.seconds, this.endpoints.length);
+        this.endlessPhases = endlessSchedule(options.seed, options.seconds, this.endpoints.length);
     }
 
     async run(): Promise<SoakResult> {
@@ -124,8 +120,15 @@
             await Promise.all([
                 ...this.faults.map(fault => this.inject(fleet, fault)),
                 ...this.limitPhases.map(phase => this.nameLimit(phase)),
+                ...this.endlessPhases.map(phase => this.sendEndlessly(phase)),
             ]);
             await this.recover(fleet);
+            this.series.push(await replaceStewardAndLoseDisk(fleet, this.options.seed));
+            await this.recover(fleet);
+            await this.expectChange();
+            const from = Date.now();
+            await stopIngresses(fleet, Math.max(1, Math.min(stoppedIngresses, ingresses - 1)));
+            this.calmStops = { from, until: Date.now() };
             this.ended = true;
             await Promise.all(work);
         }
@@ -142,12 +145,19 @@
             ...brokenPromises(this.calls, this.runs),
             ...brokenDuties(duties),
             ...brokenLimits(this.limits, this.arrivals),
+            ...brokenTimeLimits(this.calls.filter(call => this.isUndisturbed(call)), patienceOf),
+            ...this.lostInCalmStops(),
             ...fleet.unexpectedExits.filter(({ signal }) => signal !== "SIGHUP")
                 .map(({ host, code, signal }) => `ended by itself: ${host} code=${code} signal=${signal}`),
             ...this.cutByPlannedStops(),
         );
         return {
-            faults: [...this.faults.map(describeFault), ...this.limitPhases.map(describeLimit)],
+            faults: [
+                ...this.faults.map(describeFault),
+                ...this.limitPhases.map(describeLimit),
+                ...this.endlessPhases.map(describeEndless),
+                ...this.series,
+            ],
             broken: this.broken,
             calls: this.calls.length,
             answered: this.calls.filter(({ status, complete }) => status === 200 && complete).length,
@@ -215,6 +225,16 @@
         }
     }
 
+    private async sendEndlessly({ at, forMs, target, part }: EndlessPhase): Promise<void> {
+        await sleep(Math.max(0, this.startedAt + at - Date.now()));
+        const endpoint = this.endpoints[target];
+        if (endpoint !== undefined) {
+            endpoint.endless = part;
+            await sleep(forMs);
+            endpoint.endless = undefined;
+        }
+    }
+
     private async nameLimit({ at, forMs, target, value }: LimitPhase): Promise<void> {
         await sleep(Math.max(0, this.startedAt + at - Date.now()));
         const endpoint = this.endpoints[target];
@@ -237,7 +257,7 @@
         const hosts = this.fleet?.ingresses ?? [];
         let ingress = index % hosts.length;
         for (let i = index; !this.ended; i++) {
-            const seen = await this.send(kinds[i % kinds.length] ?? "safe", ingress, agent);
+            const seen = await this.send(kinds[i % kinds.length] ?? "safe", ingress, agent, index % 2 === 0);
             this.calls.push(seen);
             if (seen.status === undefined || seen.status === 503) {
                 ingress = (ingress + 1) % hosts.length;
@@ -247,7 +267,7 @@
         agent.destroy();
     }
 
-    private async send(kind: CallKind, ingress: number, agent: Agent): Promise<CallSeen> {
+    private async send(kind: CallKind, ingress: number, agent: Agent, readsSlowly = false): Promise<CallSeen> {
         const id = `s${this.options.seed}-${this.nextId++}`;
         const seen: CallSeen = {
             id,
@@ -265,28 +285,38 @@
                 host: this.fleet?.ingresses[ingress],
                 port: ports.front,
                 path: `/${kind}/${id}`,
-                method: kind === "unsafe" ? "POST" : "GET",
+                method: hasBody(kind) ? "POST" : "GET",
                 agent,
                 headers: {
                     host: "soak.example",
                     "x-attempt-id": id,
                     "api-key": "soak-key",
-                    "x-deadline-ms": String(patienceMs),
+                    "x-deadline-ms": String(patienceOf(kind)),
+                    ...kind === "long" ? { "transfer-encoding": "chunked" } : {},
                 },
             }, res => {
                 seen.status = res.statusCode;
                 seen.seal = res.headers["x-response-seal"]?.toString();
-                res.setEncoding("utf8").on("data", (part: string) => seen.body += part);
+                res.setEncoding("utf8").on("data", (part: string) => {
+                    seen.body += part;
+                    if (readsSlowly && kind === "long") {
+                        res.pause();
+                        setTimeout(() => res.resume(), readPauseMs);
+                    }
+                });
                 res.on("error", () => undefined);
-                res.on("close", () => {
+                const finish = (): void => {
                     seen.complete = res.complete;
                     resolve();
-                });
+                };
+                // A slow caller still has parts of a whole answer to read when its connection closes.
+                res.on("end", finish);
+                res.on("close", () => res.complete || finish());
             });
-            const timer = setTimeout(() => req.destroy(new Error("the caller left")), patienceMs * 2);
+            const timer = setTimeout(() => req.destroy(new Error("the caller left")), patienceOf(kind) * 2);
             req.on("error", () => resolve());
             req.on("close", () => clearTimeout(timer));
-            req.end(kind === "unsafe" ? id : undefined);
+            req.end(hasBody(kind) ? id : undefined);
         });
         seen.endedAt = Date.now();
         return seen;
@@ -334,10 +364,10 @@
     private async recover(fleet: FleetProcesses): Promise<void> {
         const deadline = Date.now() + recoveryMs;
         const agent = new Agent({ keepAlive: false });
-        for (let served = 0; served < fleet.ingresses.length * kinds.length;) {
+        for (let served = 0; served < fleet.ingresses.length * shortKinds.length;) {
             const seen = await this.send(
-                kinds[served % kinds.length] ?? "safe",
-                Math.floor(served / kinds.length),
+                shortKinds[served % shortKinds.length] ?? "safe",
+                Math.floor(served / shortKinds.length),
                 agent,
             );
             this.calls.push(seen);
@@ -349,6 +379,39 @@
         }
     }
 
+    /** Expects that a change is confirmed and read back, as it must be once nothing is lost any more. */
+    private async expectChange(): Promise<void> {
+        const deadline = Date.now() + recoveryMs;
+        while (!await this.configure().catch(() => false)) {
+            if (Date.now() > deadline) {
+                this.broken.push(`no change was confirmed within ${recoveryMs} ms`);
+                return;
+            }
+            await sleep(100);
+        }
+    }
+
+    /** Whether nothing had happened to the ingress of a call for a while, nor to all of them. */
+    private isUndisturbed(call: CallSeen): boolean {
+        return !this.faults.some(({ at, forMs, role, target }) =>
+            role === "ingress" && target === call.ingress
+            && call.endedAt > this.startedAt + at && call.sentAt < this.startedAt + at + forMs + blameMs
+        ) && (this.calmStops === undefined || call.endedAt < this.calmStops.from);
+    }
+
+    /** Requests that an endpoint has run and whose answers were not whole while ingresses stopped as planned. */
+    private lostInCalmStops(): string[] {
+        const { from, until: end } = this.calmStops ?? { from: Infinity, until: 0 };
+        const ran = new Set(this.runs.map(({ id }) => id));
+        return this.calls.filter(({ id, sentAt, status, complete }) =>
+            sentAt >= from && sentAt < end && ran.has(id) && !(status === 200 && complete)
+        ).map(({ kind, id, status, sentAt, endedAt, body }) =>
+            `lost in a planned stop: ${kind} ${id} status=${status} sent=${sentAt - from} lasted=${
+                endedAt - sentAt
+            } received=${body.length}`
+        );
+    }
+
     /** Connections that ended without an answer at an ingress whose only fault near that time was a planned stop. */
     private cutByPlannedStops(): string[] {
         const near = (fault: Fault, call: CallSeen): boolean => {
--- a/packages/cli/tests/soak/soak.test.ts
+++ b/packages/cli/tests/soak/soak.test.ts
@@ -1,7 +1,7 @@
 import { expect } from "chai";
 import { exchange, FleetProcesses, until } from "../fleet-harness.ts";
 import { brokenLimits } from "./limits.ts";
-import { brokenDuties, brokenPromises, type CallSeen } from "./promises.ts";
+import { brokenDuties, brokenPromises, brokenTimeLimits, type CallSeen } from "./promises.ts";
 import { schedule } from "./schedule.ts";
 import { type Run, SoakEndpoint, wholeBody } from "./soak-endpoint.ts";
 import { soak } from "./soak-run.ts";
@@ -50,6 +50,14 @@
         }
     });
 
+    it("finds requests that are answered long after their time limit", () => {
+        const lasting = (count: number, ms: number) =>
+            Array.from({ length: count }, (): CallSeen => ({ ...call, endedAt: ms }));
+        const check = (calls: CallSeen[]) => brokenTimeLimits(calls, () => 1_500);
+        expect(check([...lasting(50, 20), ...lasting(9, 1_700), ...lasting(8, 4_000)])).to.deep.equal([]);
+        expect(check([...lasting(50, 20), ...lasting(8, 1_700), ...lasting(9, 4_000)])).to.have.length(1);
+    });
+
     it("finds holders that alternate, numbers that fall, and windows that are reported differently", () => {
         expect(brokenDuties([duty, { ...duty, at: 900, holder: "b", fence: 2 }])).to.deep.equal([]);
         const alternate = [duty, { ...duty, at: 900, holder: "b", fence: 2 }, { ...duty, at: 1_800, fence: 3 }];
@@ -126,7 +134,7 @@
 
     for (const seed of [1, ...failedSeeds]) {
         it(`keeps every promise under the faults of seed ${seed}`, async function() {
-            this.timeout(90_000);
+            this.timeout(120_000);
             const result = await soak({ seed, seconds: 6, stewards: 3, ingresses: 4 });
             expect(result.broken, result.faults.join("\n")).to.deep.equal([]);
             expect(result.answered).to.be.above(100);
