Keep a stalled stream open until another endpoint has taken it over

Cause: the silent attempt was closed before anything was known of the one that was to replace it.

The decisions on further attempts are in RetryAllowance, and no attempt is paid that the route does not allow.

--- a/packages/ingress/src/answer-writer.ts
+++ b/packages/ingress/src/answer-writer.ts
@@ -14,6 +14,14 @@
 /** Characters that the parser of Node.js accepts in a reason phrase, and that its writer refuses. */
 const unsendableReason = /[^\t\x20-\x7e\x80-\xff]/g;
 
+/** The events of one attempt. */
+export interface EventStream {
+    /** Relays events until the stream ends; may be called again after it has stalled. */
+    relay(): Promise<BodyEnd>;
+    /** Whether the endpoint has closed the connection before the end of the stream. */
+    readonly isBroken: boolean;
+}
+
 /** Writes the answers of endpoints to one caller. */
 export class AnswerWriter {
     private lastRelayedEventId: string | undefined;
@@ -104,8 +112,8 @@
         return end;
     }
 
-    /** Relays complete events only, so that another endpoint can resume the stream after the last one. */
-    async relayEvents(
+    /** Opens a stream of which complete events only are relayed, so that another endpoint can resume it after the last. */
+    openEvents(
         res: IncomingMessage,
         options: {
             clock: Clock;
@@ -118,14 +126,18 @@
             wasCut: () => Promise<boolean>;
             onFirstEvent: () => void;
         },
-    ): Promise<BodyEnd> {
+    ): EventStream {
         const { clock, firstEventExpectedBy, maxGapMs, tryReplace, wasCut, onFirstEvent } = options;
         const splitter = new EventSplitter();
-        const silence = new SilenceWatch(clock, tryReplace, () => this.reader?.stop("stalled"));
+        const silence = new SilenceWatch(clock, tryReplace, () => {
+            // What arrives from now on is read when the stream is taken back.
+            res.pause();
+            this.reader?.stop("stalled");
+        });
         let first = true;
         let incompleteCost = 0;
-        silence.expectBy(firstEventExpectedBy);
-        const relay: BodySink["relay"] = ({ data, cost }) => {
+        let expectedBy = firstEventExpectedBy;
+        const relayBatch: BodySink["relay"] = ({ data, cost }) => {
             const { completeEvents, lastEventId } = splitter.push(data);
             incompleteCost = completeEvents.length === 0 ? incompleteCost + cost : splitter.remainingBytes;
             if (incompleteCost > eventLimitCost) {
@@ -148,21 +160,31 @@
             return this.write(completeEvents);
         };
         // While the caller does not read, the endpoint cannot send.
-        const end = await this.consume(res, wasCut, {
-            relay,
-            onPause: isPaused => isPaused ? silence.cancel() : silence.expectBy(clock.now() + maxGapMs),
-        });
-        silence.cancel();
-        const remainder = splitter.takeRemainder();
-        if (end === "complete" && /[^\r\n]/.test(remainder.toString("latin1"))) {
-            // A stream that ends inside an event has been broken off, however its connection ended.
-            return "cut";
-        }
-        if (end === "complete") {
+        const onPause = (isPaused: boolean): void =>
+            isPaused ? silence.cancel() : silence.expectBy(clock.now() + maxGapMs);
+        const relay = async (): Promise<BodyEnd> => {
+            silence.expectBy(expectedBy);
+            const end = await this.consume(res, wasCut, { relay: relayBatch, onPause });
+            silence.cancel();
+            expectedBy = clock.now() + maxGapMs;
+            if (end !== "complete") {
+                return end;
+            }
+            const remainder = splitter.takeRemainder();
+            if (/[^\r\n]/.test(remainder.toString("latin1"))) {
+                // A stream that ends inside an event has been broken off, however its connection ended.
+                return "cut";
+            }
             this.writeHead(res);
             this.callerRes.end(remainder);
-        }
-        return end;
+            return end;
+        };
+        return {
+            relay,
+            get isBroken() {
+                return res.destroyed && !res.complete;
+            },
+        };
     }
 
     /** Writes a part of the body; returns false when the caller's connection is full. */
--- a/packages/ingress/src/body-reader.ts
+++ b/packages/ingress/src/body-reader.ts
@@ -84,6 +84,9 @@
                 onBreak();
             }
         });
+        if (res.isPaused()) {
+            res.resume();
+        }
     }
 
     private onChunk(chunk: Buffer): void {
--- a/packages/ingress/src/call-recorder.ts
+++ b/packages/ingress/src/call-recorder.ts
@@ -10,6 +10,7 @@
 import murmurhash from "murmurhash";
 import type { AdmittedRequest } from "./admission.ts";
 import type { CutCause } from "./caller-cuts.ts";
+import type { InFlightAttempt } from "./in-flight-attempt.ts";
 import type { AnswerHead } from "./platform-adapter.ts";
 import { internalErrorReason } from "./refusal.ts";
 import type { RelayContext } from "./relay.ts";
@@ -143,6 +144,14 @@
         });
     }
 
+    /** Records that an attempt has no answer at the deadline, unless the time was too short for one. */
+    recordSilence(attempt: InFlightAttempt): void {
+        if (this.ctx.clock.now() >= attempt.silenceFaultFrom) {
+            this.recordHealth(attempt.endpoint, "broken");
+            this.recordFailedAttempt(attempt, "unknown", "no answer before the deadline");
+        }
+    }
+
     recordInternalError(err: unknown): void {
         this.ctx.log.error("request.broken", { id: this.admitted.dispatch.id, error: describeError(err) });
     }
--- a/packages/ingress/src/relayed-call.ts
+++ b/packages/ingress/src/relayed-call.ts
@@ -2,41 +2,45 @@
 import type { Endpoint } from "@lentilramp/fleet";
 import type { IncomingMessage } from "node:http";
 import type { AdmittedRequest } from "./admission.ts";
-import { AnswerWriter } from "./answer-writer.ts";
+import { AnswerWriter, type EventStream } from "./answer-writer.ts";
 import { type AttemptOutcome, discardAnswer } from "./attempt.ts";
 import type { BodyEnd } from "./body-reader.ts";
 import { type CallOutcome, CallRecorder } from "./call-recorder.ts";
+import { CallerPresence } from "./caller-presence.ts";
 import { endpointRefusedRetryMs, EndpointSelection } from "./endpoint-selection.ts";
 import { createAttempt, type InFlightAttempt } from "./in-flight-attempt.ts";
 import type { AnswerHead } from "./platform-adapter.ts";
 import { PromptOutcome } from "./prompt-outcome.ts";
 import { internalErrorReason, sendRefusal } from "./refusal.ts";
 import type { RelayContext } from "./relay.ts";
+import { RetryAllowance } from "./retry-allowance.ts";
 import { stallMs } from "./send-timing.ts";
+import { StalledStream } from "./stalled-stream.ts";
 
 /** Relays one admitted request: waits for a slot, sends the request, retries where that is allowed, and answers. */
 export class RelayedCall {
     /** Number of attempts in which an endpoint ran or may have run the request. */
     private runs = 0;
     private currentAttempt: InFlightAttempt | undefined;
+    /** The attempt before, if its stream has stalled and the current attempt is to replace it. */
+    private stalled: StalledStream | undefined;
     /** Whether nothing more is to be done for the caller. */
     private stopped = false;
     private finished = false;
     private readonly selection: EndpointSelection;
     private readonly writer: AnswerWriter;
+    private readonly caller: CallerPresence;
     private readonly recorder: CallRecorder;
     private readonly prompt: PromptOutcome;
+    private readonly retries: RetryAllowance;
     private lastFailureReason = "";
     private outcome: CallOutcome = "answered";
-    /**
-     * Whether the next attempt needs no withdrawal from the retry budget: it has been paid, or the previous attempt did
-     * not reach an endpoint.
-     */
-    private nextAttemptBudgeted = false;
 
     constructor(private readonly admitted: AdmittedRequest, private readonly ctx: RelayContext) {
         this.recorder = new CallRecorder(admitted, ctx);
+        this.caller = new CallerPresence(admitted.req, admitted.res, ctx.pollBarrier);
         this.prompt = new PromptOutcome(admitted, ctx);
+        this.retries = new RetryAllowance(admitted, ctx, this.prompt);
         this.writer = new AnswerWriter(
             admitted.res,
             () => ctx.connections.closesAfter(admitted.res),
@@ -49,17 +53,6 @@
         });
     }
 
-    private get retryable(): boolean {
-        const { execution, resumable } = this.admitted.route;
-        return execution === "idempotent" || execution === "stream" && resumable && this.ctx.resumesStreams;
-    }
-
-    /** Whether the caller has closed its side of the connection; Node.js closes the answer only some turns later. */
-    private get callerHasLeft(): boolean {
-        const { req, res } = this.admitted;
-        return res.destroyed || req.socket.destroyed || req.socket.readableEnded;
-    }
-
     async run(): Promise<void> {
         const { res, dispatch } = this.admitted;
         const { clock } = this.ctx;
@@ -80,6 +73,7 @@
         finally {
             timer.cancel();
             cancelStopNotice();
+            this.stalled?.close();
             this.finished = true;
             this.recorder.recordOutcome(this.outcome, this.currentAttempt?.endpoint.id, this.runs);
         }
@@ -97,14 +91,14 @@
                 return;
             }
             if (slot.kind === "refuse") {
-                this.giveUp(slot.reason, slot.retryAfterMs, slot.best);
-                return;
+                if (await this.returnOrEnd(() => this.giveUp(slot.reason, slot.retryAfterMs, slot.best))) {
+                    return;
+                }
+                continue;
             }
             const inFlight = this.currentAttempt;
-            if (inFlight === undefined) {
-                return;
-            }
-            if (isFirstAttempt && this.selection.hasWaited(this.ctx.clock.now()) && !await this.callerStays()) {
+            const hasWaited = isFirstAttempt && this.selection.hasWaited(this.ctx.clock.now());
+            if (inFlight === undefined || hasWaited && !await this.callerStays()) {
                 return;
             }
             inFlight.sent = true;
@@ -116,25 +110,52 @@
             const finished = outcome.kind === "answer"
                 ? await this.onAnswer(inFlight, outcome.res, outcome.head)
                 : this.onFailure(inFlight, outcome);
-            this.releaseSlot(inFlight);
-            if (finished || this.stopped) {
-                return;
-            }
-            const { dispatch, route } = this.admitted;
-            if (this.runs > 0 && !this.prompt.mayRepeat) {
-                this.giveUp(`${this.lastFailureReason}, and its prompt may crash another endpoint`, undefined);
-                return;
-            }
-            const now = this.ctx.clock.now();
-            const withinBudget = this.nextAttemptBudgeted || this.ctx.retryBudget(dispatch.service).tryWithdraw(now);
-            this.nextAttemptBudgeted = false;
-            if (this.runs >= route.maxAttempts || !withinBudget) {
-                this.giveUp(this.lastFailureReason, endpointRefusedRetryMs);
+            this.releaseUnlessStalled(inFlight);
+            if (
+                finished || this.stopped
+                || !this.retries.payForNext(this.runs) && await this.returnOrEnd(() => this.giveUpRetries())
+            ) {
                 return;
             }
         }
     }
 
+    private giveUpRetries(): void {
+        if (this.retries.mayCrash(this.runs)) {
+            this.giveUp(`${this.lastFailureReason}, and its prompt may crash another endpoint`, undefined);
+        }
+        else {
+            this.giveUp(this.lastFailureReason, endpointRefusedRetryMs);
+        }
+    }
+
+    /**
+     * Goes on with the stream that stalled if its endpoint still serves it, and otherwise gives up. Resolves with whether
+     * the request is finished; if not, another attempt may be made.
+     */
+    private async returnOrEnd(giveUp: () => void): Promise<boolean> {
+        const { stalled } = this;
+        this.stalled = undefined;
+        if (stalled?.takeBack() !== true) {
+            giveUp();
+            return true;
+        }
+        const { inFlight, events } = stalled;
+        this.currentAttempt = inFlight;
+        const finished = this.onBodyEnd(inFlight, await this.relayEvents(inFlight, events), 200);
+        this.releaseUnlessStalled(inFlight);
+        if (finished || this.stopped || this.retries.payForNext(this.runs)) {
+            return finished || this.stopped;
+        }
+        return await this.returnOrEnd(() => this.giveUpRetries());
+    }
+
+    private releaseUnlessStalled(inFlight: InFlightAttempt): void {
+        if (this.stalled?.inFlight !== inFlight) {
+            this.releaseSlot(inFlight);
+        }
+    }
+
     private prepareAttempt(choice: EndpointChoice<Endpoint>): void {
         const { admitted, ctx } = this;
         const { endpoint } = choice;
@@ -143,21 +164,13 @@
         this.recorder.recordDecision(choice, ctx.view.loads.load(endpoint.id, now).unreadTokens);
         this.currentAttempt = createAttempt(admitted, ctx, choice, {
             lastEventId: this.writer.lastEventId,
-            tryReplace: () => this.guard(() => this.tryReplace(endpoint, this.runs + 1), false),
+            tryReplace: () => this.tryReplace(endpoint, this.runs + 1),
         });
     }
 
-    /**
-     * Returns whether another endpoint can take the request from a silent one now, and pays for that attempt if so.
-     * `runs` is the number of attempts so far, including the silent one.
-     */
+    /** Whether another attempt is made now instead of one at a silent endpoint, which counts among `runs`. */
     private tryReplace(silent: Endpoint, runs: number): boolean {
-        const now = this.ctx.clock.now();
-        const budget = this.ctx.retryBudget(this.admitted.dispatch.service);
-        // Asked again and again while an endpoint is silent, so what costs least comes first.
-        this.nextAttemptBudgeted = this.retryable && runs < this.admitted.route.maxAttempts && budget.canWithdraw(now)
-            && this.prompt.mayRepeat && this.selection.hasAlternativeTo(silent) && budget.tryWithdraw(now);
-        return this.nextAttemptBudgeted;
+        return this.guard(() => this.retries.payForReplacement(silent, runs, this.selection), false);
     }
 
     private sendPath(now: number): "arrival" | "queue" | "retry" | "resumption" {
@@ -196,13 +209,13 @@
             this.recorder.applyAnswerHead(inFlight.endpoint, outcome.head, inFlight.sentAt);
         }
         if (outcome.kind === "not-run") {
-            this.nextAttemptBudgeted = !outcome.received;
+            this.retries.recordNotRun(outcome.received);
         }
         this.recorder.recordFailedAttempt(inFlight, outcome.kind, outcome.reason);
         if (outcome.kind === "unknown") {
             this.runs++;
             this.recorder.recordUsage(inFlight.sentAt);
-            if (!this.retryable) {
+            if (!this.retries.isRetryable) {
                 this.giveUp(outcome.reason, undefined);
                 return true;
             }
@@ -211,37 +224,43 @@
     }
 
     private async onAnswer(inFlight: InFlightAttempt, res: IncomingMessage, head: AnswerHead): Promise<boolean> {
-        const { route, dispatch } = this.admitted;
+        const { route } = this.admitted;
         this.recorder.applyAnswerHead(inFlight.endpoint, head, inFlight.sentAt);
-        const { clock } = this.ctx;
         const status = res.statusCode ?? 0;
         this.runs++;
         if (route.execution !== "stream" || status !== 200) {
             this.recorder.recordUsage(inFlight.sentAt);
         }
-        if (this.writer.started && status !== 200) {
+        if ((this.writer.started || this.stalled !== undefined) && status !== 200) {
             // Only the rest of the stream may follow the events that the caller has received.
-            return this.onFailedContinuation(inFlight, res, status);
+            this.onFailedContinuation(inFlight, res, status);
+            return false;
         }
+        this.stalled?.close();
+        this.stalled = undefined;
         const serverError = status >= 500;
-        const mayRetry = this.retryable && this.runs < route.maxAttempts
-            && !this.writer.started;
-        if (serverError && mayRetry && this.ctx.retryBudget(dispatch.service).tryWithdraw(clock.now())) {
+        if (serverError && !this.writer.started && this.retries.payAfterError(this.runs)) {
             discardAnswer(res);
-            this.nextAttemptBudgeted = true;
             this.recorder.recordHealth(inFlight.endpoint, "error");
             this.selection.exclude(inFlight.endpoint.id);
             this.recorder.recordFailedAttempt(inFlight, "failed", `status ${status}`);
             this.lastFailureReason = `status ${status}`;
             return false;
         }
-        if (!this.retryable && (status === 503 || status === 429 || status === 408 || status === 421)) {
+        if (!this.retries.isRetryable && (status === 503 || status === 429 || status === 408 || status === 421)) {
             // These statuses imply to callers that the request has not run, which the endpoint has not stated.
             discardAnswer(res);
             this.giveUp(`status ${status} without a statement that the request has not run`, undefined);
             return true;
         }
-        const end = await this.relayBody(inFlight, res, status);
+        return this.onBodyEnd(inFlight, await this.relayBody(inFlight, res, status), status);
+    }
+
+    /** Handles the end of an answer's body; returns whether the request is finished. */
+    private onBodyEnd(inFlight: InFlightAttempt, end: BodyEnd, status: number): boolean {
+        const { route, dispatch } = this.admitted;
+        const { clock } = this.ctx;
+        const serverError = status >= 500;
         this.prompt.onAnswerEnd(inFlight.endpoint, end, status);
         if (end !== "left") {
             this.recorder.recordHealth(
@@ -265,25 +284,20 @@
         this.recorder.recordFailedAttempt(inFlight, "cut", end);
         // An answer that has been partly sent can be continued only after a complete event.
         const continuable = !this.writer.started || route.execution === "stream" && route.resumable;
-        if (continuable && this.retryable && this.runs < route.maxAttempts) {
+        if (continuable && this.retries.isRetryable && this.runs < route.maxAttempts) {
             return false;
         }
         this.giveUp(this.lastFailureReason, undefined);
         return true;
     }
 
-    /** Discards an answer that does not continue a cut stream; returns whether the request is finished. */
-    private onFailedContinuation(inFlight: InFlightAttempt, res: IncomingMessage, status: number): boolean {
+    /** Discards an answer that does not continue a cut stream. */
+    private onFailedContinuation(inFlight: InFlightAttempt, res: IncomingMessage, status: number): void {
         discardAnswer(res);
         this.selection.exclude(inFlight.endpoint.id);
         this.lastFailureReason = `status ${status}`;
         this.recorder.recordHealth(inFlight.endpoint, status >= 500 ? "error" : "answered");
         this.recorder.recordFailedAttempt(inFlight, "failed", this.lastFailureReason);
-        if (this.runs < this.admitted.route.maxAttempts) {
-            return false;
-        }
-        this.giveUp(this.lastFailureReason, undefined);
-        return true;
     }
 
     private async relayBody(inFlight: InFlightAttempt, res: IncomingMessage, status: number): Promise<BodyEnd> {
@@ -298,22 +312,35 @@
             this.prompt.onFirstChunk();
             this.recorder.recordUsage(this.ctx.clock.now());
         };
-        const end = route.resumable
-            ? await this.writer.relayEvents(res, {
+        if (route.resumable) {
+            const events = this.writer.openEvents(res, {
                 clock: this.ctx.clock,
                 firstEventExpectedBy: inFlight.firstByteExpectedBy,
                 maxGapMs: stallMs(route),
-                tryReplace: () => this.guard(() => this.tryReplace(inFlight.endpoint, this.runs), false),
+                tryReplace: () => this.tryReplace(inFlight.endpoint, this.runs),
                 wasCut,
                 onFirstEvent: onFirstChunk,
-            })
-            : await this.writer.relayStream(res, wasCut, onFirstChunk);
+            });
+            return await this.relayEvents(inFlight, events);
+        }
+        const end = await this.writer.relayStream(res, wasCut, onFirstChunk);
         if (end !== "complete") {
             inFlight.attempt.abort();
         }
         return end;
     }
 
+    private async relayEvents(inFlight: InFlightAttempt, events: EventStream): Promise<BodyEnd> {
+        const end = await events.relay();
+        if (end === "stalled") {
+            this.stalled = new StalledStream(inFlight, events, this.ctx.clock, () => this.releaseSlot(inFlight));
+        }
+        else if (end !== "complete") {
+            inFlight.attempt.abort();
+        }
+        return end;
+    }
+
     private markFirstByte(inFlight: InFlightAttempt): void {
         inFlight.booking.recordFirstByte(this.ctx.clock.now());
         this.ctx.queue(this.admitted.dispatch.service).reevaluate();
@@ -329,8 +356,7 @@
 
     /** Resolves with whether there is still something to do, once the close of a caller that has left would be read. */
     private async callerStays(): Promise<boolean> {
-        await this.ctx.pollBarrier.passed();
-        if (!this.stopped && this.callerHasLeft) {
+        if (await this.caller.hasLeft() && !this.stopped) {
             this.leave();
         }
         return !this.stopped;
@@ -356,17 +382,13 @@
             inFlight.attempt.abort();
             this.releaseSlot(inFlight);
         }
+        this.stalled?.close();
         this.writer.stopForCaller();
     }
 
     private onDeadline(): void {
-        const inFlight = this.currentAttempt;
-        const now = this.ctx.clock.now();
-        if (
-            inFlight !== undefined && !inFlight.slotReleased && !this.writer.started && now >= inFlight.silenceFaultFrom
-        ) {
-            this.recorder.recordHealth(inFlight.endpoint, "broken");
-            this.recorder.recordFailedAttempt(inFlight, "unknown", "no answer before the deadline");
+        if (this.currentAttempt?.slotReleased === false && !this.writer.started) {
+            this.recorder.recordSilence(this.currentAttempt);
         }
         this.giveUp("time is up", undefined);
         this.stop();
--- a/packages/ingress/tests/silent-endpoints.test.ts
+++ b/packages/ingress/tests/silent-endpoints.test.ts
@@ -70,6 +70,43 @@
         });
     }
 
+    const refusal: Answer = (req, res) => {
+        res.writeHead(503, { "x-attempt-id": String(req.headers["x-attempt-id"]), "x-not-executed": "1" }).end();
+    };
+    const noConnection: Answer = (req, res) => {
+        void req;
+        res.socket?.resetAndDestroy();
+    };
+    for (
+        const [what, other] of [
+            ["answers 500", sealed(500, "failed")],
+            ["refuses it", refusal],
+            ["closes its connection", noConnection],
+        ] as const
+    ) {
+        // Guards against a stream that is cut although its endpoint goes on: it was left for another one, which failed.
+        it(`returns to a stream that paused when the endpoint that was to resume it ${what}`, async () => {
+            const isFirst = { left: true };
+            const firstThenOther: Answer = (...args) => {
+                const answer = isFirst.left ? pausingStream(longPauseMs) : other;
+                isFirst.left = false;
+                return answer(...args);
+            };
+            const harness = await start([firstThenOther, firstThenOther], {
+                execution: "stream",
+                resumable: true,
+                gapTargetMs: 300,
+                maxAttempts: 2,
+            });
+            const answer = await harness.call({ method: "POST", body: "x", headers });
+            expect(answer).to.include({ status: 200, body: events.join(""), complete: true });
+            expect(countAttempts()).to.be.at.least(2);
+            while (harness.relay.requestsInFlight > 0) {
+                await new Promise(resolve => setTimeout(resolve, 5));
+            }
+        });
+    }
+
     // Guards against a 502 for a request with seconds of its time left, while its only endpoint is about to answer.
     it("waits for the answer to an idempotent request while no other endpoint could be asked", async () => {
         const harness = await start([answerAfterPause], {});
