Take both ports of the ingress tests before freeing either

Both are now held at the same time, so that they differ. Another process may still take one in between.

--- a/packages/ingress/tests/ingress-harness.ts
+++ b/packages/ingress/tests/ingress-harness.ts
@@ -267,7 +267,8 @@
         policy: Partial<IngressPolicy> = {},
         options: Partial<IngressOptions> & { lingerMs?: number; } = {},
     ): Promise<IngressHarness> {
-        const ports = { callers: await freePort(), readiness: await freePort() };
+        const [callers, readiness] = await freePorts();
+        const ports = { callers, readiness };
         const harness = new IngressHarness(catalog, ports, policy, options);
         await harness.server.start();
         harness.view.applyEndpointList(endpoints.map(({ endpoint }) => endpoint), harness.clock.now(), 1);
@@ -356,12 +357,17 @@
     }
 }
 
-async function freePort(): Promise<number> {
-    const server = createServer();
-    server.listen(0, "127.0.0.1");
-    await once(server, "listening");
-    const { port } = server.address() as AddressInfo;
-    server.close();
-    await once(server, "close");
-    return port;
+/** Returns two ports that are free. Both are taken before either is freed, since a freed one may be chosen again. */
+async function freePorts(): Promise<[number, number]> {
+    const servers = [createServer(), createServer()] as const;
+    for (const server of servers) {
+        server.listen(0, "127.0.0.1");
+        await once(server, "listening");
+    }
+    const [first, second] = servers.map(server => (server.address() as AddressInfo).port);
+    for (const server of servers) {
+        server.close();
+        await once(server, "close");
+    }
+    return [first ?? 0, second ?? 0];
 }
