Check the votes of members that stop or are lost with a model

A small specification of the order in which members are replaced as planned, crash for good and lose their disks, with the changes that a leader makes meanwhile.

--- a/packages/model-check/src/catalogue.ts
+++ b/packages/model-check/src/catalogue.ts
@@ -3,6 +3,7 @@
 import type { Budget } from "./agreement-state.ts";
 import { type ClaimRule, ClaimsModel } from "./claims-model.ts";
 import { type Exploration, explore } from "./explorer.ts";
+import { type VoteRule, VotesModel } from "./votes-model.ts";
 
 const noBudget: Budget = { campaigns: 0, proposals: 0, crashes: 0, reads: 0, changes: 0, handOvers: 0, time: 0 };
 
@@ -130,7 +131,7 @@
 ];
 
 export interface Limits {
-    /** For each model of the agreement code, and for the claims specification, whose states are cheap. */
+    /** For each model of the agreement code, and for the two specifications, whose states are cheap. */
     readonly maxStates: number;
     readonly maxClaimStates: number;
 }
@@ -166,8 +167,18 @@
     };
 }
 
+function votesRun(successors: number, diskLosses: number, crashes: number, off: readonly VoteRule[]): ModelRun {
+    const model = new VotesModel({ successors, diskLosses, crashes }, off);
+    return {
+        name: `votes with ${successors} successors, ${diskLosses} lost disks and ${crashes} crashes for good`,
+        key: `votes ${successors} ${diskLosses} ${crashes}`,
+        invariants: model.invariants,
+        run: limits => explore(model, limits.maxClaimStates),
+    };
+}
+
 export interface Mutation {
-    readonly name: Rule | ClaimRule;
+    readonly name: Rule | ClaimRule | VoteRule;
     readonly run: ModelRun;
     /** The same search with the rule on. */
     readonly control: ModelRun;
@@ -189,6 +200,11 @@
     return { name: rule, run, control: claimsRun(crashes, diskLosses, []) };
 }
 
+function voteMutation(rule: VoteRule, successors: number, diskLosses: number, crashes: number): Mutation {
+    const run = votesRun(successors, diskLosses, crashes, [rule]);
+    return { name: rule, run, control: votesRun(successors, diskLosses, crashes, []) };
+}
+
 function only(budget: Partial<Budget>): { budget: Budget; } {
     return { budget: { ...noBudget, ...budget } };
 }
@@ -253,6 +269,8 @@
     claimMutation("claim-needs-majority", 0, 0),
     claimMutation("seal-needs-majority", 0, 0),
     claimMutation("claim-names-identity", 0, 1),
+    voteMutation("vote-released-before-end", 1, 1, 0),
+    voteMutation("silent-voter-demoted", 0, 1, 1),
 ];
 
 /**
@@ -262,5 +280,6 @@
 export const models: readonly ModelRun[] = [
     ...agreementModels.map(settings => agreementRun(settings, [])),
     claimsRun(1, 2, []),
+    votesRun(2, 2, 1, []),
     ...new Map(mutations.map(({ control }) => [control.key, control])).values(),
 ];
