Read an event of an engine that does not end in bounded time and memory

An engine that sends an event without an end held the entry's event loop, and it was kept without a limit.

Cause: as in EventSplitter, each chunk was joined with the incomplete event and all of it was searched; and an answer that was given up, because of an error or after its last event, was read on for as long as the engine sent.

Change: only the chunk that may complete an event is joined with it; an event has the limit that it has at an ingress; an answer that is given up closes its connection, and what follows the last event or an error is discarded within limits.

Evidence, on: "leaves an engine whose event does not end" and "throws on an event that does not end" fail, the first by its time limit of 15 s; it held the process so long that six other tests of the file failed after it. Both pass here.

--- a/packages/entry/src/engine-answer.ts
+++ b/packages/entry/src/engine-answer.ts
@@ -1,3 +1,4 @@
+import { discardResponse } from "@lentilramp/protocol";
 import type { IncomingMessage } from "node:http";
 import { StringDecoder } from "node:string_decoder";
 import { type EngineEvent, EngineEventReader } from "./engine-events.ts";
@@ -37,6 +38,7 @@
                 const result = onBatch(events, reader.canForwardVerbatim ? data : undefined);
                 if (result.kind === "ended") {
                     ended = true;
+                    discardResponse(res);
                     resolve();
                 }
                 else if (result.drained !== undefined) {
@@ -46,6 +48,7 @@
             }
             catch (err) {
                 ended = true;
+                res.destroy();
                 reject(err instanceof Error ? err : new Error(String(err)));
             }
         };
--- a/packages/entry/src/engine-attempt.ts
+++ b/packages/entry/src/engine-attempt.ts
@@ -1,4 +1,5 @@
 import type { Endpoint } from "@lentilramp/configuration";
+import { discardResponse } from "@lentilramp/protocol";
 import type { EngineRequest } from "@lentilramp/routing";
 import type { Clock } from "@lentilramp/runtime";
 import type { StreamAssembler } from "@lentilramp/streams";
@@ -128,7 +129,7 @@
             signal: this.abortController.signal,
         });
         if (res.statusCode !== 200) {
-            res.resume();
+            discardResponse(res);
             return this.toRefusalResult(res.statusCode ?? 0);
         }
         this.output.onAccepted(endpoint);
--- a/packages/entry/src/engine-events.ts
+++ b/packages/entry/src/engine-events.ts
@@ -1,3 +1,4 @@
+import { chunkCostBytes } from "@lentilramp/protocol";
 import { createParser } from "eventsource-parser";
 
 /** One event of an engine's stream. */
@@ -19,6 +20,8 @@
 }
 
 const eventEnd = "\n\n";
+/** Cost of an incomplete event, in bytes, above which the answer counts as invalid. */
+const eventLimitCost = 262_144;
 const idPrefix = "id: ";
 const dataStart = "\ndata: {";
 const contentStart = '"content":"';
@@ -50,6 +53,9 @@
     /** Whether the last input consisted only of complete events in the plain form and can be forwarded unchanged. */
     canForwardVerbatim = false;
     private incompleteEvent = "";
+    private incompleteCost = 0;
+    /** Whether the input so far ends with an end of line, which may begin the end of an event. */
+    private endsLine = false;
     private readonly parsedEvents: { id: string | undefined; data: string; }[] = [];
     private readonly parser = createParser({
         onEvent: event => this.parsedEvents.push({ id: event.id, data: event.data }),
@@ -58,9 +64,17 @@
     /** `nextOffset` is the offset of the first token, used for engines whose events contain no offsets. */
     constructor(private nextOffset: number) {}
 
-    /** Returns the events completed by `data`. Throws an EngineProtocolError for an event without valid JSON. */
+    /**
+     * Returns the events completed by `data`. Throws an EngineProtocolError for an event without valid JSON, and for one
+     * that does not end.
+     */
     feed(data: string): EngineEvent[] {
-        const text = this.incompleteEvent === "" ? data : this.incompleteEvent + data;
+        const completesEvent = data.includes(eventEnd) || this.endsLine && data.startsWith("\n");
+        this.endsLine = data === "" ? this.endsLine : data.endsWith("\n");
+        if (!completesEvent) {
+            return this.extendEvent(data);
+        }
+        const text = this.incompleteEvent + data;
         const events: EngineEvent[] = [];
         let from = 0;
         this.canForwardVerbatim = this.incompleteEvent === "";
@@ -76,11 +90,23 @@
                 events.push(read);
             }
         }
-        this.incompleteEvent = from === 0 ? text : text.slice(from);
+        this.incompleteEvent = text.slice(from);
+        this.incompleteCost = this.incompleteEvent.length;
         this.canForwardVerbatim &&= this.incompleteEvent === "";
         return events;
     }
 
+    /** Adds data to an event that it does not complete. */
+    private extendEvent(data: string): [] {
+        this.incompleteEvent += data;
+        this.incompleteCost += data.length + chunkCostBytes;
+        this.canForwardVerbatim = false;
+        if (this.incompleteCost > eventLimitCost) {
+            throw new EngineProtocolError("an event of the engine does not end");
+        }
+        return [];
+    }
+
     private parseEvent(event: string): EngineEvent[] {
         this.parser.feed(event + eventEnd);
         return this.parsedEvents.splice(0).map(({ data }) =>
--- a/packages/entry/src/upstream.ts
+++ b/packages/entry/src/upstream.ts
@@ -1,4 +1,4 @@
-import { readBody } from "@lentilramp/protocol";
+import { readResponseBody } from "@lentilramp/protocol";
 import type { Clock } from "@lentilramp/runtime";
 import { Agent, type ClientRequest, type IncomingMessage, request } from "node:http";
 import type { z } from "zod";
@@ -83,7 +83,7 @@
         const timer = this.clock.schedule(deadline, () => abort.abort());
         try {
             const res = await this.send({ endpoint, method: "GET", path, headers: {}, deadline, signal: abort.signal });
-            return schema.parse(JSON.parse((await readBody(res, documentLimitBytes)).toString("utf8")));
+            return schema.parse(JSON.parse((await readResponseBody(res, documentLimitBytes)).toString("utf8")));
         }
         finally {
             timer.cancel();
--- a/packages/entry/tests/chat.test.ts
+++ b/packages/entry/tests/chat.test.ts
@@ -1,7 +1,8 @@
 import type { ClaimCoordinator } from "@lentilramp/claims";
 import { expectedTokens, ModelEngine } from "@lentilramp/stand-ins";
 import { expect } from "chai";
-import { connect } from "node:net";
+import { once } from "node:events";
+import { type AddressInfo, connect, createServer } from "node:net";
 import { bodyLimitBytes, send, startAll, testConfiguration, TestEntry } from "./entry-harness.ts";
 
 const path = "/v1/chat/completions";
@@ -47,6 +48,44 @@
         await Promise.all(engines.map(engine => engine.close()));
     });
 
+    // Guards against an entry that reads an event without an end for as long as an engine sends it.
+    it("leaves an engine whose event does not end, and closes its connection", async () => {
+        await start();
+        const closed: Promise<unknown>[] = [];
+        const endless = createServer(socket => {
+            socket.on("error", () => undefined);
+            closed.push(new Promise(resolve => socket.once("close", resolve)));
+            socket.once("data", () => {
+                socket.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+                const more = (): void => {
+                    while (!socket.destroyed && socket.write("4\r\nword\r\n".repeat(1_000))) {
+                        // Writes until the connection is full.
+                    }
+                };
+                socket.on("drain", more);
+                more();
+            });
+        });
+        endless.listen(0, "127.0.0.1");
+        await once(endless, "listening");
+        const { port } = endless.address() as AddressInfo;
+        const only = new TestEntry(testConfiguration([{ host: "127.0.0.1", port }], []), noClaims);
+        await only.start();
+        try {
+            const deadline = String(Math.floor(only.clock.now()) + 2_000);
+            const answer = await send(only, path, JSON.stringify(chatRequest(3)), {
+                "x-workspace": "hire-desk",
+                "x-request-deadline": deadline,
+            });
+            expect(textOf(answer.body)).to.equal("");
+            await Promise.all(closed);
+        }
+        finally {
+            await only.close();
+            endless.close();
+        }
+    });
+
     it("relays the whole answer in order, with the number of tokens sent as event ids", async () => {
         await start();
         const answer = await send(entry, path, JSON.stringify(chatRequest(30)));
--- a/packages/entry/tests/engine-events.test.ts
+++ b/packages/entry/tests/engine-events.test.ts
@@ -59,6 +59,19 @@
         expect(events.map(event => event.kind === "token" ? event.offset : -1)).to.deep.equal([7, 8]);
     });
 
+    // Guards against an entry that keeps an event without an end, and joins all of it with each chunk.
+    it("throws on an event that does not end, after a bounded number of chunks", () => {
+        const reader = new EngineEventReader(0);
+        let chunks = 0;
+        const feedWords = (): void => {
+            for (; chunks < 100_000; chunks++) {
+                reader.feed("word");
+            }
+        };
+        expect(feedWords).to.throw("does not end");
+        expect(chunks).to.be.below(5_000);
+    });
+
     it("throws on an event that is not valid JSON", () => {
         expect(() => new EngineEventReader(0).feed("data: {broken\n\n")).to.throw("not valid JSON");
     });
