Dispatch nothing at an entry for a caller that has left behind its request

Change: chat requests and service calls are dispatched once the event loop has read all sockets after they were admitted, and a stream is resumed only while its caller is there, with the same wait as at an ingress.

--- a/packages/entry/src/chat-handler.ts
+++ b/packages/entry/src/chat-handler.ts
@@ -1,4 +1,4 @@
-import { readBody } from "@lentilramp/protocol";
+import { CallerPresence, PollBarrier, readBody } from "@lentilramp/protocol";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { v7 as newId } from "uuid";
 import type { Admission, Release } from "./admission.ts";
@@ -16,6 +16,8 @@
 
 /** Handles `POST /v1/chat/completions`. */
 export class ChatHandler {
+    private readonly pollBarrier = new PollBarrier();
+
     constructor(
         private readonly gate: RequestGate,
         private readonly admission: Admission,
@@ -41,13 +43,14 @@
             );
             const tokens = stream.engineRequest.promptTokens + (body.max_tokens ?? defaultAnswerTokens);
             release = await this.admission.admit(context, { kind: "engine", name: body.model, tokens });
-            if (res.destroyed) {
-                // The caller disconnected while the request was queued, so nothing was dispatched.
+            const caller = new CallerPresence(req, res, this.pollBarrier);
+            if (await caller.hasLeft()) {
+                // The caller disconnected while the request was queued or unread, so nothing was dispatched.
                 release(true);
                 return;
             }
             this.gate.countRequest(true);
-            await this.runStream(stream, res);
+            await this.runStream(stream, res, caller);
             release(true, stream.firstTokenMs);
         }
         catch (err) {
@@ -87,12 +90,12 @@
         );
     }
 
-    private async runStream(stream: ChatStream, res: ServerResponse): Promise<void> {
+    private async runStream(stream: ChatStream, res: ServerResponse, caller: CallerPresence): Promise<void> {
         const onClose = (): void => stream.cancel();
         res.on("close", onClose);
         this.streams.add(stream);
         try {
-            await stream.run();
+            await stream.run(caller);
         }
         finally {
             this.streams.remove(stream);
--- a/packages/entry/src/chat-stream.ts
+++ b/packages/entry/src/chat-stream.ts
@@ -1,4 +1,5 @@
 import type { Endpoint } from "@lentilramp/configuration";
+import type { CallerPresence } from "@lentilramp/protocol";
 import { BudgetedRetryPolicy, type RetryBudget } from "@lentilramp/retries";
 import type { EngineRequest } from "@lentilramp/routing";
 import type { EventLog, Metrics, RandomSource } from "@lentilramp/runtime";
@@ -108,8 +109,8 @@
         this.interrupt("moved with its KV cache");
     }
 
-    /** Relays the whole answer; rejects with a CallerError when it cannot be completed. */
-    async run(): Promise<void> {
+    /** Relays the whole answer while the caller is there; rejects with a CallerError when it cannot be completed. */
+    async run(caller: CallerPresence): Promise<void> {
         this.deps.budget.recordRequest(this.startedAt);
         for (;;) {
             const decision = this.resumePolicy.decide({
@@ -132,6 +133,10 @@
                 throw this.toRejectionError(result.status);
             }
             await this.prepareNextAttempt(result);
+            if (await caller.hasLeft()) {
+                this.sink.finish();
+                return;
+            }
         }
     }
 
--- a/packages/entry/src/service-handler.ts
+++ b/packages/entry/src/service-handler.ts
@@ -1,6 +1,6 @@
 import type { ClaimCoordinator } from "@lentilramp/claims";
 import type { Configuration, Operation } from "@lentilramp/configuration";
-import { readBody, type RouteParams, sendJson } from "@lentilramp/protocol";
+import { CallerPresence, PollBarrier, readBody, type RouteParams, sendJson } from "@lentilramp/protocol";
 import type { Clock, EventLog } from "@lentilramp/runtime";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Admission, Release } from "./admission.ts";
@@ -56,6 +56,8 @@
 
 /** Handles service calls and queries for the outcome of a request key. */
 export class ServiceHandler {
+    private readonly pollBarrier = new PollBarrier();
+
     constructor(private readonly deps: ServiceHandlerDependencies) {}
 
     async handle(req: IncomingMessage, res: ServerResponse, params: RouteParams): Promise<void> {
@@ -73,6 +75,10 @@
                 name: `${params.service}/${operation.name}`,
                 tokens: 1,
             });
+            if (await new CallerPresence(req, res, this.pollBarrier).hasLeft()) {
+                release(true);
+                return;
+            }
             gate.countRequest(true);
             const call = { service: params.service ?? "", operation: operation.name, body, context };
             const startedAt = this.deps.clock.now();
--- a/packages/entry/tests/service.test.ts
+++ b/packages/entry/tests/service.test.ts
@@ -1,5 +1,7 @@
 import { PlainService } from "@lentilramp/stand-ins";
 import { expect } from "chai";
+import { once } from "node:events";
+import { connect } from "node:net";
 import { v7 as newKey } from "uuid";
 import { send, startAll, type TestAnswer, testConfiguration, TestEntry } from "./entry-harness.ts";
 import { FakeClaims } from "./fake-claims.ts";
@@ -40,6 +42,20 @@
         });
     }
 
+    /** Sends a call and closes the connection right behind it, as a caller does that has given up meanwhile. */
+    async function callAndLeave(key: string): Promise<void> {
+        const { host, port } = (entries[0] as TestEntry).http.address;
+        const socket = connect(port, host);
+        await once(socket, "connect");
+        const body = '{"lens":1}';
+        socket.end(
+            `POST ${reserve} HTTP/1.1\r\nHost: x\r\nX-Workspace: hire-desk\r\nIdempotency-Key: ${key}\r\n`
+                + `Content-Length: ${body.length}\r\n\r\n${body}`,
+        );
+        socket.resume();
+        await once(socket, "close");
+    }
+
     function executions(key: string): number {
         return services.reduce((sum, service) => sum + service.executions(key), 0);
     }
@@ -56,6 +72,14 @@
         return (JSON.parse(answer.body) as { error: { type: string; run: string; }; }).error;
     }
 
+    // Guards against a call that is executed although its caller had left when it was read.
+    it("executes no call whose caller has left right behind it", async () => {
+        const keys = [newKey(), newKey(), newKey()];
+        await Promise.all(keys.map(callAndLeave));
+        await new Promise(resolve => setTimeout(resolve, 100));
+        expect(keys.map(executions)).to.deep.equal([0, 0, 0]);
+    });
+
     // Guards against a second execution when the caller repeats a call through another entry.
     it("returns the stored answer when a call is repeated through another entry", async () => {
         const key = newKey();
