--- a/packages/cli/tests/soak/series.ts
+++ b/packages/cli/tests/soak/series.ts
@@ -4,7 +4,7 @@
 
 /** Time for which a steward still counts as lost after its start, in milliseconds. */
 const catchUpMs = 4_000;
-/** Time for which the process of a machine that has lost its disk is away, in milliseconds. */
+/** Time for which the process of an instance that has lost its disk is away, in milliseconds. */
 const awayMs = 1_000;
 const stopGapMs = 1_000;
 
--- a/packages/model-check/src/votes-model.ts
+++ b/packages/model-check/src/votes-model.ts
@@ -9,13 +9,13 @@
     /** A silent voter loses its vote within its successor's catch-up time, if the group has votes to spare. */
     | "silent-voter-demoted";
 
-/** One identity. A machine that has lost its disk, or is replaced, goes on under another one. */
+/** One identity. An instance that has lost its disk, or is replaced, goes on under another one. */
 interface Identity {
     readonly member: boolean;
     readonly vote: boolean;
     readonly runs: boolean;
     readonly stopping: boolean;
-    /** Whether its machine still counts as lost, although it runs again. */
+    /** Whether its instance still counts as lost, although it runs again. */
     readonly catchingUp: boolean;
     /** The identity of the same name whose disk was lost; it must be removed first. */
     readonly replaces: number | undefined;
@@ -43,7 +43,7 @@
 
 /**
  * The votes of a group whose members are replaced as planned, crash for good, and lose their disks, no more at a time
- * than it tolerates. The leader makes its changes one by one, at any moment; a machine has caught up only when there is
+ * than it tolerates. The leader makes its changes one by one, at any moment; an instance has caught up only when there is
  * nothing left to change. A small specification, not production code.
  */
 export class VotesModel extends Model<VotesState> {
--- a/packages/runtime/tests/clock.test.ts
+++ b/packages/runtime/tests/clock.test.ts
@@ -31,9 +31,8 @@
         expect(fired).to.deep.equal([]);
     });
 
-    // Guards against a callback that is lost, or cannot be cancelled, when several timers lead to its instant.
     // Guards against a deadline that has passed for its timer and not yet for the code that it runs: Node.js may fire a
-    // timer up to a millisecond early, seen once on a loaded machine (0.4 ms).
+    // timer up to a millisecond early.
     it("runs no callback early, although its timer fires early", async () => {
         class LaggingClock extends SystemClock {
             lagMs = 0;
@@ -49,6 +48,7 @@
         expect(await ranAt).to.be.at.least(due);
     });
 
+    // Guards against a callback that is lost, or cannot be cancelled, when several timers lead to its instant.
     it("runs a callback at its instant when that takes several timers, unless it is cancelled", async () => {
         const clock = new SystemClock(5);
         const due = clock.now() + 30;
--- a/packages/steward/src/member-retirement.ts
+++ b/packages/steward/src/member-retirement.ts
@@ -9,7 +9,7 @@
 const ownPauseMs = 300;
 /**
  * Time without messages after which a voter that the group can do without loses its vote, in milliseconds. With the
- * time that a successor takes to join it is shorter than the time for which a replaced machine counts as lost.
+ * time that a successor takes to join it is shorter than the time for which a replaced instance counts as lost.
  */
 const demotionSilenceMs = 1_500;
 /** Time without messages after which a member without a vote is removed for good, in milliseconds. */
--- a/packages/steward/tests/planned-replacement.test.ts
+++ b/packages/steward/tests/planned-replacement.test.ts
@@ -2,7 +2,7 @@
 import { expect } from "chai";
 import { type SimulatedSteward, StewardGroup } from "./steward-group.ts";
 
-/** Time for which a machine still counts as lost after its start, in milliseconds. */
+/** Time for which an instance still counts as lost after its start, in milliseconds. */
 const catchUpMs = 4_000;
 /** Time after the last event within which the group confirms changes again, in milliseconds. */
 const recoveryMs = 4_000;
@@ -98,7 +98,7 @@
                 await trial.expectChanges(2);
             });
 
-            // Guards against a dead member that keeps its vote longer than its machine counts as lost.
+            // Guards against a dead member that keeps its vote longer than its instance counts as lost.
             it(`bears the loss of a disk once the successor of a crashed ${role} has caught up, seed ${seed}`, async () => {
                 const trial = new Trial(seed);
                 await trial.start();
