Take an answer with an invalid header name for no answer, on each release of Node.js

Cause: the parser of Node.js 20.20 (llhttp 9.3) reports a space in a header's name of an answer as an error, so that the attempt fails, while that of earlier releases accepts it and the relay dropped the header. Six tests asked for the verdict of the earlier parser and failed: 502 in place of 200.

Change: PROTOCOL.md names bytes that are no response among the faults of an endpoint, and a name with a space is none in HTTP. The attempt rejects such a head itself, so that the verdict does not depend on the parser: another endpoint is asked where the request may be repeated, otherwise the caller gets 502.

--- a/packages/ingress/src/attempt.ts
+++ b/packages/ingress/src/attempt.ts
@@ -4,6 +4,7 @@
 import { type ClientRequest, type IncomingMessage, request } from "node:http";
 import type { Socket } from "node:net";
 import type { EndpointPool } from "./endpoint-pool.ts";
+import { hasInvalidHeaderName } from "./hop-by-hop-headers.ts";
 import type { AnswerHead, HeaderCodec } from "./platform-adapter.ts";
 import { connectDeadline } from "./send-timing.ts";
 import { SilenceWatch } from "./silence-watch.ts";
@@ -217,6 +218,10 @@
         if (status < 200) {
             return reject(`unexpected status ${status}`);
         }
+        // Releases of Node.js differ in whether their parser reports such a head as an error.
+        if (hasInvalidHeaderName(res.rawHeaders)) {
+            return reject("invalid header name");
+        }
         if (this.input.attemptId !== undefined && head.attemptId !== this.input.attemptId) {
             return reject("answer to another request");
         }
