Take a late request in a planned stop only if its deadline ends before the connections close

Cause: a request was taken if twice the longest of the last 64 answers of its route fitted into the rest of the grace time. Recent answers bound no later one: after eight short streams, one of 13 s was let in 3.1 s after the signal and cut at 11/12 of the grace time. Nothing excuses a request that came so late.

Change: an expected time decides in the first quarter of the grace time only; from then on, a request may take until its deadline. Others are refused at once and asked again elsewhere.

--- a/packages/ingress/src/planned-stop.ts
+++ b/packages/ingress/src/planned-stop.ts
@@ -8,6 +8,11 @@
  * refusal costs its caller little.
  */
 const cautionFactor = 2;
+/**
+ * Fraction of the grace time within which an expected time may decide whether a request is taken. Recent answers bound
+ * no later one, and a caller that asks this ingress later may well ask another one.
+ */
+const estimateFraction = 1 / 4;
 /**
  * Fraction of the grace time after which the remaining connections are closed. The rest is for the other components of
  * the process, and for a signal that is handled late.
@@ -52,11 +57,13 @@
     }
 
     /**
-     * Whether the answer to a request is expected to end in time. If nothing is known about the time that it takes, it
-     * may take until its deadline.
+     * Whether the answer to a request ends in time. It may take until its deadline if nothing is known about the time
+     * that it takes, or the stop has lasted for too long to rely on that.
      */
     leavesTimeFor(req: { deadline: number; expectedMs: number | undefined; }, now: number): boolean {
-        const endsBy = Math.min(req.deadline, now + (req.expectedMs ?? Infinity) * cautionFactor);
+        const isEarly = this.startedAt === undefined || now < this.startedAt + this.graceMs * estimateFraction;
+        const expectedMs = isEarly ? req.expectedMs ?? Infinity : Infinity;
+        const endsBy = Math.min(req.deadline, now + expectedMs * cautionFactor);
         return !this.takesNone(now) && endsBy <= this.answerAt;
     }
 
