Refuse requests while there is a newer catalog that this ingress cannot decode

Cause: a catalog that could not be decoded was logged and skipped, and the answer that brought it still counted as the confirmation that the one in force was the newest. This can happen in a rolling upgrade, when a steward accepts what an ingress of an earlier version cannot read.

Change: such an answer confirms nothing, the ingress is not ready, and requests get 503 at once, so that callers ask another one.

--- a/packages/ingress/src/check-request.ts
+++ b/packages/ingress/src/check-request.ts
@@ -38,6 +38,9 @@
     if (catalog === undefined || routes === undefined || workspaceKeys === undefined) {
         return { status: 503, reason: "no catalog yet", retryAfterMs: notReadyRetryMs };
     }
+    if (view.lacksNewerCatalog) {
+        return { status: 503, reason: "unreadable catalog", retryAfterMs: notReadyRetryMs };
+    }
     if (!view.freshness.mayServe(now)) {
         return unconfirmedRefusal(view, now);
     }
--- a/packages/ingress/src/fleet-view.ts
+++ b/packages/ingress/src/fleet-view.ts
@@ -67,6 +67,8 @@
     private fleetTimeOffsetMs: number | undefined;
     private silentMemberCount = 0;
     private leaderAnsweredAt = -Infinity;
+    /** Newest version of a catalog that this process cannot decode; no version is lower than 0. */
+    private unreadableVersion = -1;
 
     constructor(
         private readonly codec: CatalogCodec,
@@ -132,11 +134,16 @@
 
     /** Whether requests can be served: a catalog that is new enough, endpoints and this ingress's share of the caps are available. */
     get ready(): boolean {
-        return this.catalog !== undefined && this.freshness.mayServe(this.clock.now())
+        return this.catalog !== undefined && !this.lacksNewerCatalog && this.freshness.mayServe(this.clock.now())
             && this.endpoints.all.length > 0
             && (this.caps.fleetSizeKnown || this.catalog.workspaces.every(({ capPerSecond }) => capPerSecond <= 0));
     }
 
+    /** Whether there is a newer catalog than the one in force, which this process cannot decode. */
+    get lacksNewerCatalog(): boolean {
+        return this.unreadableVersion > (this.catalog?.version ?? -1);
+    }
+
     /**
      * Applies the answer to a sync that was sent at `sentAt`, asked for the permits `wanted` and reported the crashes
      * `reported`.
@@ -151,7 +158,7 @@
             this.applyCatalog(answer.catalog.version, answer.catalog.text, answer.leading);
         }
         // A leader of an earlier version does not say that it is current.
-        if (answer.current ?? answer.leading) {
+        if (!this.lacksNewerCatalog && (answer.current ?? answer.leading)) {
             this.freshness.recordConfirmation(answer.leading ? sentAt : sentAt - followerLagMs);
         }
         // A steward that does not lead returns the last replicated count, which is older than a leader's.
@@ -254,7 +261,10 @@
         }
         const decoded = this.codec.decode(text);
         if (decoded.isErr()) {
-            this.log.error("catalog.unreadable", { version, reason: decoded.error });
+            if (version > this.unreadableVersion) {
+                this.unreadableVersion = version;
+                this.log.error("catalog.unreadable", { version, reason: decoded.error });
+            }
             return;
         }
         this.catalog = decoded.value;
--- a/packages/ingress/src/relay.ts
+++ b/packages/ingress/src/relay.ts
@@ -192,7 +192,7 @@
         const caller = this.cuts.followRequest(req, res);
         this.inFlight++;
         try {
-            if (!this.view.ready) {
+            if (!this.view.ready && !this.view.lacksNewerCatalog) {
                 await this.waitUntilReady(res, arrivedAt + startupWaitMs);
             }
             const admitted = await this.admission.admit(req, res, caller, arrivedAt).catch((err: unknown) =>
--- a/packages/ingress/tests/ingress-harness.ts
+++ b/packages/ingress/tests/ingress-harness.ts
@@ -109,13 +109,16 @@
     };
 }
 
+/** Text of a catalog that the ingress cannot decode. */
+export const unreadableCatalog = "unreadable";
+
 class FixedCatalog extends CatalogCodec {
     constructor(private readonly catalog: Catalog) {
         super();
     }
 
-    override decode(): Result<Catalog, string> {
-        return this.catalog === undefined ? new Err("none") : new Ok(this.catalog);
+    override decode(text: string): Result<Catalog, string> {
+        return text === unreadableCatalog ? new Err("none") : new Ok(this.catalog);
     }
 }
 
