Keep the lines on requests that are cut when a process ends

Cause: at most 40 lines of one event were written in a second. A planned stop cuts all streams that are left at one instant, so that a request beyond the fortieth was lost without a line, and the count of the lines left out was due in the next second, which never came. The process exited without waiting for the lines that the sink held back during a write.

Change: `caller.cut` has a limit of 1,000 lines a second. When a process ends, it logs what was left out and waits for its last lines, for 0.1 s at most. `sinceStopMs` in `caller.cut` says how long after the signal a request came, which tells apart a stream that was let in too late from one that the grace time excuses.

--- a/packages/cli/src/commands/fleet.ts
+++ b/packages/cli/src/commands/fleet.ts
@@ -40,7 +40,12 @@
         throw new CommandError(exitCodes.invalidDocument, policy.error.message);
     }
     const reader = new SettingsReader(path, settings.value);
-    const { lifecycle, log, failed } = wireFleet(settings.value, keyFile, () => reader.reload(), policy.value);
+    const { lifecycle, log, failed, flushLog } = wireFleet(
+        settings.value,
+        keyFile,
+        () => reader.reload(),
+        policy.value,
+    );
     process.on("SIGHUP", () => {
         log.info("process.reload", { seeds: reader.reload(true).seedHosts.join(",") });
     });
@@ -62,6 +67,7 @@
     // A component that does not finish its start must not delay the exit.
     await Promise.race([lifecycle.start(), stopped]);
     const exitCode = await stopped;
+    await flushLog();
     setImmediate(() => process.exit(exitCode));
     return exitCode;
 }
--- a/packages/cli/src/wire-fleet.ts
+++ b/packages/cli/src/wire-fleet.ts
@@ -24,6 +24,10 @@
 const lookupMs = 2_000;
 /** Lines of one event in a second. */
 const linesPerSecond = 40;
+/** The same for events that name a request whose caller got no whole answer; many may be cut at one instant. */
+const cutLinesPerSecond = 1_000;
+/** Longest wait for the reader of the log when the process ends, in milliseconds. */
+const lastLinesMs = 100;
 /** Port of the metrics on every instance; `deploy/system.toml` names the same. */
 const metricsPort = 9_464;
 const startMs = 60_000;
@@ -44,6 +48,8 @@
     fail: (reason: string) => void;
     /** Resolves with the reason of the first call of `fail`. */
     failed: Promise<string>;
+    /** Writes the last lines of the log; resolves when they have been written, or their reader is too slow. */
+    flushLog: () => Promise<void>;
 }
 
 /** Builds the parts of a fleet process; `reload` reads the settings again when they may have changed. */
@@ -56,7 +62,7 @@
     const clock = new SystemClock();
     const sink = new LineSink();
     const plain = new ProcessEventLog(() => Date.now(), { process: settings.name }, "info", line => sink.write(line));
-    const log = new ThrottledEventLog(plain, clock, linesPerSecond);
+    const log = new ThrottledEventLog(plain, clock, linesPerSecond, { "caller.cut": cutLinesPerSecond });
     const key = ProcessKey.read(keyFile);
     let fail: FleetProcess["fail"] = () => undefined;
     const failed = new Promise<string>(resolve => fail = resolve);
@@ -71,6 +77,10 @@
         gauges: [],
         fail,
         failed,
+        flushLog: async () => {
+            log.reportDroppedLines();
+            await Promise.race([sink.flushed(), clock.sleepUntil(clock.now() + lastLinesMs)]);
+        },
     };
     addProcessGauges(base, sink);
     base.lifecycle.register(
--- a/packages/ingress/src/caller-cuts.ts
+++ b/packages/ingress/src/caller-cuts.ts
@@ -30,7 +30,8 @@
 /** What the ingress knows at the moment of a cut. */
 export interface CutContext {
     catalogVersion(): number | undefined;
-    isDraining(): boolean;
+    /** Instant at which a planned stop began; undefined while none has. */
+    stopBegunAt(): number | undefined;
     requestId(req: IncomingMessage): string | undefined;
 }
 
@@ -94,9 +95,17 @@
             sinceWriteMs: this.lastWriteAt === undefined ? undefined : Math.round(now - this.lastWriteAt),
             catalogThen: this.admittedCatalog,
             catalog: context.catalogVersion(),
-            draining: context.isDraining(),
+            ...this.describeStop(),
         });
     }
+
+    private describeStop(): EventFields {
+        const begunAt = this.context.stopBegunAt();
+        return {
+            draining: begunAt !== undefined,
+            sinceStopMs: begunAt === undefined ? undefined : Math.round(this.arrivedAt - begunAt),
+        };
+    }
 }
 
 /** A caller's connection and its requests whose answers are not complete. */
@@ -171,7 +180,7 @@
                 idleMs: Math.round(idleMs),
                 lateMs: Math.round(lateMs),
                 catalog: this.context.catalogVersion(),
-                draining: this.context.isDraining(),
+                draining: this.context.stopBegunAt() !== undefined,
             });
         }
     }
--- a/packages/ingress/src/planned-stop.ts
+++ b/packages/ingress/src/planned-stop.ts
@@ -32,6 +32,11 @@
         return this.startedAt !== undefined;
     }
 
+    /** Instant of the signal; undefined while no stop has begun. */
+    get begunAt(): number | undefined {
+        return this.startedAt;
+    }
+
     /** Instant at which requests without an answer are answered by the ingress. */
     get answerAt(): number {
         return this.startedAt === undefined ? Infinity : this.startedAt + this.graceMs * answerFraction;
--- a/packages/ingress/src/relay.ts
+++ b/packages/ingress/src/relay.ts
@@ -113,7 +113,7 @@
         this.cuts = new CallerCuts(
             {
                 catalogVersion: () => view.catalog?.version,
-                isDraining: () => this.isDraining(),
+                stopBegunAt: () => this.stop.begunAt,
                 requestId: req => headerCodec.decodeCallerHead(req.headers).attemptId,
             },
             base.clock,
--- a/packages/ingress/tests/caller-cuts.test.ts
+++ b/packages/ingress/tests/caller-cuts.test.ts
@@ -194,7 +194,7 @@
     it("reports an idle connection that is closed late, since the process was held", () => {
         const clock = new ManualClock(0);
         const log = new MemoryEventLog();
-        const context = { catalogVersion: () => 3, isDraining: () => false, requestId: () => undefined };
+        const context = { catalogVersion: () => 3, stopBegunAt: () => undefined, requestId: () => undefined };
         const cuts = new CallerCuts(context, clock, log, new MemoryMetrics());
         const [onTime, late] = [new Socket(), new Socket()];
         for (const socket of [onTime, late]) {
--- a/packages/runtime/src/line-sink.ts
+++ b/packages/runtime/src/line-sink.ts
@@ -20,7 +20,7 @@
 export class LineSink {
     private pendingLines: string[] = [];
     private pendingChars = 0;
-    private flushing = false;
+    private flushing: Promise<void> | undefined;
     private droppedCount = 0;
     private reportedCount = 0;
 
@@ -38,10 +38,14 @@
         }
         this.pendingLines.push(line);
         this.pendingChars += line.length;
-        if (!this.flushing) {
-            this.flushing = true;
-            setImmediate(() => void this.flush());
-        }
+        this.flushing ??= new Promise(resolve => {
+            setImmediate(() => void this.flush().then(resolve));
+        });
+    }
+
+    /** Resolves when all lines have been written. A reader that does not read delays it without end. */
+    async flushed(): Promise<void> {
+        await this.flushing;
     }
 
     private async flush(): Promise<void> {
@@ -63,6 +67,6 @@
                 this.reportedCount = this.droppedCount;
             }
         }
-        this.flushing = false;
+        this.flushing = undefined;
     }
 }
--- a/packages/runtime/src/throttled-event-log.ts
+++ b/packages/runtime/src/throttled-event-log.ts
@@ -6,7 +6,7 @@
 
 /**
  * Limits the lines per second of each event. Lines beyond the limit are dropped, and their number is logged when the
- * next period begins.
+ * next period begins, or when the process ends.
  */
 export class ThrottledEventLog extends EventLog {
     private readonly lineCounts = new Map<string, number>();
@@ -17,6 +17,8 @@
         private readonly clock: Clock,
         /** Maximum number of lines of one event per second. */
         private readonly maxLinesPerSecond: number,
+        /** Maxima of events that have another one, in lines per second. */
+        private readonly ownMaxima: Readonly<Record<string, number>> = {},
     ) {
         super();
     }
@@ -29,17 +31,23 @@
         }
         const count = (this.lineCounts.get(name) ?? 0) + 1;
         this.lineCounts.set(name, count);
-        if (count <= this.maxLinesPerSecond) {
+        if (count <= this.maxLinesOf(name)) {
             this.inner.write(level, name, fields);
         }
     }
 
-    private reportDroppedLines(): void {
+    /** Logs how many lines were dropped since the period began. */
+    reportDroppedLines(): void {
         for (const [name, count] of this.lineCounts) {
-            if (count > this.maxLinesPerSecond) {
-                this.inner.write("info", "log.left-out", { of: name, lines: count - this.maxLinesPerSecond });
+            const dropped = count - this.maxLinesOf(name);
+            if (dropped > 0) {
+                this.inner.write("info", "log.left-out", { of: name, lines: dropped });
             }
         }
         this.lineCounts.clear();
     }
+
+    private maxLinesOf(name: string): number {
+        return this.ownMaxima[name] ?? this.maxLinesPerSecond;
+    }
 }
