--- a/packages/cli/tests/calm/calm.test.ts
+++ b/packages/cli/tests/calm/calm.test.ts
@@ -28,4 +28,12 @@
         expect([...broken, ...lost]).to.deep.equal([]);
         expect(answered).to.be.above(50);
     });
+
+    // Guards against streams that a planned stop cuts without an excuse, and against a process that stays behind a
+    // confirmed configuration.
+    it("answers streams that outlast the grace time as the rule asks, while several ingresses stop at once", async () => {
+        const { lost, broken, answered } = await play(3, 12, ["half-close"], "long");
+        expect([...broken, ...lost]).to.deep.equal([]);
+        expect(answered).to.be.above(100);
+    });
 });
