--- a/packages/fleet/src/endpoint-directory.ts
+++ b/packages/fleet/src/endpoint-directory.ts
@@ -16,6 +16,8 @@
     reclaimable: z.boolean(),
     /** Time of day at which this lifetime began, in milliseconds; a later one under the same id has lost all state. */
     startedAt: z.number().optional(),
+    /** Version of the endpoint's software, which is part of a lifetime; undefined if the list does not say it. */
+    version: z.string().optional(),
 });
 export type Endpoint = z.infer<typeof endpointSchema>;
 
--- a/packages/ingress/src/platform-adapter.ts
+++ b/packages/ingress/src/platform-adapter.ts
@@ -11,6 +11,8 @@
     timeoutMs: number | undefined;
     /** Id of the last event of a stream that the caller has received. */
     lastEventId: string | undefined;
+    /** Id of the caller's attempt that brought the first event of that stream; undefined if the caller does not say it. */
+    resumedAttemptId: string | undefined;
     /** Undefined when the request declares no work for an engine. */
     work: EngineWork | undefined;
 }
--- a/packages/ingress/tests/ingress-harness.ts
+++ b/packages/ingress/tests/ingress-harness.ts
@@ -48,7 +48,7 @@
     private readonly closePromises = new WeakMap<Socket, Promise<unknown>>();
     readonly server = createServer((req, res) => void this.handle(req, res));
 
-    constructor(readonly id: string, public answer: Answer) {}
+    constructor(readonly id: string, public answer: Answer, public version?: string) {}
 
     async start(): Promise<void> {
         this.server.listen(0, "127.0.0.1");
@@ -70,6 +70,7 @@
             slots: 4,
             ready: true,
             reclaimable: false,
+            version: this.version,
         };
     }
 
--- /dev/null
+++ b/packages/ingress/tests/stream-versions.test.ts
@@ -0,0 +1,139 @@
+import { expect } from "chai";
+import { testCatalog, testRoute } from "../../catalog/tests/fixtures.ts";
+import { type Answer, type CallerAnswer, IngressHarness, ScriptedEndpoint } from "./ingress-harness.ts";
+
+const events = ["id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n", "id: 3\ndata: c\n\n"];
+const sleep = (ms: number): Promise<void> => new Promise(resolve => setTimeout(resolve, ms));
+const head = (id: unknown): Record<string, string> => ({ "x-attempt-id": String(id), "x-response-seal": "s" });
+
+/** Answers with the events behind the one from which the stream is resumed. */
+const whole: Answer = (req, res) => {
+    res.writeHead(200, head(req.headers["x-attempt-id"]));
+    res.end(events.slice(Number(req.headers["last-event-id"] ?? 0)).join(""));
+};
+/** Breaks off after the first event. */
+const breaking: Answer = async (req, res) => {
+    res.writeHead(200, head(req.headers["x-attempt-id"]));
+    res.write(events[0]);
+    await sleep(30);
+    res.destroy();
+};
+/** Breaks off before the first event. */
+const breakingEarly: Answer = async (req, res) => {
+    res.writeHead(200, head(req.headers["x-attempt-id"]));
+    res.flushHeaders();
+    await sleep(30);
+    res.destroy();
+};
+/** Pauses for longer than a route allows, and goes on. */
+const pausing: Answer = async (req, res) => {
+    res.writeHead(200, head(req.headers["x-attempt-id"]));
+    res.write(events[0]);
+    await sleep(1_200);
+    res.end(events.slice(1).join(""));
+};
+
+describe("Relay with endpoints of several software versions", () => {
+    let endpoints: ScriptedEndpoint[] = [];
+    let ingress: IngressHarness;
+    let lists = 1;
+
+    async function start(...specs: [string, Answer, string | undefined][]): Promise<void> {
+        endpoints = specs.map(([id, answer, version]) => new ScriptedEndpoint(id, answer, version));
+        await Promise.all(endpoints.map(endpoint => endpoint.start()));
+        const route = testRoute({
+            execution: "stream",
+            resumable: true,
+            timeoutMs: 4_000,
+            gapTargetMs: 60,
+            maxAttempts: 3,
+        });
+        ingress = await IngressHarness.start(testCatalog({ routes: [route] }), endpoints.slice(0, 1), {}, {
+            retryReserve: 100,
+        });
+    }
+
+    function list(listed: readonly ScriptedEndpoint[]): void {
+        const now = ingress.clock.now();
+        ingress.view.applyEndpointList(listed.map(({ endpoint }) => endpoint), now + lists, ++lists);
+    }
+
+    /** Begins a stream at the first endpoint, and lists all endpoints as soon as that has been chosen. */
+    async function callFirst(): Promise<CallerAnswer> {
+        const answer = ingress.call({ method: "POST", body: "x" });
+        while (endpoints[0]?.requests.length === 0) {
+            await sleep(1);
+        }
+        list(endpoints);
+        return await answer;
+    }
+
+    const takeUp = (lastEventId: number, attempt: string): Promise<CallerAnswer> =>
+        ingress.call({
+            method: "POST",
+            body: "x",
+            headers: { "x-attempt-id": "attempt-2", "last-event-id": String(lastEventId), resumes: attempt },
+        });
+    const requestsAt = (): number[] => endpoints.map(({ requests }) => requests.length);
+
+    afterEach(async () => {
+        await ingress.close();
+        endpoints.forEach(endpoint => endpoint.close());
+    });
+
+    // Guards against the pieces of two versions in one answer, after a break and after a pause.
+    it("resumes a broken stream at the version that began it, and not at another one", async () => {
+        await start(["e1", breaking, "v1"], ["e2", whole, "v2"], ["e3", whole, "v1"]);
+        expect(await callFirst()).to.include({ status: 200, body: events.join(""), complete: true });
+        expect(requestsAt()).to.deep.equal([1, 0, 1]);
+    });
+
+    it("breaks off a stream when no endpoint of its version is left", async () => {
+        await start(["e1", breaking, "v1"], ["e2", whole, "v2"]);
+        expect(await callFirst()).to.include({ body: events[0], complete: false });
+        expect(requestsAt()).to.deep.equal([1, 0]);
+    });
+
+    it("waits for a silent endpoint when the others are of another version", async () => {
+        await start(["e1", pausing, "v1"], ["e2", whole, "v2"]);
+        expect(await callFirst()).to.include({ body: events.join(""), complete: true });
+        expect(requestsAt()).to.deep.equal([1, 0]);
+    });
+
+    it("chooses any version while no event has come", async () => {
+        await start(["e1", breakingEarly, "v1"], ["e2", whole, "v2"]);
+        expect(await callFirst()).to.include({ body: events.join(""), complete: true });
+    });
+
+    // Guards against an id and an address that are used again, by an endpoint of another version.
+    it("goes by the version that the endpoint had when the stream began", async () => {
+        await start(["e1", breaking, "v1"], ["e2", whole, "v2"]);
+        const answer = ingress.call({ method: "POST", body: "x" });
+        while (endpoints[0]?.requests.length === 0) {
+            await sleep(1);
+        }
+        const [first, second] = endpoints;
+        first!.version = "v2";
+        second!.version = "v1";
+        list(endpoints);
+        expect(await answer).to.include({ body: events.join(""), complete: true });
+        expect(requestsAt()).to.deep.equal([1, 1]);
+    });
+
+    // Guards against the pieces of two versions over the tries of one caller.
+    it("lets a caller take a stream up at the version that began it", async () => {
+        await start(["e1", breaking, "v1"], ["e2", whole, "v2"], ["e3", whole, "v1"]);
+        expect((await ingress.call({ method: "POST", body: "x" })).complete).to.equal(false);
+        list(endpoints.slice(1));
+        expect(await takeUp(1, "attempt-1")).to.include({ status: 200, body: events.slice(1).join("") });
+        expect(requestsAt()).to.deep.equal([1, 0, 1]);
+    });
+
+    it("refuses to take a stream up when no endpoint of its version is left", async () => {
+        await start(["e1", breaking, "v1"], ["e2", whole, "v2"]);
+        expect((await ingress.call({ method: "POST", body: "x" })).complete).to.equal(false);
+        list(endpoints.slice(1));
+        expect((await takeUp(1, "attempt-1")).status).to.equal(503);
+        expect(requestsAt()).to.deep.equal([1, 0]);
+    });
+});
