Resume a stream within one answer at the software version that began it only

Change: the version that an endpoint had when it was chosen is required for the rest of the answer as soon as a byte of it is written to the caller. Replacements of silent endpoints, waits for limits, and parked attempts that are taken back go by it too. A stream whose version has no ready endpoint left is broken off at once, so that its caller can act.

--- a/packages/ingress/src/answer-writer.ts
+++ b/packages/ingress/src/answer-writer.ts
@@ -125,14 +125,25 @@
             tryReplace: () => boolean;
             wasCut: () => Promise<boolean>;
             onFirstEvent: () => void;
+            /** Called before the head and the first bytes of the answer are written. */
+            onBegin: () => void;
             /** Called for each part that holds an event. */
             onProgress: () => void;
             /** Called for each other part. */
             onOtherPart: (data: Buffer) => void;
         },
     ): EventStream {
-        const { clock, firstEventExpectedBy, maxGapMs, tryReplace, wasCut, onFirstEvent, onProgress, onOtherPart } =
-            options;
+        const {
+            clock,
+            firstEventExpectedBy,
+            maxGapMs,
+            tryReplace,
+            wasCut,
+            onFirstEvent,
+            onBegin,
+            onProgress,
+            onOtherPart,
+        } = options;
         const splitter = new EventSplitter();
         const silence = new SilenceWatch(clock, tryReplace, () => {
             res.pause();
@@ -142,6 +153,12 @@
         let costWithoutEvent = 0;
         let expectedBy = firstEventExpectedBy;
         let held: HeldEvents | undefined;
+        const begin = (): void => {
+            if (!this.started) {
+                onBegin();
+                this.writeHead(res);
+            }
+        };
         const relayBatch: BodySink["relay"] = ({ data, cost }) => {
             const { completeEvents, lastEventId, hasData } = splitter.push(data);
             costWithoutEvent = hasData ? splitter.remainingBytes : costWithoutEvent + cost;
@@ -165,7 +182,7 @@
                 silence.expectBy(clock.now() + maxGapMs);
                 this.lastRelayedEventId = lastEventId;
             }
-            this.writeHead(res);
+            begin();
             return this.write(completeEvents);
         };
         // While the caller does not read, the endpoint cannot send.
@@ -191,7 +208,7 @@
                 // A stream that ends inside an event has been broken off, however its connection ended.
                 return "cut";
             }
-            this.writeHead(res);
+            begin();
             this.callerRes.end(remainder);
             return end;
         };
--- a/packages/ingress/src/body-relay.ts
+++ b/packages/ingress/src/body-relay.ts
@@ -10,6 +10,8 @@
 export interface BodyRelayHooks {
     /** Called when the first part of a stream has arrived. */
     onFirstChunk: () => void;
+    /** Called before the first bytes of a stream that may be resumed are written to the caller. */
+    onBegin: (inFlight: InFlightAttempt) => void;
     /** Called when an event has begun, so that the parked attempts are about to be closed. */
     onEventBegun: () => void;
     /** Called when the answer has gone on so far that no other attempt is needed. */
@@ -58,6 +60,7 @@
                 tryReplace: () => this.hooks.tryReplace(inFlight),
                 wasCut,
                 onFirstEvent: onFirstChunk,
+                onBegin: () => this.hooks.onBegin(inFlight),
                 onProgress: () => this.onProgress(),
                 onOtherPart: data => {
                     if (!this.parked.isEmpty && eventLine.test(data.toString("latin1"))) {
--- a/packages/ingress/src/endpoint-selection.ts
+++ b/packages/ingress/src/endpoint-selection.ts
@@ -28,6 +28,8 @@
     private readonly silent = new Set<string>();
     private withdraw: () => void = () => undefined;
     private queuedAt: number | undefined;
+    /** The software version at which a stream goes on; undefined while any may be chosen. */
+    private required: { version: string | undefined; } | undefined;
     private decided = false;
 
     constructor(
@@ -48,6 +50,19 @@
         (wasSilent ? this.silent : this.excluded).add(endpoint);
     }
 
+    /** Chooses endpoints of one software version only from now on: what two versions write does not fit together. */
+    requireVersion(version: string | undefined): void {
+        this.required ??= { version };
+    }
+
+    readonly isOfVersion = ({ version }: Endpoint): boolean =>
+        this.required === undefined || this.required.version === version;
+
+    /** Whether an endpoint of the required version is ready. */
+    get hasReadyVersion(): boolean {
+        return this.ctx.view.endpoints.readyEndpoints(this.admitted.dispatch.service).some(this.isOfVersion);
+    }
+
     /** Withdraws the request from the queue. */
     leave(): void {
         this.withdraw();
@@ -91,14 +106,14 @@
         if (refusal !== undefined) {
             return { kind: "refuse", reason: refusal.reason, retryAfterMs: refusal.retryAfterMs };
         }
-        const candidates = ctx.candidates(dispatch.service);
+        const candidates = ctx.candidates(dispatch.service).filter(this.isOfVersion);
         const decision = ctx.dispatcher.decide(dispatch, candidates, model, now, excluded, ahead);
         if (!this.decided) {
             this.decided = true;
             hooks.onFirstDecision(bestChoice(decision));
         }
         const limited = decision.kind === "refuse" && decision.reason === "no-endpoint"
-            ? ctx.limitGate.decide(dispatch, excluded)
+            ? ctx.limitGate.decide(dispatch, excluded, this.isOfVersion)
             : undefined;
         return decideDuringStop(limited ?? decision, this.admitted, ctx);
     }
@@ -121,7 +136,7 @@
             }
             return decision;
         }
-        const limited = this.ctx.limitGate.decide(this.admitted.dispatch, this.excluded);
+        const limited = this.ctx.limitGate.decide(this.admitted.dispatch, this.excluded, this.isOfVersion);
         return limited?.kind === "refuse"
             ? limited
             : { kind: "refuse", reason: "no-endpoint", retryAfterMs: endpointRefusedRetryMs };
@@ -131,8 +146,8 @@
         const { admitted: { dispatch }, ctx } = this;
         const model = ctx.latencyModel(dispatch.service);
         const parked = this.parkedEndpoints();
-        const candidates = ctx.candidates(dispatch.service).filter(({ id }) =>
-            !parked.includes(id) && (among?.has(id) ?? true)
+        const candidates = ctx.candidates(dispatch.service).filter(endpoint =>
+            this.isOfVersion(endpoint) && !parked.includes(endpoint.id) && (among?.has(endpoint.id) ?? true)
         );
         return ctx.dispatcher.choose(dispatch, candidates, model, ctx.clock.now(), excluded);
     }
--- a/packages/ingress/src/limit-gate.ts
+++ b/packages/ingress/src/limit-gate.ts
@@ -19,13 +19,17 @@
 
     /**
      * Decides on a request for which no candidate is left, or returns undefined if the limits of endpoints are not the
-     * cause. `excluded` holds the endpoints that the request was already sent to.
+     * cause. `excluded` holds the endpoints that the request was already sent to; `mayUse` says which others it may use.
      */
-    decide(req: DispatchRequest, excluded: ReadonlySet<string>): DispatchDecision<Endpoint> | undefined {
+    decide(
+        req: DispatchRequest,
+        excluded: ReadonlySet<string>,
+        mayUse: (endpoint: Endpoint) => boolean,
+    ): DispatchDecision<Endpoint> | undefined {
         const { limits } = this.view;
         const now = this.clock.now();
-        const blocked = this.view.endpoints.readyEndpoints(req.service).filter(({ id }) =>
-            !excluded.has(id) && !limits.maySend(id, now)
+        const blocked = this.view.endpoints.readyEndpoints(req.service).filter(endpoint =>
+            mayUse(endpoint) && !excluded.has(endpoint.id) && !limits.maySend(endpoint.id, now)
         );
         if (blocked.length === 0) {
             return undefined;
--- a/packages/ingress/src/parked-attempts.ts
+++ b/packages/ingress/src/parked-attempts.ts
@@ -1,3 +1,4 @@
+import type { Endpoint } from "@lentilramp/fleet";
 import type { Clock, Timer } from "@lentilramp/runtime";
 import type { InFlightAttempt } from "./in-flight-attempt.ts";
 
@@ -64,9 +65,9 @@
         }
     }
 
-    /** Returns the attempt that is most likely to go on, which is no longer parked. */
-    takeBack(): Omit<Parked, "timer"> | undefined {
-        const all = [...this.parked.values()];
+    /** Returns the attempt that is most likely to go on, which is no longer parked; `mayGoOn` decides which may. */
+    takeBack(mayGoOn: (endpoint: Endpoint) => boolean): Omit<Parked, "timer"> | undefined {
+        const all = [...this.parked.values()].filter(({ inFlight }) => mayGoOn(inFlight.endpoint));
         const best = all.find(({ progress }) => progress.hasProgress)
             ?? all.find(({ progress }) => !progress.isBroken)
             ?? all[0];
--- a/packages/ingress/src/relayed-call.ts
+++ b/packages/ingress/src/relayed-call.ts
@@ -51,6 +51,7 @@
         );
         this.bodies = new BodyRelay(admitted, ctx, this.writer, {
             onFirstChunk: () => this.onFirstChunk(),
+            onBegin: ({ endpoint }) => this.selection.requireVersion(endpoint.version),
             onEventBegun: () => this.retries.tryReserve(),
             onProgress: () => this.retries.releaseReserve(),
             tryReplace: ({ endpoint }) => this.tryReplace(endpoint),
@@ -178,7 +179,8 @@
      * Resolves with false if there is no such stream, or nothing more is to be done.
      */
     private async waitToResume(): Promise<boolean> {
-        if (!this.writer.started || !this.failures.hasLeftStream || !this.bodies.parked.isEmpty) {
+        const { selection, failures, bodies } = this;
+        if (!this.writer.started || !failures.hasLeftStream || !bodies.parked.isEmpty || !selection.hasReadyVersion) {
             return false;
         }
         await this.ctx.clock.sleepUntil(this.ctx.clock.now() + resumeCheckIntervalMs);
@@ -194,7 +196,7 @@
 
     /** Goes on with a parked attempt, and otherwise gives up; resolves as `afterAttempt` does. */
     private async returnOrEnd(giveUp: () => void): Promise<boolean> {
-        const parked = this.bodies.parked.takeBack();
+        const parked = this.bodies.parked.takeBack(this.selection.isOfVersion);
         if (parked === undefined) {
             giveUp();
             return true;
