Let a caller take a stream up at the software version that began it only

Cause: nothing read `Resumes`. The ingress that is asked need not be the one that began the stream, and none of them knew which version had.

Change: an ingress remembers for 30 s at which service and version each stream began that callers may take up. While a service has, or had in that time, more than one version, it reports them to the leading steward with an early sync, in one message for all streams since the last one; the other stewards copy them, and a new leader hears all of them again. A take-up goes by the own memory, or asks a steward, in one call for all that wait. The versions of each service are kept in the agreement log when they change, so that a service with a single version needs no report: any stream of it can go on, also after the loss of all memory. A stream of unknown origin, and one whose version has no ready endpoint, gets 503 at once and is sent to no endpoint. Stewards and ingresses of the earlier software understand the messages; while one of them leads, the list decides if it shows a single version.

--- a/packages/cli/src/wire-ingress.ts
+++ b/packages/cli/src/wire-ingress.ts
@@ -6,6 +6,7 @@
     ExchangeSubscriber,
     FleetSync,
     FleetView,
+    OriginLookup,
     Relay,
 } from "@lentilramp/ingress";
 import type { EndpointSource, IngressComponentFactory, IngressOptions, SyncRequest } from "@lentilramp/ingress";
@@ -44,6 +45,7 @@
             countCovered: () => follower.countCovered("fleet"),
             requestSync: () => link.requestSync(),
             nextSyncAt: () => link.nextSyncAt,
+            askForOrigin: (key, services) => originLookup.find(key, services),
         },
     );
     const lingerMs = lookupMs * keptAnswers;
@@ -74,6 +76,8 @@
         begunParts: view.crashes?.begunReports(clock.now()) ?? {},
         refusedParts: view.crashes?.takeRefused() ?? [],
         blockedTag: view.blockedTag,
+        origins: view.origins.reports(clock.now()),
+        singleVersionTag: view.singleVersionTag,
         demand: relay.takeDemand(),
     });
     const link: FleetSync = new FleetSync(
@@ -84,7 +88,7 @@
             return describe(elapsedMs);
         },
         (answer, req, sentAt) => {
-            view.applySyncAnswer(answer, sentAt, req.permits, req.crashes);
+            view.applySyncAnswer(answer, sentAt, req.permits, req.crashes, req.origins);
             metrics.count("limit_permits", Object.values(answer.permits ?? {}).reduce((sum, count) => sum + count, 0));
         },
         () => view.memberCount,
@@ -92,6 +96,7 @@
         random,
         log,
     );
+    const originLookup = new OriginLookup(client, () => link.knownStewards, clock, log);
     base.gauges.push(() => {
         metrics.gauge("in_progress", relay.requestsInFlight);
         metrics.gauge("waiting", relay.waiting);
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -52,6 +52,7 @@
         kind: "refuse";
         reason:
             | "no-endpoint"
+            | "no-endpoint-of-version"
             | "endpoint-limit"
             | "blocked-part"
             | "blocked-request"
--- a/packages/ingress/src/admission.ts
+++ b/packages/ingress/src/admission.ts
@@ -1,6 +1,6 @@
 import { type CatalogRoute, type CatalogWorkspace, drawService } from "@lentilramp/catalog";
 import type { DispatchRequest } from "@lentilramp/dispatch";
-import { CapMeter, type RequestSuspects, sharedParts } from "@lentilramp/fleet";
+import { CapMeter, type RequestSuspects, sharedParts, type StreamOrigin } from "@lentilramp/fleet";
 import { BodyTooLargeError, readBody, type ReadScheduler } from "@lentilramp/protocol";
 import type { Clock, EventLog, Metrics, RandomSource } from "@lentilramp/runtime";
 import type { IncomingMessage, ServerResponse } from "node:http";
@@ -14,11 +14,19 @@
 import { sendRefusal, stoppingRetryMs } from "./refusal.ts";
 import { requestDeadline } from "./request-deadline.ts";
 import { fingerprintRequest } from "./request-fingerprint.ts";
+import { findOrigin, takesStreamUp } from "./stream-take-up.ts";
 
 /** Longest retry delay that a caller gets when its workspace is over the cap, in milliseconds, before the jitter. */
 const maxCapRetryMs = 2_000;
 /** Time for which the body of a refused request is read before its connection is closed, in milliseconds. */
 const refusedBodyMs = 1_000;
+/** Retry delay of a caller whose stream has an unknown origin, in milliseconds; the report of it may be on its way. */
+const unknownOriginRetryMs = 300;
+const unknownOriginRefusal: Refusal = {
+    status: 503,
+    reason: "unknown origin of the stream",
+    retryAfterMs: unknownOriginRetryMs,
+};
 const stoppingRefusal: Refusal = { status: 503, reason: "stopping", retryAfterMs: stoppingRetryMs };
 
 /** A request that has passed admission. */
@@ -33,6 +41,8 @@
     /** What the request is known by when endpoints crash under it; undefined if the policy switches that off. */
     suspects: RequestSuspects | undefined;
     dispatch: DispatchRequest;
+    /** Where the stream began that the caller takes up; undefined for any other request. */
+    origin: StreamOrigin | undefined;
     /** Units taken from the workspace's cap. */
     units: number;
 }
@@ -99,6 +109,12 @@
             await refuse(toRefusal(crashRefusal));
             return undefined;
         }
+        const takesUp = takesStreamUp(head, route);
+        const origin = takesUp ? await findOrigin(head, route, workspace?.name ?? "", this.ctx.view) : undefined;
+        if (takesUp && origin === undefined) {
+            await refuse(unknownOriginRefusal);
+            return undefined;
+        }
         const declared = head.work === undefined ? undefined : head.work.promptTokens + head.work.maxOutputTokens;
         const units = workspace === undefined ? 0 : CapMeter.requestUnits(workspace, declared);
         const now = this.ctx.clock.now();
@@ -130,10 +146,11 @@
             route,
             workspace,
             suspects,
+            origin,
             units,
             dispatch: {
                 id: head.attemptId ?? "",
-                service: drawService(route, this.random),
+                service: origin?.service ?? drawService(route, this.random),
                 workspace: workspace?.name ?? "",
                 rank: workspace?.rank ?? route.rank,
                 arrivedAt,
--- a/packages/ingress/src/endpoint-selection.ts
+++ b/packages/ingress/src/endpoint-selection.ts
@@ -5,7 +5,7 @@
     type LatencyModel,
     type QueueOutcome,
 } from "@lentilramp/dispatch";
-import type { Endpoint } from "@lentilramp/fleet";
+import { type Endpoint, versionOf } from "@lentilramp/fleet";
 import type { AdmittedRequest } from "./admission.ts";
 import { decideOnSuspects } from "./crash-gate.ts";
 import type { RelayContext } from "./relay.ts";
@@ -14,6 +14,12 @@
 /** Retry delay that a caller gets when an endpoint refused its request, in milliseconds. */
 export const endpointRefusedRetryMs = 100;
 
+/**
+ * Retry delay of a caller that takes up a stream whose version has no ready endpoint, in milliseconds; one that has
+ * started may not be listed yet.
+ */
+const versionGoneRetryMs = 500;
+
 export interface SelectionHooks {
     /** Called once with the best endpoint of the first decision on the request, whatever that decision is. */
     onFirstDecision: (best: EndpointChoice<Endpoint> | undefined) => void;
@@ -29,7 +35,7 @@
     private withdraw: () => void = () => undefined;
     private queuedAt: number | undefined;
     /** The software version at which a stream goes on; undefined while any may be chosen. */
-    private required: { version: string | undefined; } | undefined;
+    private required: string | undefined;
     private decided = false;
 
     constructor(
@@ -51,12 +57,12 @@
     }
 
     /** Chooses endpoints of one software version only from now on: what two versions write does not fit together. */
-    requireVersion(version: string | undefined): void {
-        this.required ??= { version };
+    requireVersion(version: string): void {
+        this.required ??= version;
     }
 
-    readonly isOfVersion = ({ version }: Endpoint): boolean =>
-        this.required === undefined || this.required.version === version;
+    readonly isOfVersion = (endpoint: Endpoint): boolean =>
+        this.required === undefined || this.required === versionOf(endpoint);
 
     /** Whether an endpoint of the required version is ready. */
     get hasReadyVersion(): boolean {
@@ -106,6 +112,9 @@
         if (refusal !== undefined) {
             return { kind: "refuse", reason: refusal.reason, retryAfterMs: refusal.retryAfterMs };
         }
+        if (this.required !== undefined && !this.hasReadyVersion) {
+            return { kind: "refuse", reason: "no-endpoint-of-version", retryAfterMs: versionGoneRetryMs };
+        }
         const candidates = ctx.candidates(dispatch.service).filter(this.isOfVersion);
         const decision = ctx.dispatcher.decide(dispatch, candidates, model, now, excluded, ahead);
         if (!this.decided) {
--- a/packages/ingress/src/fleet-messages.ts
+++ b/packages/ingress/src/fleet-messages.ts
@@ -5,7 +5,9 @@
     endpointListSchema,
     ingressDescriptionSchema,
     limitReportSchema,
+    originReportsSchema,
     permitDemandSchema,
+    streamOriginSchema,
 } from "@lentilramp/fleet";
 import { tolerantArray } from "@lentilramp/runtime";
 import { z } from "zod";
@@ -59,6 +61,10 @@
     refusedParts: z.array(z.string()).default([]),
     /** Tag of the verdicts that the sender obeys; 0 when it has none. */
     blockedTag: z.number().default(0),
+    /** Origins of the sender's streams of which the leader may not have heard. */
+    origins: originReportsSchema.default({}),
+    /** Tag of the services with a single version that the sender knows; 0 when it knows none. */
+    singleVersionTag: z.number().default(0),
     /**
      * Work that arrived for each engine service since the last sync, including refused requests: prompt tokens that
      * are not in an engine's cache, all prompt tokens, and the time for which the requests would occupy slots, in
@@ -122,5 +128,20 @@
     permits: z.record(z.string(), z.int().nonnegative()).optional(),
     /** Ingresses in contact with the leader; sent when the roster differs from the sender's. */
     roster: rosterSchema.optional(),
+    /** Tag of the services with a single version; absent if the steward does not collect the origins of streams. */
+    singleVersionTag: z.number().optional(),
+    /** Services that have had one software version for long; sent when they differ from the sender's. */
+    singleVersion: z.array(z.string()).optional(),
 });
 export type SyncAnswer = z.infer<typeof syncAnswerSchema>;
+
+/** Request with the RPC method `fleet.origins`: the keys of streams that callers take up, and their routes' services. */
+export const originRequestSchema = z.object({ keys: z.array(z.string()), services: z.array(z.string()) });
+export const originAnswerSchema = z.object({
+    /** Whether the steward leads, so that it has heard of all origins that are known. */
+    leading: z.boolean(),
+    origins: z.record(z.string(), streamOriginSchema),
+    /** The only version that can have begun a stream, for each of the services that has one. */
+    single: z.record(z.string(), z.string()),
+});
+export type OriginAnswer = z.infer<typeof originAnswerSchema>;
--- a/packages/ingress/src/fleet-sync.ts
+++ b/packages/ingress/src/fleet-sync.ts
@@ -72,6 +72,15 @@
         return this.plannedAt ?? Infinity;
     }
 
+    /** The stewards that are known, the one of the last sync first. */
+    get knownStewards(): readonly PeerAddress[] {
+        const { currentSteward } = this;
+        const others = this.stewards.filter(address =>
+            currentSteward === undefined || addressKey(address) !== addressKey(currentSteward)
+        );
+        return currentSteward === undefined ? others : [currentSteward, ...others];
+    }
+
     /** Asks for a sync before its usual time. */
     requestSync(): void {
         if (!this.isEarlyWanted) {
--- a/packages/ingress/src/fleet-view.ts
+++ b/packages/ingress/src/fleet-view.ts
@@ -8,14 +8,16 @@
     type IngressDescription,
     isRequestKey,
     LimitPermits,
+    OriginReporter,
     ownRecord,
     PromptCrashes,
     type RequestSuspects,
+    type StreamOrigin,
     suspectKeys,
     UsageLedger,
 } from "@lentilramp/fleet";
 import type { Clock, EventLog } from "@lentilramp/runtime";
-import type { SyncAnswer, SyncRequest } from "./fleet-messages.ts";
+import type { OriginAnswer, SyncAnswer, SyncRequest } from "./fleet-messages.ts";
 import type { IngressComponentFactory } from "./ingress-policy.ts";
 
 /** Time by which the knowledge of a steward that does not lead may be older, in milliseconds: an election timeout. */
@@ -32,6 +34,8 @@
     requestSync: () => void;
     /** Returns the instant at which the next sync is due; Infinity while one is in progress. */
     nextSyncAt: () => number;
+    /** Asks the stewards where the stream `key` began and which versions `services` have; see `OriginLookup`. */
+    askForOrigin: (key: string, services: readonly string[]) => Promise<OriginAnswer | undefined>;
 }
 
 /** State of the fleet as this ingress last received or measured it. */
@@ -60,6 +64,12 @@
     rosterTag = 0;
     /** Tag of the verdicts on requests and prompt parts; 0 before the first ones. */
     blockedTag = 0;
+    /** Origins of the streams that callers have begun here. */
+    readonly origins = new OriginReporter();
+    /** Tag of the services with a single version; 0 before the first ones. */
+    singleVersionTag = 0;
+    /** Whether the last leader collects the origins of streams; one of an earlier software version does not. */
+    leaderCollectsOrigins = false;
     private readonly judgesRequests: boolean;
     private syncedWithLeader = false;
     /** Number of ingresses that may be running, including this one; 0 until a steward has reported it. */
@@ -122,6 +132,22 @@
         return this.judgesRequests ? suspectKeys(suspects) : [...suspects.parts];
     }
 
+    /** Records where a stream has begun; the leader hears of it with an early sync if it has to. */
+    recordOrigin(key: string, origin: StreamOrigin): void {
+        if (this.origins.record(key, origin, this.clock.now()) && this.leaderCollectsOrigins) {
+            this.hooks.requestSync();
+        }
+    }
+
+    findOrigin(key: string): StreamOrigin | undefined {
+        return this.origins.find(key, this.clock.now());
+    }
+
+    /** Asks the stewards where a stream began; see `OriginLookup`. */
+    askForOrigin(key: string, services: readonly string[]): Promise<OriginAnswer | undefined> {
+        return this.hooks.askForOrigin(key, services);
+    }
+
     /** Asks for an early sync with the leading steward. */
     requestSync(): void {
         this.hooks.requestSync();
@@ -145,14 +171,15 @@
     }
 
     /**
-     * Applies the answer to a sync that was sent at `sentAt`, asked for the permits `wanted` and reported the crashes
-     * `reported`.
+     * Applies the answer to a sync that was sent at `sentAt`, asked for the permits `wanted`, and reported the crashes
+     * `reported` and the origins `origins`.
      */
     applySyncAnswer(
         answer: SyncAnswer,
         sentAt: number,
         wanted: SyncRequest["permits"] = {},
         reported: SyncRequest["crashes"] = [],
+        origins: SyncRequest["origins"] = {},
     ): void {
         if (answer.catalog !== undefined) {
             this.applyCatalog(answer.catalog.version, answer.catalog.text, answer.leading);
@@ -171,6 +198,7 @@
             return;
         }
         this.applyCrashEvidence(answer, reported);
+        this.applyVersions(answer, origins);
         this.syncedWithLeader = true;
         this.silentMemberCount = answer.silent ?? 0;
         this.leaderAnsweredAt = sentAt;
@@ -255,6 +283,20 @@
         }
     }
 
+    private applyVersions(
+        { evidence, singleVersionTag, singleVersion }: SyncAnswer,
+        reported: SyncRequest["origins"],
+    ): void {
+        this.leaderCollectsOrigins = singleVersionTag !== undefined;
+        if (singleVersion !== undefined) {
+            this.singleVersionTag = singleVersionTag ?? 0;
+            this.origins.setSingleVersion(new Set(singleVersion));
+        }
+        if (this.leaderCollectsOrigins) {
+            this.origins.acknowledge(evidence, reported, this.clock.now());
+        }
+    }
+
     private applyCatalog(version: number, text: string, fromLeader: boolean): void {
         if (this.catalog !== undefined && version <= this.catalog.version) {
             return;
--- a/packages/ingress/src/index.ts
+++ b/packages/ingress/src/index.ts
@@ -15,6 +15,7 @@
 export * from "./hop-by-hop-headers.ts";
 export * from "./ingress-options.ts";
 export * from "./ingress-policy.ts";
+export * from "./origin-lookup.ts";
 export * from "./platform-adapter.ts";
 export * from "./relay.ts";
 export * from "./request-fingerprint.ts";
--- a/packages/ingress/src/relayed-call.ts
+++ b/packages/ingress/src/relayed-call.ts
@@ -1,5 +1,5 @@
 import { type EndpointChoice, ServiceModel } from "@lentilramp/dispatch";
-import type { Endpoint } from "@lentilramp/fleet";
+import { type Endpoint, originKey, versionOf } from "@lentilramp/fleet";
 import { CallerPresence, discardResponse } from "@lentilramp/protocol";
 import type { IncomingMessage } from "node:http";
 import type { AdmittedRequest } from "./admission.ts";
@@ -51,7 +51,7 @@
         );
         this.bodies = new BodyRelay(admitted, ctx, this.writer, {
             onFirstChunk: () => this.onFirstChunk(),
-            onBegin: ({ endpoint }) => this.selection.requireVersion(endpoint.version),
+            onBegin: ({ endpoint }) => this.onBegin(endpoint),
             onEventBegun: () => this.retries.tryReserve(),
             onProgress: () => this.retries.releaseReserve(),
             tryReplace: ({ endpoint }) => this.tryReplace(endpoint),
@@ -66,6 +66,9 @@
             onFirstDecision: best => this.recorder.recordDemand(best),
             onChoice: choice => this.prepareAttempt(choice),
         }, () => this.bodies.parked.endpoints);
+        if (admitted.origin !== undefined) {
+            this.selection.requireVersion(admitted.origin.version);
+        }
         const onDeadline = (): void => this.guard(() => this.onDeadline(), undefined);
         this.deadline = new DeadlineWatch(admitted, ctx, () => this.writer.started, onDeadline);
         const { recorder, selection, prompt, retries } = this;
@@ -318,6 +321,16 @@
         return true;
     }
 
+    /** Ties a stream, and what its caller may take up later, to the version of the endpoint that begins it. */
+    private onBegin(endpoint: Endpoint): void {
+        const { dispatch: { id, service, workspace }, route } = this.admitted;
+        const version = versionOf(endpoint);
+        this.selection.requireVersion(version);
+        if (id !== "" && route.resumable) {
+            this.ctx.view.recordOrigin(originKey(workspace, id), { service, version });
+        }
+    }
+
     private onFirstChunk(): void {
         this.recorder.recordFirstByte();
         this.prompt.onFirstChunk();
--- a/packages/ingress/tests/ingress-harness.ts
+++ b/packages/ingress/tests/ingress-harness.ts
@@ -7,6 +7,7 @@
     type IngressOptions,
     type IngressPolicy,
     ingressPolicyDefaults,
+    type OriginAnswer,
     Relay,
 } from "@lentilramp/ingress";
 import { PlatformHeaderCodec } from "@lentilramp/platform";
@@ -210,6 +211,9 @@
     readonly options: IngressOptions;
     /** Instant at which the next sync with the stewards is due. */
     nextSyncAt = Infinity;
+    /** What the stewards say of the origins of streams. */
+    askForOrigin: (key: string, services: readonly string[]) => Promise<OriginAnswer | undefined> = async () =>
+        undefined;
     private readonly server: CallerServer;
     private readonly ports: { callers: number; readiness: number; };
 
@@ -254,6 +258,7 @@
                 countCovered: () => 1,
                 requestSync: () => undefined,
                 nextSyncAt: () => this.nextSyncAt,
+                askForOrigin: (key, services) => this.askForOrigin(key, services),
             },
         );
         if (catalog !== undefined) {
--- a/packages/ingress/tests/stream-versions.test.ts
+++ b/packages/ingress/tests/stream-versions.test.ts
@@ -1,3 +1,5 @@
+import { originKey } from "@lentilramp/fleet";
+import type { OriginAnswer } from "@lentilramp/ingress";
 import { expect } from "chai";
 import { testCatalog, testRoute } from "../../catalog/tests/fixtures.ts";
 import { type Answer, type CallerAnswer, IngressHarness, ScriptedEndpoint } from "./ingress-harness.ts";
@@ -136,4 +138,77 @@
         expect((await takeUp(1, "attempt-1")).status).to.equal(503);
         expect(requestsAt()).to.deep.equal([1, 0]);
     });
+
+    const answerOf = (answer: Partial<OriginAnswer>): OriginAnswer => ({
+        leading: true,
+        origins: {},
+        single: {},
+        ...answer,
+    });
+
+    // Guards against an ingress that did not begin the stream and chooses any version.
+    it("takes a stream up at the version that a steward knows", async () => {
+        await start(["e1", whole, "v1"], ["e2", whole, "v2"]);
+        list(endpoints);
+        const origin = { service: "app", version: "v2" };
+        const key = originKey("w", "attempt-1");
+        ingress.askForOrigin = async asked => answerOf({ origins: asked === key ? { [key]: origin } : {} });
+        for (let i = 0; i < 4; i++) {
+            expect(await takeUp(1, "attempt-1")).to.include({ status: 200, body: events.slice(1).join("") });
+        }
+        expect(requestsAt()).to.deep.equal([0, 4]);
+    });
+
+    it("remembers a stream that was taken up here for the next take-up", async () => {
+        await start(["e1", whole, "v1"], ["e2", whole, "v2"]);
+        list(endpoints);
+        const origin = { service: "app", version: "v2" };
+        ingress.askForOrigin = async asked => answerOf({ origins: { [asked]: origin } });
+        expect((await takeUp(1, "attempt-1")).status).to.equal(200);
+        ingress.askForOrigin = async () => undefined;
+        expect((await takeUp(2, "attempt-2")).body).to.equal(events[2]);
+        expect(requestsAt()).to.deep.equal([0, 2]);
+    });
+
+    // Guards against taking "unknown" for "any", as after a loss of power of all ingresses.
+    it("refuses to take a stream up whose version nobody knows", async () => {
+        await start(["e1", whole, "v1"], ["e2", whole, "v2"]);
+        list(endpoints);
+        for (const answer of [undefined, answerOf({}), answerOf({ leading: false })]) {
+            ingress.askForOrigin = async () => answer;
+            expect(await takeUp(1, "attempt-1")).to.include({
+                status: 503,
+                body: `{"error":"unknown origin of the stream"}`,
+            });
+        }
+        expect(requestsAt()).to.deep.equal([0, 0]);
+    });
+
+    it("takes any stream up while the leader knows that the service has had one version", async () => {
+        await start(["e1", whole, "v1"]);
+        ingress.askForOrigin = async () => answerOf({ single: { app: "v1" } });
+        expect((await takeUp(1, "attempt-1")).body).to.equal(events.slice(1).join(""));
+        ingress.askForOrigin = async () => answerOf({ single: { app: "v0" } });
+        expect((await takeUp(1, "attempt-1")).status).to.equal(503);
+        expect(requestsAt()).to.deep.equal([1]);
+    });
+
+    // Guards against refusing all take-ups in a rolling upgrade in which the leader still has the earlier software.
+    it("goes by the list while the leader does not collect the origins of streams", async () => {
+        await start(["e1", whole, "v1"], ["e2", whole, "v2"]);
+        const syncAnswer = { leading: true, stewards: [], members: 1 };
+        ingress.view.applySyncAnswer(syncAnswer, ingress.clock.now());
+        expect((await takeUp(1, "attempt-1")).status).to.equal(200);
+        list(endpoints);
+        expect((await takeUp(1, "attempt-1")).status).to.equal(503);
+        list(endpoints.slice(0, 1));
+        ingress.view.applySyncAnswer({ ...syncAnswer, singleVersionTag: 1 }, ingress.clock.now());
+        expect((await takeUp(1, "attempt-1")).status).to.equal(503);
+    });
+
+    it("lets a request without events begin anew at any version", async () => {
+        await start(["e1", whole, "v1"]);
+        const headers = { resumes: "attempt-1" };
+        expect((await ingress.call({ method: "POST", body: "x", headers })).body).to.equal(events.join(""));
+    });
 });
--- a/packages/steward/src/fleet-coordinator.ts
+++ b/packages/steward/src/fleet-coordinator.ts
@@ -11,10 +11,13 @@
     noDemand,
     Roster,
     type ServiceDemand,
+    singleVersions,
+    StreamOrigins,
     suspectedSyncTimeoutMs,
     syncTimeoutMs,
     type UsageCounts,
     UsageWindows,
+    type VersionHistory,
 } from "@lentilramp/fleet";
 import type { SyncAnswer, SyncRequest } from "@lentilramp/ingress";
 import type { Clock } from "@lentilramp/runtime";
@@ -29,6 +32,9 @@
  */
 const forgetMs = 30_000;
 
+/** Age of the list from which it no longer says which versions serve, in milliseconds. */
+const versionsKnownMs = 2_000;
+
 /** Data that is the same in all answers; computed once for many syncs. */
 interface Overview {
     computedAt: number;
@@ -57,6 +63,10 @@
     private readonly evidence = randomUUID();
     /** Instant at which an ingress last refused a request for a blocked prompt part or request. */
     readonly refusedPartAt = new Map<string, number>();
+    /** Origins of the streams that ingresses have reported, or that were copied from the leader. */
+    readonly origins = new StreamOrigins();
+    /** Versions of the services, as this steward last read the list; undefined before it has led. */
+    versions: VersionHistory | undefined;
     private readonly ingresses = new Map<string, IngressState>();
     private readonly limits = new LimitAllocator();
     private readonly directory = new EndpointDirectory();
@@ -119,9 +129,11 @@
         req.refusedParts.forEach(part => this.refusedPartAt.set(part, now));
         const overview = this.currentOverview(now);
         this.directory.mergeLeaving(req.leaving);
+        this.origins.merge(req.origins, now);
         this.limits.statements.mergeReports(this.currentLifetimes(req.limits), now);
         const sendList = this.list !== undefined && req.listNumber !== this.list.readNumber;
         return {
+            ...this.describeSingleVersions(req.singleVersionTag),
             list: sendList ? this.list : undefined,
             listNumber: this.list?.readNumber,
             listAgeMs: this.list === undefined ? undefined : this.listAgeMs,
@@ -152,6 +164,25 @@
         );
     }
 
+    /** Id of what this steward has heard from the ingresses; they repeat their reports to another one. */
+    get collection(): string {
+        return this.evidence;
+    }
+
+    /** Returns the only version that can have begun a stream of each service, for the services that have one. */
+    singleVersions(): Record<string, string> {
+        return this.versions === undefined || this.listAgeMs > versionsKnownMs
+            ? {}
+            : singleVersions(this.versions, this.medianClock.timeOfDayMs(this.clock.now()) ?? Date.now());
+    }
+
+    /** Returns the services with a single version if the tag of the sender is of other ones. */
+    private describeSingleVersions(tag: number): Pick<SyncAnswer, "singleVersionTag" | "singleVersion"> {
+        const services = Object.keys(this.singleVersions()).sort();
+        const singleVersionTag = murmurhash.v3(services.join()) || 1;
+        return { singleVersionTag, singleVersion: singleVersionTag === tag ? undefined : services };
+    }
+
     /** Returns the ingresses in contact for another steward; undefined if its roster with the given tag is current. */
     rosterIfChanged(tag: number): SyncAnswer["roster"] {
         const { rosterTag, live } = this.currentOverview(this.clock.now());
--- a/packages/steward/src/platform-duties.ts
+++ b/packages/steward/src/platform-duties.ts
@@ -1,6 +1,6 @@
 import type { Catalog } from "@lentilramp/catalog";
 import { engineSpeedDefaults } from "@lentilramp/dispatch";
-import { noDemand, ReplicaPlanner } from "@lentilramp/fleet";
+import { type Endpoint, noDemand, ReplicaPlanner, updateVersionHistory, type VersionHistory } from "@lentilramp/fleet";
 import type { EndpointSource } from "@lentilramp/ingress";
 import { type Clock, type EventLog, PeriodicComponent } from "@lentilramp/runtime";
 import type { DutyCalls, DutyHolder } from "./duty-calls.ts";
@@ -42,6 +42,9 @@
     private listReadAt = -Infinity;
     private listNumber = 0;
     private listReadFailed = false;
+    /** Term in which the versions were last updated from the list. */
+    private versionsTerm: number | undefined;
+    private recordedVersions: VersionHistory | undefined;
     private lastPlanAt = -Infinity;
     private readonly runningDuties = new Set<string>();
 
@@ -87,6 +90,7 @@
         this.runExclusively("list", () => this.readList());
         this.runExclusively("members", () => this.recordMembers());
         this.runExclusively("engine-rates", () => this.recordEngineRates());
+        this.runExclusively("versions", () => this.recordVersions());
         const { assignment } = this;
         if (assignment === undefined || this.clock.now() < assignment.earliestActionAt) {
             return;
@@ -171,6 +175,7 @@
         try {
             const endpoints = await this.source.read(now + listReadTimeoutMs);
             const number = this.core.state.currentTerm * listNumbersPerTerm + ++this.listNumber;
+            this.updateVersions(endpoints);
             const changed = this.coordinator.updateEndpointList(endpoints, now, number);
             if (changed || this.listReadFailed) {
                 this.log.info("endpoints.list", {
@@ -189,6 +194,27 @@
         }
     }
 
+    /** Takes note of the versions before ingresses get the list, so that they know of a new one before it serves. */
+    private updateVersions(endpoints: readonly Endpoint[]): void {
+        const { core, coordinator, clock } = this;
+        const now = coordinator.medianClock.timeOfDayMs(clock.now()) ?? Date.now();
+        // Without a catalog, no stream has begun before.
+        const first = { since: core.state.catalog === undefined ? 0 : now, services: {} };
+        const known = this.versionsTerm === core.state.currentTerm ? coordinator.versions : undefined;
+        const before = known ?? core.state.versions ?? first;
+        coordinator.versions = updateVersionHistory(before, endpoints, now) ?? before;
+        this.versionsTerm = core.state.currentTerm;
+    }
+
+    /** Records the versions in the replicated state for the next leader. */
+    private async recordVersions(): Promise<void> {
+        const { core, coordinator: { versions }, versionsTerm } = this;
+        if (versions !== undefined && versionsTerm === core.state.currentTerm && versions !== this.recordedVersions) {
+            await core.propose({ type: "versions", history: versions });
+            this.recordedVersions = versions;
+        }
+    }
+
     /** Records the number of ingresses in the replicated state for those that start while there is no leader. */
     private async recordMembers(): Promise<void> {
         const count = this.coordinator.roster.countMembers(this.clock.now());
--- a/packages/steward/src/roster-follower.ts
+++ b/packages/steward/src/roster-follower.ts
@@ -12,13 +12,15 @@
 const usageMsPerMember = 10;
 
 /**
- * Copies the leader's roster and usage counts, so that every steward can answer lookups, and a new leader also reports
- * the counts of ingresses that have stopped since.
+ * Copies the leader's roster, its usage counts and the origins of streams, so that every steward can answer lookups, and
+ * a new leader knows what ingresses that have stopped since had reported.
  */
 export class RosterFollower extends PeriodicComponent {
     readonly name = "roster-follower";
     private leaderRoster: { tag: number; ingresses: readonly IngressDescription[]; } = { tag: 0, ingresses: [] };
     private usageReadAt = -Infinity;
+    /** What has been copied of the origins that a leader has collected. */
+    private copiedOrigins = { collection: "", next: 0 };
 
     constructor(
         private readonly core: StewardCore,
@@ -36,13 +38,18 @@
         }
         const now = this.clock.now();
         const wantsUsage = now - this.usageReadAt >= this.leaderRoster.ingresses.length * usageMsPerMember;
-        const params = { tag: this.leaderRoster.tag, usage: wantsUsage };
+        const params = { tag: this.leaderRoster.tag, usage: wantsUsage, origins: this.copiedOrigins };
         const answer = await this.client.call(leader, "fleet.roster", params, rosterAnswerSchema, now + callTimeoutMs);
         if (!answer.leading) {
             return;
         }
         this.leaderRoster = answer.roster ?? this.leaderRoster;
         this.coordinator.mergeLeaderRoster(this.leaderRoster.ingresses);
+        if (answer.origins !== undefined) {
+            const { collection, next, reports } = answer.origins;
+            this.copiedOrigins = { collection, next };
+            this.coordinator.origins.merge(reports, now);
+        }
         if (wantsUsage) {
             this.usageReadAt = now;
             for (const [lifetime, windows] of Object.entries(answer.usage)) {
--- a/packages/steward/src/steward-methods.ts
+++ b/packages/steward/src/steward-methods.ts
@@ -5,8 +5,15 @@
     type RpcTransport,
 } from "@lentilramp/control";
 import { decodeMemberAddress } from "@lentilramp/control";
-import { blockedPartSchema } from "@lentilramp/fleet";
-import { rosterSchema, type SyncAnswer, type SyncRequest, syncRequestSchema } from "@lentilramp/ingress";
+import { blockedPartSchema, originReportsSchema, ownRecord } from "@lentilramp/fleet";
+import {
+    type OriginAnswer,
+    originRequestSchema,
+    rosterSchema,
+    type SyncAnswer,
+    type SyncRequest,
+    syncRequestSchema,
+} from "@lentilramp/ingress";
 import type { RpcServer } from "@lentilramp/protocol";
 import { z } from "zod";
 import type { FleetCoordinator } from "./fleet-coordinator.ts";
@@ -19,6 +26,9 @@
 import { SyncServer } from "./sync-server.ts";
 import type { releaseAnswerSchema } from "./vote-release.ts";
 
+/** Largest number of origins in one answer to another steward. */
+const maxCopiedOrigins = 50_000;
+
 export const submitAnswerSchema = z.discriminatedUnion("kind", [
     z.object({ kind: z.literal("accepted"), version: z.number() }),
     z.object({ kind: z.literal("invalid"), reason: z.string() }),
@@ -43,6 +53,8 @@
     roster: rosterSchema.optional(),
     /** Usage counts by ingress lifetime, window and workspace; empty unless the request asks for them. */
     usage: z.record(z.string(), z.record(z.string(), z.record(z.string(), z.number()))),
+    /** Origins of streams from the number of the request on; absent from stewards that do not collect them. */
+    origins: z.object({ collection: z.string(), next: z.number(), reports: originReportsSchema }).optional(),
 });
 
 /** Components that the methods of a steward use. */
@@ -91,6 +103,38 @@
     return { ...common, leading: true, ...coordinator.sync(req, state.blocked.keys) };
 }
 
+/** Returns what this steward knows of the origins of streams. */
+function answerOrigins(
+    { keys, services }: z.infer<typeof originRequestSchema>,
+    { core, coordinator, holdsDuties }: StewardParts,
+): OriginAnswer {
+    const now = core.clock.now();
+    const leading = holdsDuties();
+    const single = leading ? ownRecord(coordinator.singleVersions()) : {};
+    return {
+        leading,
+        origins: Object.fromEntries(keys.flatMap(key => {
+            const origin = coordinator.origins.find(key, now);
+            return origin === undefined ? [] : [[key, origin]];
+        })),
+        single: Object.fromEntries(services.flatMap(service => {
+            const version = single[service];
+            return version === undefined ? [] : [[service, version]];
+        })),
+    };
+}
+
+function copyOrigins(
+    { collection, next }: { collection: string; next: number; },
+    { core, coordinator }: StewardParts,
+): z.infer<typeof rosterAnswerSchema>["origins"] {
+    const from = collection === coordinator.collection ? next : 0;
+    return {
+        collection: coordinator.collection,
+        ...coordinator.origins.reportsFrom(from, maxCopiedOrigins, core.clock.now()),
+    };
+}
+
 /** Registers the RPC methods of a steward, and returns the server of the syncs for the metrics. */
 export function attachStewardMethods(server: RpcServer, parts: StewardParts): SyncServer {
     const { core, coordinator, repair, retirement, transport } = parts;
@@ -116,16 +160,27 @@
         }),
     );
     server.method("fleet.sync", syncRequestSchema, req => syncs.handle(req));
-    const rosterRequest = z.object({ tag: z.number(), usage: z.boolean() });
+    server.method(
+        "fleet.origins",
+        originRequestSchema,
+        async (req): Promise<OriginAnswer> => answerOrigins(req, parts),
+    );
+    const rosterRequest = z.object({
+        tag: z.number(),
+        usage: z.boolean(),
+        /** What the caller has copied of the origins of a collection. */
+        origins: z.object({ collection: z.string(), next: z.number() }).optional(),
+    });
     server.method(
         "fleet.roster",
         rosterRequest,
-        async ({ tag, usage }): Promise<z.infer<typeof rosterAnswerSchema>> =>
+        async ({ tag, usage, origins }): Promise<z.infer<typeof rosterAnswerSchema>> =>
             parts.holdsDuties()
                 ? {
                     leading: true,
                     roster: coordinator.rosterIfChanged(tag),
                     usage: usage ? coordinator.usageWindows.recentCounts() : {},
+                    origins: origins && copyOrigins(origins, parts),
                 }
                 : { leading: false, usage: {} },
     );
--- a/packages/steward/src/steward-state.ts
+++ b/packages/steward/src/steward-state.ts
@@ -1,6 +1,12 @@
 import type { Entry, Role } from "@lentilramp/agreement";
 import type { StateMachine } from "@lentilramp/control";
-import { type BlockedPart, blockedPartSchema, ownRecord } from "@lentilramp/fleet";
+import {
+    type BlockedPart,
+    blockedPartSchema,
+    ownRecord,
+    type VersionHistory,
+    versionHistorySchema,
+} from "@lentilramp/fleet";
 import murmurhash from "murmurhash";
 import { z } from "zod";
 
@@ -28,6 +34,8 @@
     z.object({ type: z.literal("block-part"), verdict: blockedPartSchema }),
     /** The end of a verdict, by an operator or because it has lapsed. */
     z.object({ type: z.literal("unblock-part"), part: z.string() }),
+    /** Software versions that the endpoints of each service have had lately. */
+    z.object({ type: z.literal("versions"), history: versionHistorySchema }),
     /** No change; committing it proves that the holder still leads. */
     z.object({ type: z.literal("barrier") }),
 ]);
@@ -41,6 +49,8 @@
     members: z.number().default(0),
     engineRates: z.record(z.string(), z.number()).default({}),
     blockedParts: z.array(blockedPartSchema).default([]),
+    /** Absent before the first list of endpoints, and in states of versions that did not record it. */
+    versions: versionHistorySchema.optional(),
     /** All members that have held the duties; absent in states of versions that did not record them. */
     holders: z.array(z.string()).optional(),
 });
@@ -114,6 +124,11 @@
         return ownRecord(this.state.engineRates);
     }
 
+    /** Software versions of the services; undefined before the first list of endpoints. */
+    get versions(): VersionHistory | undefined {
+        return this.state.versions;
+    }
+
     /** Prompt parts and requests that are refused, in the order of the verdicts. */
     get blockedParts(): readonly BlockedPart[] {
         return this.state.blockedParts;
@@ -191,6 +206,9 @@
             case "unblock-part":
                 this.state.blockedParts = this.state.blockedParts.filter(({ part }) => part !== command.part);
                 break;
+            case "versions":
+                this.state.versions = command.history;
+                break;
             case "barrier":
             case undefined:
                 break;
--- a/packages/steward/tests/fleet-coordinator.test.ts
+++ b/packages/steward/tests/fleet-coordinator.test.ts
@@ -37,6 +37,8 @@
         begunParts: {},
         refusedParts: [],
         blockedTag: 0,
+        origins: {},
+        singleVersionTag: 0,
         demand: {},
         ...overrides,
     };
