--- a/packages/cli/tests/calm/calm-run.ts
+++ b/packages/cli/tests/calm/calm-run.ts
@@ -200,14 +200,21 @@
     private async probe(): Promise<void> {
         const random = this.randomOf(6);
         const hosts = this.fleet.ingresses;
+        const open = new Set<Promise<void>>();
         for (let ingress = 0; !this.end.signal.aborted; ingress = (ingress + 1) % hosts.length) {
             await this.pause(probeGapMs / hosts.length);
             const socket = await this.open(ingress, random);
             if (socket !== undefined) {
                 const plan = planProbe(this.newId(), this.catalog, random, this.profile);
-                void this.request(socket, ingress, plan).then(() => socket.close());
+                const exchange = this.request(socket, ingress, plan).then(() => {
+                    socket.close();
+                    open.delete(exchange);
+                });
+                open.add(exchange);
             }
         }
+        // The processes are killed once all requests have ended.
+        await Promise.all(open);
     }
 
     private open(ingress: number, random: SeededRandom): Promise<CallerConnection | undefined> {
