--- a/packages/ingress/tests/fleet-messages.test.ts
+++ b/packages/ingress/tests/fleet-messages.test.ts
@@ -48,4 +48,28 @@
         );
         expect(wallMs.safeParse(1_733_375_000_000.25).success).to.equal(true);
     });
+
+    // Guards against processes of two software versions that take nothing of each other's messages in a rolling upgrade.
+    it("are read without what an earlier software version does not send", () => {
+        const req = {
+            ingress,
+            lifetime: "l",
+            wallMs: 1,
+            elapsedMs: 1,
+            catalogVersion: 1,
+            listNumber: 1,
+            load: {},
+            followsOthers: true,
+            suspects: [],
+            rosterTag: 0,
+            usage: {},
+            demand: {},
+        };
+        expect(syncRequestSchema.parse(req)).to.deep.include({ origins: {}, singleVersionTag: 0 });
+        expect(syncAnswerSchema.parse({ leading: true, stewards: [], members: 1 }).singleVersionTag).to.equal(
+            undefined,
+        );
+        const unknown = { ...req, added: { by: "a later version" } };
+        expect(syncRequestSchema.parse(unknown)).to.deep.equal(syncRequestSchema.parse(req));
+    });
 });
--- a/packages/steward/tests/fleet-coordinator.test.ts
+++ b/packages/steward/tests/fleet-coordinator.test.ts
@@ -115,4 +115,32 @@
         }
         expect(Object.keys(coordinator.usageWindows.recentCounts())).to.have.members(["a", "b", "c", "d"]);
     });
+
+    const origins = { app: { v1: ["a1"] } };
+
+    // Guards against streams whose origin is lost with the leader, or with their ingress.
+    it("knows the origins that ingresses have reported, and those that it has copied from another leader", () => {
+        const { clock, coordinator } = start();
+        coordinator.sync(syncRequest("a", { origins }));
+        const { reports } = coordinator.origins.reportsFrom(0, 10, clock.now());
+        const next = start().coordinator;
+        next.origins.merge(reports, clock.now());
+        for (const known of [coordinator, next]) {
+            expect(known.origins.find("a1", clock.now())).to.deep.equal({ service: "app", version: "v1" });
+        }
+        expect(next.collection).to.not.equal(coordinator.collection);
+    });
+
+    it("tells which services have a single version while its list is new, and only when they change", () => {
+        const { clock, coordinator } = start();
+        const wallMs = 1_733_375_000_000;
+        expect(coordinator.sync(syncRequest("a", { wallMs })).singleVersion).to.deep.equal([]);
+        coordinator.versions = { since: 0, services: { app: { listed: ["v1"], left: {} } } };
+        coordinator.updateEndpointList([endpoint], clock.now(), 2);
+        const { singleVersion, singleVersionTag } = coordinator.sync(syncRequest("a", { wallMs }));
+        expect(singleVersion).to.deep.equal(["app"]);
+        expect(coordinator.sync(syncRequest("a", { wallMs, singleVersionTag })).singleVersion).to.equal(undefined);
+        clock.advanceTo(clock.now() + 2_001);
+        expect(coordinator.singleVersions()).to.deep.equal({});
+    });
 });
--- a/packages/steward/tests/steward-state.test.ts
+++ b/packages/steward/tests/steward-state.test.ts
@@ -65,4 +65,18 @@
         expect(restored.ingressCount).to.equal(8);
         expect(restored.engineRates).to.deep.equal({ m: 55 });
     });
+
+    // Guards against a new leader to which several versions seem to be one, and against a state of the earlier software.
+    it("keeps the versions of services across a snapshot, and knows none in a state without them", () => {
+        const history = { since: 5, services: { app: { listed: ["v2"], left: { v1: 9 } } } };
+        const state = create();
+        apply(state, { type: "versions", history }, 1);
+        const restored = create();
+        restored.restore(state.snapshot());
+        expect(restored.versions).to.deep.equal(history);
+        const earlier = JSON.parse(state.snapshot()) as Record<string, unknown>;
+        delete earlier.versions;
+        restored.restore(JSON.stringify(earlier));
+        expect(restored.versions).to.equal(undefined);
+    });
 });
