--- a/packages/fleet/src/stream-origins.ts
+++ b/packages/fleet/src/stream-origins.ts
@@ -5,7 +5,7 @@
 /** Time after the beginning of a stream within which its caller may take it up again, in milliseconds. */
 export const originLifetimeMs = 30_000;
 /** Largest number of origins that are kept; the oldest are forgotten first. */
-const maxOrigins = 1_000_000;
+const maxOrigins = 200_000;
 /** Length of a key in characters of six bits. */
 const keyLength = 11;
 
