Forward requests to a peer while no endpoint can be reached from an ingress

Cause: an ingress sends to endpoints by itself only. It ejected all endpoints and refused each request, and stewards went on naming it in lookups.

Change: an ingress opens connections of its own to two endpoints once three have failed, and takes its paths for lost when none opens. It then forwards requests to peers, one hop at most. The peer takes such a request like a caller's own, so that caps, usage, retry budgets, permits, verdicts, versions and deadlines are counted there and nowhere else; a close on either side closes the other, and both logs name the id.

--- a/packages/cli/src/wire-ingress.ts
+++ b/packages/cli/src/wire-ingress.ts
@@ -58,7 +58,7 @@
     );
     const accepting = (): boolean => view.ready && lifecycle.state === "ready" && !relay.isDraining();
     const describe = (elapsedMs: number): Omit<SyncRequest, "waitMs"> => ({
-        ingress: describeIngress(options, accepting()),
+        ingress: describeIngress(options, accepting(), !relay.reach.isCutOff),
         lifetime: runName,
         wallMs: Date.now(),
         elapsedMs,
--- a/packages/fleet/src/roster.ts
+++ b/packages/fleet/src/roster.ts
@@ -14,6 +14,8 @@
     failureDomain: z.string(),
     /** False while the ingress is starting, has no catalog or is about to stop. */
     accepting: z.boolean(),
+    /** False while the ingress can reach no endpoint; absent otherwise, and from earlier software versions. */
+    reachesEndpoints: z.boolean().optional(),
 });
 export type IngressDescription = z.infer<typeof ingressDescriptionSchema>;
 
--- a/packages/ingress/src/attempt-failures.ts
+++ b/packages/ingress/src/attempt-failures.ts
@@ -6,6 +6,7 @@
 import type { EndpointSelection } from "./endpoint-selection.ts";
 import type { InFlightAttempt } from "./in-flight-attempt.ts";
 import type { PromptOutcome } from "./prompt-outcome.ts";
+import type { ReachMonitor } from "./reach-monitor.ts";
 import type { RetryAllowance } from "./retry-allowance.ts";
 
 /** Records the attempts of one request that have brought no whole answer, and which endpoints may have run it. */
@@ -14,6 +15,8 @@
     lastReason = "";
     /** Whether the endpoint that streamed last was left because it was silent, and has not broken the stream off. */
     hasLeftStream = false;
+    /** Whether no connection could be opened to some endpoint. */
+    hasUnreached = false;
     /** Endpoints that ran or may have run the request. */
     private readonly ran = new Set<string>();
 
@@ -24,6 +27,7 @@
             prompt: PromptOutcome;
             retries: RetryAllowance;
             clock: Clock;
+            reach: ReachMonitor;
         },
     ) {}
 
@@ -62,6 +66,7 @@
         if (clock.now() >= inFlight.silenceFaultFrom) {
             recorder.recordHealth(endpoint, "broken");
         }
+        this.parts.reach.recordUnreached(endpoint.id);
         selection.exclude(endpoint.id, true);
         recorder.recordFailedAttempt(inFlight, "unknown", this.lastReason);
         this.recordRun(endpoint.id);
@@ -77,6 +82,7 @@
         if (!blameless) {
             recorder.recordHealth(endpoint, "broken");
         }
+        this.recordReach(endpoint.id, outcome);
         selection.exclude(endpoint.id);
         recorder.recordFailedAttempt(inFlight, outcome.kind, outcome.reason);
         if (outcome.kind === "unknown") {
@@ -91,6 +97,16 @@
         retries.recordNotRun(outcome.received);
     }
 
+    private recordReach(endpoint: string, outcome: Exclude<AttemptOutcome, { kind: "answer"; }>): void {
+        if (outcome.kind === "unknown") {
+            this.parts.reach.recordUnreached(endpoint);
+        }
+        else if (!outcome.received && outcome.unsendable !== true) {
+            this.parts.reach.recordUnreached(endpoint);
+            this.hasUnreached = true;
+        }
+    }
+
     /** Records the end of an incomplete body. An endpoint that stopped at the time that it was given may be asked again. */
     recordBrokenBody(inFlight: InFlightAttempt, end: "cut" | "stalled", isTimeUp: boolean): void {
         this.lastReason = isTimeUp ? "answer cut at the time that the endpoint was given" : `answer ${end}`;
--- a/packages/ingress/src/call-recorder.ts
+++ b/packages/ingress/src/call-recorder.ts
@@ -27,8 +27,11 @@
     return err instanceof Error ? err.stack ?? err.message : String(err);
 }
 
-/** Final outcome of a request for its caller; `left` when the caller closed the connection. */
-export type CallOutcome = "answered" | "refused" | "failed" | "cut" | "left";
+/**
+ * Final outcome of a request for its caller; `left` when the caller closed the connection, `forwarded` when a peer was
+ * asked instead.
+ */
+export type CallOutcome = "answered" | "refused" | "failed" | "cut" | "left" | "forwarded";
 
 /** Records one request: demand, usage of its workspace, health of endpoints, metrics and log. */
 export class CallRecorder {
--- a/packages/ingress/src/caller-server.ts
+++ b/packages/ingress/src/caller-server.ts
@@ -124,6 +124,7 @@
             server.closeAllConnections();
         }
         this.relay.pool.close();
+        this.relay.reach.close();
     }
 
     /** Closes the listener and idle connections, and waits for the requests of the others, which are refused. */
--- a/packages/ingress/src/endpoint-selection.ts
+++ b/packages/ingress/src/endpoint-selection.ts
@@ -44,7 +44,9 @@
         private readonly hooks: SelectionHooks,
         /** Returns the endpoints at which attempts are parked; these are not asked a second time. */
         private readonly parkedEndpoints: () => readonly string[],
-    ) {}
+    ) {
+        this.required = admitted.origin?.version;
+    }
 
     /** Whether the request has waited in the queue of its service. */
     hasWaited(now: number): boolean {
--- a/packages/ingress/src/index.ts
+++ b/packages/ingress/src/index.ts
@@ -16,6 +16,8 @@
 export * from "./ingress-options.ts";
 export * from "./ingress-policy.ts";
 export * from "./origin-lookup.ts";
+export * from "./peer-selection.ts";
 export * from "./platform-adapter.ts";
+export * from "./reach-monitor.ts";
 export * from "./relay.ts";
 export * from "./request-fingerprint.ts";
--- a/packages/ingress/src/ingress-options.ts
+++ b/packages/ingress/src/ingress-options.ts
@@ -27,7 +27,12 @@
 }
 
 /** Builds the description of an ingress that is sent to the stewards. */
-export function describeIngress(options: IngressOptions, accepting: boolean): IngressDescription {
+export function describeIngress(
+    options: IngressOptions,
+    accepting: boolean,
+    reachesEndpoints = true,
+): IngressDescription {
     const { name, region, failureDomain, callers, inner } = options;
-    return { name, region, failureDomain, accepting, inner, ...callers };
+    const description = { name, region, failureDomain, accepting, inner, ...callers };
+    return reachesEndpoints ? description : { ...description, reachesEndpoints };
 }
--- a/packages/ingress/src/platform-adapter.ts
+++ b/packages/ingress/src/platform-adapter.ts
@@ -54,6 +54,8 @@
     abstract decodeCallerHead(headers: IncomingHttpHeaders): CallerHead;
     /** Returns the headers for the endpoint, derived from the caller's, as a flat list of names and values. */
     abstract encodeEndpointHeaders(callerHeaders: readonly string[], head: EndpointHead): string[];
+    /** Returns the headers with which a caller's request is forwarded to a peer, as a flat list of names and values. */
+    abstract encodePeerHeaders(callerHeaders: readonly string[], timeLeftMs: number): string[];
     abstract decodeAnswerHead(status: number, headers: IncomingHttpHeaders): AnswerHead;
 }
 
--- a/packages/ingress/src/relay.ts
+++ b/packages/ingress/src/relay.ts
@@ -12,7 +12,7 @@
 import { RetryBudget } from "@lentilramp/retries";
 import type { Clock, EventLog, Metrics, RandomSource } from "@lentilramp/runtime";
 import type { IncomingMessage, ServerResponse } from "node:http";
-import { Admission } from "./admission.ts";
+import { Admission, type AdmittedRequest } from "./admission.ts";
 import { describeError } from "./call-recorder.ts";
 import { CallerConnections } from "./caller-connections.ts";
 import { CallerCuts, type CallerExchange } from "./caller-cuts.ts";
@@ -22,8 +22,11 @@
 import type { IngressOptions } from "./ingress-options.ts";
 import type { IngressComponentFactory } from "./ingress-policy.ts";
 import { LimitGate } from "./limit-gate.ts";
+import { isForwarded, PeerCall } from "./peer-call.ts";
+import { type Peer, selectPeers } from "./peer-selection.ts";
 import { PlannedStop } from "./planned-stop.ts";
 import type { HeaderCodec } from "./platform-adapter.ts";
+import { ReachMonitor } from "./reach-monitor.ts";
 import { breakOffAnswer, internalErrorReason, internalErrorRetryMs, sendRefusal } from "./refusal.ts";
 import { RelayedCall } from "./relayed-call.ts";
 
@@ -61,6 +64,9 @@
     readonly pollBarrier: PollBarrier;
     readonly readScheduler: ReadScheduler;
     readonly answerTimes: AnswerTimes;
+    readonly reach: ReachMonitor;
+    /** Returns the peers to which a request may be forwarded, in the order in which they are asked. */
+    peersFor(req: IncomingMessage): readonly Peer[];
     /** Whether a broken stream may be resumed at another endpoint. */
     readonly resumesStreams: boolean;
     addDemand(service: string, demand: EngineDemand): void;
@@ -99,6 +105,8 @@
     readonly pollBarrier = new PollBarrier();
     readonly readScheduler = new ReadScheduler();
     readonly answerTimes = new AnswerTimes();
+    readonly reach: ReachMonitor;
+    private readonly random: RandomSource;
 
     constructor(
         readonly view: FleetView,
@@ -110,6 +118,14 @@
         this.clock = base.clock;
         this.log = base.log;
         this.metrics = base.metrics;
+        this.random = base.random;
+        this.reach = new ReachMonitor(
+            () => view.endpoints.all,
+            () => this.onReachChange(),
+            base.clock,
+            base.random,
+            base.log,
+        );
         this.cuts = new CallerCuts(
             {
                 catalogVersion: () => view.catalog?.version,
@@ -199,7 +215,7 @@
                 this.onFailedAdmission(err, req, res, caller)
             );
             if (admitted !== undefined) {
-                await new RelayedCall(admitted, this).run();
+                await this.relay(admitted);
             }
         }
         catch (err) {
@@ -217,6 +233,35 @@
         }
     }
 
+    private async relay(admitted: AdmittedRequest): Promise<void> {
+        if (isForwarded(admitted.req)) {
+            this.log.info("request.taken-for-peer", { id: admitted.dispatch.id });
+        }
+        const peers = this.reach.isCutOff ? this.peersFor(admitted.req) : [];
+        if (peers.length > 0) {
+            await new PeerCall(admitted, this, peers).run();
+        }
+        else {
+            await new RelayedCall(admitted, this).run();
+        }
+    }
+
+    private onReachChange(): void {
+        if (!this.reach.isCutOff) {
+            // The endpoints have failed here because of the paths to them.
+            this.view.endpoints.all.forEach(({ id }) => this.view.health.removeEndpoint(id));
+        }
+        this.view.requestSync();
+    }
+
+    peersFor(req: IncomingMessage): readonly Peer[] {
+        const peers = isForwarded(req) || this.stop.begun
+            ? []
+            : selectPeers(this.view.roster, this.options, this.random);
+        // Until the paths are known to be lost, the endpoints may be down for the peers too.
+        return this.reach.isCutOff ? peers : peers.slice(0, 1);
+    }
+
     /** Ends a request that was not admitted because of an error; nothing has been sent to an endpoint. */
     private onFailedAdmission(
         err: unknown,
--- a/packages/ingress/src/relayed-call.ts
+++ b/packages/ingress/src/relayed-call.ts
@@ -1,5 +1,5 @@
 import { type EndpointChoice, ServiceModel } from "@lentilramp/dispatch";
-import { type Endpoint, originKey, versionOf } from "@lentilramp/fleet";
+import { type Endpoint, versionOf } from "@lentilramp/fleet";
 import { CallerPresence, discardResponse } from "@lentilramp/protocol";
 import type { IncomingMessage } from "node:http";
 import type { AdmittedRequest } from "./admission.ts";
@@ -11,12 +11,14 @@
 import { type CallOutcome, CallRecorder } from "./call-recorder.ts";
 import { endpointRefusedRetryMs, EndpointSelection } from "./endpoint-selection.ts";
 import { createAttempt, type InFlightAttempt } from "./in-flight-attempt.ts";
+import { PeerCall } from "./peer-call.ts";
 import type { AnswerHead } from "./platform-adapter.ts";
 import { PromptOutcome } from "./prompt-outcome.ts";
 import { answerClosedCaller, breakOffAnswer, internalErrorReason, sendRefusal } from "./refusal.ts";
 import type { RelayContext } from "./relay.ts";
 import { DeadlineWatch } from "./request-deadline.ts";
 import { RetryAllowance } from "./retry-allowance.ts";
+import { recordOrigin } from "./stream-take-up.ts";
 
 /** Interval at which a begun stream looks for an endpoint that can resume it, in milliseconds. */
 const resumeCheckIntervalMs = 50;
@@ -51,7 +53,10 @@
         );
         this.bodies = new BodyRelay(admitted, ctx, this.writer, {
             onFirstChunk: () => this.onFirstChunk(),
-            onBegin: ({ endpoint }) => this.onBegin(endpoint),
+            onBegin: ({ endpoint }) => {
+                this.selection.requireVersion(versionOf(endpoint));
+                recordOrigin(admitted, endpoint, ctx.view);
+            },
             onEventBegun: () => this.retries.tryReserve(),
             onProgress: () => this.retries.releaseReserve(),
             tryReplace: ({ endpoint }) => this.tryReplace(endpoint),
@@ -66,13 +71,17 @@
             onFirstDecision: best => this.recorder.recordDemand(best),
             onChoice: choice => this.prepareAttempt(choice),
         }, () => this.bodies.parked.endpoints);
-        if (admitted.origin !== undefined) {
-            this.selection.requireVersion(admitted.origin.version);
-        }
         const onDeadline = (): void => this.guard(() => this.onDeadline(), undefined);
         this.deadline = new DeadlineWatch(admitted, ctx, () => this.writer.started, onDeadline);
         const { recorder, selection, prompt, retries } = this;
-        this.failures = new AttemptFailures({ recorder, selection, prompt, retries, clock: ctx.clock });
+        this.failures = new AttemptFailures({
+            recorder,
+            selection,
+            prompt,
+            retries,
+            clock: ctx.clock,
+            reach: ctx.reach,
+        });
     }
 
     /** Number of endpoints that ran or may have run the request. */
@@ -110,7 +119,7 @@
 
     private async relay(): Promise<void> {
         for (let isFirstAttempt = true; !this.stopped; isFirstAttempt = false) {
-            if (!await this.callerStays()) {
+            if (!await this.callerStays() || this.ctx.reach.isCutOff && await this.forward()) {
                 return;
             }
             const slot = isFirstAttempt
@@ -127,7 +136,8 @@
                     continue;
                 }
                 if (
-                    this.stopped || await this.returnOrEnd(() => this.giveUp(slot.reason, slot.retryAfterMs, slot.best))
+                    this.stopped || slot.reason === "no-endpoint" && await this.forward()
+                    || await this.returnOrEnd(() => this.giveUp(slot.reason, slot.retryAfterMs, slot.best))
                 ) {
                     return;
                 }
@@ -190,6 +200,25 @@
         return !this.stopped;
     }
 
+    /**
+     * Forwards a request to a peer if no connection to an endpoint could be opened and none has run it. Resolves with
+     * whether that was possible; the request is finished then.
+     */
+    private async forward(): Promise<boolean> {
+        const { admitted, ctx, failures } = this;
+        const isUnreached = failures.hasUnreached && failures.runs === 0 && this.bodies.parked.isEmpty;
+        const peers = isUnreached ? ctx.peersFor(admitted.req) : [];
+        if (peers.length === 0) {
+            return false;
+        }
+        this.finished = true;
+        this.stopped = true;
+        this.outcome = "forwarded";
+        this.deadline.cancel();
+        await new PeerCall(admitted, ctx, peers).run();
+        return true;
+    }
+
     private giveUpRetries(): void {
         const { lastReason } = this.failures;
         const mayCrash = this.retries.mayCrash(this.runs);
@@ -321,16 +350,6 @@
         return true;
     }
 
-    /** Ties a stream, and what its caller may take up later, to the version of the endpoint that begins it. */
-    private onBegin(endpoint: Endpoint): void {
-        const { dispatch: { id, service, workspace }, route } = this.admitted;
-        const version = versionOf(endpoint);
-        this.selection.requireVersion(version);
-        if (id !== "" && route.resumable) {
-            this.ctx.view.recordOrigin(originKey(workspace, id), { service, version });
-        }
-    }
-
     private onFirstChunk(): void {
         this.recorder.recordFirstByte();
         this.prompt.onFirstChunk();
--- a/packages/ingress/src/stream-take-up.ts
+++ b/packages/ingress/src/stream-take-up.ts
@@ -1,5 +1,6 @@
 import type { CatalogRoute } from "@lentilramp/catalog";
-import { originKey, ownRecord, type StreamOrigin, versionOf } from "@lentilramp/fleet";
+import { type Endpoint, originKey, ownRecord, type StreamOrigin, versionOf } from "@lentilramp/fleet";
+import type { AdmittedRequest } from "./admission.ts";
 import type { FleetView } from "./fleet-view.ts";
 import type { CallerHead } from "./platform-adapter.ts";
 
@@ -9,6 +10,14 @@
         && head.lastEventId !== "";
 }
 
+/** Records that an endpoint begins the stream of a request, for callers that take it up. */
+export function recordOrigin({ dispatch, route }: AdmittedRequest, endpoint: Endpoint, view: FleetView): void {
+    const { id, service, workspace } = dispatch;
+    if (id !== "" && route.resumable) {
+        view.recordOrigin(originKey(workspace, id), { service, version: versionOf(endpoint) });
+    }
+}
+
 /**
  * Resolves with the service and version at which a stream that a caller takes up has begun; undefined if nobody knows,
  * or if the route does not lead to that service any more. What two versions write does not fit together, so that a
--- a/packages/ingress/tests/cut-off-ingress.test.ts
+++ b/packages/ingress/tests/cut-off-ingress.test.ts
@@ -3,7 +3,7 @@
 import { expect } from "chai";
 import { once } from "node:events";
 import { type AddressInfo, createServer, type Server, type Socket } from "node:net";
-import { testCatalog, testRoute } from "../../catalog/tests/fixtures.ts";
+import { testCatalog, testRoute, testWorkspace } from "../../catalog/tests/fixtures.ts";
 import { type Answer, IngressHarness, ScriptedEndpoint } from "./ingress-harness.ts";
 
 const sleep = (ms: number): Promise<void> => new Promise(resolve => setTimeout(resolve, ms));
@@ -44,12 +44,17 @@
         return port;
     }
 
-    async function start(cut: Cut, route: Parameters<typeof testRoute>[0]): Promise<void> {
+    async function start(
+        cut: Cut,
+        route: Parameters<typeof testRoute>[0],
+        ownWorkspace: Parameters<typeof testWorkspace>[0] = {},
+    ): Promise<void> {
         endpoints = Array.from({ length: endpointCount }, (...[, i]) => new ScriptedEndpoint(`e${i}`, answer));
         await Promise.all(endpoints.map(endpoint => endpoint.start()));
         const catalog = testCatalog({ routes: [testRoute({ timeoutMs: 3_000, ...route })] });
         sound = await IngressHarness.start(catalog, endpoints, {}, { name: "sound", failureDomain: "b" });
-        cutOff = await IngressHarness.start(catalog, [], {}, { name: "cut-off" });
+        const ownCatalog = { ...catalog, workspaces: [testWorkspace(ownWorkspace)] };
+        cutOff = await IngressHarness.start(ownCatalog, [], {}, { name: "cut-off" });
         const listed = await Promise.all(
             endpoints.map(async ({ endpoint }): Promise<Endpoint> => ({ ...endpoint, port: await deadPort(cut) })),
         );
@@ -96,4 +101,98 @@
             expect(await post(`a${i}`)).to.include({ status: 200, complete: true });
         }
     });
+
+    // Guards against a mark of forwarded requests that reaches endpoints, also through a peer that does not know it.
+    it("forwards the request as the caller sent it, with what is left of its time", async () => {
+        await start("refused", { execution: "idempotent" });
+        await post("a1");
+        const received = endpoints.flatMap(({ requests }) => requests)[0]?.headers ?? {};
+        expect(received).to.include({ "x-attempt-id": "a1", "x-tenant": "w" });
+        expect(Object.keys(received).filter(name => name.includes("forwarded"))).to.deep.equal([]);
+        expect(Number(received["x-deadline-ms"])).to.be.within(1, 3_000);
+    });
+
+    // Guards against a request that two processes count, in the usage or the cap of its workspace.
+    it("counts a forwarded request at the peer alone, and logs its id in both processes", async () => {
+        await start("refused", { execution: "at-most-once" }, { capPerSecond: 0.001, capBurst: 6 });
+        for (let i = 0; i < 12; i++) {
+            expect((await post(`a${i}`)).status).to.equal(200);
+        }
+        const usageOf = ({ view }: IngressHarness): number =>
+            Object.values(view.usage.snapshot()).reduce((sum, counts) => sum + (counts.w ?? 0), 0);
+        expect([usageOf(cutOff), usageOf(sound)]).to.deep.equal([0, 12]);
+        const idsOf = ({ log }: IngressHarness, event: string): unknown[] =>
+            log.events.filter(({ name }) => name === event).map(({ fields }) => fields.id);
+        const ids = Array.from({ length: 12 }, (...[, i]) => `a${i}`);
+        expect(idsOf(cutOff, "request.forwarded")).to.deep.equal(ids);
+        expect(idsOf(sound, "request.taken-for-peer")).to.deep.equal(ids);
+    });
+
+    // Guards against requests that two ingresses forward to each other.
+    it("refuses a forwarded request instead of forwarding it again", async () => {
+        await start("refused", { execution: "at-most-once" });
+        sound.view.applyEndpointList(
+            await Promise.all(
+                endpoints.map(async ({ endpoint }) => ({ ...endpoint, port: await deadPort("refused") })),
+            ),
+            sound.clock.now() + 10,
+            2,
+        );
+        for (let i = 0; i < 3; i++) {
+            expect(await post(`a${i}`)).to.include({ status: 503, complete: true });
+        }
+        expect(sound.log.events.filter(({ name }) => name === "request.forwarded")).to.deep.equal([]);
+    });
+
+    it("ends the work at the endpoint when the caller of a forwarded request leaves", async () => {
+        await start("refused", { execution: "stream", resumable: true });
+        endpoints.forEach(endpoint =>
+            endpoint.answer = (req, res) => {
+                res.writeHead(200, { "x-attempt-id": String(req.headers["x-attempt-id"]), "x-response-seal": "s" });
+                res.write("id: 1\ndata: a\n\n");
+            }
+        );
+        let text = "";
+        await cutOff.call({
+            method: "POST",
+            body: "x",
+            onData: (received, disconnect) => {
+                text = received;
+                disconnect();
+            },
+        });
+        expect(text).to.equal("id: 1\ndata: a\n\n");
+        const [request] = endpoints.flatMap(({ requests }) => requests);
+        await request?.closed;
+    });
+
+    it("breaks an answer off that the peer breaks off", async () => {
+        await start("refused", { execution: "stream", resumable: false });
+        endpoints.forEach(endpoint =>
+            endpoint.answer = async (req, res) => {
+                res.writeHead(200, { "x-attempt-id": String(req.headers["x-attempt-id"]), "x-response-seal": "s" });
+                res.write("id: 1\ndata: a\n\n");
+                await sleep(30);
+                res.destroy();
+            }
+        );
+        expect(await post("a1")).to.include({ status: 200, complete: false });
+    });
+
+    it("sends to endpoints itself again once connections to them open", async () => {
+        await start("refused", { execution: "idempotent" });
+        for (let i = 0; i < 4; i++) {
+            await post(`a${i}`);
+        }
+        await sleep(300);
+        expect(cutOff.relay.reach.isCutOff).to.equal(true);
+        cutOff.view.applyEndpointList(endpoints.map(({ endpoint }) => endpoint), cutOff.clock.now() + 10, 2);
+        while (cutOff.relay.reach.isCutOff) {
+            await sleep(20);
+        }
+        const forwarded = (): number => cutOff.log.events.filter(({ name }) => name === "request.forwarded").length;
+        const before = forwarded();
+        expect(await post("later")).to.include({ status: 200, complete: true });
+        expect(forwarded()).to.equal(before);
+    });
 });
--- a/packages/steward/src/operator-interface.ts
+++ b/packages/steward/src/operator-interface.ts
@@ -50,9 +50,14 @@
         );
     }
 
-    /** Returns at most `maxCount` ingresses to which callers may connect. */
+    /**
+     * Returns at most `maxCount` ingresses to which callers may connect; one that reaches no endpoint is named only if no
+     * other one does.
+     */
     lookUpIngresses(maxCount: number): readonly IngressDescription[] {
-        return selectLookupIngresses(this.coordinator.roster.accepting(), maxCount);
+        const accepting = this.coordinator.roster.accepting();
+        const reaching = accepting.filter(({ reachesEndpoints }) => reachesEndpoints !== false);
+        return selectLookupIngresses(reaching.length > 0 ? reaching : accepting, maxCount);
     }
 
     /** Runs an operation at the leader, here or by a remote call, and retries until the timeout of the call. */
