Answer a forwarded request whose answer cannot be passed on

An exception in the listener of a peer's answer would have ended the process. It is logged now, and the caller gets 502 or the cut of a begun answer.

--- a/packages/ingress/src/peer-call.ts
+++ b/packages/ingress/src/peer-call.ts
@@ -2,9 +2,10 @@
 import type { Timer } from "@lentilramp/runtime";
 import { type ClientRequest, type IncomingMessage, request } from "node:http";
 import type { AdmittedRequest } from "./admission.ts";
+import { describeError } from "./call-recorder.ts";
 import { stripHopByHopHeaders } from "./hop-by-hop-headers.ts";
 import type { Peer } from "./peer-selection.ts";
-import { answerClosedCaller, breakOffAnswer, sendRefusal } from "./refusal.ts";
+import { answerClosedCaller, breakOffAnswer, internalErrorReason, sendRefusal } from "./refusal.ts";
 import type { RelayContext } from "./relay.ts";
 import { connectDeadline } from "./send-timing.ts";
 
@@ -139,21 +140,23 @@
                 }
                 this.log("request.forwarded", peer, { status: res.statusCode });
                 this.peerRes = res;
-                void this.relay(res).then(() => resolve({ kind: "ended" }));
+                this.relay(res).catch((err: unknown) => this.onInternalError(err)).finally(() =>
+                    resolve({ kind: "ended" })
+                );
             });
             req.end(body);
         });
     }
 
     /** Passes an answer on as it comes; resolves when it has ended. */
-    private relay(peerRes: IncomingMessage): Promise<void> {
+    private async relay(peerRes: IncomingMessage): Promise<void> {
         const { res, caller } = this.admitted;
         const headers = stripHopByHopHeaders(peerRes.rawHeaders);
         if (this.ctx.connections.closesAfter(res)) {
             headers.push("Connection", "close");
         }
         res.writeHead(peerRes.statusCode ?? 502, peerRes.statusMessage ?? "", headers);
-        return new Promise(resolve => {
+        await new Promise<void>(resolve => {
             peerRes.on("data", (data: Buffer) => {
                 caller.recordWrite();
                 if (!res.write(data)) {
@@ -178,6 +181,11 @@
         });
     }
 
+    private onInternalError(err: unknown): void {
+        this.ctx.log.error("request.broken", { id: this.admitted.dispatch.id, error: describeError(err) });
+        this.giveUp(internalErrorReason);
+    }
+
     /** Ends the work for a caller that has closed its connection, or its sending side. */
     private leave(): void {
         const { res } = this.admitted;
@@ -196,7 +204,7 @@
         }
         this.stop();
         if (res.headersSent) {
-            caller.recordCut(reason === "time is up" ? "deadline" : "stopping", { reason });
+            caller.recordCut(reason === "time is up" ? "deadline" : "error", { reason });
             breakOffAnswer(res);
             return;
         }
