Keep the leader's rate of syncs within its bound while origins of streams are reported

Cause: each stream of a service with two versions asked for an early sync, a quarter of the interval after the last one. During a release, all ingresses would have synced four times as often: 800 syncs a second at the leader from 50 ingresses on, where its bound is 200.

Change: syncs that bring origins come as early as the bound allows: after 62 ms with 12 ingresses, at the usual time from 50 on.

--- a/packages/cli/src/wire-ingress.ts
+++ b/packages/cli/src/wire-ingress.ts
@@ -43,7 +43,7 @@
         {
             onEndpointGone: id => relay.pool.remove(id),
             countCovered: () => follower.countCovered("fleet"),
-            requestSync: () => link.requestSync(),
+            requestSync: intervalMs => link.requestSync(intervalMs),
             nextSyncAt: () => link.nextSyncAt,
             askForOrigin: (key, services) => originLookup.find(key, services),
         },
--- a/packages/fleet/src/sync-timing.ts
+++ b/packages/fleet/src/sync-timing.ts
@@ -26,6 +26,14 @@
     return syncIntervalMs(members) * earlySyncPart;
 }
 
+/**
+ * Returns the shortest interval between syncs that bring origins of streams, in milliseconds. Ingresses have new ones all
+ * the time while a service has several versions, so that the leader's rate of syncs keeps its bound.
+ */
+export function originSyncIntervalMs(members: number): number {
+    return Math.max(earlySyncIntervalMs(members), members * syncIntervalMsPerMember);
+}
+
 /** Returns the time without a sync after which one of `members` ingresses counts as lost, in milliseconds. */
 export function syncTimeoutMs(members: number): number {
     return syncIntervalMs(members) * toleratedMissedSyncs + failedSyncMs;
--- a/packages/fleet/tests/stream-origins.test.ts
+++ b/packages/fleet/tests/stream-origins.test.ts
@@ -3,6 +3,7 @@
     originKey,
     originLifetimeMs,
     OriginReporter,
+    originSyncIntervalMs,
     singleVersions,
     StreamOrigins,
     updateVersionHistory,
@@ -65,6 +66,15 @@
     });
 });
 
+describe("originSyncIntervalMs", () => {
+    // Guards against a leader that a release overloads, since each ingress has new origins all the time.
+    it("keeps the leader's rate of syncs within its bound at any size", () => {
+        for (const members of [1, 3, 8, 13, 50, 191, 1_600]) {
+            expect(members * 1_000 / originSyncIntervalMs(members), String(members)).to.be.at.most(200);
+        }
+    });
+});
+
 describe("history of versions", () => {
     const endpoint = (version: string | undefined, service = "app"): Endpoint => ({
         id: `${service}-${version}`,
--- a/packages/ingress/src/fleet-sync.ts
+++ b/packages/ingress/src/fleet-sync.ts
@@ -35,8 +35,8 @@
     private plannedAt: number | undefined;
     private lateMs = 0;
     private timeoutLateMs = 0;
-    /** Whether the next sync is wanted before its usual time. */
-    private isEarlyWanted = false;
+    /** Interval after which the next sync is wanted, in milliseconds; undefined for the usual one. */
+    private wantedIntervalMs: number | undefined;
 
     constructor(
         private readonly client: RpcClient,
@@ -81,11 +81,11 @@
         return currentSteward === undefined ? others : [currentSteward, ...others];
     }
 
-    /** Asks for a sync before its usual time. */
-    requestSync(): void {
-        if (!this.isEarlyWanted) {
-            this.isEarlyWanted = true;
-            this.bringForward(this.lastSentAt + earlySyncIntervalMs(this.memberCount()));
+    /** Asks for a sync before its usual time, `intervalMs` milliseconds after the last one. */
+    requestSync(intervalMs = earlySyncIntervalMs(this.memberCount())): void {
+        if (intervalMs < (this.wantedIntervalMs ?? syncIntervalMs(this.memberCount()))) {
+            this.wantedIntervalMs = intervalMs;
+            this.bringForward(this.lastSentAt + intervalMs);
         }
     }
 
@@ -99,10 +99,9 @@
         if (this.lastSyncFailed) {
             return failurePauseMs;
         }
-        const members = this.memberCount();
-        return this.isEarlyWanted
-            ? Math.max(0, this.lastSentAt + earlySyncIntervalMs(members) - this.clock.now())
-            : syncIntervalMs(members);
+        return this.wantedIntervalMs === undefined
+            ? syncIntervalMs(this.memberCount())
+            : Math.max(0, this.lastSentAt + this.wantedIntervalMs - this.clock.now());
     }
 
     protected override async runOnce(): Promise<void> {
@@ -116,7 +115,7 @@
         this.timeoutLateMs = 0;
         this.plannedAt = undefined;
         this.lastSentAt = sentAt;
-        this.isEarlyWanted = false;
+        this.wantedIntervalMs = undefined;
         const key = addressKey(steward);
         const timeoutMs = this.named?.leader === key ? this.named.timeoutMs : callTimeoutMs;
         const req = { ...this.buildRequest(sentAt - this.lastAnswerAt), waitMs: timeoutMs };
--- a/packages/ingress/src/fleet-view.ts
+++ b/packages/ingress/src/fleet-view.ts
@@ -9,6 +9,7 @@
     isRequestKey,
     LimitPermits,
     OriginReporter,
+    originSyncIntervalMs,
     ownRecord,
     PromptCrashes,
     type RequestSuspects,
@@ -30,8 +31,8 @@
     onEndpointGone: (id: string) => void;
     /** Returns the number of ingresses whose cap usage is received here, including this one. */
     countCovered: () => number;
-    /** Asks for an early sync with the leading steward. */
-    requestSync: () => void;
+    /** Asks for an early sync with the leading steward, after `intervalMs` milliseconds if that is given. */
+    requestSync: (intervalMs?: number) => void;
     /** Returns the instant at which the next sync is due; Infinity while one is in progress. */
     nextSyncAt: () => number;
     /** Asks the stewards where the stream `key` began and which versions `services` have; see `OriginLookup`. */
@@ -135,7 +136,7 @@
     /** Records where a stream has begun; the leader hears of it with an early sync if it has to. */
     recordOrigin(key: string, origin: StreamOrigin): void {
         if (this.origins.record(key, origin, this.clock.now()) && this.leaderCollectsOrigins) {
-            this.hooks.requestSync();
+            this.hooks.requestSync(originSyncIntervalMs(this.memberCount));
         }
     }
 
