Read the sockets before the paths to the endpoints are taken for lost

Cause: the test of the paths decided by a timer, and timers run before sockets are read. After a pause of its own, an ingress would have forwarded its requests to peers although the connections had opened.

Change: the timer decides after the sockets have been read.

Result: the second test of reach-monitor fails without it (true in place of false).

--- a/packages/ingress/src/reach-monitor.ts
+++ b/packages/ingress/src/reach-monitor.ts
@@ -96,8 +96,14 @@
                 socket.destroy();
                 resolve(reached);
             };
-            let timer = this.clock.schedule(this.clock.now() + openMs, () => settle(false));
+            let opened = false;
+            // Timers run before sockets are read: after a pause of this process, the connection may be open already.
+            let timer = this.clock.schedule(
+                this.clock.now() + openMs,
+                () => setImmediate(() => opened || settle(false)),
+            );
             socket.once("connect", () => {
+                opened = true;
                 timer.cancel();
                 timer = this.clock.schedule(this.clock.now() + stayOpenMs, () => settle(true));
             });
