--- a/packages/fleet/src/origin-reporter.ts
+++ b/packages/fleet/src/origin-reporter.ts
@@ -22,13 +22,13 @@
     private readonly origins = new StreamOrigins();
     /** By service, and then by key. */
     private readonly unreported = new Map<string, Map<string, Unreported>>();
-    private services: ReadonlySet<string> = new Set();
+    private singleVersion: ReadonlySet<string> = new Set();
     /** Id of the leader's collection that has heard the reports; another one has heard none. */
     private holder: string | undefined;
 
     /** Sets the services that have had one version for long. */
     setSingleVersion(services: ReadonlySet<string>): void {
-        this.services = services;
+        this.singleVersion = services;
     }
 
     /** Records the origin of a stream; returns whether the leader has to hear it. */
@@ -37,7 +37,7 @@
             return false;
         }
         this.addUnreported(key, origin, now);
-        return !this.services.has(origin.service);
+        return !this.singleVersion.has(origin.service);
     }
 
     find(key: string, now: number): StreamOrigin | undefined {
@@ -52,7 +52,7 @@
                 if (now - recordedAt > originLifetimeMs) {
                     origins.delete(key);
                 }
-                else if (this.services.has(service) || chosen.length >= maxReported) {
+                else if (this.singleVersion.has(service) || chosen.length >= maxReported) {
                     // The rest is newer, since a map keeps the order of insertion.
                     break;
                 }
