--- a/packages/ingress/src/peer-call.ts
+++ b/packages/ingress/src/peer-call.ts
@@ -1,12 +1,12 @@
-import { discardResponse } from "@lentilramp/protocol";
+import { stripHopByHopHeaders } from "@lentilramp/exchange";
+import { discardResponse, isFinalStatus, probeForReset } from "@lentilramp/protocol";
 import type { Timer } from "@lentilramp/runtime";
 import { type ClientRequest, type IncomingMessage, request } from "node:http";
 import type { AdmittedRequest } from "./admission.ts";
 import { describeError } from "./call-recorder.ts";
-import { stripHopByHopHeaders } from "./hop-by-hop-headers.ts";
 import type { Peer } from "./peer-selection.ts";
 import { answerClosedCaller, breakOffAnswer, internalErrorReason, sendRefusal } from "./refusal.ts";
-import type { RelayContext } from "./relay.ts";
+import type { RelayContext } from "./relay-context.ts";
 import { connectDeadline } from "./send-timing.ts";
 
 /** Header of a request that a peer has forwarded. It is named in `Connection`, so that it never reaches an endpoint. */
@@ -112,7 +112,13 @@
             this.req = req;
             req.setNoDelay(true);
             req.on("socket", socket => {
-                connectTimer = clock.schedule(connectDeadline(clock.now()), () => req.destroy());
+                // Timers run before sockets are read: after a pause of this process, the connection may be open already.
+                connectTimer = clock.schedule(connectDeadline(clock.now()), () =>
+                    setImmediate(() => {
+                        if (!connected) {
+                            req.destroy();
+                        }
+                    }));
                 socket.once("connect", () => {
                     connectTimer?.cancel();
                     connected = true;
@@ -130,6 +136,12 @@
                 }
             });
             req.on("response", res => {
+                if (!isFinalStatus(res.statusCode)) {
+                    res.on("error", () => undefined);
+                    req.destroy();
+                    resolve({ kind: "unknown", reason: `unexpected status ${res.statusCode}` });
+                    return;
+                }
                 // Only the peer itself refuses without the seal of an endpoint, and what it refuses has not run.
                 const { sealed } = headerCodec.decodeAnswerHead(res.statusCode ?? 0, res.headers);
                 if (res.statusCode === 503 && !sealed) {
@@ -151,6 +163,7 @@
     /** Passes an answer on as it comes; resolves when it has ended. */
     private async relay(peerRes: IncomingMessage): Promise<void> {
         const { res, caller } = this.admitted;
+        const wasCut = probeForReset(peerRes);
         const headers = stripHopByHopHeaders(peerRes.rawHeaders);
         if (this.ctx.connections.closesAfter(res)) {
             headers.push("Connection", "close");
@@ -165,19 +178,20 @@
                 }
             });
             peerRes.on("error", () => undefined);
-            peerRes.on("close", () => {
-                if (!this.finished) {
-                    this.finished = true;
-                    if (peerRes.complete) {
-                        res.end();
-                    }
-                    else {
-                        caller.recordCut("endpoint-cut", { reason: "cut by the peer" });
-                        breakOffAnswer(res);
+            peerRes.on("close", () =>
+                void wasCut().then(cut => {
+                    if (!this.finished) {
+                        this.finished = true;
+                        if (peerRes.complete && !cut) {
+                            res.end();
+                        }
+                        else {
+                            caller.recordCut("endpoint-cut", { reason: "cut by the peer" });
+                            breakOffAnswer(res);
+                        }
                     }
-                }
-                resolve();
-            });
+                    resolve();
+                }));
         });
     }
 
--- a/packages/ingress/src/prompt-outcome.ts
+++ b/packages/ingress/src/prompt-outcome.ts
@@ -2,7 +2,7 @@
 import type { Timer } from "@lentilramp/runtime";
 import type { AdmittedRequest } from "./admission.ts";
 import type { BodyEnd } from "./body-reader.ts";
-import type { RelayContext } from "./relay.ts";
+import type { RelayContext } from "./relay-context.ts";
 
 /**
  * Time that an answer must last after its first chunk to count as begun, in milliseconds. An endpoint that crashes as it
--- a/packages/ingress/src/relay.ts
+++ b/packages/ingress/src/relay.ts
@@ -2,11 +2,13 @@
     AnswerTimes,
     Dispatcher,
     DispatchQueue,
+    type DispatchRequest,
     EngineModel,
     type LatencyModel,
     type PromptAffinity,
     ServiceModel,
 } from "@lentilramp/dispatch";
+import type { HeaderCodec } from "@lentilramp/exchange";
 import type { Endpoint } from "@lentilramp/fleet";
 import { IncompleteBodyError, PollBarrier, ReadScheduler } from "@lentilramp/protocol";
 import { RetryBudget } from "@lentilramp/retries";
@@ -17,7 +19,9 @@
 import { CallerConnections } from "./caller-connections.ts";
 import { CallerCuts, type CallerExchange } from "./caller-cuts.ts";
 import { CrashDetector } from "./crash-detector.ts";
+import { type CandidateObstacle, EndpointCandidates } from "./endpoint-candidates.ts";
 import { EndpointPool } from "./endpoint-pool.ts";
+import { FleetPaces } from "./fleet-paces.ts";
 import type { FleetView } from "./fleet-view.ts";
 import type { IngressOptions } from "./ingress-options.ts";
 import type { IngressComponentFactory } from "./ingress-policy.ts";
@@ -25,69 +29,23 @@
 import { isForwarded, PeerCall } from "./peer-call.ts";
 import { type Peer, selectPeers } from "./peer-selection.ts";
 import { PlannedStop } from "./planned-stop.ts";
-import type { HeaderCodec } from "./platform-adapter.ts";
 import { ReachMonitor } from "./reach-monitor.ts";
 import { breakOffAnswer, internalErrorReason, internalErrorRetryMs, sendRefusal } from "./refusal.ts";
+import type { EngineDemand, RelayContext } from "./relay-context.ts";
 import { RelayedCall } from "./relayed-call.ts";
+import { RoomGate } from "./room-gate.ts";
+import { StartupDelay } from "./startup-delay.ts";
+import type { VersionSplit } from "./version-split.ts";
 
-/** Longest time that a request waits for this process to become ready, in milliseconds; stewards start more slowly. */
-const startupWaitMs = 900;
-/** Fraction of a request's own time for which it waits at most. */
-const startupWaitFraction = 1 / 2;
-const startupCheckIntervalMs = 20;
 /** Fraction of the shared retry budget that is used; the rest covers calls whose attempts are counted late. */
 const usedBudgetFraction = 0.8;
-/** Connections that an endpoint accepts when the catalog does not contain its service. */
-const defaultConnectionLimit = 16;
-/** Fraction of an endpoint's connection limit that all ingresses together use. */
-const usedConnectionFraction = 0.9;
-
-/** Services of the relay that a call uses. */
-export interface RelayContext {
-    view: FleetView;
-    pool: EndpointPool;
-    headerCodec: HeaderCodec;
-    dispatcher: Dispatcher;
-    clock: Clock;
-    log: EventLog;
-    metrics: Metrics;
-    queue(service: string): DispatchQueue<Endpoint>;
-    latencyModel(service: string): LatencyModel;
-    retryBudget(service: string): RetryBudget;
-    candidates(service: string): readonly Endpoint[];
-    readonly limitGate: LimitGate;
-    /** Undefined if the policy switches the detection of crashing prompt parts off. */
-    readonly crashDetector: CrashDetector | undefined;
-    maxIdleConnections(service: string): number;
-    readonly connections: CallerConnections;
-    readonly stop: PlannedStop;
-    readonly pollBarrier: PollBarrier;
-    readonly readScheduler: ReadScheduler;
-    readonly answerTimes: AnswerTimes;
-    readonly reach: ReachMonitor;
-    /** Returns the peers to which a request may be forwarded, in the order in which they are asked. */
-    peersFor(req: IncomingMessage): readonly Peer[];
-    /** Whether a broken stream may be resumed at another endpoint. */
-    readonly resumesStreams: boolean;
-    addDemand(service: string, demand: EngineDemand): void;
-}
-
-/** Work that arrived for an engine service, and the prefill speed of its engines once it is measured. */
-export interface EngineDemand {
-    /** Prompt tokens that are not in an engine's cache. */
-    unreadTokens: number;
-    /** All prompt tokens, which engines with empty caches would have to read. */
-    promptTokens: number;
-    /** Time for which the requests would occupy slots. */
-    placeMs: number;
-    prefillTokensPerMs?: number;
-}
 
 /** Accepts callers' requests, checks route, API key and cap, and relays the admitted ones. */
 export class Relay implements RelayContext {
     readonly pool = new EndpointPool();
     readonly dispatcher: Dispatcher;
     readonly limitGate: LimitGate;
+    readonly roomGate: RoomGate;
     readonly crashDetector: CrashDetector | undefined;
     readonly cuts: CallerCuts;
     readonly clock: Clock;
@@ -106,7 +64,10 @@
     readonly readScheduler = new ReadScheduler();
     readonly answerTimes = new AnswerTimes();
     readonly reach: ReachMonitor;
+    readonly paces: FleetPaces;
     private readonly random: RandomSource;
+    private readonly startup: StartupDelay;
+    private readonly endpointCandidates: EndpointCandidates;
 
     constructor(
         readonly view: FleetView,
@@ -114,11 +75,15 @@
         private readonly options: IngressOptions,
         base: { clock: Clock; random: RandomSource; log: EventLog; metrics: Metrics; },
         private readonly components: IngressComponentFactory,
+        readonly versionSplit: VersionSplit | undefined = undefined,
     ) {
         this.clock = base.clock;
         this.log = base.log;
         this.metrics = base.metrics;
         this.random = base.random;
+        this.startup = new StartupDelay(this);
+        this.endpointCandidates = new EndpointCandidates(view, base.clock);
+        view.onUpdate = () => this.startup.check();
         this.reach = new ReachMonitor(
             () => view.endpoints.all,
             () => this.onReachChange(),
@@ -136,12 +101,19 @@
             base.log,
             base.metrics,
         );
+        this.paces = new FleetPaces(
+            this.models,
+            view.endpoints,
+            service => view.catalog?.services.has(service) === true ? this.latencyModel(service) : undefined,
+            base.log,
+        );
         this.stop = new PlannedStop(options.graceMs);
         this.connections = new CallerConnections(this.stop);
         this.admission = new Admission(this, base.random);
         this.promptAffinity = components.createPromptAffinity(service => view.endpoints.readyEndpoints(service));
         this.dispatcher = new Dispatcher(view.loads, view.health, base.random, components.dispatchOptions());
         this.limitGate = new LimitGate(view, base.clock, base.random);
+        this.roomGate = new RoomGate(this, components.policy.fleetAdmission, base.random);
         this.crashDetector = view.crashes && new CrashDetector(
             view.crashes,
             id => !view.endpoints.isAvailable(id),
@@ -169,6 +141,11 @@
         return this.queues.get(service)?.size ?? 0;
     }
 
+    /** Number of waiting requests that would be served before `req`. */
+    queuedAhead(req: DispatchRequest): number {
+        return this.queues.get(req.service)?.countAhead(req) ?? 0;
+    }
+
     startDraining(startedAt: number): void {
         this.stop.begin(startedAt);
     }
@@ -208,8 +185,8 @@
         const caller = this.cuts.followRequest(req, res);
         this.inFlight++;
         try {
-            if (!this.view.ready && !this.view.lacksNewerCatalog) {
-                await this.waitUntilReady(res, arrivedAt + startupWaitMs);
+            if (this.startup.isNeeded) {
+                await this.startup.wait(res, arrivedAt);
             }
             const admitted = await this.admission.admit(req, res, caller, arrivedAt).catch((err: unknown) =>
                 this.onFailedAdmission(err, req, res, caller)
@@ -283,7 +260,8 @@
     }
 
     queue(service: string): DispatchQueue<Endpoint> {
-        const queue = this.queues.get(service) ?? new DispatchQueue<Endpoint>(this.clock);
+        const queue = this.queues.get(service)
+            ?? new DispatchQueue<Endpoint>(this.clock, this.roomGate.queueRule(service));
         this.queues.set(service, queue);
         return queue;
     }
@@ -291,16 +269,32 @@
     latencyModel(service: string): LatencyModel {
         let model = this.models.get(service);
         if (model === undefined) {
-            model = this.view.catalog?.services.get(service)?.engine === undefined
-                ? new ServiceModel()
-                : new EngineModel(this.view.prefixMemory, this.promptAffinity);
+            model = this.createModel(service);
             this.models.set(service, model);
         }
+        this.applyFleetSpeed(service, model);
+        return model;
+    }
+
+    /** Returns a copy of the model of a service, for reading; the service itself does not change. */
+    modelSnapshot(service: string): LatencyModel {
+        const model = (this.models.get(service) ?? this.createModel(service)).snapshot();
+        this.applyFleetSpeed(service, model);
+        return model;
+    }
+
+    private createModel(service: string): LatencyModel {
+        const pace = this.components.createEndpointPace(this.clock);
+        return this.view.catalog?.services.get(service)?.engine === undefined
+            ? new ServiceModel(pace)
+            : new EngineModel(this.view.prefixMemory, this.promptAffinity, undefined, pace);
+    }
+
+    private applyFleetSpeed(service: string, model: LatencyModel): void {
         const rate = this.view.engineRates[service];
         if (this.components.policy.fleetSpeed && model instanceof EngineModel && rate !== undefined) {
             model.speedEstimate.setFallbackRate(rate);
         }
-        return model;
     }
 
     retryBudget(service: string): RetryBudget {
@@ -321,38 +315,15 @@
     }
 
     candidates(service: string): readonly Endpoint[] {
-        const limit = this.connectionShare(service);
-        const now = this.clock.now();
-        return this.view.endpoints.readyEndpoints(service).filter(({ id }) =>
-            this.view.loads.localRunning(id) < limit && this.view.limits.maySend(id, now)
-        );
-    }
-
-    maxIdleConnections(service: string): number {
-        return this.connectionShare(service);
+        return this.endpointCandidates.of(service);
     }
 
-    /** Returns this ingress's share of the connections that one endpoint accepts. */
-    private connectionShare(service: string): number {
-        const limit = this.view.catalog?.services.get(service)?.connectionLimit ?? defaultConnectionLimit;
-        return Math.max(2, Math.floor(limit * usedConnectionFraction / this.view.memberCount));
+    /** Returns why a ready endpoint is no candidate; undefined if it is one. */
+    candidateObstacle(endpoint: Endpoint): CandidateObstacle | undefined {
+        return this.endpointCandidates.obstacle(endpoint);
     }
 
-    /**
-     * Delays a request that arrived during startup; the process is usually ready within a fraction of a second. A
-     * request with little time waits for a part of it, so that it can still be served or tried at another ingress.
-     */
-    private async waitUntilReady(res: ServerResponse, deadline: number): Promise<void> {
-        const { req } = res;
-        const { timeoutMs = Infinity } = this.headerCodec.decodeCallerHead(req.headers);
-        const route = this.view.routes?.find(req.headers.host ?? "", req.url ?? "/");
-        const ownTimeMs = Math.min(timeoutMs, route?.timeoutMs ?? Infinity);
-        const giveUpAt = Math.min(deadline, this.clock.now() + ownTimeMs * startupWaitFraction);
-        for (let now = this.clock.now(); now < giveUpAt; now = this.clock.now()) {
-            if (this.view.ready || res.destroyed || this.stop.takesNone(now)) {
-                return;
-            }
-            await this.clock.sleepUntil(Math.min(giveUpAt, now + startupCheckIntervalMs));
-        }
+    maxIdleConnections(service: string): number {
+        return this.endpointCandidates.connectionShare(service);
     }
 }
--- a/packages/ingress/src/relayed-call.ts
+++ b/packages/ingress/src/relayed-call.ts
@@ -1,35 +1,34 @@
-import { type EndpointChoice, ServiceModel } from "@lentilramp/dispatch";
+import type { EndpointChoice } from "@lentilramp/dispatch";
+import type { AnswerHead } from "@lentilramp/exchange";
 import { type Endpoint, versionOf } from "@lentilramp/fleet";
 import { CallerPresence, discardResponse } from "@lentilramp/protocol";
 import type { IncomingMessage } from "node:http";
 import type { AdmittedRequest } from "./admission.ts";
+import { decideOnAnswer } from "./answer-decision.ts";
+import { AnswerEnd } from "./answer-end.ts";
 import { AnswerWriter } from "./answer-writer.ts";
 import { AttemptFailures } from "./attempt-failures.ts";
 import type { AttemptOutcome, AttemptProgress } from "./attempt.ts";
-import type { BodyEnd } from "./body-reader.ts";
 import { BodyRelay } from "./body-relay.ts";
-import { type CallOutcome, CallRecorder } from "./call-recorder.ts";
+import { CallEnd } from "./call-end.ts";
+import { CallPath } from "./call-path.ts";
+import { CallRecorder } from "./call-recorder.ts";
 import { endpointRefusedRetryMs, EndpointSelection } from "./endpoint-selection.ts";
 import { createAttempt, type InFlightAttempt } from "./in-flight-attempt.ts";
 import { PeerCall } from "./peer-call.ts";
-import type { AnswerHead } from "./platform-adapter.ts";
 import { PromptOutcome } from "./prompt-outcome.ts";
-import { answerClosedCaller, breakOffAnswer, internalErrorReason, sendRefusal } from "./refusal.ts";
-import type { RelayContext } from "./relay.ts";
+import { internalErrorReason } from "./refusal.ts";
+import type { RelayContext } from "./relay-context.ts";
 import { DeadlineWatch } from "./request-deadline.ts";
 import { RetryAllowance } from "./retry-allowance.ts";
 import { recordOrigin } from "./stream-take-up.ts";
 
-/** Interval at which a begun stream looks for an endpoint that can resume it, in milliseconds. */
-const resumeCheckIntervalMs = 50;
-
 /** Relays one admitted request: waits for a slot, sends the request, retries where that is allowed, and answers. */
 export class RelayedCall {
     private currentAttempt: InFlightAttempt | undefined;
     private readonly deadline: DeadlineWatch;
     /** Whether nothing more is to be done for the caller. */
     private stopped = false;
-    private finished = false;
     private readonly selection: EndpointSelection;
     private readonly writer: AnswerWriter;
     private readonly bodies: BodyRelay;
@@ -38,10 +37,17 @@
     private readonly prompt: PromptOutcome;
     private readonly retries: RetryAllowance;
     private readonly failures: AttemptFailures;
-    private outcome: CallOutcome = "answered";
+    private readonly end: CallEnd;
+    private readonly answerEnd: AnswerEnd;
+    private readonly path: CallPath;
 
     constructor(private readonly admitted: AdmittedRequest, private readonly ctx: RelayContext) {
         this.recorder = new CallRecorder(admitted, ctx);
+        this.end = new CallEnd(admitted, ctx, this.recorder, () => ({
+            runs: this.runs,
+            attempt: this.currentAttempt,
+            hasBegun: this.writer.started,
+        }));
         this.caller = new CallerPresence(admitted.req, admitted.res, ctx.pollBarrier);
         this.prompt = new PromptOutcome(admitted, ctx);
         this.retries = new RetryAllowance(admitted, ctx, this.prompt);
@@ -60,7 +66,8 @@
             onEventBegun: () => this.retries.tryReserve(),
             onProgress: () => this.retries.releaseReserve(),
             tryReplace: ({ endpoint }) => this.tryReplace(endpoint),
-            onRestEnd: (inFlight, end) => this.afterAttempt(inFlight, this.onBodyEnd(inFlight, end, 200)),
+            onClose: inFlight => this.failures.recordClosed(inFlight),
+            onRestEnd: (inFlight, end) => this.afterAttempt(inFlight, this.answerEnd.handle(inFlight, end, 200)),
         });
         this.recorder.describeCuts(() => ({
             runs: this.runs,
@@ -73,8 +80,8 @@
         }, () => this.bodies.parked.endpoints);
         const onDeadline = (): void => this.guard(() => this.onDeadline(), undefined);
         this.deadline = new DeadlineWatch(admitted, ctx, () => this.writer.started, onDeadline);
-        const { recorder, selection, prompt, retries } = this;
-        this.failures = new AttemptFailures({
+        const { recorder, selection, prompt, retries, deadline, writer, bodies, end } = this;
+        const failures = new AttemptFailures({
             recorder,
             selection,
             prompt,
@@ -82,6 +89,9 @@
             clock: ctx.clock,
             reach: ctx.reach,
         });
+        this.failures = failures;
+        this.answerEnd = new AnswerEnd(admitted, ctx, { recorder, prompt, retries, failures, deadline, writer, end });
+        this.path = new CallPath(admitted, ctx, { selection, failures, bodies, writer });
     }
 
     /** Number of endpoints that ran or may have run the request. */
@@ -92,7 +102,7 @@
     async run(): Promise<void> {
         const { res, dispatch } = this.admitted;
         const onLeft = (): void =>
-            this.finished || res.writableEnded ? undefined : this.guard(() => this.leave(), undefined);
+            this.end.finished || res.writableEnded ? undefined : this.guard(() => this.leave(), undefined);
         res.once("close", onLeft);
         this.ctx.connections.onCallerEnd(res, onLeft);
         this.deadline.start();
@@ -100,7 +110,7 @@
         this.ctx.retryBudget(dispatch.service).recordRequest(this.ctx.clock.now());
         try {
             await this.relay();
-            if (!this.finished && !res.writableEnded && !res.destroyed) {
+            if (!this.end.finished && !res.writableEnded && !res.destroyed) {
                 throw new Error("the request ended without an answer while its caller is there");
             }
         }
@@ -111,9 +121,10 @@
             this.deadline.cancel();
             cancelStopNotice();
             this.bodies.parked.closeAll();
+            this.failures.recordEnd();
             this.retries.releaseReserve();
-            this.finished = true;
-            this.recorder.recordOutcome(this.outcome, this.currentAttempt?.endpoint.id, this.runs);
+            this.end.finished = true;
+            this.recorder.recordOutcome(this.end.outcome, this.currentAttempt?.endpoint.id, this.runs);
         }
     }
 
@@ -137,7 +148,7 @@
                 }
                 if (
                     this.stopped || slot.reason === "no-endpoint" && await this.forward()
-                    || await this.returnOrEnd(() => this.giveUp(slot.reason, slot.retryAfterMs, slot.best))
+                    || await this.returnOrEnd(() => this.end.giveUp(slot.reason, slot.retryAfterMs, slot.best))
                 ) {
                     return;
                 }
@@ -187,35 +198,21 @@
         return this.stopped || await this.returnOrEnd(() => this.giveUpRetries());
     }
 
-    /**
-     * Waits before another attempt to resume a stream that this ingress has left at an endpoint that was only silent.
-     * Resolves with false if there is no such stream, or nothing more is to be done.
-     */
+    /** Waits before another attempt to resume a stream; resolves with whether it is to be made. */
     private async waitToResume(): Promise<boolean> {
-        const { selection, failures, bodies } = this;
-        if (!this.writer.started || !failures.hasLeftStream || !bodies.parked.isEmpty || !selection.hasReadyVersion) {
-            return false;
-        }
-        await this.ctx.clock.sleepUntil(this.ctx.clock.now() + resumeCheckIntervalMs);
-        return !this.stopped;
+        return await this.path.waitToResume() && !this.stopped;
     }
 
-    /**
-     * Forwards a request to a peer if no connection to an endpoint could be opened and none has run it. Resolves with
-     * whether that was possible; the request is finished then.
-     */
+    /** Forwards a request to a peer; resolves with whether that was possible. The request is finished then. */
     private async forward(): Promise<boolean> {
-        const { admitted, ctx, failures } = this;
-        const isUnreached = failures.hasUnreached && failures.runs === 0 && this.bodies.parked.isEmpty;
-        const peers = isUnreached ? ctx.peersFor(admitted.req) : [];
+        const peers = this.path.peers();
         if (peers.length === 0) {
             return false;
         }
-        this.finished = true;
+        this.end.handOver();
         this.stopped = true;
-        this.outcome = "forwarded";
         this.deadline.cancel();
-        await new PeerCall(admitted, ctx, peers).run();
+        await new PeerCall(this.admitted, this.ctx, peers).run();
         return true;
     }
 
@@ -223,7 +220,7 @@
         const { lastReason } = this.failures;
         const mayCrash = this.retries.mayCrash(this.runs);
         const reason = mayCrash ? `${lastReason}, and its prompt may crash another endpoint` : lastReason;
-        this.giveUp(reason, mayCrash ? undefined : endpointRefusedRetryMs);
+        this.end.giveUp(reason, mayCrash ? undefined : endpointRefusedRetryMs);
     }
 
     /** Goes on with a parked attempt, and otherwise gives up; resolves as `afterAttempt` does. */
@@ -282,7 +279,7 @@
     private onFailure(inFlight: InFlightAttempt, outcome: Exclude<AttemptOutcome, { kind: "answer"; }>): boolean {
         this.failures.recordFailure(inFlight, outcome);
         if (outcome.kind === "unknown" && !this.retries.isRetryable) {
-            this.giveUp(outcome.reason, undefined);
+            this.end.giveUp(outcome.reason, undefined);
             return true;
         }
         return false;
@@ -292,68 +289,33 @@
         const { route } = this.admitted;
         this.recorder.applyAnswerHead(inFlight.endpoint, head, inFlight.sentAt);
         const status = res.statusCode ?? 0;
-        this.failures.recordRun(inFlight.endpoint.id);
+        this.failures.recordRun(inFlight);
         if (route.execution !== "stream" || status !== 200) {
-            this.recorder.recordUsage(inFlight.sentAt);
-        }
-        const isOnlyRest = this.writer.started
-            || !this.bodies.parked.isEmpty && (route.execution === "stream" || status >= 500);
-        if (isOnlyRest && status !== 200) {
-            // Only the rest of a stream may follow its events, and a parked attempt may still succeed.
+            this.failures.recordUsage(inFlight.sentAt);
+        }
+        const decision = decideOnAnswer({
+            status,
+            isStream: route.execution === "stream",
+            hasBegun: this.writer.started,
+            hasParked: !this.bodies.parked.isEmpty,
+            isRetryable: this.retries.isRetryable,
+        }, () => this.retries.payAfterError(this.runs, this.selection));
+        if (decision === "discard") {
             this.failures.discardAnswer(inFlight, res, status);
             return false;
         }
-        if (status >= 500 && !this.writer.started && this.retries.payAfterError(this.runs, this.selection)) {
-            this.failures.discardAnswer(inFlight, res, status);
-            return false;
-        }
-        if (!this.retries.isRetryable && (status === 503 || status === 429 || status === 408 || status === 421)) {
-            // These statuses imply to callers that the request has not run, which the endpoint has not stated.
+        if (decision === "withhold") {
             discardResponse(res);
-            this.giveUp(`status ${status} without a statement that the request has not run`, undefined);
+            this.end.giveUp(`status ${status} without a statement that the request has not run`, undefined);
             return true;
         }
-        return this.onBodyEnd(inFlight, await this.bodies.relay(inFlight, res, status), status);
-    }
-
-    /** Handles the end of an answer's body; returns whether the request is finished. */
-    private onBodyEnd(inFlight: InFlightAttempt, end: BodyEnd, status: number): boolean {
-        const { route, dispatch } = this.admitted;
-        const { clock } = this.ctx;
-        const serverError = status >= 500;
-        this.prompt.onAnswerEnd(inFlight.endpoint, end, status);
-        const isTimeUp = end === "cut" && this.deadline.hasMoreTimeThan(inFlight.stopsAt);
-        if (end !== "left" && !isTimeUp) {
-            this.recorder.recordHealth(
-                inFlight.endpoint,
-                end !== "complete" ? "broken" : serverError ? "error" : "answered",
-            );
-        }
-        if (end === "complete") {
-            this.ctx.metrics.count("sends", 1, { outcome: "answered" });
-            const model = this.ctx.latencyModel(dispatch.service);
-            if (model instanceof ServiceModel && !serverError) {
-                model.observe(clock.now() - inFlight.sentAt);
-            }
-            return true;
-        }
-        if (end === "left") {
-            return true;
-        }
-        this.failures.recordBrokenBody(inFlight, end, isTimeUp);
-        // An answer that has been partly sent can be continued only after a complete event.
-        const continuable = !this.writer.started || route.execution === "stream" && route.resumable;
-        if (continuable && this.retries.isRetryable) {
-            return false;
-        }
-        this.giveUp(this.failures.lastReason, undefined);
-        return true;
+        return this.answerEnd.handle(inFlight, await this.bodies.relay(inFlight, res, status), status);
     }
 
     private onFirstChunk(): void {
         this.recorder.recordFirstByte();
         this.prompt.onFirstChunk();
-        this.recorder.recordUsage(this.ctx.clock.now());
+        this.failures.recordUsage(this.ctx.clock.now());
     }
 
     /** Resolves with whether there is still something to do, once the close of a caller that has left would be read. */
@@ -366,16 +328,7 @@
 
     /** Ends the request of a caller that has left. */
     private leave(): void {
-        const { res, workspace, units } = this.admitted;
-        const notSent = this.runs === 0 && this.currentAttempt?.sent !== true;
-        this.outcome = "left";
-        this.finished = true;
-        const begun = this.writer.started;
-        answerClosedCaller(res, !notSent, this.ctx.connections.closesAfter(res));
-        if (notSent && workspace !== undefined) {
-            this.ctx.view.caps.refund(workspace, units);
-        }
-        this.recorder.recordLeft(this.currentAttempt, this.runs, begun);
+        this.end.leave();
         this.stop();
     }
 
@@ -396,7 +349,7 @@
         if (this.currentAttempt?.slotReleased === false && !this.writer.started) {
             this.recorder.recordSilence(this.currentAttempt);
         }
-        this.giveUp("time is up", undefined);
+        this.end.giveUp("time is up", undefined);
         this.stop();
     }
 
@@ -415,8 +368,8 @@
     private onInternalError(err: unknown): void {
         this.recorder.recordInternalError(err);
         try {
-            if (!this.finished && !this.stopped && !this.admitted.res.writableEnded) {
-                this.giveUp(internalErrorReason, undefined);
+            if (!this.end.finished && !this.stopped && !this.admitted.res.writableEnded) {
+                this.end.giveUp(internalErrorReason, undefined);
             }
         }
         finally {
@@ -426,33 +379,9 @@
 
     /** Ends a request without an answer before a planned stop closes its connection; a begun answer may go on. */
     private onStopEnd(): void {
-        if (!this.finished && !this.writer.started) {
-            this.giveUp("stopping", undefined);
+        if (!this.end.finished && !this.writer.started) {
+            this.end.giveUp("stopping", undefined);
             this.stop();
         }
     }
-
-    /** Ends the request without an endpoint's answer. A caller may retry a request that is certain not to have run. */
-    private giveUp(reason: string, retryAfterMs: number | undefined, best?: EndpointChoice<Endpoint>): void {
-        const { res, workspace, units } = this.admitted;
-        const cut = this.writer.started;
-        const notRun = this.runs === 0
-            && (this.currentAttempt?.sent !== true || this.currentAttempt.slotReleased || retryAfterMs !== undefined);
-        this.finished = true;
-        this.outcome = cut ? "cut" : notRun ? "refused" : "failed";
-        // What the caller is owed comes before anything that may fail.
-        if (cut) {
-            this.recorder.reportCut(reason, () => breakOffAnswer(res));
-        }
-        else {
-            const status = notRun ? 503 : reason === "time is up" ? 504 : 502;
-            const retryMs = notRun ? retryAfterMs ?? endpointRefusedRetryMs : undefined;
-            sendRefusal(res, status, reason, retryMs, this.ctx.connections.closesAfter(res));
-        }
-        if (notRun && workspace !== undefined) {
-            this.ctx.view.caps.refund(workspace, units);
-        }
-        // The attempt in progress is counted only when it has ended.
-        this.recorder.recordGiveUp(reason, notRun ? 0 : Math.max(1, this.runs), best);
-    }
 }
--- a/packages/ingress/src/request-deadline.ts
+++ b/packages/ingress/src/request-deadline.ts
@@ -1,8 +1,8 @@
 import type { CatalogRoute } from "@lentilramp/catalog";
+import type { CallerHead } from "@lentilramp/exchange";
 import type { Timer } from "@lentilramp/runtime";
 import type { AdmittedRequest } from "./admission.ts";
-import type { CallerHead } from "./platform-adapter.ts";
-import type { RelayContext } from "./relay.ts";
+import type { RelayContext } from "./relay-context.ts";
 
 /** Timeout of a caller that sends none, in milliseconds. */
 const defaultCallerTimeoutMs = 30_000;
@@ -10,7 +10,11 @@
 const clockToleranceMs = 20;
 
 /** Returns the instant at which the caller or the route abandons a request that arrived at `arrivedAt`. */
-export function requestDeadline(arrivedAt: number, { timeoutMs }: CallerHead, route: CatalogRoute): number {
+export function requestDeadline(
+    arrivedAt: number,
+    { timeoutMs }: Pick<CallerHead, "timeoutMs">,
+    route: CatalogRoute,
+): number {
     return arrivedAt + Math.min(timeoutMs ?? defaultCallerTimeoutMs, route.timeoutMs);
 }
 
--- a/packages/ingress/src/retry-allowance.ts
+++ b/packages/ingress/src/retry-allowance.ts
@@ -2,7 +2,7 @@
 import type { AdmittedRequest } from "./admission.ts";
 import type { EndpointSelection } from "./endpoint-selection.ts";
 import type { PromptOutcome } from "./prompt-outcome.ts";
-import type { RelayContext } from "./relay.ts";
+import type { RelayContext } from "./relay-context.ts";
 
 /** Why a request is not sent once more. */
 export type RetryRefusal = "attempts" | "budget" | "may-crash";
--- a/packages/ingress/src/stop-admission.ts
+++ b/packages/ingress/src/stop-admission.ts
@@ -9,7 +9,7 @@
 import type { Endpoint } from "@lentilramp/fleet";
 import type { AdmittedRequest } from "./admission.ts";
 import { stoppingRetryMs } from "./refusal.ts";
-import type { RelayContext } from "./relay.ts";
+import type { RelayContext } from "./relay-context.ts";
 
 type Decision = DispatchDecision<Endpoint>;
 type Refusal = Extract<Decision, { kind: "refuse"; }>;
--- a/packages/ingress/src/stream-take-up.ts
+++ b/packages/ingress/src/stream-take-up.ts
@@ -1,8 +1,8 @@
 import type { CatalogRoute } from "@lentilramp/catalog";
+import type { CallerHead } from "@lentilramp/exchange";
 import { type Endpoint, originKey, ownRecord, type StreamOrigin, versionOf } from "@lentilramp/fleet";
 import type { AdmittedRequest } from "./admission.ts";
 import type { FleetView } from "./fleet-view.ts";
-import type { CallerHead } from "./platform-adapter.ts";
 
 /** Whether a request takes up a stream of which its caller has events. */
 export function takesStreamUp(head: CallerHead, route: CatalogRoute): boolean {
--- a/packages/ingress/tests/connect-deadline.test.ts
+++ b/packages/ingress/tests/connect-deadline.test.ts
@@ -1,18 +1,6 @@
 import { expect } from "chai";
 import { testCatalog } from "../../catalog/tests/fixtures.ts";
-import { IngressHarness, ScriptedEndpoint, sealed } from "./ingress-harness.ts";
-
-function hold(forMs: number): void {
-    const until = performance.now() + forMs;
-    while (performance.now() < until) {
-        // Busy.
-    }
-}
-
-/** Calls `action` before the sockets are read, once what was begun in this turn of the event loop is under way. */
-function afterTicks(count: number, action: () => void): void {
-    process.nextTick(() => count === 0 ? action() : afterTicks(count - 1, action));
-}
+import { holdBeforePoll, IngressHarness, ScriptedEndpoint, sealed } from "./ingress-harness.ts";
 
 /** Timers run before sockets are read, so that a connection may have been opened while the process was held. */
 describe("Attempt that opens a connection during a pause of its own process", () => {
@@ -35,7 +23,7 @@
         const { pool } = ingress.relay;
         const requestOptions = pool.requestOptions.bind(pool);
         pool.requestOptions = (...args) => {
-            afterTicks(20, () => hold(400));
+            holdBeforePoll(400);
             return requestOptions(...args);
         };
         const answer = ingress.call({});
--- a/packages/ingress/tests/crash-detector.test.ts
+++ b/packages/ingress/tests/crash-detector.test.ts
@@ -2,7 +2,7 @@
 import { expect } from "chai";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { testCatalog } from "../../catalog/tests/fixtures.ts";
-import { type Answer, IngressHarness, ScriptedEndpoint } from "./ingress-harness.ts";
+import { type Answer, holdBeforePoll, IngressHarness, ScriptedEndpoint } from "./ingress-harness.ts";
 
 const probeMs = 400;
 
@@ -68,6 +68,56 @@
         expect(names[1]).to.equal(names[0]);
     });
 
+    // Guards against a third endpoint that the request reaches while the second one is still probed.
+    it("sends a request that two endpoints crash under to no third one", async () => {
+        const endpoints = ["a", "b", "c"].map(id => new ScriptedEndpoint(id, () => undefined));
+        for (const each of endpoints) {
+            // The probe of the first endpoint ends before the second one crashes.
+            each.answer = () => void setTimeout(() => each.close(), 50);
+            await each.start();
+        }
+        endpoint = endpoints[0] as ScriptedEndpoint;
+        const catalog = testCatalog();
+        const routes = catalog.routes.map(route => ({ ...route, execution: "idempotent" as const, maxAttempts: 3 }));
+        harness = await IngressHarness.start({ ...catalog, routes }, endpoints);
+        await harness.call({ method: "POST", body: "x" }).catch(() => undefined);
+        await new Promise(resolve => setTimeout(resolve, probeMs));
+        endpoints.forEach(each => each.close());
+        expect(endpoints.map(({ requests }) => requests.length).sort()).to.deep.equal([0, 1, 1]);
+    });
+
+    // Guards against answers that are lost at living endpoints and count as crashes while a probe is open.
+    it("sends a request that two living endpoints lose to a third one", async () => {
+        const endpoints = ["a", "b", "c"].map(id => new ScriptedEndpoint(id, (...[, res]) => void res.destroy()));
+        for (const each of endpoints) {
+            await each.start();
+        }
+        endpoint = endpoints[0] as ScriptedEndpoint;
+        const catalog = testCatalog();
+        const routes = catalog.routes.map(route => ({ ...route, execution: "idempotent" as const, maxAttempts: 3 }));
+        harness = await IngressHarness.start({ ...catalog, routes }, endpoints);
+        await harness.call({ method: "POST", body: "x" }).catch(() => undefined);
+        await new Promise(resolve => setTimeout(resolve, probeMs));
+        endpoints.forEach(each => each.close());
+        expect(endpoints.map(({ requests }) => requests.length)).to.deep.equal([1, 1, 1]);
+    });
+
+    // Guards against a request that is not repeated although a probe has shown that the endpoint lives on.
+    it("counts no open loss at an endpoint that a probe of the last second has reached", async () => {
+        await start(() => undefined);
+        const { crashes } = harness.view;
+        const lose = (id: string): void =>
+            harness.relay.crashDetector?.recordLoss(endpoint.endpoint, { request: requestKey(id), parts: [] }, id);
+        crashes?.recordCrash({ id: "other" }, { request: requestKey("r"), parts: [] }, harness.clock.now());
+        lose("s");
+        await new Promise(resolve => setTimeout(resolve, probeMs));
+        lose("r");
+        // A repeat is decided in the turn of the event loop in which the answer is lost.
+        expect(crashes?.mayRepeat([requestKey("r")], harness.clock.now())).to.equal(true);
+        await new Promise(resolve => setTimeout(resolve, probeMs));
+        expect(reports()).to.deep.equal([[]]);
+    });
+
     it("reports nothing if the endpoint still accepts connections", async () => {
         await start((req, res) => {
             head(req, res);
@@ -77,6 +127,15 @@
         expect(reports()).to.deep.equal([]);
     });
 
+    // Guards against a pause of the own process that is taken for a crash, for which a sound prompt is accused.
+    it("reports nothing if the endpoint has accepted the connection while the process was held", async () => {
+        await start((...[, res]) => void res.destroy());
+        holdBeforePoll(probeMs);
+        harness.relay.crashDetector?.recordLoss(endpoint.endpoint, { request: requestKey("r"), parts: ["a"] }, "x");
+        await new Promise(resolve => setTimeout(resolve, probeMs));
+        expect(reports()).to.deep.equal([]);
+    });
+
     it("reports nothing if the answer had begun, or if the endpoint had said that it leaves", async () => {
         await start((req, res) => {
             head(req, res);
--- a/packages/ingress/tests/cut-off-ingress.test.ts
+++ b/packages/ingress/tests/cut-off-ingress.test.ts
@@ -4,7 +4,7 @@
 import { once } from "node:events";
 import { type AddressInfo, createServer, type Server, type Socket } from "node:net";
 import { testCatalog, testRoute, testWorkspace } from "../../catalog/tests/fixtures.ts";
-import { type Answer, IngressHarness, ScriptedEndpoint } from "./ingress-harness.ts";
+import { type Answer, holdBeforePoll, IngressHarness, ScriptedEndpoint } from "./ingress-harness.ts";
 
 const sleep = (ms: number): Promise<void> => new Promise(resolve => setTimeout(resolve, ms));
 const endpointCount = 4;
@@ -93,6 +93,23 @@
         });
     }
 
+    // Guards against refusing a request when the connection to the peer was opened during a pause of this process.
+    it("sends the request to the peer on a connection that was opened meanwhile", async () => {
+        await start("refused", { execution: "idempotent" });
+        const { headerCodec } = cutOff.relay;
+        const encode = headerCodec.encodePeerHeaders.bind(headerCodec);
+        let held = 0;
+        headerCodec.encodePeerHeaders = (...args) => {
+            if (held++ === 0) {
+                holdBeforePoll(400);
+            }
+            return encode(...args);
+        };
+        expect(await post("a1")).to.include({ status: 200, complete: true });
+        expect(held).to.equal(1);
+        expect(cutOff.log.events.some(({ name }) => name === "request.not-forwarded")).to.equal(false);
+    });
+
     it("serves requests that may be repeated through a peer when connections are reset", async () => {
         await start("reset", { execution: "idempotent" });
         for (let i = 0; !cutOff.relay.reach.isCutOff; i++) {
--- a/packages/ingress/tests/event-splitter.test.ts
+++ b/packages/ingress/tests/event-splitter.test.ts
@@ -83,4 +83,12 @@
             expect(found > 0).to.equal(/(?:^|[\r\n])data/.test(text.slice(0, Math.max(0, end))));
         }));
     });
+
+    // Guards against a first event that counts as one without data, so that its stream is taken for stalled.
+    it("finds the data of a first event that is torn inside the name of its field", () => {
+        for (const chunks of [["dat", "a", "\n\n"], ["d", "ata: x\n\n"], ["da", "ta: x\n", "\n"]]) {
+            const scanner = new EventScanner();
+            expect(chunks.filter(chunk => scanner.scan(Buffer.from(chunk))).length).to.equal(1);
+        }
+    });
 });
--- a/packages/ingress/tests/ingress-harness.ts
+++ b/packages/ingress/tests/ingress-harness.ts
@@ -1,4 +1,5 @@
 import { type Catalog, CatalogCodec } from "@lentilramp/catalog";
+import type { OriginAnswer } from "@lentilramp/exchange";
 import type { Endpoint } from "@lentilramp/fleet";
 import {
     CallerServer,
@@ -7,8 +8,8 @@
     type IngressOptions,
     type IngressPolicy,
     ingressPolicyDefaults,
-    type OriginAnswer,
     Relay,
+    VersionSplit,
 } from "@lentilramp/ingress";
 import { PlatformHeaderCodec } from "@lentilramp/platform";
 import { MemoryEventLog, MemoryMetrics, SeededRandom, SystemClock } from "@lentilramp/runtime";
@@ -35,6 +36,18 @@
 export async function holdEventLoop(forMs: number, action: () => void = () => undefined): Promise<void> {
     await new Promise(resolve => setImmediate(resolve));
     action();
+    hold(forMs);
+}
+
+/**
+ * Keeps the whole process busy in this turn of the event loop, before the sockets are read, once what the caller begins
+ * in its tick is under way.
+ */
+export function holdBeforePoll(forMs: number, ticks = 20): void {
+    process.nextTick(() => ticks === 0 ? hold(forMs) : holdBeforePoll(forMs, ticks - 1));
+}
+
+function hold(forMs: number): void {
     const until = performance.now() + forMs;
     while (performance.now() < until) {
         // Busy.
@@ -49,6 +62,12 @@
     private readonly closePromises = new WeakMap<Socket, Promise<unknown>>();
     readonly server = createServer((req, res) => void this.handle(req, res));
 
+    /**
+     * Whether a request belongs to the test. Another process may send one to a port that was its own before; it gets a 421
+     * and is not recorded.
+     */
+    accepts: (req: IncomingMessage) => boolean = () => true;
+
     constructor(readonly id: string, public answer: Answer, public version?: string) {}
 
     async start(): Promise<void> {
@@ -77,12 +96,18 @@
 
     /** Returns one promise for each connection, because many requests arrive on the same one. */
     private whenClosed(socket: Socket): Promise<unknown> {
-        const closed = this.closePromises.get(socket) ?? once(socket, "close");
+        // `once` of Node.js rejects when the connection is reset, which would end the test as an unhandled error.
+        const closed = this.closePromises.get(socket) ?? new Promise(resolve => socket.once("close", resolve));
         this.closePromises.set(socket, closed);
         return closed;
     }
 
     private async handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
+        if (!this.accepts(req)) {
+            req.resume();
+            res.writeHead(421).end();
+            return;
+        }
         const parts: Buffer[] = [];
         for await (const part of req) {
             parts.push(part as Buffer);
@@ -208,12 +233,16 @@
     readonly clock = new SystemClock();
     readonly view: FleetView;
     readonly relay: Relay;
+    /** Undefined unless the options contain bounds of roll-outs. */
+    readonly versions: VersionSplit | undefined;
     readonly options: IngressOptions;
     /** Instant at which the next sync with the stewards is due. */
     nextSyncAt = Infinity;
     /** What the stewards say of the origins of streams. */
     askForOrigin: (key: string, services: readonly string[]) => Promise<OriginAnswer | undefined> = async () =>
         undefined;
+    /** Returns the ports for callers and for readiness. */
+    static choosePorts: () => Promise<[number, number]> = freePorts;
     private readonly server: CallerServer;
     private readonly ports: { callers: number; readiness: number; };
 
@@ -271,12 +300,14 @@
         }
         const random = new SeededRandom(3);
         const base = { clock: this.clock, random, log: this.log, metrics: new MemoryMetrics() };
+        this.versions = options.rollouts && new VersionSplit(this.clock, random, base.metrics);
         this.relay = new Relay(
             this.view,
             new PlatformHeaderCodec(),
             options,
             base,
             components,
+            this.versions,
         );
         this.server = new CallerServer(
             this.relay,
@@ -295,12 +326,23 @@
         policy: Partial<IngressPolicy> = {},
         options: Partial<IngressOptions> & ServerOptions = {},
     ): Promise<IngressHarness> {
-        const [callers, readiness] = await freePorts();
-        const ports = { callers, readiness };
-        const harness = new IngressHarness(catalog, ports, policy, options);
-        await harness.server.start();
-        harness.view.applyEndpointList(endpoints.map(({ endpoint }) => endpoint), harness.clock.now(), 1);
-        return harness;
+        // Another process may take a free port before the ingress listens on it.
+        for (let retries = 5;; retries--) {
+            const [callers, readiness] = await this.choosePorts();
+            const harness = new IngressHarness(catalog, { callers, readiness }, policy, options);
+            try {
+                await harness.server.start();
+            }
+            catch (err) {
+                await harness.close();
+                if ((err as NodeJS.ErrnoException).code === "EADDRINUSE" && retries > 0) {
+                    continue;
+                }
+                throw err;
+            }
+            harness.view.applyEndpointList(endpoints.map(({ endpoint }) => endpoint), harness.clock.now(), 1);
+            return harness;
+        }
     }
 
     async close(): Promise<void> {
--- a/packages/ingress/tests/paused-streams.test.ts
+++ b/packages/ingress/tests/paused-streams.test.ts
@@ -1,5 +1,6 @@
 import type { CatalogService } from "@lentilramp/catalog";
 import { expect } from "chai";
+import { request } from "node:http";
 import { testCatalog, testRoute } from "../../catalog/tests/fixtures.ts";
 import { type Answer, type CallerAnswer, IngressHarness, ScriptedEndpoint, sealed } from "./ingress-harness.ts";
 
@@ -93,14 +94,23 @@
 
 /** An ingress and its endpoints; the first one gets the request before the others join. */
 class Play {
-    private constructor(readonly endpoints: ScriptedEndpoint[], readonly ingress: IngressHarness) {}
+    private static count = 0;
+
+    private constructor(
+        readonly endpoints: ScriptedEndpoint[],
+        readonly ingress: IngressHarness,
+        /** Id of the only request that the endpoints accept. */
+        readonly id: string,
+    ) {}
 
     static async prepare(
         answers: Answer[],
         { maxAttempts, retries, engine }: Pick<Case, "maxAttempts" | "retries" | "engine">,
     ): Promise<Play> {
+        const id = `${process.pid}-${this.count++}`;
         const endpoints = answers.map((answer, i) => new ScriptedEndpoint(`e${i + 1}`, answer));
         for (const endpoint of endpoints) {
+            endpoint.accepts = req => req.headers["x-attempt-id"] === id;
             await endpoint.start();
         }
         const routes = [testRoute({
@@ -117,12 +127,14 @@
         return new Play(
             endpoints,
             await IngressHarness.start(testCatalog({ routes, services }), first, {}, budget),
+            id,
         );
     }
 
     async call(): Promise<CallerAnswer> {
-        const { endpoints, ingress } = this;
-        const answer = ingress.call({ method: "POST", body: "x", headers: { "x-deadline-ms": "8000" } });
+        const { endpoints, ingress, id } = this;
+        const headers = { "x-deadline-ms": "8000", "x-attempt-id": id };
+        const answer = ingress.call({ method: "POST", body: "x", headers });
         let ended = false;
         void answer.finally(() => ended = true);
         // A request that is refused reaches no endpoint; its answer says so.
@@ -188,6 +200,23 @@
         }
     }
 
+    // Guards against a case that lists both endpoints before the first one has the request: a request of another process
+    // that reached the first one counted as it. The ingress then asked the second one first, which failed with a 502.
+    it("lists the second endpoint only when the first one has the request of the case", async () => {
+        const answers = [pausingAt("before the first event"), reactions["closes its connection"]!(0)];
+        const play = await prepare(answers, { maxAttempts: 1, retries: 1, engine: engineOfTest });
+        const { host, port } = play.endpoints[0]!.endpoint;
+        await new Promise(resolve => {
+            const headers = { "x-attempt-id": "of-another-process" };
+            request({ host, port, path: "/x", headers, agent: false }, res => res.resume().on("end", resolve)).end();
+        });
+        const startedAt = Date.now();
+        expect(await play.call()).to.include({ status: 200, complete: true, body: events.join("") });
+        // The other request does not take the pause from the case.
+        expect(Date.now() - startedAt).to.be.above(pauseMs / 2);
+        expect(play.endpoints.map(({ requests }) => requests.length)).to.deep.equal([1, 0]);
+    });
+
     const limits = { maxAttempts: 3, retries: 8 };
     const dead: Answer = (req, res) => {
         res.writeHead(200, { "x-attempt-id": String(req.headers["x-attempt-id"]), "x-response-seal": "s" });
@@ -238,7 +267,7 @@
             const play = await prepare([dead, () => undefined, () => undefined], { ...limits, engine });
             const caller = await play.ingress.connect();
             caller.send(
-                "POST /x HTTP/1.1\r\nHost: desk.example\r\nX-Attempt-Id: a\r\nApi-Key: key-1\r\n"
+                `POST /x HTTP/1.1\r\nHost: desk.example\r\nX-Attempt-Id: ${play.id}\r\nApi-Key: key-1\r\n`
                     + "X-Deadline-Ms: 8000\r\nContent-Length: 1\r\n\r\nx",
             );
             await caller.receive("id: 1\n");
--- a/packages/ingress/tests/raised-timeouts.test.ts
+++ b/packages/ingress/tests/raised-timeouts.test.ts
@@ -8,13 +8,21 @@
 const events = Array.from({ length: 7 }, (...[, i]) => `id: ${i + 1}\ndata: ${i}\n\n`);
 const sleep = (ms: number): Promise<void> => new Promise(resolve => setTimeout(resolve, ms));
 
+/** Waits until the instant `at` has come; a timer of Node.js may fire up to 1 ms early by `Date.now`. */
+async function sleepUntil(at: number): Promise<void> {
+    do {
+        await sleep(at - Date.now());
+    }
+    while (Date.now() < at);
+}
+
 /** Writes an event each 200 ms, from the one after `Last-Event-Id` on, and stops work when the time it was given is up. */
 const stream: Answer = async (req, res) => {
     const stopAt = Date.now() + Number(req.headers["x-deadline-ms"]);
     res.writeHead(200, { "x-attempt-id": String(req.headers["x-attempt-id"]), "x-response-seal": "s" });
     for (const event of events.slice(Number(req.headers["last-event-id"] ?? 0))) {
         res.write(event);
-        await sleep(Math.min(eventGapMs, stopAt - Date.now()));
+        await sleepUntil(Math.min(Date.now() + eventGapMs, stopAt));
         if (Date.now() >= stopAt) {
             res.destroy();
             return;
--- a/packages/ingress/tests/stream-versions.test.ts
+++ b/packages/ingress/tests/stream-versions.test.ts
@@ -1,5 +1,5 @@
+import type { OriginAnswer } from "@lentilramp/exchange";
 import { originKey } from "@lentilramp/fleet";
-import type { OriginAnswer } from "@lentilramp/ingress";
 import { expect } from "chai";
 import { testCatalog, testRoute } from "../../catalog/tests/fixtures.ts";
 import { type Answer, type CallerAnswer, IngressHarness, ScriptedEndpoint } from "./ingress-harness.ts";
--- a/packages/ingress/tests/sync-storm.test.ts
+++ b/packages/ingress/tests/sync-storm.test.ts
@@ -1,5 +1,6 @@
+import type { SyncAnswer, SyncRequest } from "@lentilramp/exchange";
 import { SyncBacklog, syncIntervalMs } from "@lentilramp/fleet";
-import { FleetSync, type SyncAnswer, type SyncRequest } from "@lentilramp/ingress";
+import { FleetSync } from "@lentilramp/ingress";
 import type { PeerAddress, RpcClient } from "@lentilramp/protocol";
 import { ManualClock, MemoryEventLog, SeededRandom } from "@lentilramp/runtime";
 import { expect } from "chai";
--- a/packages/membership/src/membership-node.ts
+++ b/packages/membership/src/membership-node.ts
@@ -7,6 +7,7 @@
 import { type Address, type Candidate, isLive, type Member, type MemberStatus, type Update } from "./member.ts";
 import type { Message } from "./message.ts";
 import { type MembershipOptionsInput, membershipOptionsSchema } from "./options.ts";
+import { OwnState } from "./own-state.ts";
 import { findCorrections, selectUpdates, toUpdate } from "./piggyback.ts";
 import { ProbeOrder } from "./probe-order.ts";
 import { Prober } from "./prober.ts";
@@ -57,9 +58,8 @@
     private readonly probeOrder: ProbeOrder;
     private readonly candidates: CandidateList;
     private effects: MembershipEffect[] = [];
-    private incarnation: number;
+    private readonly own: OwnState;
     private lastSeq = 0;
-    private hasLeft = false;
     private readonly joiner: Joiner;
     private nextCandidateAt: number;
     /** Time at which updates are sent although no probe is due; see `gossip`. */
@@ -72,7 +72,7 @@
         options: MembershipOptionsInput = {},
     ) {
         this.options = membershipOptionsSchema.parse(options);
-        this.incarnation = self.incarnation;
+        this.own = new OwnState(self);
         this.health = new LocalHealth(this.options.maxLocalHealth);
         // A random delay before the first probe spreads the probes of processes that start together.
         this.prober = new Prober(this.options, this.health, now + random.next() * this.options.probeIntervalMs);
@@ -80,7 +80,7 @@
         this.candidates = new CandidateList(self.id, random);
         this.joiner = new Joiner(2 * this.options.probeTimeoutMs, now);
         this.nextCandidateAt = now + random.next() * this.options.candidateIntervalMs;
-        this.updateQueue.add(this.selfUpdate());
+        this.updateQueue.add(this.own.update());
     }
 
     /** Returns the members that are alive or suspect, without the node itself. */
@@ -134,7 +134,8 @@
         for (const { status } of this.table.values()) {
             counts[status] = (counts[status] ?? 0) + 1;
         }
-        const { incarnation, hasLeft, isJoined: joined } = this;
+        const { incarnation, hasLeft } = this.own;
+        const { isJoined: joined } = this;
         const localHealth = this.health.multiplier;
         return {
             id: this.self.id,
@@ -198,7 +199,7 @@
     private startProbe(now: number): void {
         // Later than the next probe at the usual interval, so that gossip is only sent when the interval is longer.
         this.nextGossipAt = now + 1.1 * this.options.probeIntervalMs;
-        if (this.hasLeft) {
+        if (this.own.hasLeft) {
             // A probe from a node that has left would announce it as alive to members without a record of it.
             this.prober.start(undefined, 0, now);
             return;
@@ -242,11 +243,11 @@
     }
 
     private onLeave(): void {
-        if (this.hasLeft) {
+        if (this.own.hasLeft) {
             return;
         }
-        this.hasLeft = true;
-        this.updateQueue.add(this.selfUpdate());
+        this.own.leave();
+        this.updateQueue.add(this.own.update());
         for (const member of this.random.sample(this.liveMembers(), this.options.indirectProbes)) {
             this.send(member, { kind: "ping", seq: ++this.lastSeq }, member);
         }
@@ -342,28 +343,14 @@
         }
     }
 
-    /**
-     * Refutes an update about this node with a higher incarnation, if the update says that the node is not alive or has
-     * a higher incarnation from an earlier run of the process.
-     */
     private refute(update: Update): void {
-        const isOwnState = update.status === "alive" || this.hasLeft;
-        if (update.incarnation < this.incarnation || (isOwnState && update.incarnation === this.incarnation)) {
-            return;
-        }
-        this.incarnation = update.incarnation + 1;
-        if (!isOwnState) {
+        const refuted = this.own.refute(update);
+        if (refuted === "status") {
             this.health.onRefuted();
         }
-        this.updateQueue.add(this.selfUpdate());
-    }
-
-    private selfUpdate(): Update {
-        const { id, host, port } = this.self;
-        const { incarnation } = this;
-        return this.hasLeft
-            ? { id, status: "left", incarnation }
-            : { id, status: "alive", incarnation, address: { host, port } };
+        if (refuted !== undefined) {
+            this.updateQueue.add(this.own.update());
+        }
     }
 
     /** Factor for suspicion durations and retransmissions: the logarithm of the number of members, at least 1. */
@@ -372,7 +359,7 @@
     }
 
     private header(seq: number, updates: Update[]) {
-        return { from: this.self.id, incarnation: this.incarnation, seq, updates };
+        return { from: this.self.id, incarnation: this.own.incarnation, seq, updates };
     }
 
     private sendTo(id: string, content: MessageContent): void {
@@ -394,7 +381,7 @@
     ): void {
         // A receiver whose status is not alive gets an update with that status, so that it can refute the update.
         const receiverUpdates = receiver === undefined || receiver.status === "alive" ? [] : [toUpdate(receiver)];
-        const selfUpdates = this.hasLeft ? [this.selfUpdate()] : [];
+        const selfUpdates = this.own.hasLeft ? [this.own.update()] : [];
         const maxSends = Math.ceil(this.options.retransmitFactor * this.sizeFactor());
         const orderedUpdates = [...receiverUpdates, ...selfUpdates, ...priorityUpdates];
         // Queued updates are not sent to a member that may be dead: they would count as sent without being received.
--- a/packages/protocol/src/byte-accumulator.ts
+++ b/packages/protocol/src/byte-accumulator.ts
@@ -13,6 +13,11 @@
         return this.size;
     }
 
+    /** Bytes of memory that are reserved for what is collected. */
+    get capacity(): number {
+        return this.data.length;
+    }
+
     append(chunk: Buffer): void {
         const needed = this.size + chunk.length;
         if (needed > this.data.length) {
--- a/packages/protocol/src/http-server.ts
+++ b/packages/protocol/src/http-server.ts
@@ -1,7 +1,11 @@
-import { Component, type EventLog } from "@lentilramp/runtime";
+import { type Clock, Component, type EventLog } from "@lentilramp/runtime";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { AddressInfo, Socket } from "node:net";
+import { ClientGuard } from "./client-guard.ts";
+import { ClientRefusedError } from "./client-request.ts";
+import { DueAnswers } from "./due-answers.ts";
 import { BodyTooLargeError, IncompleteBodyError } from "./read-body.ts";
+import { UnreadAnswers } from "./unread-answers.ts";
 
 /** Handles one request; resolves after the response has ended. */
 export type HttpHandler = (req: IncomingMessage, res: ServerResponse, params: RouteParams) => Promise<void>;
@@ -24,6 +28,8 @@
     headersTimeoutMs: number;
     /** Time limit for receiving the whole request, in milliseconds. */
     requestTimeoutMs: number;
+    /** Part of the connections of the process that this server may hold; all of them if left out. */
+    connectionPart?: number;
 }
 
 export const defaultHttpServerOptions = {
@@ -85,33 +91,61 @@
     readonly name = "http-server";
     private readonly routes: Route[] = [];
     private readonly server: Server;
-    private readonly sockets = new Set<Socket>();
+    private readonly sockets = new Map<Socket, DueAnswers>();
     private closedBytesRead = 0;
     private closedBytesWritten = 0;
     private inFlight = 0;
     private onIdle: (() => void) | undefined;
+    private readonly clock: Clock;
 
-    constructor(private readonly options: HttpServerOptions, private readonly log: EventLog) {
+    constructor(
+        private readonly options: HttpServerOptions,
+        private readonly log: EventLog,
+        /** Bounds of the clients of all servers of the process. */
+        guard = new ClientGuard(),
+    ) {
         super();
+        this.clock = guard.clock;
+        const unreadAnswers = new UnreadAnswers(
+            this.clock,
+            socket => this.sockets.get(socket)?.endedAt ?? -Infinity,
+            (...[, untakenBytes]) => log.info("http.answer-unread", { untakenBytes }),
+        );
         this.server = createServer(
             {
                 maxHeaderSize: options.maxHeaderBytes,
                 headersTimeout: options.headersTimeoutMs,
                 requestTimeout: options.requestTimeoutMs,
                 noDelay: true,
+                // The guard answers requests without it, after it has counted them.
+                requireHostHeader: false,
             },
-            (req, res) => void this.handle(req, res),
+            guard.listener((req, res) => void this.handle(req, res)),
         );
+        // Without this, Node.js ends the connection as soon as the client has closed its sending side.
+        Object.assign(this.server, { httpAllowHalfOpen: true });
+        guard.attach(this.server, options.connectionPart ?? 1);
         this.server.on("connection", socket => {
-            this.sockets.add(socket);
+            this.sockets.set(socket, new DueAnswers());
+            unreadAnswers.follow(socket);
+            // Node.js calls it after an answer that announces the close, and would close unread bytes with it.
+            socket.destroySoon = () => guard.closeSoon(socket);
             socket.once("close", () => {
                 this.sockets.delete(socket);
                 this.closedBytesRead += socket.bytesRead;
                 this.closedBytesWritten += socket.bytesWritten;
             });
         });
-        this.server.on("clientError", (err: NodeJS.ErrnoException, socket) => {
-            if (socket.writable) {
+        this.server.on("clientError", (err: NodeJS.ErrnoException, stream) => {
+            const socket = stream as Socket;
+            this.sockets.get(socket)?.endAfterLast(mayRefuse => {
+                if (!socket.writable) {
+                    return;
+                }
+                if (!mayRefuse) {
+                    guard.closeSoon(socket);
+                    return;
+                }
                 const status = err.code === "HPE_HEADER_OVERFLOW"
                     ? "431 Request Header Fields Too Large"
                     : "400 Bad Request";
@@ -119,12 +153,13 @@
                 const body = JSON.stringify({
                     error: { type, message: "the request could not be parsed", run: "not-run" },
                 });
-                socket.end(
+                guard.closeSoon(
+                    socket,
                     `HTTP/1.1 ${status}\r\ncontent-type: application/json\r\ncontent-length: ${
                         Buffer.byteLength(body)
                     }\r\nconnection: close\r\n\r\n${body}`,
                 );
-            }
+            });
         });
     }
 
@@ -142,7 +177,7 @@
     get traffic(): { connections: number; inFlight: number; bytesRead: number; bytesWritten: number; } {
         let bytesRead = this.closedBytesRead;
         let bytesWritten = this.closedBytesWritten;
-        for (const socket of this.sockets) {
+        for (const socket of this.sockets.keys()) {
             bytesRead += socket.bytesRead;
             bytesWritten += socket.bytesWritten;
         }
@@ -178,6 +213,8 @@
     }
 
     private async handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
+        const answers = this.sockets.get(req.socket);
+        answers?.add(res);
         this.inFlight++;
         try {
             await this.dispatch(req, res);
@@ -189,6 +226,14 @@
                 });
                 return;
             }
+            if (err instanceof ClientRefusedError) {
+                const { reason, status, retryAfterMs } = err;
+                sendJson(res, status, { error: { type: "refused", message: reason, run: "not-run" } }, {
+                    connection: "close",
+                    ...retryAfterMs === undefined ? {} : { "retry-after": (retryAfterMs / 1_000).toFixed(3) },
+                });
+                return;
+            }
             if (err instanceof IncompleteBodyError) {
                 res.destroy();
                 return;
@@ -201,6 +246,7 @@
         }
         finally {
             this.inFlight--;
+            answers?.recordEnd(this.clock.now());
             if (this.inFlight === 0) {
                 this.onIdle?.();
             }
--- a/packages/protocol/src/json-client.ts
+++ b/packages/protocol/src/json-client.ts
@@ -2,6 +2,7 @@
 import { Agent, request } from "node:http";
 import type { z } from "zod";
 import { readResponseBody } from "./read-body.ts";
+import { isFinalStatus } from "./response-checks.ts";
 
 const maxResponseBytes = 4 * 1_048_576;
 
@@ -91,9 +92,15 @@
             });
             req.on("error", err => fail(err.message));
             req.on("response", res => {
+                const status = res.statusCode;
+                if (!isFinalStatus(status)) {
+                    // An error while the connection is closed is not a further failure of the call.
+                    res.on("error", () => undefined);
+                    return fail(`unexpected status ${status}`);
+                }
                 readResponseBody(res, maxResponseBytes).then(responseBody => {
                     timer.cancel();
-                    resolve({ status: res.statusCode ?? 0, text: responseBody.toString("utf8") });
+                    resolve({ status, text: responseBody.toString("utf8") });
                 }, (err: unknown) => fail(String(err)));
             });
             req.end(text);
--- a/packages/protocol/src/rpc-client.ts
+++ b/packages/protocol/src/rpc-client.ts
@@ -1,4 +1,4 @@
-import { type Clock, Component } from "@lentilramp/runtime";
+import { type Clock, Component, safeParseLate } from "@lentilramp/runtime";
 import { Agent, type ClientRequest, request } from "node:http";
 import { z } from "zod";
 import type { ProcessKey } from "./process-key.ts";
@@ -47,7 +47,7 @@
         if (response.error !== undefined) {
             throw new RpcError("rejected", response.error.message, response.error.code, response.error.data);
         }
-        const parsed = resultSchema.safeParse(response.result);
+        const parsed = safeParseLate(resultSchema, response.result);
         if (!parsed.success) {
             throw new RpcError("broken", `unexpected result of ${method} from ${peer.host}:${peer.port}`);
         }
@@ -108,9 +108,11 @@
         throw new RpcError("unauthorized", "the peer rejected the process key; both processes need the same key");
     }
     if (status !== 200) {
-        throw new RpcError("broken", `unexpected status ${status}, expected 200`, rpcErrorCodes.unavailable);
+        throw new RpcError("broken", `unexpected status ${status}, expected 200`, rpcErrorCodes.unavailable, {
+            status,
+        });
     }
-    const parsed = responseSchema.safeParse(JSON.parse(text));
+    const parsed = safeParseLate(responseSchema, JSON.parse(text));
     if (!parsed.success) {
         throw new RpcError("broken", "the response is not one of JSON-RPC");
     }
--- a/packages/protocol/src/rpc-server.ts
+++ b/packages/protocol/src/rpc-server.ts
@@ -1,6 +1,7 @@
-import type { EventLog } from "@lentilramp/runtime";
+import { type EventLog, safeParseLate } from "@lentilramp/runtime";
 import { createJSONRPCErrorResponse, JSONRPCErrorCode, JSONRPCServer } from "json-rpc-2.0";
 import type { z } from "zod";
+import { markAsCall } from "./client-guard.ts";
 import { formatIssues } from "./format-issues.ts";
 import { type HttpServer, sendJson } from "./http-server.ts";
 import type { ProcessKey } from "./process-key.ts";
@@ -28,7 +29,7 @@
         handler: (params: z.infer<P>) => Promise<unknown>,
     ): void {
         this.server.addMethod(name, async (params: unknown) => {
-            const parsed = paramsSchema.safeParse(params);
+            const parsed = safeParseLate(paramsSchema, params);
             if (!parsed.success) {
                 throw new RpcError(
                     "rejected",
@@ -59,6 +60,7 @@
                 });
                 return;
             }
+            markAsCall(req);
             const response = await this.server.receiveJSON((await readBody(req, maxRequestBytes)).toString("utf8"));
             if (response) {
                 sendJson(res, 200, response);
--- a/packages/runtime/src/metrics.ts
+++ b/packages/runtime/src/metrics.ts
@@ -1,5 +1,3 @@
-import { StatsD } from "hot-shots";
-
 export type MetricTags = Readonly<Record<string, string>>;
 
 /** Records counters, gauges and timings. */
@@ -11,45 +9,6 @@
     abstract close(): Promise<void>;
 }
 
-export interface StatsdAddress {
-    host: string;
-    port: number;
-}
-
-/** Sends metrics to a StatsD server over UDP. Send errors are ignored, since metrics must not stop the service. */
-export class StatsdMetrics extends Metrics {
-    private readonly client: StatsD;
-
-    constructor(address: StatsdAddress, globalTags: MetricTags) {
-        super();
-        this.client = new StatsD({
-            host: address.host,
-            port: address.port,
-            prefix: "lentilramp.",
-            globalTags: { ...globalTags },
-            errorHandler: () => undefined,
-            maxBufferSize: 1_400,
-            bufferFlushInterval: 1_000,
-        });
-    }
-
-    override count(name: string, value = 1, tags: MetricTags = {}): void {
-        this.client.increment(name, value, { ...tags });
-    }
-
-    override gauge(name: string, value: number, tags: MetricTags = {}): void {
-        this.client.gauge(name, value, { ...tags });
-    }
-
-    override timing(name: string, milliseconds: number, tags: MetricTags = {}): void {
-        this.client.timing(name, milliseconds, { ...tags });
-    }
-
-    override async close(): Promise<void> {
-        await new Promise<void>(resolve => this.client.close(() => resolve()));
-    }
-}
-
 /** Keeps counter totals and the last gauge values in memory; used in tests and without a StatsD address. */
 export class MemoryMetrics extends Metrics {
     readonly values = new Map<string, number>();
--- a/packages/settings/src/json-document.ts
+++ b/packages/settings/src/json-document.ts
@@ -1,3 +1,4 @@
+import { safeParseLate } from "@lentilramp/runtime";
 import { parse, type ParseError, printParseErrorCode } from "jsonc-parser";
 import { readFileSync } from "node:fs";
 import { Err, Ok, type Result } from "ts-results-es";
@@ -28,7 +29,7 @@
     value: unknown,
     schema: T,
 ): Result<z.infer<T>, SettingsError> {
-    const parsed = schema.safeParse(value);
+    const parsed = safeParseLate(schema, value);
     if (!parsed.success) {
         return Err(new SettingsError(file, describeIssues(schema, value, parsed.error.issues)));
     }
--- a/packages/settings/src/process-settings.ts
+++ b/packages/settings/src/process-settings.ts
@@ -8,6 +8,26 @@
     port: port.describe("port; 0 lets the system choose one"),
 });
 
+const share = z.number().gt(0).max(1);
+
+/** Bounds on what the clients of a process hold; docs/operations/untrusted-clients.md explains them. */
+export const clientSettingsSchema = z.strictObject({
+    memoryMb: z.number().positive().optional().describe("memory of the machine, in MB; no common bound when left out"),
+    memoryShare: share.default(0.25).describe("share of the memory for what clients send and do not read"),
+    descriptors: z.int().positive().optional().describe(
+        "file descriptors of the process; no common bound of connections when left out",
+    ),
+    connectionShare: share.default(0.6).describe("share of the descriptors for connections of clients"),
+    pipelinedRequests: z.int().min(9).default(32).describe("requests of one connection in hand at once"),
+    unreadAnswerBytes: z.int().min(1_024).default(16_384).describe(
+        "unread bytes of answers of one connection from which no further request of it is read",
+    ),
+    bodyBytesPerSecond: z.number().min(0).default(1_024).describe(
+        "lowest rate of a body after the grace period, in bytes a second",
+    ),
+    bodyGraceMs: z.int().min(1_000).default(10_000).describe("grace period of a slow body, in milliseconds"),
+});
+
 const common = {
     name: z.string().min(1).describe("name of the process, unique in the deployment"),
     region: z.string().min(1).describe("region of the instance"),
@@ -16,6 +36,7 @@
     keyFile: z.string().min(1).describe("file that holds the key for calls by operators and processes"),
     statsd: addressSchema.optional().describe("StatsD server for metrics; none when left out"),
     logLevel: z.enum(["debug", "info", "warn", "error"]).default("info").describe("least level of events written"),
+    clients: clientSettingsSchema.prefault({}).describe("bounds on what clients hold"),
     drainMs: z.int().min(0).default(600_000).describe("longest time of a graceful shutdown, in milliseconds"),
 };
 
--- a/packages/steward/src/fleet-coordinator.ts
+++ b/packages/steward/src/fleet-coordinator.ts
@@ -1,9 +1,11 @@
 import type { EndpointLoad } from "@lentilramp/dispatch";
+import type { SyncAnswer, SyncRequest } from "@lentilramp/exchange";
 import {
     capReleaseDelayMs,
     CrashJudge,
     type Endpoint,
     EndpointDirectory,
+    type EndpointLifetime,
     type EndpointList,
     type IngressDescription,
     LimitAllocator,
@@ -14,15 +16,19 @@
     singleVersions,
     StreamOrigins,
     suspectedSyncTimeoutMs,
+    syncIntervalMs,
     syncTimeoutMs,
     type UsageCounts,
     UsageWindows,
     type VersionHistory,
 } from "@lentilramp/fleet";
-import type { SyncAnswer, SyncRequest } from "@lentilramp/ingress";
-import type { Clock } from "@lentilramp/runtime";
+import { FleetRolloutReports } from "@lentilramp/rollouts";
+import type { ServiceCapacity } from "@lentilramp/room";
+import type { Clock, EventLog } from "@lentilramp/runtime";
 import murmurhash from "murmurhash";
 import { randomUUID } from "node:crypto";
+import { FleetFactors } from "./fleet-factors.ts";
+import { FleetRoom } from "./fleet-room.ts";
 
 /** Time for which the overview of all ingresses is reused, in milliseconds. */
 const overviewLifetimeMs = 100;
@@ -43,8 +49,13 @@
     rosterTag: number;
     members: number;
     silent: number;
-    /** Load by endpoint, summed over all ingresses in contact. */
-    load: ReadonlyMap<string, EndpointLoad>;
+    /**
+     * Returns the load by endpoint, summed over all ingresses in contact when it is first asked for: while the ingresses
+     * hear of it from each other, hardly anything asks.
+     */
+    load: () => ReadonlyMap<string, EndpointLoad>;
+    /** Factors of the endpoints whose pace differs from the usual. */
+    paces: Record<string, number> | undefined;
 }
 
 interface IngressState {
@@ -65,23 +76,41 @@
     readonly refusedPartAt = new Map<string, number>();
     /** Origins of the streams that ingresses have reported, or that were copied from the leader. */
     readonly origins = new StreamOrigins();
+    /** What ingresses report of running roll-outs. */
+    readonly rolloutReports = new FleetRolloutReports();
     /** Versions of the services, as this steward last read the list; undefined before it has led. */
     versions: VersionHistory | undefined;
+    /** Called after each read of the list of endpoints. */
+    onListRead: () => void = () => undefined;
     private readonly ingresses = new Map<string, IngressState>();
     private readonly limits = new LimitAllocator();
+    private readonly paces = new FleetFactors();
     private readonly directory = new EndpointDirectory();
+    private readonly room: FleetRoom;
     private list: EndpointList | undefined;
     private serializedEndpoints = "";
     private cachedOverview: Overview | undefined;
+    /** Endpoints that the list shows as ready although they leave; undefined once that may have changed. */
+    private leavingBeforeList: EndpointDirectory["leavingBeforeList"] | undefined;
+    /** Keys of the lifetimes that were merged as leaving since the last list; merging one of them again changes nothing. */
+    private readonly mergedLeaving = new Set<string>();
+    /** Starts of the lifetimes in the list by endpoint; undefined until they are needed. */
+    private startTimes: ReadonlyMap<string, number | undefined> | undefined;
 
-    constructor(private readonly clock: Clock, usageWindowMs: number) {
+    constructor(private readonly clock: Clock, usageWindowMs: number, log?: EventLog) {
         this.usageWindows = new UsageWindows(usageWindowMs);
+        this.room = new FleetRoom(log);
     }
 
     get endpoints(): readonly Endpoint[] {
         return this.directory.all;
     }
 
+    /** Returns the endpoints of a service that are ready and have not announced that they leave. */
+    readyEndpoints(service: string): readonly Endpoint[] {
+        return this.directory.readyEndpoints(service);
+    }
+
     /** Age of the list of endpoints in milliseconds; Infinity before the first read. */
     get listAgeMs(): number {
         return this.directory.ageMs(this.clock.now());
@@ -95,11 +124,16 @@
         const text = JSON.stringify(endpoints);
         const changed = text !== this.serializedEndpoints;
         this.directory.update(endpoints, readAt);
+        this.leavingBeforeList = undefined;
+        this.mergedLeaving.clear();
+        this.startTimes = undefined;
         this.limits.retain(endpoints);
+        this.paces.retain(endpoints);
         if (changed || this.list === undefined) {
             this.serializedEndpoints = text;
             this.list = { readNumber, endpoints: [...endpoints] };
         }
+        this.onListRead();
         return changed;
     }
 
@@ -124,12 +158,15 @@
             this.medianClock.timeOfDayMs(now),
         );
         this.ingresses.set(name, { load: req.load, demand: req.demand, elapsedMs: req.elapsedMs });
+        this.paces.record(req.paces, now);
+        this.room.record(req);
         req.crashes.forEach(report => this.crashJudge.recordReport(report, now));
         Object.entries(req.begunParts).forEach(([part, ageMs]) => this.crashJudge.recordBegun(part, now - ageMs));
         req.refusedParts.forEach(part => this.refusedPartAt.set(part, now));
         const overview = this.currentOverview(now);
-        this.directory.mergeLeaving(req.leaving);
+        this.mergeLeaving(req.leaving);
         this.origins.merge(req.origins, now);
+        this.rolloutReports.record(name, req.lifetime, req.rolloutResults ?? {}, req.load, now);
         this.limits.statements.mergeReports(this.currentLifetimes(req.limits), now);
         const sendList = this.list !== undefined && req.listNumber !== this.list.readNumber;
         return {
@@ -137,14 +174,20 @@
             list: sendList ? this.list : undefined,
             listNumber: this.list?.readNumber,
             listAgeMs: this.list === undefined ? undefined : this.listAgeMs,
-            others: req.followsOthers ? undefined : subtractLoad(overview.load, req.load),
+            others: req.followsOthers ? undefined : subtractLoad(overview.load(), req.load),
             roster: overview.rosterTag === req.rosterTag
                 ? undefined
                 : { tag: overview.rosterTag, ingresses: [...overview.live] },
+            room: this.room.levels(now, () => ({
+                live: () => new Set(overview.live.map(description => description.name)),
+                intervalMs: syncIntervalMs(overview.members),
+                capacityOf: service => this.capacityOf(service),
+            })),
             members: overview.members,
             silent: overview.silent,
             trueMs: this.medianClock.timeOfDayMs(now),
-            leaving: this.directory.leavingBeforeList,
+            leaving: [...this.leavingBeforeList ??= this.directory.leavingBeforeList],
+            paces: overview.paces,
             evidence: this.evidence,
             suspectedParts: this.crashJudge.suspects(now, blocked),
             limits: this.limits.statements.reports(now),
@@ -154,9 +197,25 @@
         };
     }
 
+    private mergeLeaving(lifetimes: SyncRequest["leaving"]): void {
+        // While an endpoint leaves, all ingresses repeat that. A look at all endpoints for each of their syncs would cost a
+        // large fleet's leader more than the rest of it.
+        const unmerged = lifetimes.filter(lifetime => !this.mergedLeaving.has(lifetimeKey(lifetime)));
+        if (unmerged.length === 0) {
+            return;
+        }
+        unmerged.forEach(lifetime => this.mergedLeaving.add(lifetimeKey(lifetime)));
+        if (this.directory.mergeLeaving(unmerged).length > 0) {
+            this.leavingBeforeList = undefined;
+        }
+    }
+
     /** Leaves out statements that the list shows to be of an earlier or a later lifetime of their endpoint. */
     private currentLifetimes(reports: SyncRequest["limits"]): SyncRequest["limits"] {
-        const startTimes = new Map(this.directory.all.map(({ id, startedAt }) => [id, startedAt]));
+        if (Object.keys(reports).length === 0) {
+            return {};
+        }
+        const startTimes = this.startTimes ??= new Map(this.directory.all.map(({ id, startedAt }) => [id, startedAt]));
         return Object.fromEntries(
             Object.entries(reports).filter(([id, { startedAt }]) =>
                 !startTimes.has(id) || startTimes.get(id) === startedAt
@@ -189,6 +248,11 @@
         return rosterTag === tag ? undefined : { tag: rosterTag, ingresses: [...live] };
     }
 
+    /** Returns the requests in flight at an endpoint, summed over all ingresses in contact. */
+    runningAt(endpoint: string): number {
+        return this.currentOverview(this.clock.now()).load().get(endpoint)?.running ?? 0;
+    }
+
     /** Returns the demand on each engine service, summed over all ingresses in contact. */
     totalDemand(): Map<string, ServiceDemand> {
         const total = new Map<string, ServiceDemand>();
@@ -217,6 +281,28 @@
         return rates[Math.floor(rates.length / 2)];
     }
 
+    /** Returns the factor by which work takes longer at an endpoint than predicted, as the whole fleet sees it. */
+    private endpointFactor(id: string): number {
+        const factors = this.cachedOverview?.paces ?? {};
+        return Object.hasOwn(factors, id) ? factors[id] ?? 1 : 1;
+    }
+
+    private capacityOf(service: string): ServiceCapacity {
+        const ready = this.directory.readyEndpoints(service);
+        const rate = this.medianPrefillTokensPerMs(service);
+        const nominalSlots = ready.reduce((sum, endpoint) => sum + endpoint.slots, 0);
+        // The factor of an engine is that of its first bytes, which says how fast it reads prompts.
+        const slots = rate !== undefined
+            ? nominalSlots
+            : ready.reduce((sum, { id, slots }) => sum + slots / Math.max(1, this.endpointFactor(id)), 0);
+        const engines = ready.reduce((sum, { id }) => sum + 1 / this.endpointFactor(id), 0);
+        return {
+            slots,
+            slowdown: slots === 0 ? 1 : nominalSlots / slots,
+            tokensPerMs: rate === undefined ? undefined : rate * engines,
+        };
+    }
+
     /** Merges the roster of the leader, so that this steward can answer lookups and lead later. */
     mergeLeaderRoster(descriptions: readonly IngressDescription[]): void {
         const now = this.clock.now();
@@ -226,13 +312,7 @@
         this.roster.suspectAllExcept(new Set(descriptions.map(({ name }) => name)), now);
     }
 
-    private currentOverview(now: number): Overview {
-        if (this.cachedOverview !== undefined && now - this.cachedOverview.computedAt < overviewLifetimeMs) {
-            return this.cachedOverview;
-        }
-        const live = this.roster.live(now);
-        const isUnchanged = this.cachedOverview?.live.length === live.length
-            && live.every((description, i) => description === this.cachedOverview?.live[i]);
+    private sumLoads(live: readonly IngressDescription[]): Map<string, EndpointLoad> {
         const load = new Map<string, EndpointLoad>();
         for (const { name } of live) {
             for (const [endpoint, { running, unreadTokens }] of Object.entries(this.ingresses.get(name)?.load ?? {})) {
@@ -243,6 +323,17 @@
                 });
             }
         }
+        return load;
+    }
+
+    private currentOverview(now: number): Overview {
+        if (this.cachedOverview !== undefined && now - this.cachedOverview.computedAt < overviewLifetimeMs) {
+            return this.cachedOverview;
+        }
+        const live = this.roster.live(now);
+        const isUnchanged = this.cachedOverview?.live.length === live.length
+            && live.every((description, i) => description === this.cachedOverview?.live[i]);
+        let load: ReadonlyMap<string, EndpointLoad> | undefined;
         const members = this.roster.countMembers(now);
         this.cachedOverview = {
             computedAt: now,
@@ -252,12 +343,17 @@
                 : murmurhash.v3(JSON.stringify(live)),
             members,
             silent: this.roster.countSilent(now, capReleaseDelayMs(members)),
-            load,
+            load: () => load ??= this.sumLoads(live),
+            paces: this.paces.current(now),
         };
         return this.cachedOverview;
     }
 }
 
+function lifetimeKey({ id, startedAt }: EndpointLifetime): string {
+    return `${startedAt} ${id}`;
+}
+
 /** Returns the load without the part of one ingress. */
 function subtractLoad(
     load: ReadonlyMap<string, EndpointLoad>,
--- a/packages/steward/src/founding.ts
+++ b/packages/steward/src/founding.ts
@@ -43,7 +43,7 @@
     const { selfAddress, seedHosts, firstStart, folderIdentity } = input;
     let decision: FoundingDecision;
     if (file.value !== undefined) {
-        decision = decisionSchema.parse(JSON.parse(Buffer.from(file.value).toString("utf8")));
+        decision = decisionSchema.parse(JSON.parse(Buffer.from(file.value).toString("utf8")), { jitless: true });
     }
     else {
         const isFounder = firstStart && seedHosts.includes(selfAddress.host);
--- a/packages/steward/src/operator-interface.ts
+++ b/packages/steward/src/operator-interface.ts
@@ -1,7 +1,9 @@
-import { type IngressDescription, selectLookupIngresses } from "@lentilramp/fleet";
+import { type IngressDescription, isWeighted, selectLookupIngresses } from "@lentilramp/fleet";
 import type { RpcClient } from "@lentilramp/protocol";
+import { type OrderOutcome, orderOutcomeSchema, type RolloutOrder, type RolloutStatus } from "@lentilramp/rollouts";
 import type { FleetCoordinator } from "./fleet-coordinator.ts";
 import { leaderAddress } from "./leader-address.ts";
+import { type RolloutOrders, rolloutReadAnswerSchema } from "./rollout-orders.ts";
 import { errorMessage, type StewardCore, type SubmitOutcome } from "./steward-core.ts";
 import { readAnswerSchema, submitAnswerSchema } from "./steward-methods.ts";
 
@@ -14,10 +16,14 @@
 
 /** Operations for operators and callers; any steward can answer them. */
 export class OperatorInterface {
+    private weightedLookups = false;
+
     constructor(
         private readonly core: StewardCore,
         private readonly coordinator: FleetCoordinator,
         private readonly client: RpcClient,
+        /** Undefined if the deployment does not roll versions out. */
+        private readonly rollouts?: RolloutOrders,
     ) {}
 
     /** Stores a catalog; forwards it if another steward leads. */
@@ -50,14 +56,65 @@
         );
     }
 
+    /** Stores an order for a roll-out; forwards it if another steward leads. */
+    async orderRollout(order: RolloutOrder): Promise<OrderOutcome> {
+        const outcome = await this.callLeader<OrderOutcome>(
+            async () => {
+                const result = await this.rollouts?.submit(order);
+                return result?.kind === "unavailable" ? undefined : result;
+            },
+            async (leader, deadline) => {
+                const result = await this.client.call(leader, "rollouts.order", order, orderOutcomeSchema, deadline);
+                return result.kind === "unavailable" ? undefined : result;
+            },
+        );
+        return outcome ?? { kind: "unavailable", reason: "no member leads that takes orders" };
+    }
+
+    /** Returns the state of the last roll-out of a service; undefined if no leader can confirm it now. */
+    async readRollout(service: string): Promise<{ status: RolloutStatus | undefined; } | undefined> {
+        return await this.callLeader<{ status: RolloutStatus | undefined; }>(
+            async () => this.rollouts && { status: await this.rollouts.read(service) },
+            async (leader, deadline) => {
+                const params = { service };
+                const answer = await this.client.call(
+                    leader,
+                    "rollouts.read",
+                    params,
+                    rolloutReadAnswerSchema,
+                    deadline,
+                );
+                return answer.confirmed ? { status: answer.status } : undefined;
+            },
+        );
+    }
+
     /**
      * Returns at most `maxCount` ingresses to which callers may connect; one that reaches no endpoint is named only if no
-     * other one does.
+     * other one does. `caller` is the address that the lookup came from.
      */
-    lookUpIngresses(maxCount: number): readonly IngressDescription[] {
+    lookUpIngresses(maxCount: number, caller?: string): readonly IngressDescription[] {
         const accepting = this.coordinator.roster.accepting();
         const reaching = accepting.filter(({ reachesEndpoints }) => reachesEndpoints !== false);
-        return selectLookupIngresses(reaching.length > 0 ? reaching : accepting, maxCount);
+        const usable = reaching.length > 0 ? reaching : accepting;
+        this.logSelection(usable);
+        return selectLookupIngresses(usable, maxCount, caller);
+    }
+
+    /** Logs that lookups are answered by capacity from now on, or no longer. */
+    private logSelection(usable: readonly IngressDescription[]): void {
+        const weighted = isWeighted(usable);
+        if (weighted !== this.weightedLookups) {
+            this.weightedLookups = weighted;
+            const capacities = usable.flatMap(({ capacity }) => capacity ?? []);
+            const hasAny = capacities.length > 0;
+            this.core.log.info(weighted ? "lookups.weighted" : "lookups.even", {
+                ingresses: usable.length,
+                unknown: usable.length - capacities.length,
+                smallest: hasAny ? Math.min(...capacities) : undefined,
+                largest: hasAny ? Math.max(...capacities) : undefined,
+            });
+        }
     }
 
     /** Runs an operation at the leader, here or by a remote call, and retries until the timeout of the call. */
--- a/packages/steward/src/platform-duties.ts
+++ b/packages/steward/src/platform-duties.ts
@@ -1,11 +1,12 @@
 import type { Catalog } from "@lentilramp/catalog";
 import { engineSpeedDefaults } from "@lentilramp/dispatch";
+import type { EndpointSource } from "@lentilramp/exchange";
 import { type Endpoint, noDemand, ReplicaPlanner, updateVersionHistory, type VersionHistory } from "@lentilramp/fleet";
-import type { EndpointSource } from "@lentilramp/ingress";
 import { type Clock, type EventLog, PeriodicComponent } from "@lentilramp/runtime";
 import type { DutyCalls, DutyHolder } from "./duty-calls.ts";
 import { DutyLease } from "./duty-lease.ts";
 import type { FleetCoordinator } from "./fleet-coordinator.ts";
+import { lowersRollout } from "./rollout-replicas.ts";
 import { errorMessage, type StewardCore } from "./steward-core.ts";
 import type { StewardOptions } from "./steward-options.ts";
 import type { UsageReport } from "./steward-state.ts";
@@ -46,6 +47,8 @@
     private versionsTerm: number | undefined;
     private recordedVersions: VersionHistory | undefined;
     private lastPlanAt = -Infinity;
+    /** Services of which the last plan kept replicas until their replacements are ready. */
+    private readonly holdingServices = new Set<string>();
     private readonly runningDuties = new Set<string>();
 
     constructor(
@@ -136,6 +139,7 @@
                 this.options.name,
             );
             this.assignment = { term, fence, assumedAt, earliestActionAt };
+            this.planners.forEach(planner => planner.takeOver());
             // Otherwise the first roster would omit all ingresses that could not sync while there was no leader.
             this.coordinator.roster.renewAll(assumedAt);
             this.log.info("duty.taken", {
@@ -295,8 +299,13 @@
                     * (this.core.state.engineRates[service.name] ?? engineSpeedDefaults.prefillTokensPerMs),
             };
             const orders = planner.plan(endpoints, scaling, this.options.failureDomains, capacity, now);
+            this.logHeldReplicas(planner, service.name);
             let proofStartedAt = -Infinity;
             for (const order of orders) {
+                if (lowersRollout(order, endpoints, this.core.state.rollouts)) {
+                    planner.forgetOrder(order);
+                    continue;
+                }
                 try {
                     if (!this.lease.isProofFresh(proofStartedAt, this.clock.now())) {
                         proofStartedAt = this.clock.now();
@@ -323,4 +332,22 @@
             }
         }
     }
+    /** Logs that a plan began or ceased to keep replicas until their replacements are ready. */
+    private logHeldReplicas(planner: ReplicaPlanner, service: string): void {
+        const held = planner.heldReplicas;
+        if (held.length > 0 !== this.holdingServices.has(service)) {
+            this.log.info(held.length > 0 ? "replicas.held" : "replicas.held-no-more", {
+                service,
+                kept: held.reduce((sum, { kept }) => sum + kept, 0),
+                planned: held.reduce((sum, { planned }) => sum + planned, 0),
+                failureDomains: held.map(({ failureDomain }) => failureDomain).join(",") || undefined,
+            });
+        }
+        if (held.length > 0) {
+            this.holdingServices.add(service);
+        }
+        else {
+            this.holdingServices.delete(service);
+        }
+    }
 }
--- a/packages/steward/src/steward-methods.ts
+++ b/packages/steward/src/steward-methods.ts
@@ -5,7 +5,6 @@
     type RpcTransport,
 } from "@lentilramp/control";
 import { decodeMemberAddress } from "@lentilramp/control";
-import { blockedPartSchema, originReportsSchema, ownRecord } from "@lentilramp/fleet";
 import {
     type OriginAnswer,
     originRequestSchema,
@@ -13,12 +12,14 @@
     type SyncAnswer,
     type SyncRequest,
     syncRequestSchema,
-} from "@lentilramp/ingress";
+} from "@lentilramp/exchange";
+import { blockedPartSchema, originReportsSchema, ownRecord } from "@lentilramp/fleet";
 import type { RpcServer } from "@lentilramp/protocol";
 import { z } from "zod";
 import type { FleetCoordinator } from "./fleet-coordinator.ts";
 import { leaderAddress } from "./leader-address.ts";
 import type { MemberRetirement } from "./member-retirement.ts";
+import type { RolloutDirector } from "./rollout-director.ts";
 import type { StewardCore } from "./steward-core.ts";
 import { errorMessage } from "./steward-core.ts";
 import type { StewardState } from "./steward-state.ts";
@@ -66,12 +67,14 @@
     retirement: MemberRetirement;
     transport: RpcTransport;
     verdicts: SuspectVerdicts;
+    /** Undefined if the deployment does not roll versions out. */
+    rollouts?: RolloutDirector;
     /** Whether this steward has assumed the duties in the current term. */
     holdsDuties: () => boolean;
 }
 
 /** Answers the sync of an ingress. */
-function answerSync(req: SyncRequest, { core, state, coordinator, holdsDuties }: StewardParts): SyncAnswer {
+function answerSync(req: SyncRequest, { core, state, coordinator, rollouts, holdsDuties }: StewardParts): SyncAnswer {
     const { membership } = core.driver.status;
     // A copy that may be outdated is not handed out: an ingress that starts would put withdrawn keys in force again.
     const newestCatalog = state.isCurrent ? state.catalog : undefined;
@@ -90,6 +93,7 @@
             ? state.blockedParts.map(({ part }) => ({ part, endpoints: [] }))
             : undefined,
         blockedTag: state.isCurrent ? state.blocked.tag : undefined,
+        rollouts: rollouts?.notices(req.rolloutRevision),
     };
     if (!holdsDuties()) {
         return {
--- a/packages/steward/src/steward-options.ts
+++ b/packages/steward/src/steward-options.ts
@@ -1,4 +1,5 @@
 import type { CapTolerance, PlannerPolicy } from "@lentilramp/fleet";
+import type { RolloutOptions } from "@lentilramp/rollouts";
 
 /** Settings of a steward, independent of the platform. Durations are in milliseconds. */
 export interface StewardOptions {
@@ -26,4 +27,6 @@
     ordersReplicas: boolean;
     /** Mechanisms of the replica planner; all are enabled by default. */
     plannerPolicy?: PlannerPolicy;
+    /** Bounds of roll-outs; undefined if the deployment does not roll versions out. */
+    rollouts?: RolloutOptions;
 }
--- a/packages/steward/src/steward-state.ts
+++ b/packages/steward/src/steward-state.ts
@@ -7,6 +7,17 @@
     type VersionHistory,
     versionHistorySchema,
 } from "@lentilramp/fleet";
+import {
+    applyOrder,
+    applyProgress,
+    emptyRolloutBook,
+    orderCommandSchema,
+    type OrderOutcome,
+    progressCommandSchema,
+    type RolloutBook,
+    rolloutBookSchema,
+} from "@lentilramp/rollouts";
+import { safeParseLate } from "@lentilramp/runtime";
 import murmurhash from "murmurhash";
 import { z } from "zod";
 
@@ -36,6 +47,10 @@
     z.object({ type: z.literal("unblock-part"), part: z.string() }),
     /** Software versions that the endpoints of each service have had lately. */
     z.object({ type: z.literal("versions"), history: versionHistorySchema }),
+    /** An order to roll a software version out; the first one that is committed holds. */
+    orderCommandSchema,
+    /** A step of a roll-out, or its end. */
+    progressCommandSchema,
     /** No change; committing it proves that the holder still leads. */
     z.object({ type: z.literal("barrier") }),
 ]);
@@ -53,12 +68,14 @@
     versions: versionHistorySchema.optional(),
     /** All members that have held the duties; absent in states of versions that did not record them. */
     holders: z.array(z.string()).optional(),
+    /** Absent before the first order, and in states of versions without roll-outs. */
+    rollouts: rolloutBookSchema.optional(),
 });
 
 /** Returns the command of a text, or undefined if this version cannot read it. */
 export function parseCommand(text: string): StewardCommand | undefined {
     try {
-        return commandSchema.safeParse(JSON.parse(text)).data;
+        return safeParseLate(commandSchema, JSON.parse(text)).data;
     }
     catch {
         return undefined;
@@ -76,6 +93,8 @@
     heldBefore?: boolean;
     /** The final report of the window, for a command `usage`. */
     report?: UsageReport;
+    /** What became of the order, for a command `rollout-order`. */
+    order?: OrderOutcome;
 }
 
 /** The replicated state machine of the stewards: catalog, duty holder, usage reports and fleet figures. */
@@ -129,6 +148,11 @@
         return this.state.versions;
     }
 
+    /** Roll-outs of software versions. */
+    get rollouts(): RolloutBook {
+        return this.state.rollouts ?? emptyRolloutBook;
+    }
+
     /** Prompt parts and requests that are refused, in the order of the verdicts. */
     get blockedParts(): readonly BlockedPart[] {
         return this.state.blockedParts;
@@ -168,6 +192,7 @@
     apply(text: string, index: number): CommandOutcome {
         const previousHolder = this.state.office?.holder;
         let heldBefore: boolean | undefined;
+        let order: OrderOutcome | undefined;
         const command = parseCommand(text);
         if (command === undefined) {
             // An exception would recur at every start, since the log is replayed.
@@ -209,6 +234,12 @@
             case "versions":
                 this.state.versions = command.history;
                 break;
+            case "rollout-order":
+                ({ book: this.state.rollouts, outcome: order } = applyOrder(this.rollouts, command));
+                break;
+            case "rollout-progress":
+                this.state.rollouts = applyProgress(this.rollouts, command);
+                break;
             case "barrier":
             case undefined:
                 break;
@@ -218,6 +249,7 @@
             fence: this.state.office?.fence ?? 0,
             previousHolder,
             heldBefore,
+            order,
             report: command?.type === "usage" ? this.report(command.report.window) : undefined,
         };
     }
--- a/packages/steward/src/sync-server.ts
+++ b/packages/steward/src/sync-server.ts
@@ -1,5 +1,5 @@
+import type { SyncAnswer, SyncRequest } from "@lentilramp/exchange";
 import { SyncBacklog } from "@lentilramp/fleet";
-import type { SyncAnswer, SyncRequest } from "@lentilramp/ingress";
 import { RpcError, rpcErrorCodes } from "@lentilramp/protocol";
 import type { Clock } from "@lentilramp/runtime";
 
--- a/packages/steward/tests/fleet-coordinator.test.ts
+++ b/packages/steward/tests/fleet-coordinator.test.ts
@@ -1,4 +1,5 @@
-import type { SyncRequest } from "@lentilramp/ingress";
+import type { SyncRequest } from "@lentilramp/exchange";
+import type { WorkRow } from "@lentilramp/room";
 import { ManualClock } from "@lentilramp/runtime";
 import { FleetCoordinator } from "@lentilramp/steward";
 import { expect } from "chai";
@@ -55,6 +56,18 @@
         return { clock, coordinator };
     }
 
+    // Guards against a slow endpoint that each ingress has to find by late answers of its own.
+    it("tells every ingress how slow an endpoint is for the others, until it is no longer listed", () => {
+        const { clock, coordinator } = start();
+        expect(coordinator.sync(syncRequest("a")).paces).to.equal(undefined);
+        ["a", "b", "c"].forEach(name => coordinator.sync(syncRequest(name, { paces: { e: [3, 6] } })));
+        clock.advanceTo(10_150);
+        expect(coordinator.sync(syncRequest("d")).paces?.e).to.be.within(2, 3);
+        coordinator.updateEndpointList([{ ...endpoint, id: "f" }], 10_150, 2);
+        clock.advanceTo(10_300);
+        expect(coordinator.sync(syncRequest("d")).paces).to.equal(undefined);
+    });
+
     // Guards against a limit that only the ingress knows that got the answer.
     it("tells every ingress the limits that others heard, and grants permits within them", () => {
         const { clock, coordinator } = start();
@@ -81,6 +94,16 @@
         expect(coordinator.sync(syncRequest("b")).leaving).to.deep.equal([]);
     });
 
+    // Guards against a repeated report that is ignored although a newer list has made it apply.
+    it("takes a report of a lifetime that leaves again when the list shows that lifetime", () => {
+        const { coordinator } = start();
+        const leaving = [{ id: "e", startedAt: 6 }];
+        expect(coordinator.sync(syncRequest("a", { leaving })).leaving).to.deep.equal([]);
+        coordinator.updateEndpointList([{ ...endpoint, startedAt: 6 }], 11_000, 2);
+        expect(coordinator.sync(syncRequest("a", { leaving })).leaving).to.deep.equal(leaving);
+        expect(coordinator.readyEndpoints(endpoint.service)).to.deep.equal([]);
+    });
+
     // Guards against syncs that grow with every endpoint that leaves, although the list tells the same.
     it("stops to tell that an endpoint leaves once the list shows it", () => {
         const { coordinator } = start();
@@ -143,4 +166,42 @@
         clock.advanceTo(clock.now() + 2_001);
         expect(coordinator.singleVersions()).to.deep.equal({});
     });
+
+    // Guards against levels that rest on endpoints that are not ready, and against syncs that decide each time.
+    it("sums the work of the ingresses, and tells the level when it exceeds the slots of the ready endpoints", () => {
+        const { clock, coordinator } = start();
+        coordinator.updateEndpointList(
+            [endpoint, { ...endpoint, id: "gone", ready: false }, { ...endpoint, id: "other", service: "b" }],
+            10_001,
+            2,
+        );
+        const report = (rank: number, slots: number) => ({
+            room: { overMs: 250, services: { app: [[rank, "w", slots * 250, 0, 0, 0] as WorkRow] } },
+        });
+        const levels: unknown[] = [];
+        for (let now = 10_250; now <= 11_250; now += 250) {
+            clock.advanceTo(now);
+            levels.push(coordinator.sync(syncRequest("a", report(0, 2))).room);
+            levels.push(coordinator.sync(syncRequest("b", report(1, 4))).room);
+        }
+        expect(levels[0]).to.deep.equal({});
+        // Four slots: two for rank 0, and half of what rank 1 asks for.
+        expect(levels.at(-1)).to.deep.equal({ app: { ranks: [[1, 0.5]], workspaces: [], clearMs: 500 } });
+        // An ingress that is no longer in contact does not count.
+        for (let now = 11_500; now <= 14_000; now += 250) {
+            clock.advanceTo(now);
+            levels.push(coordinator.sync(syncRequest("a", report(0, 2))).room);
+        }
+        expect(levels.at(-1)).to.deep.equal({});
+    });
+
+    // Guards against a fleet of the earlier software version that gets levels it has no use for.
+    it("decides on no level for services of which no ingress reports work by rank", () => {
+        const { clock, coordinator } = start();
+        const demand = { app: { unreadTokens: 0, promptTokens: 0, placeMs: 1e6 } };
+        for (let now = 10_250; now <= 12_000; now += 250) {
+            clock.advanceTo(now);
+            expect(coordinator.sync(syncRequest("a", { demand, elapsedMs: 250 })).room).to.deep.equal({});
+        }
+    });
 });
--- a/packages/steward/tests/outdated-steward.test.ts
+++ b/packages/steward/tests/outdated-steward.test.ts
@@ -1,4 +1,4 @@
-import { type SyncAnswer, syncRequestSchema } from "@lentilramp/ingress";
+import { type SyncAnswer, syncRequestSchema } from "@lentilramp/exchange";
 import type { RpcServer } from "@lentilramp/protocol";
 import { MemoryEventLog } from "@lentilramp/runtime";
 import { attachStewardMethods, FleetCoordinator, StewardCore, type StewardParts } from "@lentilramp/steward";
--- a/packages/steward/tests/steward-group.ts
+++ b/packages/steward/tests/steward-group.ts
@@ -12,11 +12,13 @@
 } from "@lentilramp/control";
 import { DataFolder } from "@lentilramp/journal";
 import type { RpcClient } from "@lentilramp/protocol";
+import { rolloutDefaults, type RolloutOrder, rolloutOrderSchema } from "@lentilramp/rollouts";
 import { ManualClock, MemoryEventLog, SeededRandom } from "@lentilramp/runtime";
 import {
     FleetCoordinator,
     MemberRetirement,
     OperatorInterface,
+    RolloutOrders,
     stewardAddress,
     StewardCore,
     StewardState,
@@ -59,6 +61,7 @@
     private readonly inboxes = new Map<string, (sender: string, message: Message) => void>();
     private readonly joins = new Map<string, MembershipRepair>();
     private readonly cores = new Map<string, StewardCore>();
+    private readonly rolloutOrders = new Map<string, RolloutOrders>();
     private readonly retirements = new Map<string, MemberRetirement>();
     private readonly files = new Map<string, FaultyFiles>();
     /** Additional delay of the messages to and from a host, in milliseconds. */
@@ -194,7 +197,15 @@
                 clock.schedule(deadline, () => reject(new Error("timeout")));
                 clock.schedule(clock.now() + linkDelayMs, () => {
                     const core = this.cores.get(peer.host);
-                    const answer = method === "catalog.read"
+                    const orders = this.rolloutOrders.get(peer.host);
+                    const answer: Promise<unknown> | undefined = method === "rollouts.order"
+                        ? orders?.submit(rolloutOrderSchema.parse(params as RolloutOrder))
+                        : method === "rollouts.read"
+                        ? orders?.read((params as { service: string; }).service).then(status => ({
+                            confirmed: true,
+                            status,
+                        }))
+                        : method === "catalog.read"
                         ? core?.readCatalog().then(catalog => ({ confirmed: true, text: catalog?.text }))
                         : core?.submitCatalog((params as { text: string; }).text);
                     answer?.then(resolve, reject);
@@ -276,7 +287,11 @@
         const core = new StewardCore(driver, state, new VersionCodec(), clock, log);
         this.cores.set(host, core);
         const client = this.clientOf(host);
-        const operators = new OperatorInterface(core, new FleetCoordinator(clock, 5_000), client);
+        const coordinator = new FleetCoordinator(clock, 5_000);
+        const services = { services: new Map([["app", {}]]) } as unknown as Catalog;
+        const orders = new RolloutOrders(core, coordinator, () => services, rolloutDefaults);
+        this.rolloutOrders.set(host, orders);
+        const operators = new OperatorInterface(core, coordinator, client, orders);
         const joining = new JoinRequester(
             driver,
             own,
--- a/packages/steward/tests/steward-state.test.ts
+++ b/packages/steward/tests/steward-state.test.ts
@@ -79,4 +79,29 @@
         restored.restore(JSON.stringify(earlier));
         expect(restored.versions).to.equal(undefined);
     });
+
+    // Guards against an order that is lost with the log behind a snapshot, and against a state of the earlier software.
+    it("keeps roll-outs across a snapshot, and knows none in a state without them", () => {
+        const state = create();
+        const order: StewardCommand = {
+            type: "rollout-order",
+            service: "app",
+            target: "v2",
+            orderedAt: 1_000,
+            deadline: 61_000,
+            listed: ["v1"],
+            repeatsSince: -4_000,
+        };
+        expect(apply(state, order, 1).order).to.deep.equal({ kind: "accepted", repeated: false });
+        expect(apply(state, { ...order, target: "v3" }, 2).order).to.deep.equal({ kind: "conflict", target: "v2" });
+        apply(state, { type: "rollout-progress", service: "app", orderedAt: 1_000, at: 2_000, change: { step: 1 } }, 3);
+        const restored = create();
+        restored.restore(state.snapshot());
+        expect(restored.rollouts).to.deep.equal(state.rollouts);
+        expect(restored.rollouts.services.app).to.include({ state: "running", step: 1, deadline: 61_000 });
+        const earlier = JSON.parse(state.snapshot()) as Record<string, unknown>;
+        delete earlier.rollouts;
+        restored.restore(JSON.stringify(earlier));
+        expect(restored.rollouts).to.deep.equal({ revision: 0, services: {} });
+    });
 });
