Do not report a part as sent when an answer without streaming fails

Cause: an entry answered 502 `stream-cut` with run state `partial` when an answer without streaming could not be completed after its first token, although such a caller has received nothing that it could continue.

Change: these requests get 503 `endpoint-failed` with run state `unknown`, as before the first token.

Measured: the new test in chat.test.ts failed before (502) and passes; 3 test files of the entry pass.

--- a/packages/entry/src/chat-stream.ts
+++ b/packages/entry/src/chat-stream.ts
@@ -273,7 +273,7 @@
     }
 
     private toFailureError(message: string, type: "no-endpoint" | "stream-cut" = "stream-cut"): CallerError {
-        return this.responseStarted
+        return this.runState === "partial"
             ? new CallerError(502, "stream-cut", message, "partial", retryAfterMs)
             : new CallerError(
                 503,
--- a/packages/entry/tests/chat.test.ts
+++ b/packages/entry/tests/chat.test.ts
@@ -326,4 +326,22 @@
         expect(answer.status).to.be.oneOf([503, 200]);
         expect(answer.body).to.not.contain("not-run");
     });
+
+    // Guards against a caller that is told to continue an answer of which it has received nothing.
+    it("does not report a part as sent when an answer without streaming cannot be completed", async () => {
+        await start({ stepMs: 20 });
+        const answer = send(entry, path, JSON.stringify(chatRequest(200, { stream: false })), {
+            "x-workspace": "hire-desk",
+            "x-request-deadline": String(Math.floor(entry.clock.now()) + 1_500),
+        });
+        while (engines.every(engine => engine.generator.counters.started === 0)) {
+            await new Promise(resolve => setTimeout(resolve, 5));
+        }
+        await new Promise(resolve => setTimeout(resolve, 100));
+        await Promise.all(engines.map(engine => engine.close()));
+        const { status, body } = await answer;
+        expect(status).to.equal(503);
+        expect(JSON.parse(body)).to.have.nested.property("error.type", "endpoint-failed");
+        expect(JSON.parse(body)).to.have.nested.property("error.run", "unknown");
+    });
 });
