Give callers of HttpServer that read slowly 30 s without progress instead of 6 s

Cause: TCP reports a caller that reads slowly in steps, because the kernel opens a closed receive window only after a large part of the buffer has been emptied. HttpServer does not know the deadlines of its requests, so that only the 6 s without progress applied, and a caller whose steps are 9 to 26 s apart lost the rest of its response.

Change: the time is an option of HttpServer and of UnreadAnswers, and the setting clients.unreadAnswerMs of entries and control processes; stewards and the inner address of ingresses use the default. The default of 30 s is the time in which a caller at 5,000 bytes a second empties the default receive buffer of Linux (131,072 bytes, 26.2 s), with the sample after a progress (1 s) and two looks (0.5 s each). HttpServer without the option keeps 6 s, as existing tests require. The server for callers of an ingress is unchanged.

--- a/packages/cli/src/wire-ingress.ts
+++ b/packages/cli/src/wire-ingress.ts
@@ -16,7 +16,13 @@
 } from "@lentilramp/ingress";
 import type { IngressComponentFactory, IngressOptions } from "@lentilramp/ingress";
 import { JsonCatalogCodec, PlatformHeaderCodec } from "@lentilramp/platform";
-import { defaultHttpServerOptions, HttpServer, type PeerAddress, RpcServer } from "@lentilramp/protocol";
+import {
+    defaultClientLimits,
+    defaultHttpServerOptions,
+    HttpServer,
+    type PeerAddress,
+    RpcServer,
+} from "@lentilramp/protocol";
 import { randomUUID } from "node:crypto";
 import type { FleetProcess } from "./wire-fleet.ts";
 
@@ -154,7 +160,12 @@
         metrics.gauge("busy", load.wasBusy ? 1 : 0);
     });
     const inner = new HttpServer(
-        { ...options.inner, ...defaultHttpServerOptions, connectionPart: innerConnectionPart },
+        {
+            ...options.inner,
+            ...defaultHttpServerOptions,
+            connectionPart: innerConnectionPart,
+            unreadAnswerMs: defaultClientLimits.unreadAnswerMs,
+        },
         log,
         base.guard,
     );
--- a/packages/cli/src/wire-steward.ts
+++ b/packages/cli/src/wire-steward.ts
@@ -10,7 +10,7 @@
 import type { EndpointSource } from "@lentilramp/exchange";
 import { DataFolder, NodeFileAccess } from "@lentilramp/journal";
 import { attachLookupRoutes, attachOperatorRoutes, attachRolloutRoutes, JsonCatalogCodec } from "@lentilramp/platform";
-import { defaultHttpServerOptions, HttpServer, RpcServer } from "@lentilramp/protocol";
+import { defaultClientLimits, defaultHttpServerOptions, HttpServer, RpcServer } from "@lentilramp/protocol";
 import { Component, LifecycleManager } from "@lentilramp/runtime";
 import {
     attachRolloutMethods,
@@ -158,7 +158,14 @@
         const http = (
             address: { host: string; port: number; },
             connectionPart: number,
-        ): HttpServer => new HttpServer({ ...address, ...defaultHttpServerOptions, connectionPart }, log, base.guard);
+        ): HttpServer => {
+            const { unreadAnswerMs } = defaultClientLimits;
+            return new HttpServer(
+                { ...address, ...defaultHttpServerOptions, connectionPart, unreadAnswerMs },
+                log,
+                base.guard,
+            );
+        };
         const inner = http(options.inner, connectionParts.inner);
         const control = http(addresses.operators, connectionParts.operators);
         const lookups = http(addresses.lookups, connectionParts.lookups);
--- a/packages/cli/src/wire.ts
+++ b/packages/cli/src/wire.ts
@@ -62,7 +62,11 @@
         dump: new StateDump(),
         lifecycle: new LifecycleManager(clock, log, { startMs, drainMs: settings.drainMs, closeMs }),
         key,
-        http: new HttpServer({ ...settings.listen, ...defaultHttpServerOptions }, log, guard),
+        http: new HttpServer(
+            { ...settings.listen, ...defaultHttpServerOptions, unreadAnswerMs: settings.clients.unreadAnswerMs },
+            log,
+            guard,
+        ),
         client: new RpcClient(key, clock),
         server: new RpcServer(key, log),
     };
--- a/packages/protocol/src/client-limits.ts
+++ b/packages/protocol/src/client-limits.ts
@@ -18,6 +18,11 @@
     bodyBytesPerSecond: number;
     /** Time for which a body may be slower than that, in milliseconds. */
     bodyGraceMs: number;
+    /**
+     * Time without progress after which a server that knows no deadlines closes a connection with unread answers, in
+     * milliseconds. Each such server has it in its own options.
+     */
+    unreadAnswerMs: number;
 }
 
 export const defaultClientLimits: ClientLimits = {
@@ -30,6 +35,9 @@
     unreadAnswerBytes: 16_384,
     bodyBytesPerSecond: 1_024,
     bodyGraceMs: 10_000,
+    // A caller that reads 5,000 bytes a second empties the default receive buffer of Linux, 131,072 bytes, in 26.2 s, and
+    // the system tells of it only then. The rest covers the sample after a progress (1 s) and two looks (0.5 s each).
+    unreadAnswerMs: 30_000,
 };
 
 /** Returns the options of the memory account under the limits. */
--- a/packages/protocol/src/http-server.ts
+++ b/packages/protocol/src/http-server.ts
@@ -30,6 +30,11 @@
     requestTimeoutMs: number;
     /** Part of the connections of the process that this server may hold; all of them if left out. */
     connectionPart?: number;
+    /**
+     * Time without progress after which a connection with unread answers is closed, in milliseconds; as at servers that
+     * know the deadlines of their requests if left out.
+     */
+    unreadAnswerMs?: number;
 }
 
 export const defaultHttpServerOptions = {
@@ -110,6 +115,7 @@
             this.clock,
             socket => this.sockets.get(socket)?.endedAt ?? -Infinity,
             (...[, untakenBytes]) => log.info("http.answer-unread", { untakenBytes }),
+            options.unreadAnswerMs,
         );
         this.server = createServer(
             {
--- a/packages/protocol/src/unread-answer-rule.ts
+++ b/packages/protocol/src/unread-answer-rule.ts
@@ -1,6 +1,6 @@
 /**
- * Time without progress after which a connection with unread answers is closed, in milliseconds. Ordinary callers pause
- * for up to several seconds between two reads.
+ * Time without progress after which a connection with unread answers is closed, in milliseconds, where the deadlines of
+ * its requests are known. Ordinary callers pause for up to several seconds between two reads.
  */
 export const unreadAnswerTimeoutMs = 6_000;
 /** Time without progress from which the system is asked whether the caller reads, in milliseconds. */
--- a/packages/protocol/src/unread-answers.ts
+++ b/packages/protocol/src/unread-answers.ts
@@ -1,7 +1,7 @@
 import type { Clock, Timer } from "@lentilramp/runtime";
 import type { Socket } from "node:net";
 import { unacknowledgedBytes, untakenBytes } from "./socket-queues.ts";
-import { type AnswerProgress, UnreadAnswerRule } from "./unread-answer-rule.ts";
+import { type AnswerProgress, UnreadAnswerRule, unreadAnswerTimeoutMs } from "./unread-answer-rule.ts";
 
 /** Interval between looks at the connections, in milliseconds; there are none while no connection is open. */
 const checkIntervalMs = 500;
@@ -21,11 +21,13 @@
         private readonly deadlineOf: (socket: Socket) => number,
         /** Told before a connection is reset with `untakenBytes` of answers. */
         private readonly onClose: (socket: Socket, untakenBytes: number) => void,
+        /** Time without progress after which a connection is closed, in milliseconds. */
+        private readonly timeoutMs = unreadAnswerTimeoutMs,
     ) {}
 
     /** Follows a connection until it closes. */
     follow(socket: Socket): void {
-        this.rules.set(socket, new UnreadAnswerRule(this.clock.now()));
+        this.rules.set(socket, new UnreadAnswerRule(this.clock.now(), this.timeoutMs));
         socket.once("close", () => {
             this.rules.delete(socket);
             if (this.rules.size === 0 && this.timer !== undefined) {
--- /dev/null
+++ b/packages/protocol/tests/slow-readers.test.ts
@@ -0,0 +1,180 @@
+import { ManualClock, MemoryEventLog, type Timer } from "@lentilramp/runtime";
+import { expect } from "chai";
+import { once } from "node:events";
+import { connect, type Socket } from "node:net";
+import {
+    ClientGuard,
+    defaultClientLimits,
+    defaultHttpServerOptions,
+    HttpServer,
+    UnreadAnswerRule,
+} from "../src/index.ts";
+import { unacknowledgedBytes } from "../src/socket-queues.ts";
+
+const { unreadAnswerMs } = defaultClientLimits;
+/** The default receive buffer of Linux, in bytes: the largest step in which a caller at this rate was seen to read. */
+const stepBytes = 131_072;
+const slowestBytesPerMs = 5;
+const stepMs = stepBytes / slowestBytesPerMs;
+/** Interval of the looks of `UnreadAnswers`, in milliseconds. */
+const lookMs = 500;
+
+/**
+ * Looks at a connection until `untilMs`; returns when it was closed. Its caller reads the first step at `firstMs` and
+ * none after `stopMs`.
+ */
+function closedAt({ firstMs, stopMs = Infinity, untilMs }: { firstMs: number; stopMs?: number; untilMs: number; }) {
+    const rule = new UnreadAnswerRule(0, unreadAnswerMs);
+    for (let now = 0; now <= untilMs; now += lookMs) {
+        const steps = Math.max(0, Math.floor((Math.min(now, stopMs) - firstMs) / stepMs) + 1);
+        // The system takes bytes from the process once a third of its largest send buffer is free.
+        const takenBytes = Math.floor(steps * stepBytes / 1_400_000);
+        const asks = rule.look({ unreadBytes: 9, takenBytes, deadline: () => -Infinity }, now);
+        if (asks && rule.recordUnacknowledged(1e9 - steps * stepBytes, now)) {
+            return now;
+        }
+    }
+    return undefined;
+}
+
+describe("UnreadAnswerRule with the time of servers without deadlines", () => {
+    const starts = Array.from({ length: 53 }, (...[, i]) => i * lookMs + 1).filter(firstMs => firstMs <= stepMs);
+
+    // Guards against ready answers that are lost to a caller of which the system tells in steps of 26 s.
+    it("leaves a connection open whose caller reads 5 KB a second, whenever its steps fall between the looks", () => {
+        for (const firstMs of starts) {
+            expect(closedAt({ firstMs, untilMs: 1_800_000 }), `first step at ${firstMs} ms`).to.equal(undefined);
+        }
+    });
+
+    // Guards against a longer time that keeps connections whose callers have stopped.
+    it("closes it within twice the time after the last step", () => {
+        for (const firstMs of starts) {
+            const lastMs = firstMs + 4 * stepMs;
+            const at = closedAt({ firstMs, stopMs: lastMs, untilMs: 1_800_000 }) ?? Infinity;
+            expect(at - lastMs).to.be.within(unreadAnswerMs - stepMs, 2 * unreadAnswerMs + 2 * lookMs);
+        }
+        expect(closedAt({ firstMs: Infinity, untilMs: 1_800_000 })).to.equal(unreadAnswerMs);
+    });
+});
+
+/** More than the system holds for a caller that does not read: the largest send and receive buffer of one connection. */
+const answerBytes = 20_000_000;
+const host = "127.0.0.1";
+const turn = (): Promise<void> => new Promise(resolve => setTimeout(resolve, 1));
+
+/** Counts the timers, so that a test can wait until a look at the connections has ended. */
+class CountingClock extends ManualClock {
+    pending = 0;
+
+    override schedule(timeMs: number, callback: () => void): Timer {
+        this.pending++;
+        let isDone = false;
+        const end = (): void => {
+            this.pending -= isDone ? 0 : 1;
+            isDone = true;
+        };
+        const timer = super.schedule(timeMs, () => {
+            end();
+            callback();
+        });
+        return {
+            cancel: () => {
+                end();
+                timer.cancel();
+            },
+        };
+    }
+}
+
+describe("HttpServer with a caller that reads slowly", () => {
+    let clock: CountingClock;
+    let log: MemoryEventLog;
+    let server: HttpServer;
+    let caller: Socket;
+    let serverSide: Socket | undefined;
+
+    beforeEach(async () => {
+        clock = new CountingClock(1_000_000);
+        log = new MemoryEventLog();
+        const options = { ...defaultHttpServerOptions, host, port: 0, unreadAnswerMs };
+        server = new HttpServer(options, log, new ClientGuard({ clock, log }));
+        server.route("GET", "/large", async (req, res) => {
+            serverSide = req.socket;
+            req.resume();
+            res.writeHead(200, { "content-length": answerBytes, connection: "close" });
+            res.end(Buffer.alloc(answerBytes, "x"));
+        });
+        await server.start();
+        caller = connect(server.address);
+        caller.on("error", () => undefined);
+        caller.pause();
+        caller.write("GET /large HTTP/1.1\r\nHost: h\r\n\r\n");
+        await untilSteady();
+    });
+
+    afterEach(async () => {
+        caller.destroy();
+        await server.close();
+    });
+
+    const unacknowledged = async (): Promise<number | undefined> =>
+        serverSide === undefined ? undefined : (await unacknowledgedBytes([serverSide])).get(serverSide);
+    /** Resolves once the system has passed on all that the caller's receive buffer takes. */
+    const untilSteady = async (): Promise<void> => {
+        for (let [before, count] = [-1 as number | undefined, 0]; count < 4;) {
+            await new Promise(resolve => setTimeout(resolve, 5));
+            const now = await unacknowledged();
+            count = serverSide !== undefined && now === before ? count + 1 : 0;
+            before = now;
+        }
+    };
+    /** Lets time pass while the connection is open, and each look end before the next. */
+    const pass = async (ms: number): Promise<void> => {
+        for (const until = clock.now() + ms; clock.now() < until && server.traffic.connections > 0;) {
+            const { pending } = clock;
+            clock.advanceTo(Math.min(until, clock.now() + lookMs));
+            while (clock.pending < pending && server.traffic.connections > 0) {
+                await turn();
+            }
+        }
+    };
+
+    // Guards against an answer that is cut although its caller goes on reading: it takes two receive buffers' worth at
+    // once, and then nothing for as long as a caller that reads 5 KB a second seems to take nothing.
+    it("sends the whole answer to one that reads a step each 26 s", async function() {
+        if (process.platform !== "linux") {
+            // Only Linux tells what the caller has not acknowledged.
+            this.skip();
+        }
+        let received = 0;
+        caller.on("readable", () => undefined);
+        for (let i = 0; i < 6; i++) {
+            await pass(stepMs);
+            expect(server.traffic.connections, `connections after step ${i}`).to.equal(1);
+            for (let bytes = 0; bytes < 2 * stepBytes;) {
+                const part = caller.read() as Buffer | null;
+                bytes += part?.length ?? 0;
+                received += part?.length ?? 0;
+                await turn();
+            }
+            await untilSteady();
+        }
+        expect(received).to.be.below(answerBytes / 2);
+        const ended = once(caller, "end");
+        caller.removeAllListeners("readable").on("data", (part: Buffer) => received += part.length);
+        caller.resume();
+        await ended;
+        expect(received).to.be.above(answerBytes);
+        expect(log.events.map(({ name }) => name)).not.to.include("http.answer-unread");
+    });
+
+    // Guards against connections that stay for as long as a caller that has stopped.
+    it("closes the connection of one that does not read, within twice the time", async () => {
+        await pass(unreadAnswerMs - lookMs);
+        expect(server.traffic.connections).to.equal(1);
+        await pass(unreadAnswerMs + 3 * lookMs);
+        expect(server.traffic.connections).to.equal(0);
+        expect(log.events.map(({ name }) => name)).to.include("http.answer-unread");
+    });
+});
