Do not end by the reset of a connection on which a tunnel is requested

Cause: Node.js takes its own error listener off a connection that asks for a tunnel (CONNECT). A caller of an ingress that reset such a connection caused an uncaught error, by which the process stopped. HttpServer had no listener for such requests, so that Node.js destroyed the connection with the answers that were due on it.

Change: the guard listens for errors of connections that it leaves. HttpServer answers the requests in front of a CONNECT and refuses the CONNECT with 400 if no answer is due.

--- a/packages/protocol/src/client-connection.ts
+++ b/packages/protocol/src/client-connection.ts
@@ -273,6 +273,8 @@
     /** Ends the part of the parser in the connection, which belongs to somebody else from now on. */
     release(): void {
         this.socket.off("data", this.onData);
+        // Node.js takes its own listener off a connection on which a tunnel is requested; a reset would end the process.
+        this.socket.on("error", () => undefined);
     }
 
     private feed(piece: Buffer): void {
--- a/packages/protocol/src/http-server.ts
+++ b/packages/protocol/src/http-server.ts
@@ -107,7 +107,7 @@
         private readonly options: HttpServerOptions,
         private readonly log: EventLog,
         /** Bounds of the clients of all servers of the process. */
-        guard = new ClientGuard(),
+        private readonly guard = new ClientGuard(),
     ) {
         super();
         this.clock = guard.clock;
@@ -142,30 +142,13 @@
                 this.closedBytesWritten += socket.bytesWritten;
             });
         });
-        this.server.on("clientError", (err: NodeJS.ErrnoException, stream) => {
-            const socket = stream as Socket;
-            this.sockets.get(socket)?.endAfterLast(mayRefuse => {
-                if (!socket.writable) {
-                    return;
-                }
-                if (!mayRefuse) {
-                    guard.closeSoon(socket);
-                    return;
-                }
-                const status = err.code === "HPE_HEADER_OVERFLOW"
-                    ? "431 Request Header Fields Too Large"
-                    : "400 Bad Request";
-                const type = err.code === "HPE_HEADER_OVERFLOW" ? "headers-too-large" : "malformed-request";
-                const body = JSON.stringify({
-                    error: { type, message: "the request could not be parsed", run: "not-run" },
-                });
-                guard.closeSoon(
-                    socket,
-                    `HTTP/1.1 ${status}\r\ncontent-type: application/json\r\ncontent-length: ${
-                        Buffer.byteLength(body)
-                    }\r\nconnection: close\r\n\r\n${body}`,
-                );
-            });
+        this.server.on("clientError", (err: NodeJS.ErrnoException, socket) => {
+            this.endBroken(socket as Socket, err.code === "HPE_HEADER_OVERFLOW");
+        });
+        // Without a listener, Node.js closes the connection at once, whatever answer is due on it.
+        this.server.on("connect", (...[, socket]) => {
+            guard.release(socket as Socket);
+            this.endBroken(socket as Socket, false);
         });
     }
 
@@ -218,6 +201,30 @@
         });
     }
 
+    /** Ends a connection with bytes that are no request to handle, after the answers that are due on it. */
+    private endBroken(socket: Socket, isHeadTooLarge: boolean): void {
+        this.sockets.get(socket)?.endAfterLast(mayRefuse => {
+            if (!socket.writable) {
+                return;
+            }
+            if (!mayRefuse) {
+                this.guard.closeSoon(socket);
+                return;
+            }
+            const status = isHeadTooLarge ? "431 Request Header Fields Too Large" : "400 Bad Request";
+            const type = isHeadTooLarge ? "headers-too-large" : "malformed-request";
+            const body = JSON.stringify({
+                error: { type, message: "the request could not be parsed", run: "not-run" },
+            });
+            this.guard.closeSoon(
+                socket,
+                `HTTP/1.1 ${status}\r\ncontent-type: application/json\r\ncontent-length: ${
+                    Buffer.byteLength(body)
+                }\r\nconnection: close\r\n\r\n${body}`,
+            );
+        });
+    }
+
     private async handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
         const answers = this.sockets.get(req.socket);
         answers?.add(res);
