Close parked attempts by the time of each pair of attempts

Cause: kept one closing time for all parked attempts of a request. An attempt that was parked later was closed at the time of the one before: a second engine that had begun an event was left together with the first one while a third one had begun nothing, and an endpoint without an engine was kept for 50 instead of 300 ms. The stream or answer of a sound endpoint was lost when the third one rejected the request. Two faults are older: an attempt was closed although the one that had begun beside it had been broken off by its endpoint, and an attempt that had gone on was closed instead of a silent one beside it.

Change: the instant from which two attempts may not both be open is kept for the pair. It stays the same when both change places, and ends with either of them. Of two parked attempts, the one that is less likely to go on is closed.

--- a/packages/ingress/src/body-relay.ts
+++ b/packages/ingress/src/body-relay.ts
@@ -69,7 +69,7 @@
                 onProgress: () => this.onProgress(),
                 onOtherPart: data => {
                     if (!this.parked.isEmpty && eventLine.test(data.toString("latin1"))) {
-                        this.parked.closeWithin(keptOpenMs);
+                        this.parked.closeWithin(keptOpenMs, inFlight);
                         this.hooks.onEventBegun();
                     }
                 },
@@ -95,10 +95,11 @@
         return parkedMs(this.admitted.route, service?.engine !== undefined);
     }
 
-    /** Releases the slot of an attempt, unless it is parked. */
+    /** Releases the slot of an attempt that has ended, unless it is parked. */
     releaseSlot(inFlight: InFlightAttempt): void {
         if (!inFlight.slotReleased && !this.parked.has(inFlight)) {
             inFlight.slotReleased = true;
+            this.parked.recordEnd(inFlight);
             inFlight.booking.recordEnd();
             this.reevaluateQueue();
         }
--- a/packages/ingress/src/parked-attempts.ts
+++ b/packages/ingress/src/parked-attempts.ts
@@ -15,20 +15,22 @@
     progress: ParkedProgress;
     /** Goes on with the attempt; resolves with whether the request is finished. */
     goOn: () => Promise<boolean>;
+    /** Instant from which the attempt is not kept open, whatever other attempts there are; Infinity without a limit. */
+    keptUntil: number;
+    /** Instants from which this attempt and another one may not both be open, by that other attempt. */
+    closeAt: Map<InFlightAttempt, number>;
     timer: Timer | undefined;
 }
 
 /**
  * Attempts of one request that fell silent and are kept open while another one is made. A sound endpoint goes on after a
  * pause, while the other one may refuse, fail or pause as well.
+ *
+ * Two endpoints may be at work for a limited time. It is recorded for each pair of attempts: it stays the same when both
+ * change places, does not apply to a third attempt that has not begun, and ends with either of the two.
  */
 export class ParkedAttempts {
     private readonly parked = new Map<InFlightAttempt, Parked>();
-    /**
-     * Instant at which all attempts are closed that are parked by then; undefined until it is known. It stays the same when
-     * a parked attempt and the one in progress change places, since two endpoints have been at work since before that.
-     */
-    private closeAt: number | undefined;
 
     constructor(
         private readonly clock: Clock,
@@ -56,38 +58,43 @@
 
     /** Keeps a silent attempt open, for `keptMs` milliseconds at most. */
     park(inFlight: InFlightAttempt, progress: ParkedProgress, goOn: () => Promise<boolean>, keptMs: number): void {
-        this.parked.set(inFlight, { inFlight, progress, goOn, timer: undefined });
-        if (keptMs !== Infinity) {
-            this.closeWithin(keptMs);
-        }
-        this.scheduleClose();
+        const keptUntil = this.clock.now() + keptMs;
+        const attempt: Parked = { inFlight, progress, goOn, keptUntil, closeAt: new Map(), timer: undefined };
+        this.parked.set(inFlight, attempt);
+        this.schedule(attempt);
     }
 
-    /** Closes the attempts after `keptMs` milliseconds, unless they are to be closed earlier. */
-    closeWithin(keptMs: number): void {
-        this.closeAt = Math.min(this.closeAt ?? Infinity, this.clock.now() + keptMs);
-        this.scheduleClose();
+    /**
+     * Closes the attempts after `keptMs` milliseconds, unless they are to be closed earlier: the endpoint of `other`, the
+     * attempt in progress, has begun to work. An attempt stays open if `other` ends before.
+     */
+    closeWithin(keptMs: number, other: InFlightAttempt): void {
+        const closeAt = this.clock.now() + keptMs;
+        for (const attempt of this.parked.values()) {
+            this.limit(attempt, other, closeAt);
+        }
     }
 
-    private scheduleClose(): void {
-        const { closeAt } = this;
-        if (closeAt === undefined) {
-            return;
-        }
+    /** Records the end of an attempt that is not parked: its endpoint works no more. */
+    recordEnd(inFlight: InFlightAttempt): void {
         for (const attempt of this.parked.values()) {
-            attempt.timer ??= this.clock.schedule(closeAt, () => this.close(attempt.inFlight));
+            if (attempt.closeAt.delete(inFlight)) {
+                this.schedule(attempt);
+            }
         }
     }
 
     /** Returns the attempt that is most likely to go on, which is no longer parked; `mayGoOn` decides which may. */
-    takeBack(mayGoOn: (endpoint: Endpoint) => boolean): Omit<Parked, "timer"> | undefined {
-        const all = [...this.parked.values()].filter(({ inFlight }) => mayGoOn(inFlight.endpoint));
-        const best = all.find(({ progress }) => progress.hasProgress)
-            ?? all.find(({ progress }) => !progress.isBroken)
-            ?? all[0];
-        if (best !== undefined) {
-            best.timer?.cancel();
-            this.remove(best.inFlight);
+    takeBack(mayGoOn: (endpoint: Endpoint) => boolean): Pick<Parked, "inFlight" | "progress" | "goOn"> | undefined {
+        const best = mostLikelyToGoOn([...this.parked.values()].filter(({ inFlight }) => mayGoOn(inFlight.endpoint)));
+        if (best === undefined) {
+            return undefined;
+        }
+        best.timer?.cancel();
+        this.parked.delete(best.inFlight);
+        for (const attempt of this.parked.values()) {
+            const closeAt = Math.min(best.keptUntil, best.closeAt.get(attempt.inFlight) ?? Infinity);
+            this.limit(attempt, best.inFlight, closeAt);
         }
         return best;
     }
@@ -99,17 +106,40 @@
         }
     }
 
+    private limit(attempt: Parked, other: InFlightAttempt, closeAt: number): void {
+        if (closeAt < (attempt.closeAt.get(other) ?? Infinity)) {
+            attempt.closeAt.set(other, closeAt);
+            this.schedule(attempt);
+        }
+    }
+
+    private schedule(attempt: Parked): void {
+        attempt.timer?.cancel();
+        const dueAt = Math.min(attempt.keptUntil, ...attempt.closeAt.values());
+        attempt.timer = dueAt === Infinity
+            ? undefined
+            : this.clock.schedule(dueAt, () => this.onDue(attempt, dueAt));
+    }
+
+    /** Closes an attempt, or the other one of its pair if that is parked as well and less likely to go on. */
+    private onDue(attempt: Parked, dueAt: number): void {
+        const [other] = [...attempt.closeAt].find(([, closeAt]) => closeAt === dueAt) ?? [];
+        const rival = other === undefined || attempt.keptUntil <= dueAt ? undefined : this.parked.get(other);
+        const isKept = rival !== undefined && mostLikelyToGoOn([rival, attempt]) === attempt;
+        this.close(isKept ? rival.inFlight : attempt.inFlight);
+    }
+
     private close(inFlight: InFlightAttempt): void {
         this.parked.get(inFlight)?.timer?.cancel();
-        this.remove(inFlight);
+        this.parked.delete(inFlight);
+        this.recordEnd(inFlight);
         inFlight.attempt.abort();
         this.onClose(inFlight);
     }
+}
 
-    private remove(inFlight: InFlightAttempt): void {
-        this.parked.delete(inFlight);
-        if (this.isEmpty) {
-            this.closeAt = undefined;
-        }
-    }
+function mostLikelyToGoOn(attempts: readonly Parked[]): Parked | undefined {
+    return attempts.find(({ progress }) => progress.hasProgress)
+        ?? attempts.find(({ progress }) => !progress.isBroken)
+        ?? attempts[0];
 }
--- /dev/null
+++ b/packages/ingress/tests/third-attempts.test.ts
@@ -0,0 +1,100 @@
+import { expect } from "chai";
+import { testCatalog, testRoute } from "../../catalog/tests/fixtures.ts";
+import { type Answer, type CallerAnswer, IngressHarness, ScriptedEndpoint, sealed } from "./ingress-harness.ts";
+
+const events = ["id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n", "id: 3\ndata: c\n\n"];
+const sleep = (ms: number): Promise<void> => new Promise(resolve => setTimeout(resolve, ms));
+
+/** Begins an answer, which is written by `write`. */
+const begin = (write: (...args: Parameters<Answer>) => void | Promise<void>): Answer => async (req, res, received) => {
+    res.writeHead(200, { "x-attempt-id": String(req.headers["x-attempt-id"]), "x-response-seal": "s" });
+    res.flushHeaders();
+    await write(req, res, received);
+};
+const dead: Answer = () => undefined;
+const rejectsAfter = (ms: number): Answer => async (...args) => {
+    await sleep(ms);
+    await sealed(503, "", { "x-not-executed": "1" })(...args);
+};
+/** Gives the first request another answer than all others. */
+function first(answer: Answer, others: Answer): Answer {
+    let asked = 0;
+    return (...args) => (asked++ === 0 ? answer : others)(...args);
+}
+
+// Guards against a stream that is lost because the engine that would have gone on was closed beside one that had begun
+// nothing yet.
+describe("Relay with a third engine for a stream", () => {
+    let endpoints: ScriptedEndpoint[];
+    let ingress: IngressHarness;
+
+    /** Sends a request; endpoint `i` is listed only when the one before has got it. */
+    async function play(answers: readonly Answer[]): Promise<CallerAnswer> {
+        endpoints = answers.map((answer, i) => new ScriptedEndpoint(`e${i + 1}`, answer));
+        for (const endpoint of endpoints) {
+            await endpoint.start();
+        }
+        const engine = { slots: 4, kvCacheTokens: 10_000 };
+        ingress = await IngressHarness.start(
+            testCatalog({
+                routes: [testRoute({
+                    execution: "stream",
+                    resumable: true,
+                    timeoutMs: 8_000,
+                    gapTargetMs: 60,
+                    maxAttempts: 3,
+                })],
+                services: new Map([["app", { name: "app", connectionLimit: 96, engine, scaling: undefined }]]),
+            }),
+            endpoints.slice(0, 1),
+            {},
+            { retryReserve: 100 },
+        );
+        const answer = ingress.call({ method: "POST", body: "x", headers: { "x-deadline-ms": "8000" } });
+        for (let i = 1; i < endpoints.length; i++) {
+            while (endpoints[i - 1]?.requests.length === 0) {
+                await sleep(5);
+            }
+            const listed = endpoints.slice(0, i + 1).map(({ endpoint }) => endpoint);
+            ingress.view.applyEndpointList(listed, ingress.clock.now(), i + 1);
+        }
+        return await answer;
+    }
+
+    afterEach(async () => {
+        await ingress.close();
+        endpoints.forEach(endpoint => endpoint.close());
+    });
+
+    it("keeps the second engine, which has begun an event, until the third one begins one", async () => {
+        const pausing = begin(async (...[, res]) => {
+            await sleep(300);
+            res.write("id: 1\n");
+            await sleep(1_500);
+            res.end(events.join("").slice("id: 1\n".length));
+        });
+        const answer = await play([
+            dead,
+            first(pausing, dead),
+            first(rejectsAfter(700), dead),
+        ]);
+        expect(answer).to.include({ status: 200, complete: true, body: events.join("") });
+        expect(endpoints[1]?.requests.length).to.equal(1);
+    });
+
+    it("keeps the first engine when the second one breaks off its first event", async () => {
+        const pausing = begin(async (...[, res]) => {
+            res.write(events[0]);
+            await sleep(2_500);
+            res.end(events.slice(1).join(""));
+        });
+        const breaking = begin(async (...[, res]) => {
+            res.write("id: ");
+            await sleep(20);
+            res.socket?.resetAndDestroy();
+        });
+        const answer = await play([first(pausing, dead), breaking, first(rejectsAfter(700), dead)]);
+        expect(answer).to.include({ status: 200, complete: true, body: events.join("") });
+        expect(endpoints[0]?.requests.length).to.equal(1);
+    });
+});
