Move the repeated set-up of choice-among-many into its fleet

Cause: the tests repeated how loads are reported, an urgent request is decided and a prompt is described.

Change: ChoiceFleet reports loads and repeats decisions and choices. Seeds, sizes, bounds and assertions are as before.

--- a/packages/dispatch/tests/choice-among-many.test.ts
+++ b/packages/dispatch/tests/choice-among-many.test.ts
@@ -21,6 +21,13 @@
 );
 /** Considers all endpoints for each request, as for a small service. */
 const unrestricted = { maxWholeChoice: Infinity };
+/** A prompt of which all but the question may be cached. */
+const longPrompt = {
+    parts: [{ id: "system", tokens: 20 }, { id: "talk", tokens: 9_000 }, { id: "q", tokens: 50 }],
+    promptTokens: 9_070,
+    maxOutputTokens: 50,
+    outputTokens: 50,
+};
 const smallSizes = [1, 2, 3, 17, 63, 64];
 const seeds = [1, 2, 3];
 
@@ -119,11 +126,7 @@
         it(`names in a preview each endpoint that requests are sent to, for ${title}`, () => {
             const fleet = new ChoiceFleet({ endpoints: 500, kind, isEstimated, seed: 5 });
             // A single endpoint is idle, so that most samples hold none as good.
-            fleet.loads.applyPeerLoad(
-                "peer",
-                fleet.candidates.map(({ id }, i) => [id, { running: i === 0 ? 0 : 2 + i % 2, unreadTokens: 0 }]),
-                true,
-            );
+            fleet.reportLoads((...[, i]) => ({ running: i === 0 ? 0 : 2 + i % 2, unreadTokens: 0 }));
             const req = { ...fleet.request(), targetAt: fleet.clock.now() + 600 };
             const now = fleet.clock.now();
             const { ranking } = fleet.dispatcher.preview(req, fleet.candidates, fleet.model.snapshot(), now);
@@ -139,17 +142,8 @@
         it(`finds one of three free endpoints among 4,000, for ${title}`, () => {
             const fleet = new ChoiceFleet({ endpoints: 4_000, kind, isEstimated, seed: 9 });
             const free = new Set(["e11", "e1700", "e3999"]);
-            fleet.loads.applyPeerLoad(
-                "peer",
-                fleet.candidates.map(({ id }) => [id, { running: free.has(id) ? 0 : 5, unreadTokens: 0 }]),
-                true,
-            );
-            const now = fleet.clock.now();
-            const req = { ...fleet.request(), rank: 0, targetAt: now + 600 };
-            const decisions = Array.from(
-                { length: 100 },
-                () => fleet.dispatcher.decide(req, fleet.candidates, fleet.model, now),
-            );
+            fleet.reportLoads(id => ({ running: free.has(id) ? 0 : 5, unreadTokens: 0 }));
+            const decisions = fleet.decideOnUrgent();
             expect(decisions.filter(({ kind: decided }) => decided !== "send")).to.deep.equal([]);
             expect(decisions.filter(decision => !free.has(bestChoice(decision)?.endpoint.id ?? ""))).to.deep.equal([]);
         });
@@ -161,17 +155,8 @@
             const fleet = new ChoiceFleet({ endpoints: 2_000, kind: "engine", isEstimated, seed: 10 });
             const reading = new Set(["e11", "e700", "e1999"]);
             const full = { running: 5, unreadTokens: 0 };
-            fleet.loads.applyPeerLoad(
-                "peer",
-                fleet.candidates.map(({ id }) => [id, reading.has(id) ? { running: 1, unreadTokens: 200 } : full]),
-                true,
-            );
-            const now = fleet.clock.now();
-            const req = { ...fleet.request(), rank: 0, targetAt: now + 600 };
-            const decisions = Array.from(
-                { length: 100 },
-                () => fleet.dispatcher.decide(req, fleet.candidates, fleet.model, now),
-            );
+            fleet.reportLoads(id => reading.has(id) ? { running: 1, unreadTokens: 200 } : full);
+            const decisions = fleet.decideOnUrgent();
             expect(decisions.filter(({ kind }) => kind !== "send")).to.deep.equal([]);
         });
     }
@@ -180,17 +165,8 @@
     it("finds the endpoints that can be overbooked if all others are full", () => {
         const fleet = new ChoiceFleet({ endpoints: 2_000, kind: "plain", isEstimated: false, seed: 11 });
         const taken = new Set(["e11", "e700", "e1999"]);
-        fleet.loads.applyPeerLoad(
-            "peer",
-            fleet.candidates.map(({ id }) => [id, { running: taken.has(id) ? 4 : 5, unreadTokens: 0 }]),
-            true,
-        );
-        const now = fleet.clock.now();
-        const req = { ...fleet.request(), rank: 0, targetAt: now + 600 };
-        const decisions = Array.from(
-            { length: 100 },
-            () => fleet.dispatcher.decide(req, fleet.candidates, fleet.model, now),
-        );
+        fleet.reportLoads(id => ({ running: taken.has(id) ? 4 : 5, unreadTokens: 0 }));
+        const decisions = fleet.decideOnUrgent();
         expect(decisions.filter(({ kind }) => kind !== "send")).to.deep.equal([]);
     });
 
@@ -209,11 +185,8 @@
     // Guards against requests that wait until a sample happens to contain the endpoint that has become free.
     it("sends a waiting request to the endpoint whose request has just ended", () => {
         const fleet = new ChoiceFleet({ endpoints: 2_000, kind: "plain", isEstimated: false, seed: 7, fullPart: 1 });
-        const now = fleet.clock.now();
-        const full = { running: 5, unreadTokens: 0 };
-        fleet.loads.applyPeerLoad("peer", fleet.candidates.map(({ id }) => [id, full]), true);
-        const req: DispatchRequest = { ...fleet.request(), targetAt: now + 600 };
-        const decide = () => fleet.dispatcher.decide(req, fleet.candidates, fleet.model, now);
+        fleet.reportLoads(() => ({ running: 5, unreadTokens: 0 }));
+        const decide = fleet.repeatedDecision();
         expect(decide().kind).to.equal("wait");
         fleet.loads.applyPeerLoad("peer", [["e1234", { running: 2, unreadTokens: 0 }]], false);
         expect(bestChoice(decide())?.endpoint.id).to.equal("e1234");
@@ -223,7 +196,6 @@
     // Guards against requests that wait because endpoints of a busier service have become free since.
     it("sends a waiting request to the endpoint that has become free, also when 200 of other services have", () => {
         const fleet = new ChoiceFleet({ endpoints: 2_000, kind: "plain", isEstimated: false, seed: 7, fullPart: 1 });
-        const now = fleet.clock.now();
         const full = { running: 5, unreadTokens: 0 };
         const others = Array.from({ length: 200 }, (...[, i]) => `other${i}`);
         fleet.loads.applyPeerLoad(
@@ -231,8 +203,7 @@
             [...fleet.candidates.map(({ id }) => id), ...others].map(id => [id, full]),
             true,
         );
-        const req: DispatchRequest = { ...fleet.request(), targetAt: now + 600 };
-        const decide = () => fleet.dispatcher.decide(req, fleet.candidates, fleet.model, now);
+        const decide = fleet.repeatedDecision();
         expect(decide().kind).to.equal("wait");
         const relief = { running: 2, unreadTokens: 0 };
         fleet.loads.applyPeerLoad("peer", ["e1234", ...others].map(id => [id, relief]), false);
@@ -243,12 +214,10 @@
     it("considers 32 endpoints at most because their load has fallen", () => {
         const loads = new CountingLoads();
         const fleet = new ChoiceFleet({ endpoints: 2_000, kind: "plain", isEstimated: false, seed: 7, loads });
-        const now = fleet.clock.now();
         const apply = (running: number): void =>
             loads.applyPeerLoad("peer", fleet.candidates.map(({ id }) => [id, { running, unreadTokens: 0 }]), false);
         apply(9);
-        const req: DispatchRequest = { ...fleet.request(), targetAt: now + 600 };
-        const decide = () => fleet.dispatcher.decide(req, fleet.candidates, fleet.model, now);
+        const decide = fleet.repeatedDecision();
         expect(decide().kind).to.equal("wait");
         apply(8);
         loads.lookUps = 0;
@@ -260,11 +229,7 @@
     it("finds the free endpoints of each part of a service that requests are restricted to", () => {
         const fleet = new ChoiceFleet({ endpoints: 4_000, kind: "plain", isEstimated: false, seed: 12 });
         const free = new Set(["e11", "e1701", "e3999"]);
-        fleet.loads.applyPeerLoad(
-            "peer",
-            fleet.candidates.map(({ id }) => [id, { running: free.has(id) ? 0 : 5, unreadTokens: 0 }]),
-            true,
-        );
+        fleet.reportLoads(id => ({ running: free.has(id) ? 0 : 5, unreadTokens: 0 }));
         const req = { ...fleet.request(), rank: 0, targetAt: fleet.clock.now() + 5_000 };
         // Each decision gets a new list, as from an ingress that filters its endpoints.
         const decide = (part: number) =>
@@ -285,14 +250,9 @@
         const fleet = new ChoiceFleet({ endpoints: 4_000, kind: "engine", isEstimated: true, seed: 8, fullPart: 0 });
         fleet.loads.applyPeerLoad("peer", [["e5", { running: 1, unreadTokens: 0 }]], true);
         const now = fleet.clock.now();
-        const parts = [{ id: "system", tokens: 20 }, { id: "talk", tokens: 9_000 }, { id: "q", tokens: 50 }];
-        fleet.prefixes.record("e5", parts.slice(0, 2), 50_000, now);
-        const work = { parts, promptTokens: 9_070, maxOutputTokens: 50, outputTokens: 50 };
-        const other = { ...fleet.request(), work, targetAt: now + 500 };
-        const chosen = Array.from(
-            { length: 50 },
-            () => fleet.dispatcher.choose(other, fleet.candidates, fleet.model, now)?.endpoint.id,
-        );
+        fleet.prefixes.record("e5", longPrompt.parts.slice(0, 2), 50_000, now);
+        const other = { ...fleet.request(), work: longPrompt, targetAt: now + 500 };
+        const chosen = fleet.chooseOften(other);
         // The engine that all processes assign to the prompt is expected to have cached it too.
         const assigned = fleet.affinity.preferredEndpoint(other);
         expect(chosen.filter(id => id !== "e5" && id !== assigned)).to.deep.equal([]);
@@ -302,20 +262,17 @@
     it("sends a prompt to the engine that has cached it, also when many engines of another service have", () => {
         const fleet = new ChoiceFleet({ endpoints: 4_000, kind: "engine", isEstimated: true, seed: 8, fullPart: 0 });
         const now = fleet.clock.now();
-        const parts = [{ id: "system", tokens: 20 }, { id: "talk", tokens: 9_000 }, { id: "q", tokens: 50 }];
-        [...Array(12).keys()].forEach(i => fleet.prefixes.record(`other${i}`, parts.slice(0, 2), 50_000, now));
-        fleet.prefixes.record("e5", parts.slice(0, 2), 50_000, now);
+        [...Array(12).keys()].forEach(i =>
+            fleet.prefixes.record(`other${i}`, longPrompt.parts.slice(0, 2), 50_000, now)
+        );
+        fleet.prefixes.record("e5", longPrompt.parts.slice(0, 2), 50_000, now);
         fleet.loads.applyPeerLoad("peer", [["e5", { running: 1, unreadTokens: 0 }]], true);
-        const work = { parts, promptTokens: 9_070, maxOutputTokens: 50, outputTokens: 50 };
-        const req = { ...fleet.request(), work, targetAt: now + 500 };
+        const req = { ...fleet.request(), work: longPrompt, targetAt: now + 500 };
         // The engine that all processes assign to the prompt cannot take it.
         const excluded = new Set([fleet.affinity.preferredEndpoint(req) ?? ""]);
         expect(excluded.has("e5")).to.equal(false);
         for (const candidates of [fleet.candidates, [...fleet.candidates]]) {
-            const chosen = Array.from(
-                { length: 50 },
-                () => fleet.dispatcher.choose(req, candidates, fleet.model, now, excluded)?.endpoint.id,
-            );
+            const chosen = fleet.chooseOften(req, candidates, excluded);
             expect(chosen.filter(id => id !== "e5")).to.deep.equal([]);
         }
     });
--- a/packages/dispatch/tests/choice-fleet.ts
+++ b/packages/dispatch/tests/choice-fleet.ts
@@ -6,6 +6,7 @@
     type DispatchOptions,
     type DispatchRequest,
     EndpointHealth,
+    type EndpointLoad,
     EndpointPace,
     EngineModel,
     EngineSpeedEstimate,
@@ -60,11 +61,7 @@
             new SeededRandom(seed + 1),
             { ...dispatchDefaults, ...dispatch },
         );
-        this.loads.applyPeerLoad(
-            "peer",
-            this.candidates.map(({ id }) => [id, this.randomLoad(this.random.next() < fullPart)]),
-            true,
-        );
+        this.reportLoads(() => this.randomLoad(this.random.next() < fullPart));
         for (const { id } of this.candidates) {
             this.pace?.recordReport(id, 60 + this.random.nextInt(200));
         }
@@ -101,6 +98,37 @@
         };
     }
 
+    /** Applies a report of a peer on the load of each endpoint. */
+    reportLoads(loadOf: (id: string, i: number) => EndpointLoad): void {
+        this.loads.applyPeerLoad("peer", this.candidates.map(({ id }, i) => [id, loadOf(id, i)]), true);
+    }
+
+    /** Decides a hundred times on one request of the most urgent rank that is due in 600 ms. */
+    decideOnUrgent(): DispatchDecision<Candidate>[] {
+        const now = this.clock.now();
+        const req = { ...this.request(), rank: 0, targetAt: now + 600 };
+        return Array.from({ length: 100 }, () => this.dispatcher.decide(req, this.candidates, this.model, now));
+    }
+
+    /** Returns decisions on one request that is due in 600 ms, each at the current time. */
+    repeatedDecision(): () => DispatchDecision<Candidate> {
+        const req: DispatchRequest = { ...this.request(), targetAt: this.clock.now() + 600 };
+        return () => this.dispatcher.decide(req, this.candidates, this.model, this.clock.now());
+    }
+
+    /** Returns the endpoints of fifty choices for one request. */
+    chooseOften(
+        req: DispatchRequest,
+        candidates = this.candidates,
+        excluded?: ReadonlySet<string>,
+    ): (string | undefined)[] {
+        const now = this.clock.now();
+        return Array.from(
+            { length: 50 },
+            () => this.dispatcher.choose(req, candidates, this.model, now, excluded)?.endpoint.id,
+        );
+    }
+
     /** Decides on one request; then the load and the pauses of some endpoints change. */
     step(): DispatchDecision<Candidate> {
         const { random, clock } = this;
