Use one sync request in the leader's tests and its benchmark

Cause: three tests of the leader and the benchmark of its fleet wrote the 22 fields of a sync each.

Change: syncRequest in packages/bench builds it; the tests import it from there, since src/ must not import tests. Each place names the fields in which it differs. room-fleet.ts leaves out the fields that have defaults, and stays as it is.

--- a/packages/bench/src/experiments/size/leader-fleet.ts
+++ b/packages/bench/src/experiments/size/leader-fleet.ts
@@ -2,6 +2,7 @@
 import { type Endpoint, syncIntervalMs } from "@lentilramp/fleet";
 import type { RoomReport, WorkRow } from "@lentilramp/room";
 import { ManualClock, SeededRandom } from "@lentilramp/runtime";
+import { syncRequest } from "../../fakes/sync-request.ts";
 
 export interface LeaderOptions {
     ingresses: number;
@@ -54,37 +55,19 @@
     nextSync(): SyncRequest {
         this.clock.advanceTo(this.clock.now() + this.syncGapMs);
         const name = `ingress-${this.sent++ % this.options.ingresses}`;
-        const address = { host: "10.0.0.2", port: 80 };
-        return {
-            ingress: { name, ...address, inner: address, region: "r", failureDomain: "a", accepting: true },
-            lifetime: name,
+        return syncRequest(name, {
             wallMs: this.clock.now(),
             elapsedMs: this.intervalMs,
-            waitMs: 600,
-            catalogVersion: 0,
             listNumber: 1,
             load: Object.fromEntries(
                 Array.from({ length: inFlight }, () => [this.anyEndpoint().id, { running: 1, unreadTokens: 100 }]),
             ),
-            followsOthers: true,
-            suspects: [],
-            rosterTag: 0,
-            usage: {},
-            leaving: [],
-            limits: {},
-            permits: {},
-            crashes: [],
-            begunParts: {},
-            refusedParts: [],
-            blockedTag: 0,
-            origins: {},
-            singleVersionTag: 0,
             demand: { engines: { unreadTokens: 5_000, promptTokens: 9_000, placeMs: 900, prefillTokensPerMs: 40 } },
             room: this.roomReport(),
             paces: Object.fromEntries(
                 Array.from({ length: reportedPaces }, () => [this.anyEndpoint().id, [1 + this.random.next(), 1]]),
             ),
-        };
+        });
     }
 
     private anyEndpoint(): Endpoint {
--- a/packages/steward/tests/fleet-coordinator.test.ts
+++ b/packages/steward/tests/fleet-coordinator.test.ts
@@ -1,4 +1,4 @@
-import type { SyncRequest } from "@lentilramp/exchange";
+import { syncRequest } from "@lentilramp/bench";
 import type { WorkRow } from "@lentilramp/room";
 import { ManualClock } from "@lentilramp/runtime";
 import { FleetCoordinator } from "@lentilramp/steward";
@@ -16,35 +16,6 @@
     startedAt: 5,
 };
 
-function syncRequest(name: string, overrides: Partial<SyncRequest> = {}): SyncRequest {
-    const address = { host: "10.0.0.2", port: 80 };
-    return {
-        ingress: { name, ...address, inner: address, region: "r", failureDomain: "a", accepting: true },
-        lifetime: name,
-        wallMs: 0,
-        elapsedMs: 0,
-        waitMs: 600,
-        catalogVersion: 0,
-        listNumber: 0,
-        load: {},
-        followsOthers: true,
-        suspects: [],
-        rosterTag: 0,
-        usage: {},
-        leaving: [],
-        limits: {},
-        permits: {},
-        crashes: [],
-        begunParts: {},
-        refusedParts: [],
-        blockedTag: 0,
-        origins: {},
-        singleVersionTag: 0,
-        demand: {},
-        ...overrides,
-    };
-}
-
 describe("FleetCoordinator", () => {
     const wants = (wanted: number) => ({ permits: { e: { wanted, held: 0 } } });
     const names = (ageMs: number, startedAt = 5) => ({ limits: { e: { perSecond: 2, startedAt, ageMs } } });
--- a/packages/steward/tests/leader-cost.test.ts
+++ b/packages/steward/tests/leader-cost.test.ts
@@ -1,3 +1,4 @@
+import { syncRequest } from "@lentilramp/bench";
 import { type SyncRequest, syncRequestSchema } from "@lentilramp/exchange";
 import { type Endpoint, syncIntervalMs } from "@lentilramp/fleet";
 import { type AdmissionLevels, RoomLedger, type ServiceCapacity, type WorkRow } from "@lentilramp/room";
@@ -9,33 +10,9 @@
 const slotsPerEndpoint = 8;
 const endpointsPerIngress = 4;
 
-function syncRequest(name: string, overrides: Partial<SyncRequest> = {}): SyncRequest {
-    const address = { host: "10.0.0.2", port: 80 };
-    return syncRequestSchema.parse({
-        ingress: { name, ...address, inner: address, region: "r", failureDomain: "a", accepting: true },
-        lifetime: name,
-        wallMs: 0,
-        elapsedMs: 0,
-        waitMs: 600,
-        catalogVersion: 0,
-        listNumber: 1,
-        load: {},
-        followsOthers: true,
-        suspects: [],
-        rosterTag: 0,
-        usage: {},
-        leaving: [],
-        limits: {},
-        permits: {},
-        crashes: [],
-        begunParts: {},
-        refusedParts: [],
-        blockedTag: 0,
-        origins: {},
-        singleVersionTag: 0,
-        demand: {},
-        ...overrides,
-    });
+/** Returns the sync of an ingress that knows the list of endpoints, as the leader reads it. */
+function parsedSync(name: string, reports: Partial<SyncRequest> = {}): SyncRequest {
+    return syncRequestSchema.parse(syncRequest(name, { listNumber: 1, ...reports }));
 }
 
 /** Endpoints that count how often a property of one of them is read. */
@@ -79,7 +56,7 @@
         before = i === ingresses ? reads() : before;
         clock.advanceTo(clock.now() + intervalMs / ingresses);
         const slotMs = endpointsPerIngress * slotsPerEndpoint * 1.3 * intervalMs;
-        coordinator.sync(syncRequest(`i${i % ingresses}`, {
+        coordinator.sync(parsedSync(`i${i % ingresses}`, {
             wallMs: clock.now(),
             elapsedMs: intervalMs,
             room: { overMs: intervalMs, services: { [service]: [[1, "w", slotMs, 0, 0, 0]] } },
@@ -122,7 +99,7 @@
             let now = 0;
             for (let i = 0; i < ingresses * 4; i++) {
                 now += intervalMs / ingresses;
-                room.record(syncRequest(`i${i % ingresses}`));
+                room.record(parsedSync(`i${i % ingresses}`));
                 room.levels(now, () => ({
                     live: () => {
                         calls++;
@@ -159,7 +136,7 @@
                 0,
                 0,
             ]);
-            const { room, paces } = coordinator.sync(syncRequest(`i${i % ingresses}`, {
+            const { room, paces } = coordinator.sync(parsedSync(`i${i % ingresses}`, {
                 wallMs: clock.now(),
                 room: { overMs: intervalMs, services: { [service]: rows } },
                 paces: Object.fromEntries(
@@ -217,7 +194,7 @@
             const names = Object.keys(reports);
             for (const name of names) {
                 const services = { [service]: [...reports[name] ?? []] };
-                room.record(syncRequest(name, { room: { overMs: intervalMs, services } }));
+                room.record(parsedSync(name, { room: { overMs: intervalMs, services } }));
             }
             return room.levels(i * intervalMs, () => ({
                 live: () => new Set(names),
--- a/packages/steward/tests/rollout-sync.ts
+++ b/packages/steward/tests/rollout-sync.ts
@@ -1,3 +1,4 @@
+import { syncRequest } from "@lentilramp/bench";
 import type { SyncAnswer, SyncRequest } from "@lentilramp/exchange";
 import type { Endpoint } from "@lentilramp/fleet";
 import { VersionResults } from "@lentilramp/rollouts";
@@ -23,32 +24,7 @@
     now: number,
     reports: Pick<SyncRequest, "rolloutResults" | "rolloutRevision"> & Partial<Pick<SyncRequest, "lifetime" | "load">>,
 ): SyncRequest {
-    const address = { host: "10.0.0.2", port: 80 };
-    return {
-        ingress: { name, ...address, inner: address, region: "r", failureDomain: "a", accepting: true },
-        lifetime: name,
-        wallMs: now,
-        elapsedMs: 0,
-        waitMs: 600,
-        catalogVersion: 0,
-        listNumber: 0,
-        load: {},
-        followsOthers: true,
-        suspects: [],
-        rosterTag: 0,
-        usage: {},
-        leaving: [],
-        limits: {},
-        permits: {},
-        crashes: [],
-        begunParts: {},
-        refusedParts: [],
-        blockedTag: 0,
-        origins: {},
-        singleVersionTag: 0,
-        demand: {},
-        ...reports,
-    };
+    return syncRequest(name, { wallMs: now, ...reports });
 }
 
 /** An ingress as the coordinator sees it, which obeys the notices that it gets. */
