Declare the tests of untrusted clients at a fleet in one place

Cause: two test files repeated the start of the fleet and the loop over servers and loads.

Change: describeFleetUnderLoad declares them. Targets, loads, limits, bounds and titles are as before.

Measured: untrusted-clients (12 tests) and untrusted-clients-servers (18 tests) pass in one run each, one after the other, at a load average of 12 to 16.

--- a/packages/cli/tests/untrusted-clients-servers.test.ts
+++ b/packages/cli/tests/untrusted-clients-servers.test.ts
@@ -1,15 +1,14 @@
 import { clientSettingsSchema } from "@lentilramp/settings";
 import { PlainService } from "@lentilramp/stand-ins";
 import { request } from "node:http";
-import { exchange, type FleetProcesses, innerPort, PlatformStandIn, startConfiguredFleet } from "./fleet-harness.ts";
+import { exchange, innerPort } from "./fleet-harness.ts";
 import { ProcessGroup } from "./process-group.ts";
 import { host as groupHost } from "./test-group.ts";
+import { describeFleetUnderLoad, type FleetTarget } from "./untrusted-clients-fleet.ts";
 import {
-    boundedFleet,
     descriptors,
     expectSurvival,
     loads,
-    type LoadTarget,
     memoryMb,
     nodeOptions,
     type UntrustedClients,
@@ -43,13 +42,7 @@
     return (await exchange(host, innerPort, "/rpc", { method: "POST", headers: key, body })).status;
 }
 
-interface Target extends LoadTarget {
-    name: string;
-    role: "ingress" | "steward";
-    ask: (host: string) => Promise<number>;
-}
-
-const targets: readonly Target[] = [
+const targets: readonly FleetTarget[] = [
     {
         name: "inner address of an ingress",
         role: "ingress",
@@ -90,51 +83,11 @@
 
 // Guards against clients without the process key that end a process, or lock other processes and scrapers out, at the
 // servers that are not meant for callers.
-describe("untrusted clients at the inner and metrics servers", function() {
-    this.timeout(120_000);
-    const platform = new PlatformStandIn();
-    let cloudAddress: string;
-    let fleet: FleetProcesses | undefined;
-    let clients: UntrustedClients | undefined;
-
-    before(async () => {
-        cloudAddress = await platform.start();
-    });
-
-    beforeEach(async () => {
-        fleet = await startConfiguredFleet(cloudAddress, {
-            stewards: 1,
-            ingresses: 1,
-            configuration: JSON.stringify({ version: 1, routes: [], services: [], limits: {}, tenants: [] }),
-            limits: boundedFleet,
-        });
-    });
-
-    afterEach(async () => {
-        clients?.close();
-        await fleet?.close();
-    });
-
-    after(() => platform.close());
-
-    for (const target of targets) {
-        for (const load of loads) {
-            it(`at the ${target.name}: ${load.name}`, async () => {
-                const host = (target.role === "ingress" ? fleet?.ingresses : fleet?.stewards)?.[0] ?? "";
-                await expectSurvival(
-                    {
-                        pid: () => fleet?.pid(host),
-                        exits: () => fleet?.unexpectedExits,
-                        ask: () => target.ask(host),
-                    },
-                    opened => clients = opened,
-                    { ...target, host },
-                    load,
-                );
-            });
-        }
-    }
-});
+describeFleetUnderLoad(
+    "untrusted clients at the inner and metrics servers",
+    JSON.stringify({ version: 1, routes: [], services: [], limits: {}, tenants: [] }),
+    targets,
+);
 
 // Guards against clients that end a process whose server is shared by callers and other processes.
 describe("untrusted clients at an entry and a control process", function() {
--- a/packages/cli/tests/untrusted-clients.test.ts
+++ b/packages/cli/tests/untrusted-clients.test.ts
@@ -1,11 +1,5 @@
-import { exchange, type FleetProcesses, PlatformStandIn, ports, startConfiguredFleet } from "./fleet-harness.ts";
-import {
-    boundedFleet,
-    expectSurvival,
-    loads,
-    type LoadTarget,
-    type UntrustedClients,
-} from "./untrusted-clients-load.ts";
+import { exchange, ports } from "./fleet-harness.ts";
+import { describeFleetUnderLoad, type FleetTarget } from "./untrusted-clients-fleet.ts";
 
 const maxBodyBytes = 1_048_576;
 const callerHeaders = "Host: desk.example\r\nApi-Key: key\r\nX-Attempt-Id: id\r\nX-Deadline-Ms: 3000\r\n";
@@ -29,16 +23,8 @@
     tenants: [{ name: "hire", api_keys: ["key"], unit: "requests", rate_per_s: 100_000, burst: 100_000 }],
 });
 
-/** A server of the product, with the ordinary request that it has to answer afterwards. */
-interface Target extends LoadTarget {
-    name: string;
-    role: "ingress" | "steward";
-    port: number;
-    ask: (host: string) => Promise<number>;
-}
-
 const asked = async (answer: Promise<{ status: number; }>): Promise<number> => (await answer).status;
-const targets: readonly Target[] = [
+const targets: readonly FleetTarget[] = [
     {
         name: "callers' address of an ingress",
         role: "ingress",
@@ -89,48 +75,4 @@
 
 // Guards against clients that end a process: before the memory account, what they sent and did not read was kept
 // without a common bound.
-describe("untrusted clients", function() {
-    this.timeout(120_000);
-    const platform = new PlatformStandIn();
-    let cloudAddress: string;
-    let fleet: FleetProcesses | undefined;
-    let clients: UntrustedClients | undefined;
-
-    before(async () => {
-        cloudAddress = await platform.start();
-    });
-
-    beforeEach(async () => {
-        fleet = await startConfiguredFleet(cloudAddress, {
-            stewards: 1,
-            ingresses: 1,
-            configuration,
-            limits: boundedFleet,
-        });
-    });
-
-    afterEach(async () => {
-        clients?.close();
-        await fleet?.close();
-    });
-
-    after(() => platform.close());
-
-    for (const target of targets) {
-        for (const load of loads) {
-            it(`at the ${target.name}: ${load.name}`, async () => {
-                const host = (target.role === "ingress" ? fleet?.ingresses : fleet?.stewards)?.[0] ?? "";
-                await expectSurvival(
-                    {
-                        pid: () => fleet?.pid(host),
-                        exits: () => fleet?.unexpectedExits,
-                        ask: () => target.ask(host),
-                    },
-                    opened => clients = opened,
-                    { ...target, host },
-                    load,
-                );
-            });
-        }
-    }
-});
+describeFleetUnderLoad("untrusted clients", configuration, targets);
