Use one catalog in the tests of streams that change engines

Cause: three tests wrote the same route and service.

Change: streamCatalog builds them; each test names its times and attempts, which are as before.

--- a/packages/ingress/tests/alternating-attempts.test.ts
+++ b/packages/ingress/tests/alternating-attempts.test.ts
@@ -1,6 +1,6 @@
 import { expect } from "chai";
-import { testCatalog, testRoute } from "../../catalog/tests/fixtures.ts";
 import { type Answer, IngressHarness, ScriptedEndpoint } from "./ingress-harness.ts";
+import { streamCatalog } from "./stream-catalog.ts";
 
 /** Longest time for which two engines may work on one stream, in milliseconds. */
 const sharedMs = 400;
@@ -48,19 +48,8 @@
     for (const endpoint of endpoints) {
         await endpoint.start();
     }
-    const engine = { slots: 4, kvCacheTokens: 10_000 };
     const ingress = await IngressHarness.start(
-        testCatalog({
-            routes: [testRoute({
-                execution: "stream",
-                resumable: true,
-                timeoutMs: 20_000,
-                firstByteTargetMs: 10_000,
-                gapTargetMs: 60,
-                maxAttempts: 2,
-            })],
-            services: new Map([["app", { name: "app", connectionLimit: 96, engine, scaling: undefined }]]),
-        }),
+        streamCatalog({ timeoutMs: 20_000, firstByteTargetMs: 10_000, maxAttempts: 2 }),
         endpoints,
         {},
         { retryRatio: 0.5, retryReserve: 10 },
--- a/packages/ingress/tests/paused-streams-at-random.test.ts
+++ b/packages/ingress/tests/paused-streams-at-random.test.ts
@@ -1,7 +1,7 @@
 import { SeededRandom } from "@lentilramp/runtime";
 import { expect } from "chai";
-import { testCatalog, testRoute } from "../../catalog/tests/fixtures.ts";
 import { type Answer, IngressHarness, ScriptedEndpoint, sealed } from "./ingress-harness.ts";
+import { streamCatalog } from "./stream-catalog.ts";
 
 const eventCount = 8;
 const streamCount = 60;
@@ -54,19 +54,8 @@
             for (const endpoint of endpoints) {
                 await endpoint.start();
             }
-            const engine = { slots: 4, kvCacheTokens: 10_000 };
             const ingress = await IngressHarness.start(
-                testCatalog({
-                    routes: [testRoute({
-                        execution: "stream",
-                        resumable: true,
-                        timeoutMs: 20_000,
-                        firstByteTargetMs: 10_000,
-                        gapTargetMs: 60,
-                        maxAttempts,
-                    })],
-                    services: new Map([["app", { name: "app", connectionLimit: 96, engine, scaling: undefined }]]),
-                }),
+                streamCatalog({ timeoutMs: 20_000, firstByteTargetMs: 10_000, maxAttempts }),
                 endpoints,
                 {},
                 { retryRatio: 0.5, retryReserve: 10 },
--- a/packages/ingress/tests/third-attempts.test.ts
+++ b/packages/ingress/tests/third-attempts.test.ts
@@ -1,6 +1,6 @@
 import { expect } from "chai";
-import { testCatalog, testRoute } from "../../catalog/tests/fixtures.ts";
 import { type Answer, type CallerAnswer, IngressHarness, ScriptedEndpoint, sealed } from "./ingress-harness.ts";
+import { streamCatalog } from "./stream-catalog.ts";
 
 const events = ["id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n", "id: 3\ndata: c\n\n"];
 const sleep = (ms: number): Promise<void> => new Promise(resolve => setTimeout(resolve, ms));
@@ -34,18 +34,8 @@
         for (const endpoint of endpoints) {
             await endpoint.start();
         }
-        const engine = { slots: 4, kvCacheTokens: 10_000 };
         ingress = await IngressHarness.start(
-            testCatalog({
-                routes: [testRoute({
-                    execution: "stream",
-                    resumable: true,
-                    timeoutMs: 8_000,
-                    gapTargetMs: 60,
-                    maxAttempts: 3,
-                })],
-                services: new Map([["app", { name: "app", connectionLimit: 96, engine, scaling: undefined }]]),
-            }),
+            streamCatalog({ timeoutMs: 8_000, maxAttempts: 3 }),
             endpoints.slice(0, 1),
             {},
             { retryReserve: 100 },
