Show that engines change places, and two that work for too long beside a third

Cause: alternating-attempts.test.ts did not say whether the engines had changed places, without which it cannot fail for the fault that it guards against.

--- a/packages/ingress/tests/alternating-attempts.test.ts
+++ b/packages/ingress/tests/alternating-attempts.test.ts
@@ -28,9 +28,12 @@
 
 /**
  * Plays one stream. The first engine is silent until the second one has been asked; each then begins an event after the
- * given time, in milliseconds. Returns for how long both worked on the stream.
+ * given time, in milliseconds. Returns for how long both worked on the stream, and whether they changed places.
  */
-async function sharedTime(firstBeginsAfterMs: number, secondBeginsAfterMs: number): Promise<number> {
+async function play(
+    firstBeginsAfterMs: number,
+    secondBeginsAfterMs: number,
+): Promise<{ sharedForMs: number; changed: boolean; }> {
     const runs: Run[] = [];
     let onSecond = (): void => undefined;
     const secondAsked = new Promise<void>(resolve => onSecond = resolve);
@@ -63,9 +66,10 @@
         await sleep(sharedMs);
         expect(asked).to.equal(2);
         const [first, second] = runs;
-        return first === undefined || second === undefined
+        const sharedForMs = first === undefined || second === undefined
             ? 0
             : Math.min(first.endedAt, second.endedAt) - second.begunAt;
+        return { sharedForMs, changed: ingress.log.events.some(({ name }) => name === "request.taken-back") };
     }
     finally {
         await ingress.close();
@@ -80,11 +84,14 @@
         const cases = [350, 450, 500, 550].flatMap(second =>
             [60, 120, 180, 240].map(ms => ({ second, first: second + ms }))
         );
-        const shared = await Promise.all(cases.map(({ first, second }) => sharedTime(first, second)));
+        const plays = await Promise.all(cases.map(({ first, second }) => play(first, second)));
+        const shared = plays.map(({ sharedForMs }) => sharedForMs);
         const tooLong = cases.flatMap(({ first, second }, i) =>
             shared[i] !== undefined && shared[i] < sharedMs ? [] : [`${first} ms, ${second} ms: ${shared[i]} ms`]
         );
         expect(tooLong).to.deep.equal([]);
         expect(shared.filter(ms => ms > 0).length).to.be.above(cases.length / 2);
+        // The time would not be begun anew if the engines did not change places.
+        expect(plays.some(({ changed, sharedForMs }) => changed && sharedForMs > 0)).to.equal(true);
     });
 });
--- a/packages/ingress/tests/third-attempts.test.ts
+++ b/packages/ingress/tests/third-attempts.test.ts
@@ -3,6 +3,8 @@
 import { streamCatalog } from "./stream-catalog.ts";
 
 const events = ["id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n", "id: 3\ndata: c\n\n"];
+/** Longest time for which two engines may work on one stream, in milliseconds. */
+const sharedMs = 400;
 const sleep = (ms: number): Promise<void> => new Promise(resolve => setTimeout(resolve, ms));
 
 /** Begins an answer, which is written by `write`. */
@@ -22,8 +24,6 @@
     return (...args) => (asked++ === 0 ? answer : others)(...args);
 }
 
-// Guards against a stream that is lost because the engine that would have gone on was closed beside one that had begun
-// nothing yet.
 describe("Relay with a third engine for a stream", () => {
     let endpoints: ScriptedEndpoint[];
     let ingress: IngressHarness;
@@ -56,6 +56,8 @@
         endpoints.forEach(endpoint => endpoint.close());
     });
 
+    // Guards against a stream that is lost because the engine that would have gone on was closed beside one that had begun
+    // nothing yet.
     it("keeps the second engine, which has begun an event, until the third one begins one", async () => {
         const pausing = begin(async (...[, res]) => {
             await sleep(300);
@@ -72,6 +74,7 @@
         expect(endpoints[1]?.requests.length).to.equal(1);
     });
 
+    // Guards against a stream that is lost by a closing time left over from an attempt that has ended.
     it("keeps the first engine when the second one breaks off its first event", async () => {
         const pausing = begin(async (...[, res]) => {
             res.write(events[0]);
@@ -87,4 +90,26 @@
         expect(answer).to.include({ status: 200, complete: true, body: events.join("") });
         expect(endpoints[0]?.requests.length).to.equal(1);
     });
+
+    // Guards against two engines that work on one stream for longer than allowed while a third one is silent.
+    it("closes one of two silent engines that have both begun an event while a third one is silent", async () => {
+        let onThird = (): void => undefined;
+        const thirdAsked = new Promise<void>(resolve => onThird = resolve);
+        const runs: { begunAt: number; endedAt: number; }[] = [];
+        const beginsLate = (ms: number): Answer => async (...args) => {
+            await thirdAsked;
+            await sleep(ms);
+            await begin((...[, res]) => {
+                res.write("id: 1\n");
+                const run = { begunAt: Date.now(), endedAt: Infinity };
+                runs.push(run);
+                res.once("close", () => run.endedAt = Date.now());
+            })(...args);
+        };
+        await play([beginsLate(50), beginsLate(60), () => onThird()]);
+        await sleep(sharedMs);
+        expect(runs.length).to.equal(2);
+        const sharedForMs = Math.min(...runs.map(({ endedAt }) => endedAt)) - Math.max(...runs.map(r => r.begunAt));
+        expect(sharedForMs < sharedMs, `both work for less than ${sharedMs} ms`).to.equal(true);
+    });
 });
