--- a/packages/cli/tests/soak/untrusted-load.ts
+++ b/packages/cli/tests/soak/untrusted-load.ts
@@ -1,4 +1,5 @@
 import { SeededRandom } from "@lentilramp/runtime";
+import { connect } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
 import { type FleetProcesses, ports, type ProcessLimits } from "../fleet-harness.ts";
 import { pipelinedRequests, readUse, unfinishedBody, UntrustedClients } from "../untrusted-clients-load.ts";
@@ -99,13 +100,30 @@
     const bytes = "requests" in size
         ? pipelinedRequests(path, size.requests)
         : unfinishedBody("POST", path, headers, size);
-    const clients = new UntrustedClients(host, isToCallers ? ports.front : ports.ready);
+    const port = isToCallers ? ports.front : ports.ready;
+    const clients = new UntrustedClients(host, port);
+    await resetTunnels(host, port);
     clients.open(connections, bytes);
     await sleep(forMs);
     onEnd();
     clients.close();
 }
 
+/** Connections of each load on which a tunnel is requested, and the time after which they are reset, in milliseconds. */
+const tunnels = { connections: 8, openMs: 20 };
+
+/** Requests tunnels and resets the connections. Without an error listener such a reset ends a process of Node.js. */
+async function resetTunnels(host: string, port: number): Promise<void> {
+    const sockets = Array.from({ length: tunnels.connections }, () => {
+        const socket = connect(port, host);
+        socket.on("error", () => undefined);
+        socket.write("CONNECT soak.example:1 HTTP/1.1\r\nHost: soak.example:1\r\n\r\n");
+        return socket;
+    });
+    await sleep(tunnels.openMs);
+    sockets.forEach(socket => socket.resetAndDestroy());
+}
+
 /** The load of untrusted clients in one run. */
 export class UntrustedLoad {
     private readonly phases: readonly UntrustedPhase[];
