Count the time of unread answers from the arrival of the requests

Change: the connections are expected to be open until 6.5 s after the first request, and to be closed at the same time as before. Times and load are unchanged.

--- a/packages/ingress/tests/unread-answers.test.ts
+++ b/packages/ingress/tests/unread-answers.test.ts
@@ -113,15 +113,18 @@
 
     // Guards against a half-closed connection that holds memory for longer than an open one.
     it("closes a half-closed connection as an open one, and says so", async () => {
+        const startedAt = performance.now();
         start();
         const halfClosed = start();
         while (endpoint.requests.length < 2 * answers || ingress.relay.requestsInFlight > 0) {
             await sleep(5);
         }
         halfClosed.closeSendingSide();
-        await sleep(shortMs + unreadAnswerTimeoutMs - 500);
+        const closedSidesAt = performance.now();
+        // The time counts from the arrival of the requests, which may be answered some time later.
+        await sleep(startedAt + shortMs + unreadAnswerTimeoutMs - 500 - performance.now());
         expect(openSockets()).to.equal(2);
-        await sleep(2_500);
+        await sleep(closedSidesAt + shortMs + unreadAnswerTimeoutMs + 2_000 - performance.now());
         expect(openSockets()).to.equal(0);
         expect(ingress.relay.requestsInFlight).to.equal(0);
         expect(cuts().length).to.be.above(0);
