Give each test process loopback addresses of its own

Cause: FleetProcesses and signals.test.ts took the addresses 127.N.*.* with N = 1 + process id modulo 250. Two test processes on one machine whose ids are equal modulo 250 start fleets with the same addresses and ports: the processes of the second one cannot listen, and its test sends its configuration to the steward of the first one. Moreover, startConfiguredFleet left the processes of a fleet running that did not become ready, as the caller gets no fleet to close; these kept the addresses for later tests.

Change: the addresses are 127.A.B.* with the process id in A and B, which differ for any two of 65,024 consecutive ids; a fleet that does not become ready is closed.

--- a/packages/cli/tests/fleet-harness.ts
+++ b/packages/cli/tests/fleet-harness.ts
@@ -16,6 +16,17 @@
 export const innerPort = 7_600;
 export const ports = { front: 8_001, ready: 8_002, control: 8_003, directory: 8_004 } as const;
 
+/**
+ * First three bytes of the loopback addresses of a test process. They differ for any two of 65,024 consecutive process
+ * ids: the fleets of two test processes with the same addresses take each other's configurations and fail.
+ */
+export function loopbackNet(pid: number): string {
+    return `127.${1 + Math.floor(pid / 256) % 254}.${pid % 256}`;
+}
+
+/** Last byte of the address of the first process of a kind. */
+export const firstHost = { steward: 1, ingress: 101, other: 201 } as const;
+
 export interface Answer {
     status: number;
     headers: Record<string, string | string[] | undefined>;
@@ -147,7 +158,8 @@
     private readonly running = new Map<string, ChildProcess>();
     private readonly ending = new Set<string>();
     private started = false;
-    private lastSteward: number;
+    private addedStewards: number;
+    private readonly net = loopbackNet(process.pid);
     /** Processes that ended without being told to. */
     readonly unexpectedExits: { host: string; code: number | null; signal: NodeJS.Signals | null; }[] = [];
 
@@ -157,10 +169,9 @@
         ingresses: number,
         private readonly limits: ProcessLimits = { settings: [], nodeOptions: [] },
     ) {
-        const net = `127.${1 + process.pid % 250}`;
-        this.stewards = Array.from({ length: stewards }, (...[, i]) => `${net}.1.${i + 1}`);
-        this.lastSteward = stewards;
-        this.ingresses = Array.from({ length: ingresses }, (...[, i]) => `${net}.2.${i + 1}`);
+        this.stewards = Array.from({ length: stewards }, (...[, i]) => `${this.net}.${firstHost.steward + i}`);
+        this.addedStewards = stewards;
+        this.ingresses = Array.from({ length: ingresses }, (...[, i]) => `${this.net}.${firstHost.ingress + i}`);
     }
 
     async start(): Promise<void> {
@@ -187,8 +198,7 @@
 
     /** Starts a steward with an empty disk at an address that no steward has had, and returns its host. */
     addSteward(): string {
-        const [first = ""] = this.ingresses;
-        const host = `${first.split(".").slice(0, 2).join(".")}.1.${++this.lastSteward}`;
+        const host = `${this.net}.${firstHost.steward + this.addedStewards++}`;
         this.stewards = [...this.stewards, host];
         this.run(host);
         return host;
@@ -302,7 +312,10 @@
     }
 }
 
-/** Starts a fleet and waits until all ingresses are ready with a configuration in the platform's format. */
+/**
+ * Starts a fleet and waits until all ingresses are ready with a configuration in the platform's format. If they do not
+ * become ready, the processes are ended, since the caller does not get the fleet that it could close.
+ */
 export async function startConfiguredFleet(
     cloudAddress: string,
     { stewards, ingresses, configuration, limits }: {
@@ -313,17 +326,23 @@
     },
 ): Promise<FleetProcesses> {
     const fleet = new FleetProcesses(cloudAddress, stewards, ingresses, limits);
-    await fleet.start();
-    await until("the configuration was taken", async () => {
-        const path = "/lentilramp/configuration";
-        const options = { method: "PUT", body: configuration };
-        return (await exchange(fleet.stewards[0] ?? "", ports.control, path, options)).status === 200;
-    });
-    await until("all ingresses are ready", async () => {
-        const answers = await Promise.all(
-            fleet.ingresses.map(host => exchange(host, ports.ready, "/lentilramp/readiness")),
-        );
-        return answers.every(({ status }) => status === 200);
-    });
-    return fleet;
+    try {
+        await fleet.start();
+        await until("the configuration was taken", async () => {
+            const path = "/lentilramp/configuration";
+            const options = { method: "PUT", body: configuration };
+            return (await exchange(fleet.stewards[0] ?? "", ports.control, path, options)).status === 200;
+        });
+        await until("all ingresses are ready", async () => {
+            const answers = await Promise.all(
+                fleet.ingresses.map(host => exchange(host, ports.ready, "/lentilramp/readiness")),
+            );
+            return answers.every(({ status }) => status === 200);
+        });
+        return fleet;
+    }
+    catch (err) {
+        await fleet.close();
+        throw err;
+    }
 }
--- a/packages/cli/tests/signals.test.ts
+++ b/packages/cli/tests/signals.test.ts
@@ -9,11 +9,11 @@
 import { bundleOptions } from "../../../scripts/bundle-options.mjs";
 // @ts-expect-error The build scripts are plain JavaScript without declarations.
 import { fleetBundlePlugin } from "../../../scripts/fleet-bundle-plugin.mjs";
-import { exchange, innerPort, ports, until } from "./fleet-harness.ts";
+import { exchange, firstHost, innerPort, loopbackNet, ports, until } from "./fleet-harness.ts";
 
 describe("signals to a process of a fleet that starts", function() {
     this.timeout(60_000);
-    const host = `127.${1 + process.pid % 250}.3.1`;
+    const host = `${loopbackNet(process.pid)}.${firstHost.other}`;
     let folder: string;
     let settings: string;
     let child: ChildProcess | undefined;
