Give the control groups of test processes with consecutive ids different addresses

Cause: the last byte of the address was "process id modulo 256, or 1", so that ids 256 k and 256 k + 1 had the same address and ports from 20000 on. With such ids control-group.test.ts fails with "listen EADDRINUSE" in one of two processes started at once.

Change: the last byte may be 0, which is an ordinary address on loopback.

--- a/packages/cli/tests/test-group.ts
+++ b/packages/cli/tests/test-group.ts
@@ -18,7 +18,7 @@
 /** Loopback address that no other test process uses at the same time. */
 export const host = `127.${64 + (Math.floor(process.pid / byteValues ** 2) % 64)}.${
     Math.floor(process.pid / byteValues) % byteValues
-}.${process.pid % byteValues || 1}`;
+}.${process.pid % byteValues}`;
 let nextPort = 20_000;
 
 interface Result {
