Let test endpoints that are closed listen at an address of the test process alone

Cause: a port of 127.0.0.1 that a test frees may be taken by a server of another process before the ingress connects to it.

Change: ScriptedEndpoint, the ports at which the tests expect a refusal, and the RPC server that is closed listen at 127.A.B.241, with the process id in A and B. loopbackNet moves to packages/protocol/tests, where the tests of ingresses and of processes can use it.

--- a/packages/cli/tests/fleet-harness.ts
+++ b/packages/cli/tests/fleet-harness.ts
@@ -10,20 +10,13 @@
 import { bundleOptions } from "../../../scripts/bundle-options.mjs";
 // @ts-expect-error The build scripts are plain JavaScript without declarations.
 import { fleetBundlePlugin } from "../../../scripts/fleet-bundle-plugin.mjs";
+import { loopbackNet } from "../../protocol/tests/loopback-net.ts";
 
 /** Folder to which the processes of a fleet write their logs; without it they are discarded. */
 const logFolder = process.env.FLEET_LOGS;
 export const innerPort = 7_600;
 export const ports = { front: 8_001, ready: 8_002, control: 8_003, directory: 8_004 } as const;
 
-/**
- * First three bytes of the loopback addresses of a test process. They differ for any two of 65,024 consecutive process
- * ids: the fleets of two test processes with the same addresses take each other's configurations and fail.
- */
-export function loopbackNet(pid: number): string {
-    return `127.${1 + Math.floor(pid / 256) % 254}.${pid % 256}`;
-}
-
 /** Last byte of the address of the first process of a kind. */
 export const firstHost = { steward: 1, ingress: 101, other: 201 } as const;
 
--- a/packages/cli/tests/signals.test.ts
+++ b/packages/cli/tests/signals.test.ts
@@ -9,7 +9,8 @@
 import { bundleOptions } from "../../../scripts/bundle-options.mjs";
 // @ts-expect-error The build scripts are plain JavaScript without declarations.
 import { fleetBundlePlugin } from "../../../scripts/fleet-bundle-plugin.mjs";
-import { exchange, firstHost, innerPort, loopbackNet, ports, until } from "./fleet-harness.ts";
+import { loopbackNet } from "../../protocol/tests/loopback-net.ts";
+import { exchange, firstHost, innerPort, ports, until } from "./fleet-harness.ts";
 
 describe("signals to a process of a fleet that starts", function() {
     this.timeout(60_000);
--- a/packages/ingress/tests/cut-off-ingress.test.ts
+++ b/packages/ingress/tests/cut-off-ingress.test.ts
@@ -4,6 +4,7 @@
 import { once } from "node:events";
 import { type AddressInfo, createServer, type Server, type Socket } from "node:net";
 import { testCatalog, testRoute, testWorkspace } from "../../catalog/tests/fixtures.ts";
+import { ownHost } from "../../protocol/tests/loopback-net.ts";
 import { type Answer, holdBeforePoll, IngressHarness, ScriptedEndpoint } from "./ingress-harness.ts";
 
 const sleep = (ms: number): Promise<void> => new Promise(resolve => setTimeout(resolve, ms));
@@ -24,14 +25,14 @@
         res.end("id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
     };
 
-    /** Returns an address at which connections are refused or reset. */
+    /** Returns a port at the address of the endpoints at which connections are refused or reset. */
     async function deadPort(cut: Cut): Promise<number> {
         const server = createServer(socket => {
             sockets.add(socket);
             socket.on("error", () => undefined);
             socket.resetAndDestroy();
         });
-        server.listen(0, "127.0.0.1");
+        server.listen(0, ownHost);
         await once(server, "listening");
         const { port } = server.address() as AddressInfo;
         if (cut === "refused") {
--- a/packages/ingress/tests/incomplete-answers.test.ts
+++ b/packages/ingress/tests/incomplete-answers.test.ts
@@ -3,6 +3,7 @@
 import { expect } from "chai";
 import { type AddressInfo, createServer } from "node:net";
 import { testCatalog, testRoute } from "../../catalog/tests/fixtures.ts";
+import { ownHost } from "../../protocol/tests/loopback-net.ts";
 import {
     answerWithStatus,
     brokenAnswer,
@@ -39,11 +40,11 @@
         return { ...catalog, limits: { ...catalog.limits, maxBodyBytes: 16_000_000 } };
     }
 
-    function listOf(port: number) {
+    function listOf(port: number, host = "127.0.0.1") {
         return [{
             id: "raw",
             service: "app",
-            host: "127.0.0.1",
+            host,
             port,
             failureDomain: "a",
             slots: 4,
@@ -70,7 +71,7 @@
         endpoint = await RawEndpoint.start(answers, readsUpload);
         const ingress = await IngressHarness.start(catalogOf({ execution: "at-most-once" }), []);
         ingresses.push(ingress);
-        ingress.view.applyEndpointList(listOf(await closedPort()), ingress.clock.now(), 1);
+        ingress.view.applyEndpointList(listOf(await closedPort(), ownHost), ingress.clock.now(), 1);
         const own = describeIngress({ ...ingress.options, inner: { host: "127.0.0.1", port: 1 } }, true);
         const peer = { ...own, name: "peer", host: "127.0.0.1", port: endpoint.port };
         ingress.view.applySyncAnswer(
@@ -80,9 +81,10 @@
         return ingress;
     }
 
+    /** Returns a port at the own address at which connections are refused. */
     async function closedPort(): Promise<number> {
         const server = createServer();
-        await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+        await new Promise<void>(resolve => server.listen(0, ownHost, resolve));
         const address = server.address();
         await new Promise(resolve => server.close(resolve));
         return (address as AddressInfo).port;
--- a/packages/ingress/tests/ingress-harness.ts
+++ b/packages/ingress/tests/ingress-harness.ts
@@ -18,6 +18,7 @@
 import { type AddressInfo, connect, type Socket } from "node:net";
 import { Err, Ok, type Result } from "ts-results-es";
 import { testCatalog } from "../../catalog/tests/fixtures.ts";
+import { ownHost } from "../../protocol/tests/loopback-net.ts";
 
 /** One request as a test's endpoint received it. */
 export interface ReceivedRequest {
@@ -71,7 +72,7 @@
     constructor(readonly id: string, public answer: Answer, public version?: string) {}
 
     async start(): Promise<void> {
-        this.server.listen(0, "127.0.0.1");
+        this.server.listen(0, ownHost);
         await once(this.server, "listening");
     }
 
@@ -84,7 +85,7 @@
         return {
             id: this.id,
             service: "app",
-            host: "127.0.0.1",
+            host: ownHost,
             port: (this.server.address() as AddressInfo).port,
             failureDomain: "a",
             slots: 4,
--- a/packages/ingress/tests/kept-endpoint-connections.test.ts
+++ b/packages/ingress/tests/kept-endpoint-connections.test.ts
@@ -4,6 +4,7 @@
 import { once } from "node:events";
 import { type AddressInfo, createServer, type Server, type Socket } from "node:net";
 import { testCatalog, testRoute } from "../../catalog/tests/fixtures.ts";
+import { ownHost } from "../../protocol/tests/loopback-net.ts";
 import { IngressHarness, ScriptedEndpoint, sealed } from "./ingress-harness.ts";
 
 const body = "id: 1\ndata: a\n\n";
@@ -36,7 +37,7 @@
                 socket.write(`HTTP/1.1 200 OK\r\n${head}\r\n\r\n${body}`, "latin1");
             });
         });
-        server.listen(0, "127.0.0.1");
+        server.listen(0, ownHost);
         await once(server, "listening");
         sound = new ScriptedEndpoint("sound", sealed(200, body));
         await sound.start();
--- a/packages/ingress/tests/unexpected-errors.test.ts
+++ b/packages/ingress/tests/unexpected-errors.test.ts
@@ -4,6 +4,7 @@
 import { once } from "node:events";
 import { type AddressInfo, createServer, type Server } from "node:net";
 import { testCatalog, testRoute } from "../../catalog/tests/fixtures.ts";
+import { ownHost } from "../../protocol/tests/loopback-net.ts";
 import { type Answer, IngressHarness, ScriptedEndpoint, sealed } from "./ingress-harness.ts";
 
 const stream: Partial<CatalogRoute> = { execution: "stream", resumable: true, gapTargetMs: 100 };
@@ -30,7 +31,7 @@
                 socket.end(`${head()}\r\nX-Attempt-Id: ${id}\r\nX-Response-Seal: s\r\n\r\n${body}`, "latin1");
             });
         });
-        rawServer.listen(0, "127.0.0.1");
+        rawServer.listen(0, ownHost);
         await once(rawServer, "listening");
         const { port } = rawServer.address() as AddressInfo;
         harness.view.applyEndpointList([{ ...endpoints[0]!.endpoint, id: "raw", port }], harness.clock.now() + 1, 2);
--- a/packages/cli/tests/fleet-harness.test.ts
+++ b/packages/protocol/tests/loopback-net.test.ts
@@ -1,7 +1,7 @@
 import { expect } from "chai";
-import { loopbackNet } from "./fleet-harness.ts";
+import { loopbackNet } from "./loopback-net.ts";
 
-describe("fleet-harness", () => {
+describe("loopbackNet", () => {
     // Guards against two test processes on one machine whose fleets have the same addresses: each PUTs its configuration
     // to the other's steward, and its ordinary requests get a 404. With the process id modulo 250 this happened to any
     // two of them once in 250 times.
--- a/packages/protocol/tests/rpc.test.ts
+++ b/packages/protocol/tests/rpc.test.ts
@@ -13,6 +13,7 @@
 import { createServer, request } from "node:http";
 import type { AddressInfo } from "node:net";
 import { z } from "zod";
+import { ownHost } from "./loopback-net.ts";
 
 const secret = "0123456789abcdef-secret";
 const callTimeoutMs = 20_000;
@@ -24,7 +25,7 @@
     let client: RpcClient;
 
     beforeEach(async () => {
-        http = new HttpServer({ host: "127.0.0.1", port: 0, ...defaultHttpServerOptions }, log);
+        http = new HttpServer({ host: ownHost, port: 0, ...defaultHttpServerOptions }, log);
         const server = new RpcServer(new ProcessKey(secret), log);
         server.method("add", z.object({ a: z.number(), b: z.number() }), async ({ a, b }) => a + b);
         server.method("redirect", z.object({}), async () => {
@@ -166,7 +167,7 @@
             "",
         ];
         for (const body of [...bodies, call("1e400", `"add"`, `{"a":1e400,"b":1}`), call("1", `"__proto__"`, "{}")]) {
-            const answer = await fetch(`http://127.0.0.1:${http.address.port}/rpc`, {
+            const answer = await fetch(`http://${ownHost}:${http.address.port}/rpc`, {
                 method: "POST",
                 headers: { authorization: `Bearer ${secret}` },
                 body,
