Measure the work of two engines in the time in which the process could run

The ingress closes the attempt that is left 300 ms after the first event line; ingress and engines share the process of the test, so that a pause of this process lengthens the measured time, while nothing can be closed or seen to be closed. 100 ms of such pauses exceed the bound of 400 ms.

Change: begin and end of a run are instants of RunningTime, which counts at most 20 ms of each interval between two turns of a timer of 5 ms.

--- a/packages/ingress/tests/ingress-harness.ts
+++ b/packages/ingress/tests/ingress-harness.ts
@@ -55,6 +55,34 @@
     }
 }
 
+/**
+ * Time in which this process could run, in milliseconds. It does not advance while the event loop is held, as by a lack of
+ * processor time: the ingress of a test cannot act then, and its endpoints cannot see what it has done.
+ */
+export class RunningTime {
+    private static readonly intervalMs = 5;
+    /** Longest step that counts in full, in milliseconds. */
+    private static readonly longestStepMs = 20;
+    private elapsedMs = 0;
+    private readAt: number;
+    private readonly timer = setInterval(() => this.now(), RunningTime.intervalMs);
+
+    constructor(private readonly clock: () => number = () => performance.now()) {
+        this.readAt = clock();
+    }
+
+    now(): number {
+        const at = this.clock();
+        this.elapsedMs += Math.min(at - this.readAt, RunningTime.longestStepMs);
+        this.readAt = at;
+        return this.elapsedMs;
+    }
+
+    close(): void {
+        clearInterval(this.timer);
+    }
+}
+
 export type Answer = (req: IncomingMessage, res: ServerResponse, received: ReceivedRequest) => void | Promise<void>;
 
 /** An endpoint whose answers the test scripts. */
