Measure how soon a silent engine is left in the time in which the process could run

Cause: "leaves a silent engine soon after another one has begun its first event" failed in two of three runs while its event loop was held for 150 to 300 ms every 300 to 900 ms (expected 1035 and 1039 to be within 450..900): the bound includes the pauses of the process that the ingress and the engines share. The lower bounds were measured from the instant at which a loop of 5 ms saw the request, so that a pause between the two could make the time too short.

Change: the upper bounds (1150, 900 and 400 ms) hold for RunningTime, the lower ones (700 and 450 ms) for the elapsed time; both begin when the second endpoint has read the request.

--- a/packages/ingress/tests/paused-streams.test.ts
+++ b/packages/ingress/tests/paused-streams.test.ts
@@ -2,7 +2,14 @@
 import { expect } from "chai";
 import { request } from "node:http";
 import { testCatalog, testRoute } from "../../catalog/tests/fixtures.ts";
-import { type Answer, type CallerAnswer, IngressHarness, ScriptedEndpoint, sealed } from "./ingress-harness.ts";
+import {
+    type Answer,
+    type CallerAnswer,
+    IngressHarness,
+    RunningTime,
+    ScriptedEndpoint,
+    sealed,
+} from "./ingress-harness.ts";
 
 /** Target gap of the route, in milliseconds; a stream is moved after five times this. */
 const gapTargetMs = 60;
@@ -224,19 +231,43 @@
     };
     const rest = (ms: number): Answer => after(ms, sealed(200, events.slice(1).join("")));
 
-    // Guards against two engines that both work on a stream, and against leaving one before the other has begun.
-    it("leaves a silent engine when another one has sent its first event", async () => {
-        const play = await prepare([dead, rest(800)], { ...limits, engine: engineOfTest });
-        let closedAt = Infinity;
-        const answer = play.call();
-        while (play.endpoints[1]?.requests.length === 0) {
+    interface Left {
+        answer: CallerAnswer;
+        /** Time from the request at the second endpoint to the close of the first one's connection, in milliseconds. */
+        elapsedMs: number;
+        /** The part of it in which this process could run. */
+        runningMs: number;
+    }
+
+    /** Calls a service whose first endpoint falls silent for good, and whose second one answers as given. */
+    async function callUntilLeft(second: Answer, engine: CatalogService["engine"]): Promise<Left> {
+        const time = new RunningTime();
+        const read = () => ({ elapsed: performance.now(), running: time.now() });
+        let asked: ReturnType<typeof read> | undefined;
+        const play = await prepare([dead, (...args) => {
+            asked ??= read();
+            return second(...args);
+        }], { ...limits, engine });
+        const answering = play.call();
+        while (asked === undefined) {
             await sleep(5);
         }
-        const askedAt = Date.now();
-        void play.endpoints[0]?.requests[0]?.closed.then(() => closedAt = Date.now());
-        expect(await answer).to.include({ status: 200, complete: true, body: events.join("") });
+        let closed = { elapsed: Infinity, running: Infinity };
+        void play.endpoints[0]?.requests[0]?.closed.then(() => closed = read());
+        const answer = await answering;
+        // The first endpoint sees the close after the caller has its answer.
         await sleep(50);
-        expect(closedAt - askedAt).to.be.within(700, 1_150);
+        time.close();
+        const { elapsed, running } = asked;
+        return { answer, elapsedMs: closed.elapsed - elapsed, runningMs: closed.running - running };
+    }
+
+    // Guards against two engines that both work on a stream, and against leaving one before the other has begun.
+    it("leaves a silent engine when another one has sent its first event", async () => {
+        const { answer, elapsedMs, runningMs } = await callUntilLeft(rest(800), engineOfTest);
+        expect(answer).to.include({ status: 200, complete: true, body: events.join("") });
+        expect(elapsedMs).to.be.at.least(700);
+        expect(runningMs).to.be.at.most(1_150);
     });
 
     // Guards against two engines that both work on a stream while the second one pauses inside its first event.
@@ -249,16 +280,10 @@
             await sleep(800);
             res.end(events.slice(1).join("").slice(6));
         };
-        const play = await prepare([dead, begins], { ...limits, engine: engineOfTest });
-        let closedAt = Infinity;
-        const answer = play.call();
-        while (play.endpoints[1]?.requests.length === 0) {
-            await sleep(5);
-        }
-        const askedAt = Date.now();
-        void play.endpoints[0]?.requests[0]?.closed.then(() => closedAt = Date.now());
-        expect(await answer).to.include({ status: 200, complete: true });
-        expect(closedAt - askedAt).to.be.within(450, 900);
+        const { answer, elapsedMs, runningMs } = await callUntilLeft(begins, engineOfTest);
+        expect(answer).to.include({ status: 200, complete: true });
+        expect(elapsedMs).to.be.at.least(450);
+        expect(runningMs).to.be.at.most(900);
     });
 
     // Guards against endpoints that work for a caller that has left.
@@ -288,16 +313,9 @@
 
     // Guards against two endpoints that work on one request, of which each may run it as soon as it has it.
     it("leaves a silent endpoint without an engine soon after another one has the request", async () => {
-        const play = await prepare([dead, rest(800)], { ...limits, engine: undefined });
-        let closedAt = Infinity;
-        const answer = play.call();
-        while (play.endpoints[1]?.requests.length === 0) {
-            await sleep(5);
-        }
-        const askedAt = Date.now();
-        void play.endpoints[0]?.requests[0]?.closed.then(() => closedAt = Date.now());
-        expect(await answer).to.include({ status: 200, complete: true, body: events.join("") });
-        expect(closedAt - askedAt).to.be.at.most(400);
+        const { answer, runningMs } = await callUntilLeft(rest(800), undefined);
+        expect(answer).to.include({ status: 200, complete: true, body: events.join("") });
+        expect(runningMs).to.be.at.most(400);
     });
 
     // Guards against waiting for an engine that was asked to resume a stream while the one before has gone on.
