Measure the time of the exchange between ingresses in the time in which the process could run

Cause: waitUntil in exchange.test.ts looks at the clock before the sockets are read. With a pause of 200 ms of the process, which all ingresses of the test share, "publishes the start and the end of a request within 150 ms" and "tells of the requests that were lost in a crash" fail each time, although nothing could be published or read meanwhile; with 120 ms they pass.

Change: the bounds, 150 ms among them, hold for RunningTime. With pauses of 200 and 400 ms at the begin of each wait all eight tests pass. With a gap of 250 ms between reports in place of 20 ms, both tests fail (two of two runs).

--- a/packages/ingress/tests/exchange.test.ts
+++ b/packages/ingress/tests/exchange.test.ts
@@ -13,6 +13,7 @@
 import type { AddressInfo } from "node:net";
 import { testWorkspace } from "../../catalog/tests/fixtures.ts";
 import { ExchangeFeed, ExchangeSubscriber } from "../src/index.ts";
+import { RunningTime } from "./ingress-harness.ts";
 
 const workspace = testWorkspace({ capPerSecond: 1, capBurst: 1_000 });
 const prediction = { firstByteMs: 10, idleFirstByteMs: 10, unreadTokens: 300 };
@@ -79,11 +80,13 @@
     }
 }
 
+/** Waits for at most `withinMs` milliseconds of the time in which this process, with all its ingresses, can run. */
 async function waitUntil(condition: () => boolean, withinMs: number): Promise<void> {
-    const end = performance.now() + withinMs;
-    while (!condition() && performance.now() < end) {
+    const time = new RunningTime();
+    while (!condition() && time.now() < withinMs) {
         await new Promise(resolve => setTimeout(resolve, 5));
     }
+    time.close();
     expect(condition(), `not within ${withinMs} ms`).to.equal(true);
 }
 
