Count the time for which a test process keeps its own event loop busy

Cause: RunningTime left out all but 20 ms of each interval between two turns of the event loop, also when the product under test held it. Only a lack of processor time is no fault of the product.

Change: an interval counts with the processor time that the process has used in it, at least 20 ms of it as before. The bounds are unchanged.

--- a/packages/ingress/tests/ingress-harness.test.ts
+++ b/packages/ingress/tests/ingress-harness.test.ts
@@ -2,7 +2,7 @@
 import { once } from "node:events";
 import { type AddressInfo, createServer } from "node:net";
 import { testCatalog } from "../../catalog/tests/fixtures.ts";
-import { IngressHarness, RunningTime, ScriptedEndpoint, sealed } from "./ingress-harness.ts";
+import { holdEventLoop, IngressHarness, RunningTime, ScriptedEndpoint, sealed } from "./ingress-harness.ts";
 
 describe("IngressHarness", () => {
     const { choosePorts } = IngressHarness;
@@ -37,17 +37,28 @@
 });
 
 describe("RunningTime", () => {
-    // Guards against a test that takes a pause of its own process for slowness of what it tests, and against a measure that
-    // leaves out more than such pauses.
-    it("leaves out the time for which the event loop is held, and counts the rest", () => {
+    // Guards against a test that takes a lack of processor time for slowness of what it tests, and against a measure that
+    // leaves out more than that, for instance time for which the ingress itself keeps the event loop busy.
+    it("leaves out the time without the processor, and counts the rest", () => {
         let at = 0;
-        const time = new RunningTime(() => at);
-        for (const stepMs of [5, 20, 6, 400, 5]) {
+        let usedMs = 0;
+        const time = new RunningTime(() => at, () => usedMs);
+        const steps = [[5, 1], [20, 0], [6, 6], [400, 2], [400, 400], [300, 120], [5, 9]] as const;
+        for (const [stepMs, stepUsedMs] of steps) {
             at += stepMs;
+            usedMs += stepUsedMs;
             time.now();
         }
         time.close();
-        expect(time.now()).to.equal(5 + 20 + 6 + 20 + 5);
+        expect(time.now()).to.equal(5 + 20 + 6 + 20 + 400 + 120 + 5);
+    });
+
+    it("counts the time for which the event loop is held", async () => {
+        const time = new RunningTime();
+        const startedAt = performance.now();
+        await holdEventLoop(300);
+        expect(time.now()).to.be.within(250, performance.now() - startedAt);
+        time.close();
     });
 
     it("reads the time at short intervals by itself", async () => {
--- a/packages/ingress/tests/ingress-harness.ts
+++ b/packages/ingress/tests/ingress-harness.ts
@@ -56,25 +56,34 @@
 }
 
 /**
- * Time in which this process could run, in milliseconds. It does not advance while the event loop is held, as by a lack of
- * processor time: the ingress of a test cannot act then, and its endpoints cannot see what it has done.
+ * Time in which this process could run, in milliseconds. It does not advance while the process is ready to run and gets no
+ * processor time: the ingress of a test cannot act then, and its endpoints cannot see what it has done. Time for which the
+ * process itself keeps its event loop busy counts in full.
  */
 export class RunningTime {
     private static readonly intervalMs = 5;
-    /** Longest step that counts in full, in milliseconds. */
+    /** Longest step that counts in full, in milliseconds; timers of an idle process are a few milliseconds late. */
     private static readonly longestStepMs = 20;
     private elapsedMs = 0;
     private readAt: number;
+    private usedMs: number;
     private readonly timer = setInterval(() => this.now(), RunningTime.intervalMs);
 
-    constructor(private readonly clock: () => number = () => performance.now()) {
+    constructor(
+        private readonly clock: () => number = () => performance.now(),
+        /** Returns the processor time of this process, in milliseconds. */
+        private readonly processorTime = processorTimeMs,
+    ) {
         this.readAt = clock();
+        this.usedMs = processorTime();
     }
 
     now(): number {
         const at = this.clock();
-        this.elapsedMs += Math.min(at - this.readAt, RunningTime.longestStepMs);
+        const usedMs = this.processorTime();
+        this.elapsedMs += Math.min(at - this.readAt, Math.max(RunningTime.longestStepMs, usedMs - this.usedMs));
         this.readAt = at;
+        this.usedMs = usedMs;
         return this.elapsedMs;
     }
 
@@ -83,6 +92,11 @@
     }
 }
 
+function processorTimeMs(): number {
+    const { user, system } = process.cpuUsage();
+    return (user + system) / 1_000;
+}
+
 export type Answer = (req: IncomingMessage, res: ServerResponse, received: ReceivedRequest) => void | Promise<void>;
 
 /** An endpoint whose answers the test scripts. */
