Choose from a kept list with a predicate

Cause: above 192 endpoints, an index and the searches for free endpoints belonged to the list of the last choice. An ingress that excludes some endpoints had to pass a new, filtered list for each choice, whose cost grows with the service.

Change: decide, choose and preview also take a CandidatePool, a list and a predicate. The index and the searches are kept with the list; the predicate is asked for each endpoint that is considered, so that nothing that is kept can bring one back. Each of the 32 parts of the list is drawn from up to four times; if fewer than 16 give an endpoint that may be sent to, the list is filtered as before. Up to 192 endpoints, the list is always filtered.

--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -3,7 +3,7 @@
 import type { LatencyModel, Prediction } from "./latency-model.ts";
 import type { LoadTracker } from "./load-tracker.ts";
 import { PartialChoice } from "./partial-choice.ts";
-import type { Candidate, DispatchRequest } from "./types.ts";
+import { allowedOf, type Candidate, type Candidates, type DispatchRequest, toPool } from "./types.ts";
 
 export interface DispatchOptions {
     /** Fraction of the time left until the target that the predicted first byte may take, for ranks 0, 1 and above. */
@@ -143,7 +143,7 @@
      */
     decide<C extends Candidate>(
         req: DispatchRequest,
-        candidates: readonly C[],
+        candidates: Candidates<C>,
         model: LatencyModel,
         now: number,
         excluded: ReadonlySet<string> = new Set(),
@@ -158,13 +158,13 @@
      */
     preview<C extends Candidate>(
         req: DispatchRequest,
-        candidates: readonly C[],
+        candidates: Candidates<C>,
         model: LatencyModel,
         now: number,
         queuedAhead = 0,
     ): DispatchPreview<C> {
         const undrawn = new Dispatcher(this.loads, this.health, new NoDraws(), this.options);
-        const scored = candidates.filter(({ id }) => this.health.isUsable(id, now))
+        const scored = allowedOf(candidates).filter(({ id }) => this.health.isUsable(id, now))
             .map(endpoint => undrawn.score(req, endpoint, model, now))
             .sort((a, b) => a.score - b.score);
         const [best] = scored;
@@ -181,7 +181,7 @@
             ? nearEqualBelow(tieLimit, req)
             : -Infinity;
         // A sample may hold none of the best endpoints, but it is extended until it holds one of their kind, if there is one.
-        const partLimit = candidates.length <= this.options.maxWholeChoice
+        const partLimit = toPool(candidates).list.length <= this.options.maxWholeChoice
             ? -Infinity
             : penaltyOf(best.score) + latePenaltyMs;
         const ranking = scored.map(entry => ({
@@ -196,12 +196,13 @@
     private decideOn<C extends Candidate>(
         choice: EndpointChoice<C> | undefined,
         req: DispatchRequest,
-        candidates: readonly C[],
+        candidates: Candidates<C>,
         now: number,
         queuedAhead: number,
     ): DispatchDecision<C> {
         if (choice === undefined) {
-            const remainingPauseMs = Math.min(...candidates.map(({ id }) => this.health.pausedUntil(id))) - now;
+            const pauseEnds = allowedOf(candidates).map(({ id }) => this.health.pausedUntil(id));
+            const remainingPauseMs = Math.min(...pauseEnds) - now;
             const retryAfterMs = Math.max(
                 this.options.minRetryAfterMs * noEndpointRetryFactor,
                 Number.isFinite(remainingPauseMs) ? remainingPauseMs : 0,
@@ -229,28 +230,34 @@
      * Returns the usable endpoint with the lowest score, or undefined if there is none. The score is the predicted
      * first-byte time; among endpoints that are on time it adds the cost of a repeated prefill. Of more candidates than
      * `maxWholeChoice` a part is considered: a sample, those that the model prefers, and, if none of these could serve the
-     * request at once, those that may take one.
+     * request at once, those that may take one. Whether an endpoint may be sent to is asked for each that is scored, so
+     * that nothing that is remembered of earlier choices can bring one back that may not.
      */
     choose<C extends Candidate>(
         req: DispatchRequest,
-        candidates: readonly C[],
+        candidates: Candidates<C>,
         model: LatencyModel,
         now: number,
         excluded: ReadonlySet<string> = new Set(),
     ): EndpointChoice<C> | undefined {
+        const pool = toPool(candidates);
         const scoreUsable = (endpoints: readonly C[]): ScoredChoice<C>[] =>
-            endpoints.filter(({ id }) => !excluded.has(id) && this.health.isUsable(id, now))
-                .map(endpoint => this.score(req, endpoint, model, now));
-        if (candidates.length <= this.options.maxWholeChoice) {
-            return this.chooseBest(scoreUsable(candidates), req);
+            endpoints.filter(endpoint =>
+                pool.isAllowed(endpoint) && !excluded.has(endpoint.id) && this.health.isUsable(endpoint.id, now)
+            ).map(endpoint => this.score(req, endpoint, model, now));
+        if (pool.list.length <= this.options.maxWholeChoice) {
+            return this.chooseBest(scoreUsable(pool.list), req);
+        }
+        const first = this.part.select(req, pool, model);
+        if (first === undefined) {
+            return this.choose(req, allowedOf(pool), model, now, excluded);
         }
-        const first = this.part.select(req, candidates, model);
         const scored = scoreUsable(first);
         if (!scored.some(({ choice }) => choice.onTime && choice.running < this.fullAt(choice))) {
-            scored.push(...scoreUsable(this.part.selectFree(req, candidates, model, first, now)));
+            scored.push(...scoreUsable(this.part.selectFree(req, pool, model, first, now)));
         }
         // No request is refused for lack of an endpoint while there is one.
-        return this.chooseBest(scored.length > 0 ? scored : scoreUsable(candidates), req);
+        return this.chooseBest(scored.length > 0 ? scored : scoreUsable(pool.list), req);
     }
 
     private chooseBest<C extends Candidate>(
--- a/packages/dispatch/src/partial-choice.ts
+++ b/packages/dispatch/src/partial-choice.ts
@@ -2,13 +2,20 @@
 import type { EndpointHealth } from "./endpoint-health.ts";
 import type { LatencyModel } from "./latency-model.ts";
 import type { LoadTracker } from "./load-tracker.ts";
-import type { Candidate, DispatchRequest } from "./types.ts";
+import type { Candidate, CandidatePool, DispatchRequest } from "./types.ts";
 
 /**
  * Candidates that are drawn for each request. The best of 32 is among the best 15% of all in 99 of 100 requests, and
  * processes with the same knowledge draw different ones.
  */
 const sampleSize = 32;
+/** Draws of one endpoint of the sample until one may be sent to. */
+const maxDraws = 4;
+/**
+ * Endpoints of the sample that have to be found in this way. If most of a list may not be sent to, a sample of the others
+ * says too little, and the choice is made among a filtered list.
+ */
+const minDrawn = 16;
 /** Endpoints that the model prefers and that are considered: the assigned one, and eight that have cached the prompt. */
 const maxPreferred = 9;
 /**
@@ -30,15 +37,6 @@
 const maxParts = 4;
 const comparedCandidates = 3;
 
-/** What is known of the candidates of one service. */
-interface ServiceState {
-    list: readonly Candidate[];
-    /** Candidates by id; built for a list that is used a second time. */
-    index: ReadonlyMap<string, Candidate> | undefined;
-    /** The searches that are not to be repeated yet, one of each part that requests are restricted to, such as a version. */
-    searches: Search[];
-}
-
 /** A search for endpoints that are not full. */
 interface Search {
     /** The list that was searched. */
@@ -57,7 +55,13 @@
 
 /** Selects the candidates that are considered for a request to a service with many endpoints. */
 export class PartialChoice {
-    private readonly services = new Map<string, ServiceState>();
+    /** Candidates by id, of each list; undefined for one that has been used once, whose index would cost more. */
+    private readonly indexes = new WeakMap<readonly Candidate[], ReadonlyMap<string, Candidate> | undefined>();
+    /**
+     * The searches that are not to be repeated yet, by service, one of each part that requests are restricted to, such as a
+     * version.
+     */
+    private readonly searches = new Map<string, Search[]>();
 
     constructor(
         private readonly loads: LoadTracker,
@@ -67,30 +71,46 @@
         private readonly overbooking: number,
     ) {}
 
-    /** Returns a sample of the candidates, and those that the model prefers for the request. */
-    select<C extends Candidate>(req: DispatchRequest, candidates: readonly C[], model: LatencyModel): C[] {
-        this.prepareIndex(req.service, candidates);
-        const selected = new Set(this.findPreferred(req, candidates, model));
-        // One of each of `sampleSize` equal parts of the list, which is cheaper than a draw without replacement.
+    /**
+     * Returns a sample of the candidates, and those that the model prefers for the request; undefined if too few of those
+     * that are drawn may be sent to.
+     */
+    select<C extends Candidate>(req: DispatchRequest, pool: CandidatePool<C>, model: LatencyModel): C[] | undefined {
+        this.prepareIndex(pool);
+        const selected = new Set(this.findPreferred(req, pool, model));
+        let drawn = 0;
         for (let i = 0; i < sampleSize; i++) {
-            const candidate = candidates[Math.floor((i + this.random.next()) * candidates.length / sampleSize)];
+            const candidate = this.draw(pool, i);
             if (candidate !== undefined) {
+                drawn++;
                 selected.add(candidate);
             }
         }
-        return [...selected];
+        return drawn < minDrawn ? undefined : [...selected];
+    }
+
+    /** Draws from one of `sampleSize` equal parts of the list, which is cheaper than draws without replacement. */
+    private draw<C extends Candidate>({ list, isAllowed }: CandidatePool<C>, part: number): C | undefined {
+        for (let i = 0; i < maxDraws; i++) {
+            const candidate = list[Math.floor((part + this.random.next()) * list.length / sampleSize)];
+            if (candidate !== undefined && isAllowed(candidate)) {
+                return candidate;
+            }
+        }
+        return undefined;
     }
 
     private findPreferred<C extends Candidate>(
         req: DispatchRequest,
-        candidates: readonly C[],
+        { list, isAllowed }: CandidatePool<C>,
         model: LatencyModel,
     ): C[] {
-        const { index } = this.stateOf(req.service);
+        const index = this.indexOf(list);
         const ids: string[] = [];
         let lookUps = 0;
         for (const id of model.preferredEndpoints(req)) {
-            if (index?.has(id) !== false) {
+            const candidate = index?.get(id);
+            if (index === undefined || candidate !== undefined && isAllowed(candidate)) {
                 ids.push(id);
             }
             lookUps++;
@@ -99,7 +119,7 @@
                 break;
             }
         }
-        return ids.length === 0 ? [] : this.findByIds(req.service, candidates, ids).slice(0, maxPreferred);
+        return ids.length === 0 ? [] : this.findByIds(list, ids).filter(isAllowed).slice(0, maxPreferred);
     }
 
     /**
@@ -108,30 +128,48 @@
      */
     selectFree<C extends Candidate>(
         { service }: DispatchRequest,
-        candidates: readonly C[],
+        { list, isAllowed }: CandidatePool<C>,
         model: LatencyModel,
         known: readonly C[],
         now: number,
     ): C[] {
-        const state = this.stateOf(service);
-        state.searches = state.searches.filter(({ againAt }) => now < againAt);
-        const compared = known.slice(-comparedCandidates);
-        // Each choice may get a new list, so that the part is known by its members.
-        let last = state.searches.find(({ list }) => compared.some(candidate => list.includes(candidate)));
-        if (last === undefined && state.searches.length < maxParts) {
-            const { found, searched } = this.search(candidates, candidate => this.openingAt(candidate, model, now));
-            last = { list: candidates, found, againAt: now + searched * searchMsPerEndpoint };
-            state.searches.push(last);
+        const searches = (this.searches.get(service) ?? []).filter(({ againAt }) => now < againAt);
+        this.searches.set(service, searches);
+        let last = this.lastSearch(searches, list, known);
+        if (last === undefined && searches.length < maxParts) {
+            const { found, searched } = this.search(
+                list,
+                candidate => isAllowed(candidate) ? this.openingAt(candidate, model, now) : undefined,
+            );
+            last = { list, found, againAt: now + searched * searchMsPerEndpoint };
+            searches.push(last);
         }
         const selected = new Set(known);
         // One look-up for both, as it may take a pass over the list.
         const found = new Set(last?.found);
-        const listed = this.findByIds(service, candidates, [...this.loads.relieved, ...found]);
+        const listed = this.findByIds(list, [...this.loads.relieved, ...found]).filter(isAllowed);
         const relieved = listed.filter(({ id }) => this.loads.relieved.has(id)).slice(-maxRelieved);
         return [...new Set([...relieved, ...listed.filter(({ id }) => found.has(id))])]
             .filter(candidate => !selected.has(candidate));
     }
 
+    /**
+     * Returns the search of a list. One that has an index is known by itself, and one that may be passed only once by its
+     * members.
+     */
+    private lastSearch(
+        searches: readonly Search[],
+        candidates: readonly Candidate[],
+        known: readonly Candidate[],
+    ): Search | undefined {
+        const same = searches.find(({ list }) => list === candidates);
+        if (same !== undefined || this.indexOf(candidates) !== undefined && searches.length < maxParts) {
+            return same;
+        }
+        const compared = known.slice(-comparedCandidates);
+        return searches.find(({ list }) => compared.some(candidate => list.includes(candidate)));
+    }
+
     private openingAt({ id, slots }: Candidate, { pace }: LatencyModel, now: number): Opening | undefined {
         const { running, unreadTokens } = this.loads.load(id, now);
         const isFull = running >= Math.min(slots + this.overbooking, pace?.fullAt(id) ?? Infinity);
@@ -170,33 +208,25 @@
     }
 
     /** Returns the candidates with the given ids, in their order; ids of other endpoints are left out. */
-    private findByIds<C extends Candidate>(service: string, candidates: readonly C[], ids: readonly string[]): C[] {
+    private findByIds<C extends Candidate>(candidates: readonly C[], ids: readonly string[]): C[] {
         const wanted = new Set(ids);
-        // The index is that of `candidates`, so that its values are of their type.
-        const index = this.stateOf(service).index as ReadonlyMap<string, C> | undefined
+        const index = this.indexOf(candidates)
             ?? new Map(candidates.filter(({ id }) => wanted.has(id)).map(candidate => [candidate.id, candidate]));
         return [...wanted].flatMap(id => index.get(id) ?? []);
     }
 
-    /** Indexes a list that was also the last one of its service; an index of a list that is used once would cost more. */
-    private prepareIndex(service: string, candidates: readonly Candidate[]): void {
-        const state = this.stateOf(service);
-        if (state.list !== candidates) {
-            state.list = candidates;
-            state.index = undefined;
-        }
-        else {
-            state.index ??= new Map(candidates.map(candidate => [candidate.id, candidate]));
-        }
+    /** Returns the index of a list; undefined if there is none. */
+    private indexOf<C extends Candidate>(candidates: readonly C[]): ReadonlyMap<string, C> | undefined {
+        // The values of the index are the elements of the list.
+        return this.indexes.get(candidates) as ReadonlyMap<string, C> | undefined;
     }
 
-    private stateOf(service: string): ServiceState {
-        let state = this.services.get(service);
-        if (state === undefined) {
-            state = { list: [], index: undefined, searches: [] };
-            this.services.set(service, state);
+    /** Indexes a list that is kept or has been used before; an index of a list that is used once would cost more. */
+    private prepareIndex<C extends Candidate>({ list, isKept }: CandidatePool<C>): void {
+        if (this.indexes.get(list) === undefined) {
+            const isWorthIt = isKept || this.indexes.has(list);
+            this.indexes.set(list, isWorthIt ? new Map(list.map(candidate => [candidate.id, candidate])) : undefined);
         }
-        return state;
     }
 }
 
--- a/packages/dispatch/src/types.ts
+++ b/packages/dispatch/src/types.ts
@@ -36,3 +36,25 @@
     failureDomain: string;
     slots: number;
 }
+
+/** Endpoints of a service, some of which may not be sent to now. */
+export interface CandidatePool<C extends Candidate> {
+    /** Must not change. */
+    readonly list: readonly C[];
+    /** Whether the same array is passed for several choices, as long as its contents stay the same; it is worth an index. */
+    readonly isKept: boolean;
+    /** Whether an endpoint of the list may be sent to now; asked for those that are considered, at each choice. */
+    readonly isAllowed: (endpoint: C) => boolean;
+}
+
+/** Endpoints to choose from; all those of a plain list are allowed. */
+export type Candidates<C extends Candidate> = readonly C[] | CandidatePool<C>;
+
+export function toPool<C extends Candidate>(candidates: Candidates<C>): CandidatePool<C> {
+    return "isAllowed" in candidates ? candidates : { list: candidates, isKept: false, isAllowed: () => true };
+}
+
+/** Returns all endpoints that may be sent to now. */
+export function allowedOf<C extends Candidate>(candidates: Candidates<C>): readonly C[] {
+    return "isAllowed" in candidates ? candidates.list.filter(candidates.isAllowed) : candidates;
+}
--- a/packages/dispatch/tests/choice-fleet.ts
+++ b/packages/dispatch/tests/choice-fleet.ts
@@ -1,5 +1,6 @@
 import {
     type Candidate,
+    type Candidates,
     type DispatchDecision,
     dispatchDefaults,
     Dispatcher,
@@ -27,6 +28,8 @@
     fullPart?: number;
     dispatch?: Partial<DispatchOptions>;
     loads?: LoadTracker;
+    /** Returns what each decision chooses from; the list of all endpoints by default. */
+    candidatesOf?: (all: readonly Candidate[]) => Candidates<Candidate>;
 }
 
 const slots = 4;
@@ -134,7 +137,8 @@
         const { random, clock } = this;
         const req = this.request();
         const excluded = new Set(random.next() < 0.2 ? [this.anyEndpoint()] : []);
-        const decision = this.dispatcher.decide(req, this.candidates, this.model, clock.now(), excluded);
+        const candidates = this.options.candidatesOf?.(this.candidates) ?? this.candidates;
+        const decision = this.dispatcher.decide(req, candidates, this.model, clock.now(), excluded);
         if (decision.kind === "send") {
             this.serve(req, decision.choice.endpoint, decision.choice.prediction.firstByteMs);
         }
