Pass the kept list of ready endpoints and a predicate to choices at an ingress

Cause: EndpointCandidates and EndpointSelection filtered all endpoints of a service for each request, once by the limits of connections and requests and once by version.

Change: above 192 endpoints, a choice gets the list of ready endpoints, which is kept until the view of the fleet changes, and asks for the limits of those that it considers. Which endpoints are of a version depends on the list alone: VersionParts keeps such parts with their list, and the versions that a request may use are asked for at each choice. The endpoints of a roll-out's target are not searched for a free slot if they are more than 192: the request stays with the target if the endpoint chosen there has one. Up to 192 endpoints, the filters are as before. Decisions on admission levels and the preview use the same candidates.

With 200 to 900 endpoints, none is chosen that has left, announces that it leaves, is ejected, pauses, has no permit or no connection left, or has a version that a roll-out bars. A request and a second attempt look at endpoints at most 630 times with 500, 2,000 and 8,000 of them; filtered lists take 1,064 with 500.

--- a/packages/dispatch/tests/kept-candidates.test.ts
+++ b/packages/dispatch/tests/kept-candidates.test.ts
@@ -2,6 +2,7 @@
 import { SeededRandom } from "@lentilramp/runtime";
 import { expect } from "chai";
 import { ChoiceFleet, type ChoiceFleetOptions, describeDecision } from "./choice-fleet.ts";
+import { countReads } from "./count-reads.ts";
 
 const kinds = (["plain", "engine"] as const).flatMap(kind =>
     [false, true].map(isEstimated => ({
@@ -72,25 +73,6 @@
     }
 });
 
-/** Returns a list that counts the reads of its elements, and the function that returns and resets the count. */
-function countReads<T extends object>(list: readonly T[]): { counted: readonly T[]; takeReads: () => number; } {
-    let reads = 0;
-    const counted = new Proxy(list, {
-        get: (target, key, receiver) => {
-            reads += typeof key === "string" && /^\d+$/.test(key) ? 1 : 0;
-            return Reflect.get(target, key, receiver) as unknown;
-        },
-    });
-    return {
-        counted,
-        takeReads: () => {
-            const before = reads;
-            reads = 0;
-            return before;
-        },
-    };
-}
-
 /** Reads of a list and questions of a predicate for one choice: four draws of each of 32 endpoints, and those scored. */
 const maxReads = 32 * 4;
 const maxQuestions = 32 * 4 + 256 + 32 + 9;
--- a/packages/ingress/src/endpoint-selection.ts
+++ b/packages/ingress/src/endpoint-selection.ts
@@ -1,4 +1,5 @@
 import {
+    allowedOf,
     bestChoice,
     type DispatchDecision,
     type EndpointChoice,
@@ -71,13 +72,13 @@
     readonly isOfVersion = (endpoint: Endpoint): boolean =>
         this.required === undefined || this.required === versionOf(endpoint);
 
-    /** Whether an attempt may be made at an endpoint, with regard to its version. */
+    /** Whether an attempt may be made at an endpoint, with regard to its version alone. */
     private readonly mayUse = (endpoint: Endpoint): boolean =>
         this.isOfVersion(endpoint) && this.versions?.mayUse(endpoint, this.required) !== false;
 
     /** Whether an endpoint of the required version is ready. */
     get hasReadyVersion(): boolean {
-        return this.ctx.view.endpoints.readyEndpoints(this.admitted.dispatch.service).some(this.mayUse);
+        return this.ctx.hasReady(this.admitted.dispatch.service, this.mayUse);
     }
 
     /** Withdraws the request from the queue. */
@@ -128,9 +129,8 @@
         if (this.required !== undefined && !this.hasReadyVersion) {
             return { kind: "refuse", reason: "no-endpoint-of-version", retryAfterMs: versionGoneRetryMs };
         }
-        const usable = ctx.candidates(dispatch.service).filter(this.mayUse);
         const decision = decideByVersion(
-            usable,
+            ctx.candidatePool(dispatch.service, this.mayUse),
             this.versions,
             ctx.view.loads,
             now,
@@ -174,10 +174,12 @@
     private choose(excluded: ReadonlySet<string>, among?: ReadonlySet<string>): EndpointChoice<Endpoint> | undefined {
         const { admitted: { dispatch }, ctx } = this;
         const model = ctx.latencyModel(dispatch.service);
-        const parked = this.parkedEndpoints();
-        const candidates = ctx.candidates(dispatch.service).filter(endpoint =>
-            this.mayUse(endpoint) && !parked.includes(endpoint.id) && (among?.has(endpoint.id) ?? true)
-        );
-        return ctx.dispatcher.choose(dispatch, candidates, model, ctx.clock.now(), excluded);
+        const pool = ctx.candidatePool(dispatch.service, this.mayUse);
+        // Only a request that has no other endpoint left asks those again that were silent.
+        const candidates = among === undefined
+            ? pool
+            : pool.among(allowedOf(pool).filter(({ id }) => among.has(id)));
+        const taken = new Set([...excluded, ...this.parkedEndpoints()]);
+        return ctx.dispatcher.choose(dispatch, candidates, model, ctx.clock.now(), taken);
     }
 }
--- a/packages/ingress/src/relay-context.ts
+++ b/packages/ingress/src/relay-context.ts
@@ -7,6 +7,7 @@
 import type { IncomingMessage } from "node:http";
 import type { CallerConnections } from "./caller-connections.ts";
 import type { CrashDetector } from "./crash-detector.ts";
+import type { ServiceCandidates } from "./endpoint-candidates.ts";
 import type { EndpointPool } from "./endpoint-pool.ts";
 import type { FleetView } from "./fleet-view.ts";
 import type { LimitGate } from "./limit-gate.ts";
@@ -14,6 +15,7 @@
 import type { PlannedStop } from "./planned-stop.ts";
 import type { ReachMonitor } from "./reach-monitor.ts";
 import type { RoomGate } from "./room-gate.ts";
+import type { VersionPredicate } from "./version-parts.ts";
 import type { VersionSplit } from "./version-split.ts";
 
 /** Services of the relay that a call uses. */
@@ -28,7 +30,10 @@
     queue(service: string): DispatchQueue<Endpoint>;
     latencyModel(service: string): LatencyModel;
     retryBudget(service: string): RetryBudget;
-    candidates(service: string): readonly Endpoint[];
+    /** Returns the endpoints of a service that a request may be sent to now, of the versions that it may use. */
+    candidatePool(service: string, mayUse: VersionPredicate): ServiceCandidates;
+    /** Whether an endpoint is ready whose version may be used. */
+    hasReady(service: string, mayUse: VersionPredicate): boolean;
     readonly limitGate: LimitGate;
     readonly roomGate: RoomGate;
     /** Undefined if the policy switches the detection of crashing prompt parts off. */
--- a/packages/ingress/src/relay.ts
+++ b/packages/ingress/src/relay.ts
@@ -19,7 +19,7 @@
 import { CallerConnections } from "./caller-connections.ts";
 import { CallerCuts, type CallerExchange } from "./caller-cuts.ts";
 import { CrashDetector } from "./crash-detector.ts";
-import { type CandidateObstacle, EndpointCandidates } from "./endpoint-candidates.ts";
+import { type CandidateObstacle, EndpointCandidates, ServiceCandidates } from "./endpoint-candidates.ts";
 import { EndpointPool } from "./endpoint-pool.ts";
 import { FleetPaces } from "./fleet-paces.ts";
 import type { FleetView } from "./fleet-view.ts";
@@ -35,6 +35,7 @@
 import { RelayedCall } from "./relayed-call.ts";
 import { RoomGate } from "./room-gate.ts";
 import { StartupDelay } from "./startup-delay.ts";
+import type { VersionPredicate } from "./version-parts.ts";
 import type { VersionSplit } from "./version-split.ts";
 
 /** Fraction of the shared retry budget that is used; the rest covers calls whose attempts are counted late. */
@@ -113,7 +114,18 @@
         this.promptAffinity = components.createPromptAffinity(service => view.endpoints.readyEndpoints(service));
         this.dispatcher = new Dispatcher(view.loads, view.health, base.random, components.dispatchOptions());
         this.limitGate = new LimitGate(view, base.clock, base.random);
-        this.roomGate = new RoomGate(this, components.policy.fleetAdmission, base.random);
+        this.roomGate = new RoomGate(
+            {
+                ...base,
+                view,
+                dispatcher: this.dispatcher,
+                latencyModel: service => this.latencyModel(service),
+                candidates: service => this.candidatePool(service),
+                addDemand: (service, demand) => this.addDemand(service, demand),
+            },
+            components.policy.fleetAdmission,
+            base.random,
+        );
         this.crashDetector = view.crashes && new CrashDetector(
             view.crashes,
             id => !view.endpoints.isAvailable(id),
@@ -318,6 +330,16 @@
         return this.endpointCandidates.of(service);
     }
 
+    candidatePool(service: string, mayUse: VersionPredicate = () => true): ServiceCandidates {
+        return this.endpointCandidates.areMany(service)
+            ? this.endpointCandidates.pool(service, mayUse)
+            : new ServiceCandidates(this.candidates(service).filter(mayUse));
+    }
+
+    hasReady(service: string, mayUse: VersionPredicate): boolean {
+        return this.endpointCandidates.hasReady(service, mayUse);
+    }
+
     /** Returns why a ready endpoint is no candidate; undefined if it is one. */
     candidateObstacle(endpoint: Endpoint): CandidateObstacle | undefined {
         return this.endpointCandidates.obstacle(endpoint);
--- a/packages/ingress/src/request-preview.ts
+++ b/packages/ingress/src/request-preview.ts
@@ -3,6 +3,7 @@
     type Dispatcher,
     type DispatchPreview,
     type DispatchRequest,
+    type EndpointChoice,
     type LatencyModel,
     type RankedChoice,
 } from "@lentilramp/dispatch";
@@ -12,6 +13,7 @@
 import type { Clock } from "@lentilramp/runtime";
 import { catalogRefusal, type Refusal } from "./check-request.ts";
 import { toRefusal } from "./crash-gate.ts";
+import type { ServiceCandidates } from "./endpoint-candidates.ts";
 import type { FleetView } from "./fleet-view.ts";
 import type { LimitGate } from "./limit-gate.ts";
 import type { PlannedStop } from "./planned-stop.ts";
@@ -19,6 +21,7 @@
 import { blockedRetryMs, stoppingRetryMs } from "./refusal.ts";
 import { requestDeadline } from "./request-deadline.ts";
 import type { RoomGate } from "./room-gate.ts";
+import type { VersionPredicate } from "./version-parts.ts";
 import { decideByVersion } from "./version-preference.ts";
 import type { RequestVersions, VersionSplit } from "./version-split.ts";
 
@@ -37,13 +40,13 @@
     readonly reach: Pick<ReachMonitor, "isCutOff">;
     modelSnapshot(service: string): LatencyModel;
     queuedAhead(req: DispatchRequest): number;
-    candidates(service: string): readonly Endpoint[];
+    candidatePool(service: string, mayUse?: VersionPredicate): ServiceCandidates;
     candidateObstacle(endpoint: Endpoint): string | undefined;
 }
 
 type EndpointState = "ready" | "leaving" | "not-ready";
 
-type Decided = DispatchPreview<Endpoint> & { kind: string; };
+type Decided = DispatchPreview<Endpoint> & { kind: string; choice: EndpointChoice<Endpoint> | undefined; };
 
 interface Outcome {
     share: number;
@@ -120,21 +123,25 @@
         const { ctx } = this;
         const model = ctx.modelSnapshot(service);
         const queuedAhead = ctx.queuedAhead(dispatch);
-        const candidates = ctx.candidates(service);
         // The level looks at the endpoints of all versions.
-        const [best] = ctx.dispatcher.preview(dispatch, candidates, model, now).ranking;
+        const [best] = ctx.dispatcher.preview(dispatch, ctx.candidatePool(service), model, now).ranking;
         const level = ctx.roomGate.preview(dispatch, best?.choice);
         const outcomes: readonly Outcome[] = ctx.versionSplit?.outcomes(service) ?? [{ share: 1 }];
         return outcomes.map(({ share: ofVersion, to, versions }) => {
             const mayUse = (endpoint: Endpoint): boolean => versions?.mayUse(endpoint, undefined) !== false;
             const decided = decideByVersion<Decided>(
-                candidates.filter(mayUse),
+                ctx.candidatePool(service, mayUse),
                 versions,
                 ctx.view.loads,
                 now,
                 among => {
                     const preview = ctx.dispatcher.preview(dispatch, among, model, now, queuedAhead);
-                    return { ...preview, kind: preview.decision.kind };
+                    const { decision } = preview;
+                    return {
+                        ...preview,
+                        kind: decision.kind,
+                        choice: decision.kind === "send" ? decision.choice : undefined,
+                    };
                 },
             );
             const { endpoints, omitted } = this.endpoints(dispatch, decided.ranking, mayUse, model, now);
--- a/packages/ingress/src/room-gate.ts
+++ b/packages/ingress/src/room-gate.ts
@@ -1,4 +1,5 @@
 import {
+    type Candidates,
     type Dispatcher,
     type DispatchRequest,
     type EndpointChoice,
@@ -54,7 +55,8 @@
     metrics: Metrics;
     dispatcher: Dispatcher;
     latencyModel(service: string): LatencyModel;
-    candidates(service: string): readonly Endpoint[];
+    /** Returns the endpoints of a service that a request may be sent to now, of all versions. */
+    candidates(service: string): Candidates<Endpoint>;
     addDemand(service: string, demand: EngineDemand): void;
 }
 
--- a/packages/ingress/src/version-split.ts
+++ b/packages/ingress/src/version-split.ts
@@ -281,14 +281,20 @@
      * has a free slot. Otherwise affinity to the old endpoints would keep requests from the target.
      */
     prefer<T extends Endpoint>(candidates: readonly T[], hasFreeSlot: (endpoint: T) => boolean): readonly T[] {
-        const rollout = this.rollout();
-        if (rollout === undefined || rollout.notice.state !== "running" || this.draw >= rollout.now.share) {
+        const version = this.preferredVersion;
+        if (version === undefined) {
             return candidates;
         }
-        const ofTarget = candidates.filter(endpoint => versionOf(endpoint) === rollout.notice.target);
+        const ofTarget = candidates.filter(endpoint => versionOf(endpoint) === version);
         return ofTarget.some(hasFreeSlot) ? ofTarget : candidates;
     }
 
+    /** The version that the first attempt prefers: the target, if the request may go there; otherwise undefined. */
+    get preferredVersion(): string | undefined {
+        const rollout = this.rollout();
+        return rollout?.notice.state === "running" && this.draw < rollout.now.share ? rollout.notice.target : undefined;
+    }
+
     /** Counts the request as one that has come for the service, whether it will be served or refused. */
     recordAsked(): void {
         this.rollout()?.results?.recordAsked();
