Measure choices from filtered lists and with a predicate, and describe them

Cause: the experiment choice did not measure what an ingress does for each request beside the choice.

Change: two variants for each kind of endpoint, "filtered lists" (as an ingress chose before) and "predicate" (as it chooses now above 192 endpoints).

--- a/packages/bench/src/experiments/size/choice-fixture.ts
+++ b/packages/bench/src/experiments/size/choice-fixture.ts
@@ -1,5 +1,6 @@
 import {
     type Candidate,
+    type Candidates,
     type DispatchDecision,
     Dispatcher,
     type DispatchRequest,
@@ -13,10 +14,17 @@
     RendezvousAffinity,
     ServiceModel,
 } from "@lentilramp/dispatch";
+import { LimitPermits } from "@lentilramp/fleet";
 import { ManualClock, SeededRandom } from "@lentilramp/runtime";
 
 export type ServiceKind = "plain" | "engine";
 
+/**
+ * What each decision gets: the same list, a copy of it, a list filtered by the limits of endpoints, or the same list with
+ * a predicate for these limits, as an ingress passes it for a service with more than 192 endpoints.
+ */
+export type ListKind = "same" | "new" | "filtered" | "predicate";
+
 export interface ChoiceOptions {
     endpoints: number;
     kind: ServiceKind;
@@ -24,14 +32,15 @@
     isEstimated: boolean;
     /** Part of the endpoints that are full. */
     fullPart: number;
-    /** Whether each decision gets a new list of the candidates, as an ingress filters them for each request. */
-    hasNewLists?: boolean;
+    lists?: ListKind;
     seed: number;
 }
 
 const slots = 8;
 const cacheTokens = 200_000;
 const targetMs = 560;
+/** Connections that one of 1,600 ingresses uses to an endpoint. */
+const connectionShare = 2;
 /** Prompts that share their first part. */
 const sharedPrompts = 500;
 
@@ -40,6 +49,10 @@
     readonly candidates: readonly Candidate[];
     private readonly clock = new ManualClock(100_000);
     private readonly loads = new LoadTracker();
+    private readonly limits = new LimitPermits(
+        () => ({ members: 1_600, position: 0, fleetTimeMs: this.clock.now() }),
+        () => undefined,
+    );
     private readonly prefixes = new PrefixCacheIndex();
     private readonly pace: EndpointPace | undefined;
     private readonly model: LatencyModel;
@@ -86,8 +99,7 @@
         this.clock.advanceTo(this.clock.now() + intervalMs);
         const now = this.clock.now();
         const req = this.request(now);
-        const candidates = this.options.hasNewLists === true ? [...this.candidates] : this.candidates;
-        const decision = this.dispatcher.decide(req, candidates, this.model, now);
+        const decision = this.dispatcher.decide(req, this.candidatesAt(now), this.model, now);
         if (decision.kind === "send") {
             const { endpoint, prediction } = decision.choice;
             this.loads.trackRequest(endpoint.id, prediction, now).recordEnd();
@@ -100,6 +112,22 @@
         return decision;
     }
 
+    private candidatesAt(now: number): Candidates<Candidate> {
+        const isAllowed = ({ id }: Candidate): boolean =>
+            this.loads.localRunning(id) < connectionShare && this.limits.maySend(id, now);
+        switch (this.options.lists) {
+            case "new":
+                return [...this.candidates];
+            case "filtered":
+                // The second filter is that of the version, which all endpoints have.
+                return this.candidates.filter(isAllowed).filter(() => true);
+            case "predicate":
+                return { list: this.candidates, isKept: true, isAllowed };
+            default:
+                return this.candidates;
+        }
+    }
+
     private request(now: number): DispatchRequest {
         const id = `r${this.requests++}`;
         const shared = `p${this.random.nextInt(sharedPrompts)}`;
--- a/packages/bench/src/experiments/size/choice.ts
+++ b/packages/bench/src/experiments/size/choice.ts
@@ -10,15 +10,23 @@
 /** Part of a core for all control of a node, in percent. */
 const controlPercent = 2;
 
-interface Variant extends Pick<ChoiceOptions, "kind" | "isEstimated" | "fullPart" | "hasNewLists"> {
+interface Variant extends Pick<ChoiceOptions, "kind" | "isEstimated" | "fullPart" | "lists"> {
     name: string;
 }
 
+/** An ingress before it kept lists, for comparison; the target is not meant for it. */
+const filteredPlain = "plain, estimates, filtered lists";
+const filteredEngines = "engines, estimates, filtered lists";
+
 const variants: readonly Variant[] = [
     { name: "plain, no estimates", kind: "plain", isEstimated: false, fullPart: 0.1 },
     { name: "plain, estimates", kind: "plain", isEstimated: true, fullPart: 0.1 },
     { name: "engines, estimates", kind: "engine", isEstimated: true, fullPart: 0.1 },
-    { name: "engines, estimates, new lists", kind: "engine", isEstimated: true, fullPart: 0.1, hasNewLists: true },
+    { name: "engines, estimates, new lists", kind: "engine", isEstimated: true, fullPart: 0.1, lists: "new" },
+    { name: filteredPlain, kind: "plain", isEstimated: true, fullPart: 0.1, lists: "filtered" },
+    { name: "plain, estimates, predicate", kind: "plain", isEstimated: true, fullPart: 0.1, lists: "predicate" },
+    { name: filteredEngines, kind: "engine", isEstimated: true, fullPart: 0.1, lists: "filtered" },
+    { name: "engines, estimates, predicate", kind: "engine", isEstimated: true, fullPart: 0.1, lists: "predicate" },
     { name: "engines, estimates, 98% full", kind: "engine", isEstimated: true, fullPart: 0.98 },
     { name: "engines, estimates, all full", kind: "engine", isEstimated: true, fullPart: 1 },
 ];
@@ -64,7 +72,8 @@
         );
         const largest = (perSecond: number): number =>
             Math.max(
-                ...points.filter(({ setting }) => setting.endpoints === 7_400 && setting.perSecond === perSecond)
+                ...points.filter(({ variant }) => variant !== filteredPlain && variant !== filteredEngines)
+                    .filter(({ setting }) => setting.endpoints === 7_400 && setting.perSecond === perSecond)
                     .map(({ figures }) => figures.percentOfCore ?? 0),
             );
         return Promise.resolve({
