Search each new list of endpoints once, and drop searches that may be repeated

Cause: searches of four lists of a service kept a fifth one from being searched for 0.02 ms for each endpoint of them. When the list of endpoints changed within that time, earlier lists of one version left no search to another version, whose requests were queued although one of its endpoints was free. Searches also kept replaced lists in memory until the next choice of the same service that found no free endpoint in its sample, or for good once a service had become small.

Change: a list that has an index is searched once, whatever other lists have been searched; of searches of overlapping lists, the last one counts. Each choice first drops the searches that may be repeated.

--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -240,6 +240,7 @@
         now: number,
         excluded: ReadonlySet<string> = new Set(),
     ): EndpointChoice<C> | undefined {
+        this.part.dropOldSearches(now);
         const pool = toPool(candidates);
         const scoreUsable = (endpoints: readonly C[]): ScoredChoice<C>[] =>
             endpoints.filter(endpoint =>
--- a/packages/dispatch/src/partial-choice.ts
+++ b/packages/dispatch/src/partial-choice.ts
@@ -59,9 +59,11 @@
     private readonly indexes = new WeakMap<readonly Candidate[], ReadonlyMap<string, Candidate> | undefined>();
     /**
      * The searches that are not to be repeated yet, by service, one of each part that requests are restricted to, such as a
-     * version.
+     * version, the last one at the end.
      */
     private readonly searches = new Map<string, Search[]>();
+    /** Lists that have been searched. */
+    private readonly searched = new WeakSet<readonly Candidate[]>();
 
     constructor(
         private readonly loads: LoadTracker,
@@ -133,16 +135,19 @@
         known: readonly C[],
         now: number,
     ): C[] {
-        const searches = (this.searches.get(service) ?? []).filter(({ againAt }) => now < againAt);
-        this.searches.set(service, searches);
-        let last = this.lastSearch(searches, list, known);
-        if (last === undefined && searches.length < maxParts) {
+        const searches = this.searches.get(service) ?? [];
+        // The first search of an indexed list costs no more than its index. Without it, searches of lists that have been
+        // replaced since would keep a part from being searched.
+        const isNew = this.indexOf(list) !== undefined && !this.searched.has(list);
+        let last = isNew ? undefined : this.lastSearch(searches, list, known);
+        if (isNew || last === undefined && searches.length < maxParts) {
             const { found, searched } = this.search(
                 list,
                 candidate => isAllowed(candidate) ? this.openingAt(candidate, model, now) : undefined,
             );
             last = { list, found, againAt: now + searched * searchMsPerEndpoint };
-            searches.push(last);
+            this.searched.add(list);
+            this.searches.set(service, [...searches, last].slice(-maxParts));
         }
         const selected = new Set(known);
         // One look-up for both, as it may take a pass over the list.
@@ -167,7 +172,23 @@
             return same;
         }
         const compared = known.slice(-comparedCandidates);
-        return searches.find(({ list }) => compared.some(candidate => list.includes(candidate)));
+        return searches.findLast(({ list }) => compared.some(candidate => list.includes(candidate)));
+    }
+
+    /**
+     * Drops the searches that may be repeated, of all services, so that lists are not kept in memory after they have been
+     * replaced. To be called before each choice.
+     */
+    dropOldSearches(now: number): void {
+        for (const [service, searches] of this.searches) {
+            const current = searches.filter(({ againAt }) => now < againAt);
+            if (current.length === 0) {
+                this.searches.delete(service);
+            }
+            else if (current.length < searches.length) {
+                this.searches.set(service, current);
+            }
+        }
     }
 
     private openingAt({ id, slots }: Candidate, { pace }: LatencyModel, now: number): Opening | undefined {
--- a/packages/dispatch/tests/kept-candidates.test.ts
+++ b/packages/dispatch/tests/kept-candidates.test.ts
@@ -1,6 +1,9 @@
 import { allowedOf, bestChoice, type Candidate, type CandidatePool, type Candidates } from "@lentilramp/dispatch";
 import { SeededRandom } from "@lentilramp/runtime";
 import { expect } from "chai";
+import { setImmediate } from "node:timers/promises";
+import { setFlagsFromString } from "node:v8";
+import { runInNewContext } from "node:vm";
 import { ChoiceFleet, type ChoiceFleetOptions, describeDecision } from "./choice-fleet.ts";
 import { countReads } from "./count-reads.ts";
 
@@ -12,6 +15,9 @@
     }))
 );
 
+setFlagsFromString("--expose-gc");
+const collectGarbage = runInNewContext("gc") as () => void;
+
 /** Endpoints that may not be sent to, other ones at each choice. */
 class ChangingBars {
     readonly barred = new Set<string>();
@@ -207,6 +213,73 @@
         }
     });
 
+    // Guards against requests for one version that wait because the list of another one has changed often.
+    it("finds the free endpoint of a kept part after other parts have changed four times", () => {
+        for (const ofEachList of [1_990, 4_000]) {
+            const fleet = fullExcept(i => i === 3_333);
+            const now = fleet.clock.now();
+            const decide = (list: readonly Candidate[]) => {
+                const req = { ...fleet.request(), targetAt: now + 600 };
+                return fleet.dispatcher.decide(req, { isKept: true, list, isAllowed: () => true }, fleet.model, now);
+            };
+            const others = fleet.candidates.filter(({ id }) => id !== "e3333");
+            for (let i = 0; i < 4; i++) {
+                expect(decide(others.slice(i, ofEachList)).kind).to.equal("wait");
+            }
+            const part = fleet.candidates.slice(2_000);
+            for (let i = 0; i < 50; i++) {
+                expect(bestChoice(decide(part))?.endpoint.id).to.equal("e3333");
+            }
+        }
+    });
+
+    // Guards against lists of thousands of endpoints that stay in memory after they have been replaced.
+    for (const [next, title] of [[2_000, "has free endpoints"], [100, "has become small"]] as const) {
+        it(`keeps no list in memory that has been replaced and searched, if the service ${title}`, async () => {
+            const fleet = fullExcept(() => false);
+            const choose = (list: readonly Candidate[]) => {
+                const pool = { isKept: true, list, isAllowed: () => true };
+                fleet.dispatcher.choose(fleet.request(), pool, fleet.model, fleet.clock.now());
+            };
+            const searched = [0, 1, 2].map(i => {
+                const list = fleet.candidates.slice(i);
+                choose(list);
+                return new WeakRef(list);
+            });
+            fleet.loads.applyPeerLoad("peer", [], true);
+            fleet.clock.advanceTo(fleet.clock.now() + 1_000);
+            choose(fleet.candidates.slice(0, next));
+            // References that have been created or read are cleared in a later turn of the event loop.
+            await setImmediate();
+            collectGarbage();
+            expect(searched.map(ref => ref.deref()?.length)).to.deep.equal([undefined, undefined, undefined]);
+        });
+    }
+
+    // Guards against searches without end while requests alternate between more parts than searches are kept of.
+    it("searches each of six kept lists once while all endpoints are full", () => {
+        const fleet = fullExcept(() => false);
+        const now = fleet.clock.now();
+        const lists = [0, 1, 2, 3, 4, 5].map(part => countReads(fleet.candidates.filter((...[, i]) => i % 6 === part)));
+        const choose = (): void => {
+            for (const { counted } of lists) {
+                const pool = { isKept: true, list: counted, isAllowed: () => true };
+                fleet.dispatcher.decide({ ...fleet.request(), targetAt: now + 600 }, pool, fleet.model, now);
+            }
+        };
+        let looks = 0;
+        const load = fleet.loads.load.bind(fleet.loads);
+        fleet.loads.load = (...args) => {
+            looks++;
+            return load(...args);
+        };
+        choose();
+        expect(looks).to.be.within(4_000, 4_000 + 6 * 64);
+        looks = 0;
+        Array.from({ length: 100 }).forEach(choose);
+        expect(looks).to.be.within(1, 100 * 6 * 64);
+    });
+
     // Guards against a sample that holds a few of the endpoints that may be sent to, and not the best ones.
     it("chooses the best endpoint if fewer than 192 of 4,000 may be sent to", () => {
         const fleet = new ChoiceFleet({ endpoints: 4_000, kind: "plain", isEstimated: false, seed: 6 });
