Share the table of versions among requests, and copy no list whose endpoints may all be sent to

Cause: a service of up to 192 endpoints paid for the kept lists of larger ones: each request created a WeakMap for parts by version, and copied the list that it had just filtered.

Change: ServiceCandidates always gets the table of EndpointCandidates; allowedOf returns the list of a pool with allowAll.

Measured: the new test of endpoint-selection.test.ts fails without the change (one WeakMap for a request to 192 endpoints) and passes with it.

--- a/packages/dispatch/src/types.ts
+++ b/packages/dispatch/src/types.ts
@@ -50,11 +50,15 @@
 /** Endpoints to choose from; all those of a plain list are allowed. */
 export type Candidates<C extends Candidate> = readonly C[] | CandidatePool<C>;
 
+/** The predicate of a pool all of whose endpoints may be sent to. */
+export const allowAll = (): boolean => true;
+
 export function toPool<C extends Candidate>(candidates: Candidates<C>): CandidatePool<C> {
-    return "isAllowed" in candidates ? candidates : { list: candidates, isKept: false, isAllowed: () => true };
+    return "isAllowed" in candidates ? candidates : { list: candidates, isKept: false, isAllowed: allowAll };
 }
 
 /** Returns all endpoints that may be sent to now. */
 export function allowedOf<C extends Candidate>(candidates: Candidates<C>): readonly C[] {
-    return "isAllowed" in candidates ? candidates.list.filter(candidates.isAllowed) : candidates;
+    const { list, isAllowed } = toPool(candidates);
+    return isAllowed === allowAll ? list : list.filter(isAllowed);
 }
--- a/packages/ingress/src/endpoint-candidates.ts
+++ b/packages/ingress/src/endpoint-candidates.ts
@@ -1,4 +1,4 @@
-import { type CandidatePool, maxWholeChoiceDefault } from "@lentilramp/dispatch";
+import { allowAll, type CandidatePool, maxWholeChoiceDefault } from "@lentilramp/dispatch";
 import type { Endpoint } from "@lentilramp/fleet";
 import type { Clock } from "@lentilramp/runtime";
 import type { FleetView } from "./fleet-view.ts";
@@ -16,19 +16,19 @@
 export class ServiceCandidates implements CandidatePool<Endpoint> {
     constructor(
         readonly list: readonly Endpoint[],
-        readonly isAllowed: (endpoint: Endpoint) => boolean = () => true,
-        private readonly parts = new VersionParts(),
-        readonly isKept = false,
+        readonly isAllowed: (endpoint: Endpoint) => boolean,
+        readonly isKept: boolean,
+        private readonly parts: VersionParts,
     ) {}
 
     /** Returns other candidates, all of which may be sent to now. */
     among(list: readonly Endpoint[]): ServiceCandidates {
-        return new ServiceCandidates(list, undefined, this.parts);
+        return new ServiceCandidates(list, allowAll, false, this.parts);
     }
 
     /** Returns those whose versions may be used. */
     ofVersions(mayUse: VersionPredicate): ServiceCandidates {
-        return new ServiceCandidates(this.parts.of(this.list, mayUse), this.isAllowed, this.parts, this.isKept);
+        return new ServiceCandidates(this.parts.of(this.list, mayUse), this.isAllowed, this.isKept, this.parts);
     }
 }
 
@@ -56,7 +56,12 @@
      */
     pool(service: string, mayUse: VersionPredicate): ServiceCandidates {
         const ready = this.view.endpoints.readyEndpoints(service);
-        return new ServiceCandidates(ready, this.allowedNow(service), this.parts, true).ofVersions(mayUse);
+        return new ServiceCandidates(ready, this.allowedNow(service), true, this.parts).ofVersions(mayUse);
+    }
+
+    /** Returns the candidates of a list that has been filtered for one request. */
+    filteredPool(list: readonly Endpoint[]): ServiceCandidates {
+        return new ServiceCandidates(list, allowAll, false, this.parts);
     }
 
     /** Whether an endpoint whose version may be used is ready, whatever its limits are. */
--- a/packages/ingress/src/relay.ts
+++ b/packages/ingress/src/relay.ts
@@ -19,7 +19,7 @@
 import { CallerConnections } from "./caller-connections.ts";
 import { CallerCuts, type CallerExchange } from "./caller-cuts.ts";
 import { CrashDetector } from "./crash-detector.ts";
-import { type CandidateObstacle, EndpointCandidates, ServiceCandidates } from "./endpoint-candidates.ts";
+import { type CandidateObstacle, EndpointCandidates, type ServiceCandidates } from "./endpoint-candidates.ts";
 import { EndpointPool } from "./endpoint-pool.ts";
 import { FleetPaces } from "./fleet-paces.ts";
 import type { FleetView } from "./fleet-view.ts";
@@ -333,7 +333,7 @@
     candidatePool(service: string, mayUse: VersionPredicate = () => true): ServiceCandidates {
         return this.endpointCandidates.areMany(service)
             ? this.endpointCandidates.pool(service, mayUse)
-            : new ServiceCandidates(this.candidates(service).filter(mayUse));
+            : this.endpointCandidates.filteredPool(this.candidates(service).filter(mayUse));
     }
 
     hasReady(service: string, mayUse: VersionPredicate): boolean {
--- a/packages/ingress/tests/endpoint-selection.test.ts
+++ b/packages/ingress/tests/endpoint-selection.test.ts
@@ -1,4 +1,5 @@
 import {
+    allowedOf,
     bestChoice,
     type DispatchDecision,
     type DispatchRequest,
@@ -149,6 +150,31 @@
             expect([...kinds].sort()).to.deep.equal(["again", "drawn", "left", "refuse", "send"]);
         });
     }
+
+    // Guards against work for each request that only services with many endpoints need.
+    it("creates no tables of versions and no further copies of the list for a request", async () => {
+        const fleet = new SelectionFleet({ endpoints: 192, service: "app", seed: 1 });
+        fleet.tell({ share: 0.5 });
+        const createdMaps: WeakMap<object, unknown>[] = [];
+        const { WeakMap: original } = globalThis;
+        globalThis.WeakMap = class<K extends object, V> extends original<K, V> {
+            constructor() {
+                super();
+                createdMaps.push(this);
+            }
+        };
+        try {
+            const dispatch = { ...fleet.request(), targetAt: fleet.clock.now() + 2_000 };
+            expect((await select(fleet, dispatch, []).first()).kind).to.equal("send");
+        }
+        finally {
+            globalThis.WeakMap = original;
+        }
+        expect(createdMaps.length).to.equal(0);
+        const pool = fleet.relay.candidatePool("app", () => true);
+        expect(pool.list.length).to.equal(192);
+        expect(allowedOf(pool)).to.equal(pool.list);
+    });
 });
 
 /** Changes after which an endpoint must not be chosen any more. */
