Clarify comments and names of choices from kept lists

Cause: comments on draws, on the search of a list and on roll-outs of large services were hard to follow, and the set of endpoints that a choice leaves out was called taken.

Change: wording and two names; no behaviour.

--- a/packages/dispatch/src/partial-choice.ts
+++ b/packages/dispatch/src/partial-choice.ts
@@ -9,11 +9,11 @@
  * processes with the same knowledge draw different ones.
  */
 const sampleSize = 32;
-/** Draws of one endpoint of the sample until one may be sent to. */
+/** Draws from each part of the list until one gives an endpoint that may be sent to. */
 const maxDraws = 4;
 /**
- * Endpoints of the sample that have to be found in this way. If most of a list may not be sent to, a sample of the others
- * says too little, and the choice is made among a filtered list.
+ * Endpoints that the draws must give at least. If most of a list may not be sent to, a sample of the others says too
+ * little, and the choice is made among a filtered list.
  */
 const minDrawn = 16;
 /** Endpoints that the model prefers and that are considered: the assigned one, and eight that have cached the prompt. */
@@ -55,7 +55,7 @@
 
 /** Selects the candidates that are considered for a request to a service with many endpoints. */
 export class PartialChoice {
-    /** Candidates by id, of each list; undefined for one that has been used once, whose index would cost more. */
+    /** Candidates by id, of each list; undefined for a list that has been used once, whose index would cost more than it saves. */
     private readonly indexes = new WeakMap<readonly Candidate[], ReadonlyMap<string, Candidate> | undefined>();
     /**
      * The searches that are not to be repeated yet, by service, one of each part that requests are restricted to, such as a
@@ -159,8 +159,8 @@
     }
 
     /**
-     * Returns the search of a list. One that has an index is known by itself, and one that may be passed only once by its
-     * members.
+     * Returns the last search of a list. A list with an index is recognised as the same array, and another one by its
+     * members, since it may be a new array for each choice. So is a list with an index if no more searches are kept.
      */
     private lastSearch(
         searches: readonly Search[],
--- a/packages/ingress/src/endpoint-selection.ts
+++ b/packages/ingress/src/endpoint-selection.ts
@@ -179,7 +179,7 @@
         const candidates = among === undefined
             ? pool
             : pool.among(allowedOf(pool).filter(({ id }) => among.has(id)));
-        const taken = new Set([...excluded, ...this.parkedEndpoints()]);
-        return ctx.dispatcher.choose(dispatch, candidates, model, ctx.clock.now(), taken);
+        const excludedOrParked = new Set([...excluded, ...this.parkedEndpoints()]);
+        return ctx.dispatcher.choose(dispatch, candidates, model, ctx.clock.now(), excludedOrParked);
     }
 }
--- a/packages/ingress/src/version-parts.ts
+++ b/packages/ingress/src/version-parts.ts
@@ -34,7 +34,7 @@
         let part = parts.get(key);
         if (part === undefined) {
             const versions = new Set(
-                usable.map(i => ofEachVersion[i]).flatMap(of => of === undefined ? [] : versionOf(of)),
+                usable.map(i => ofEachVersion[i]).flatMap(entry => entry === undefined ? [] : versionOf(entry)),
             );
             part = list.filter(endpoint => versions.has(versionOf(endpoint)));
             if (parts.size >= maxParts) {
--- a/packages/ingress/src/version-preference.ts
+++ b/packages/ingress/src/version-preference.ts
@@ -32,8 +32,8 @@
 }
 
 /**
- * Decides among many endpoints. The endpoints of the preferred version are not searched for a free slot if they are many
- * too; that of the endpoint that would be chosen counts.
+ * Decides among many endpoints. If those of the preferred version are many too, they are not searched for a free slot: the
+ * decision among them counts if the endpoint that it chooses has one.
  */
 function decideAmongMany<D extends VersionDecision>(
     usable: ServiceCandidates,
