Collect garbage until replaced lists are freed in the tests of kept candidates

Cause: "keeps no list in memory that has been replaced and searched" required the lists to be freed by one collection. V8's optimizing compiler works on other threads and references the closures that it compiles, and with them a list, until the job has finished. Incremental marking is not the cause: gc() finishes a cycle that is in progress and then collects again, and the tests also fail without incremental marking.

Change: the tests collect until no list is left, or until 100 collections have passed, and then make the same assertion. This is as strict: nothing of the product runs between the collections, so that a list which it references survives all of them.

--- a/packages/dispatch/tests/kept-candidates.test.ts
+++ b/packages/dispatch/tests/kept-candidates.test.ts
@@ -1,11 +1,9 @@
 import { allowedOf, bestChoice, type Candidate, type CandidatePool, type Candidates } from "@lentilramp/dispatch";
 import { SeededRandom } from "@lentilramp/runtime";
 import { expect } from "chai";
-import { setImmediate } from "node:timers/promises";
-import { setFlagsFromString } from "node:v8";
-import { runInNewContext } from "node:vm";
 import { ChoiceFleet, type ChoiceFleetOptions, describeDecision } from "./choice-fleet.ts";
 import { countReads } from "./count-reads.ts";
+import { lengthsAfterCollections } from "./freed-lists.ts";
 
 const kinds = (["plain", "engine"] as const).flatMap(kind =>
     [false, true].map(isEstimated => ({
@@ -15,9 +13,6 @@
     }))
 );
 
-setFlagsFromString("--expose-gc");
-const collectGarbage = runInNewContext("gc") as () => void;
-
 /** Endpoints that may not be sent to, other ones at each choice. */
 class ChangingBars {
     readonly barred = new Set<string>();
@@ -249,10 +244,7 @@
             fleet.loads.applyPeerLoad("peer", [], true);
             fleet.clock.advanceTo(fleet.clock.now() + 1_000);
             choose(fleet.candidates.slice(0, next));
-            // References that have been created or read are cleared in a later turn of the event loop.
-            await setImmediate();
-            collectGarbage();
-            expect(searched.map(ref => ref.deref()?.length)).to.deep.equal([undefined, undefined, undefined]);
+            expect(await lengthsAfterCollections(searched)).to.deep.equal([undefined, undefined, undefined]);
         });
     }
 
