Share the set-up of an ingress without a network in its tests

Cause: selection-fleet.ts and request-preview.test.ts contained the same options, catalog codec, endpoints and construction of FleetView, VersionSplit and Relay.

Change: unconnected-ingress.ts has them once. No check, seed or load changes. request-preview.test.ts keeps its fixed instant of the next sync, and selection-fleet.ts its 100 members.

--- a/packages/ingress/tests/request-preview.test.ts
+++ b/packages/ingress/tests/request-preview.test.ts
@@ -1,25 +1,15 @@
-import { CatalogCodec } from "@lentilramp/catalog";
 import type { DispatchRequest } from "@lentilramp/dispatch";
 import { type WhereAnswer, whereAnswerSchema, type WhereRequest, whereRequestSchema } from "@lentilramp/exchange";
 import type { Endpoint } from "@lentilramp/fleet";
-import {
-    FleetView,
-    IngressComponentFactory,
-    type IngressOptions,
-    ingressPolicyDefaults,
-    Relay,
-    RequestPreview,
-    VersionSplit,
-} from "@lentilramp/ingress";
-import { PlatformHeaderCodec } from "@lentilramp/platform";
+import { RequestPreview } from "@lentilramp/ingress";
 import { RpcError, rpcErrorCodes } from "@lentilramp/protocol";
-import { ManualClock, MemoryEventLog, MemoryMetrics, SeededRandom } from "@lentilramp/runtime";
+import { SeededRandom } from "@lentilramp/runtime";
 import { expect } from "chai";
 import { inspect } from "node:util";
-import { Ok } from "ts-results-es";
 import { testCatalog, testRoute, testWorkspace } from "../../catalog/tests/fixtures.ts";
 import type { AdmittedRequest } from "../src/admission.ts";
 import { EndpointSelection } from "../src/endpoint-selection.ts";
+import { startedAt, syncAnswer, testEndpoint, unconnectedIngress } from "./unconnected-ingress.ts";
 
 const catalog = testCatalog({
     routes: [
@@ -34,42 +24,8 @@
     workspaces: [testWorkspace(), testWorkspace({ name: "urgent", keys: ["key-2"], rank: 0 })],
 });
 
-class FixedCatalog extends CatalogCodec {
-    override decode(): Ok<typeof catalog> {
-        return new Ok(catalog);
-    }
-}
-
-const options: IngressOptions = {
-    name: "ingress",
-    region: "r",
-    failureDomain: "a",
-    callers: { host: "127.0.0.1", port: 1 },
-    readiness: { host: "127.0.0.1", port: 2 },
-    inner: { host: "127.0.0.1", port: 3 },
-    graceMs: 2_000,
-    retryRatio: 0.5,
-    retryWindowMs: 10_000,
-    retryReserve: 20,
-    capTolerance: { overshoot: 0, windowMs: 8_000, units: 0 },
-    usageWindowMs: 5_000,
-    drainBoundMs: 3_000,
-    catalogBoundMs: 2_000,
-};
-
 function endpoint(id: string, overrides: Partial<Endpoint> = {}): Endpoint {
-    return {
-        id,
-        service: "app",
-        host: "10.0.0.1",
-        port: 80,
-        failureDomain: "a",
-        slots: 4,
-        ready: true,
-        reclaimable: false,
-        version: "v1",
-        ...overrides,
-    };
+    return testEndpoint({ id, service: "app", version: "v1", ...overrides });
 }
 
 const endpoints = [
@@ -79,49 +35,19 @@
     ...["engine-1", "engine-2", "engine-3"].map(id => endpoint(id, { service: "model", version: undefined })),
 ];
 
-const startedAt = 10_000;
-
 /** An ingress without a network that has synced once; without a catalog if `hasCatalog` is false. */
 function ingress(hasCatalog = true) {
-    const clock = new ManualClock(startedAt);
-    const log = new MemoryEventLog();
-    const metrics = new MemoryMetrics();
-    const random = new SeededRandom(7);
-    const components = new IngressComponentFactory(ingressPolicyDefaults);
     const syncs: (number | undefined)[] = [];
-    const { usageWindowMs, capTolerance, catalogBoundMs, name } = options;
-    const hooks = {
-        onEndpointGone: () => undefined,
-        countCovered: () => 1,
-        requestSync: (intervalMs?: number) => void syncs.push(intervalMs),
+    const { name, clock, view, versions, relay } = unconnectedIngress(catalog, new SeededRandom(7), {
+        requestSync: intervalMs => void syncs.push(intervalMs),
         nextSyncAt: () => startedAt + 250,
-        askForOrigin: async () => undefined,
-    };
-    const view = new FleetView(
-        new FixedCatalog(),
-        clock,
-        log,
-        usageWindowMs,
-        capTolerance,
-        catalogBoundMs,
-        components,
-        name,
-        hooks,
-    );
-    const versions = new VersionSplit(clock, random, metrics);
-    const base = { clock, random, log, metrics };
-    const relay = new Relay(view, new PlatformHeaderCodec(), options, base, components, versions);
+    });
     const preview = new RequestPreview(relay, name);
     const confirm = (permits?: Record<string, number>): void =>
-        view.applySyncAnswer({
-            leading: true,
-            stewards: [],
-            members: 1,
-            permits,
-            // No turn to send to an endpoint with a limit begins near this time.
-            trueMs: 1_234_567_891_234,
-            catalog: hasCatalog ? { version: 1, text: "" } : undefined,
-        }, clock.now());
+        view.applySyncAnswer(
+            syncAnswer({ permits, catalog: hasCatalog ? { version: 1, text: "" } : undefined }),
+            clock.now(),
+        );
     const describe = (req: Partial<WhereRequest> = {}): WhereAnswer =>
         // As a caller of the method reads it.
         whereAnswerSchema.parse(
--- a/packages/ingress/tests/selection-fleet.ts
+++ b/packages/ingress/tests/selection-fleet.ts
@@ -1,19 +1,10 @@
-import { CatalogCodec } from "@lentilramp/catalog";
 import type { DispatchRequest, EndpointChoice } from "@lentilramp/dispatch";
 import type { Endpoint } from "@lentilramp/fleet";
-import {
-    FleetView,
-    IngressComponentFactory,
-    type IngressOptions,
-    ingressPolicyDefaults,
-    Relay,
-    VersionSplit,
-} from "@lentilramp/ingress";
-import { PlatformHeaderCodec } from "@lentilramp/platform";
+import type { FleetView, Relay, VersionSplit } from "@lentilramp/ingress";
 import type { RolloutNotice } from "@lentilramp/rollouts";
-import { ManualClock, MemoryEventLog, MemoryMetrics, SeededRandom } from "@lentilramp/runtime";
-import { Ok } from "ts-results-es";
+import { type ManualClock, SeededRandom } from "@lentilramp/runtime";
 import { testCatalog, testRoute, testWorkspace } from "../../catalog/tests/fixtures.ts";
+import { slots, syncAnswer, testEndpoint, unconnectedIngress } from "./unconnected-ingress.ts";
 import { notice } from "./version-notice.ts";
 
 const catalog = testCatalog({
@@ -21,44 +12,7 @@
     workspaces: [testWorkspace()],
 });
 
-class FixedCatalog extends CatalogCodec {
-    override decode(): Ok<typeof catalog> {
-        return new Ok(catalog);
-    }
-}
-
-const options: IngressOptions = {
-    name: "ingress",
-    region: "r",
-    failureDomain: "a",
-    callers: { host: "127.0.0.1", port: 1 },
-    readiness: { host: "127.0.0.1", port: 2 },
-    inner: { host: "127.0.0.1", port: 3 },
-    graceMs: 2_000,
-    retryRatio: 0.5,
-    retryWindowMs: 10_000,
-    retryReserve: 20,
-    capTolerance: { overshoot: 0, windowMs: 8_000, units: 0 },
-    usageWindowMs: 5_000,
-    drainBoundMs: 3_000,
-    catalogBoundMs: 2_000,
-};
-
-export const slots = 4;
-
-function endpoint(i: number, service: string, version?: string): Endpoint {
-    return {
-        id: `e${i}`,
-        service,
-        host: "10.0.0.1",
-        port: 80,
-        failureDomain: "a",
-        slots,
-        ready: true,
-        reclaimable: false,
-        version,
-    };
-}
+export { slots };
 
 export interface FleetOptions {
     endpoints: number;
@@ -70,7 +24,7 @@
 
 /** An ingress without a network, before one service whose loads, limits, health, list and versions change. */
 export class SelectionFleet {
-    readonly clock = new ManualClock(10_000);
+    readonly clock: ManualClock;
     readonly view: FleetView;
     readonly relay: Relay;
     readonly versions: VersionSplit;
@@ -89,44 +43,16 @@
         const { endpoints, service, seed, newEvery = 3 } = fleet;
         this.random = new SeededRandom(seed);
         this.drawn = new SeededRandom(seed + 1);
-        const base = {
-            clock: this.clock,
-            log: new MemoryEventLog(),
-            metrics: new MemoryMetrics(),
-            random: this.drawn,
-        };
-        const components = new IngressComponentFactory(ingressPolicyDefaults);
-        const { usageWindowMs, capTolerance, catalogBoundMs, name } = options;
-        this.view = new FleetView(
-            new FixedCatalog(),
-            this.clock,
-            base.log,
-            usageWindowMs,
-            capTolerance,
-            catalogBoundMs,
-            components,
-            name,
-            {
-                onEndpointGone: () => undefined,
-                countCovered: () => 1,
-                requestSync: () => undefined,
-                nextSyncAt: () => this.clock.now() + 250,
-                askForOrigin: async () => undefined,
-            },
+        const ingress = unconnectedIngress(catalog, this.drawn);
+        this.clock = ingress.clock;
+        this.view = ingress.view;
+        this.versions = ingress.versions;
+        this.relay = ingress.relay;
+        // This ingress may use two connections to an endpoint, fewer than it has slots.
+        this.view.applySyncAnswer(syncAnswer({ members: 100 }), this.clock.now());
+        this.all = [...Array(endpoints).keys()].map(i =>
+            testEndpoint({ id: `e${i}`, service, version: i % newEvery === 0 ? "v2" : "v1" })
         );
-        this.versions = new VersionSplit(this.clock, this.drawn, base.metrics);
-        this.relay = new Relay(this.view, new PlatformHeaderCodec(), options, base, components, this.versions);
-        // Without the fleet's time, turns to send to endpoints with a limit would depend on the clock of the machine.
-        const answer = {
-            leading: true,
-            stewards: [],
-            // This ingress may use two connections to an endpoint, fewer than it has slots.
-            members: 100,
-            catalog: { version: 1, text: "" },
-            trueMs: 1_234_567_891_234,
-        };
-        this.view.applySyncAnswer(answer, this.clock.now());
-        this.all = [...Array(endpoints).keys()].map(i => endpoint(i, service, i % newEvery === 0 ? "v2" : "v1"));
         this.applyList();
         this.view.loads.applyPeerLoad("peer", this.all.map(({ id }) => [id, this.randomLoad()]), true);
     }
@@ -135,7 +61,11 @@
         this.clock.advanceTo(this.clock.now() + 1);
         // A list that is read again has other objects.
         const list = this.all.filter(({ id }) => !this.left.has(id)).map(entry => ({ ...entry }));
-        this.view.applyEndpointList([...list, endpoint(-1, "other")], this.clock.now(), ++this.lists);
+        this.view.applyEndpointList(
+            [...list, testEndpoint({ id: "e-1", service: "other" })],
+            this.clock.now(),
+            ++this.lists,
+        );
     }
 
     randomLoad(): { running: number; unreadTokens: number; } {
