Hold the event loop for processor time in the test of RunningTime

It holds the loop for 300 ms by the clock, while RunningTime leaves out the time without the processor, so that it fails whenever the loop gets less than 250 ms of the processor: 24 of 24 runs when 24 run at once.

With half of the processor time counted, the test fails.

--- a/packages/ingress/tests/ingress-harness.test.ts
+++ b/packages/ingress/tests/ingress-harness.test.ts
@@ -2,7 +2,7 @@
 import { once } from "node:events";
 import { type AddressInfo, createServer } from "node:net";
 import { testCatalog } from "../../catalog/tests/fixtures.ts";
-import { holdEventLoop, IngressHarness, RunningTime, ScriptedEndpoint, sealed } from "./ingress-harness.ts";
+import { IngressHarness, RunningTime, ScriptedEndpoint, sealed } from "./ingress-harness.ts";
 
 describe("IngressHarness", () => {
     const { choosePorts } = IngressHarness;
@@ -53,11 +53,19 @@
         expect(time.now()).to.equal(5 + 20 + 6 + 20 + 400 + 120 + 5);
     });
 
-    it("counts the time for which the event loop is held", async () => {
-        const time = new RunningTime();
+    it("counts the time for which the event loop is held", () => {
+        const heldMs = 300;
         const startedAt = performance.now();
-        await holdEventLoop(300);
-        expect(time.now()).to.be.within(250, performance.now() - startedAt);
+        const time = new RunningTime();
+        const heldFrom = performance.now();
+        const used = process.cpuUsage();
+        // On a busy machine, the loop gets less processor time than it takes, and only the processor time counts.
+        for (let usedMs = 0; performance.now() - heldFrom < heldMs || usedMs < heldMs;) {
+            const { user, system } = process.cpuUsage(used);
+            usedMs = (user + system) / 1_000;
+        }
+        // The sums of fractions of milliseconds are rounded.
+        expect(time.now()).to.be.within(heldMs - 1, performance.now() - startedAt);
         time.close();
     });
 
