Hold the rows of a report in one array, and find their cells without building keys

The rates of each row are an object with four fractional numbers, all of which outlive the sync and are read again for each decision.

Change: cells are found by rank, then by workspace; the rates of a report are in one array in the order of its cells.

--- a/packages/steward/src/fleet-room.ts
+++ b/packages/steward/src/fleet-room.ts
@@ -20,6 +20,9 @@
 const minReportMs = 50;
 /** Change of the lowest admitted share that is logged. */
 const loggedChange = 0.15;
+/** Rates of a row in `ReportedRows`. */
+const ratesPerRow = 4;
+
 /**
  * Work of one rank and workspace of a service. The reports of all ingresses refer to the same object, so that a sum over
  * them looks up no names.
@@ -30,18 +33,26 @@
     sum: WorkRate | undefined;
 }
 
-/** A row of a report, as rates. */
-interface ReportedRow extends Omit<WorkRate, "rank" | "workspace"> {
-    cell: WorkCell;
+/** Cells by rank and workspace. */
+type WorkCells = Map<number, Map<string, WorkCell>>;
+
+/**
+ * Rows of a report. The rates of all rows are in one array: a large fleet has 100,000 rows, and an object with four
+ * fractional numbers is five objects on the heap.
+ */
+interface ReportedRows {
+    cells: readonly WorkCell[];
+    /** Slots, prompt tokens per millisecond, served and occupied slots of each cell, in the order of `cells`. */
+    rates: readonly number[];
 }
 
 /** Work of one ingress, by service. */
-type IngressRates = ReadonlyMap<string, readonly ReportedRow[]>;
+type IngressRates = ReadonlyMap<string, ReportedRows>;
 
 interface ServiceState {
     allocator: RoomAllocator;
-    /** Cells of the reports that are held, by rank and workspace. */
-    cells: Map<string, WorkCell>;
+    /** Cells of the reports that are held. */
+    cells: WorkCells;
     level: AdmissionLevel | undefined;
     /** Lowest share of the last log line; undefined while there is no level. */
     loggedShare: number | undefined;
@@ -74,7 +85,7 @@
             new Map(
                 Object.entries(room?.services ?? {}).map(([service, rows]) => {
                     const { cells } = this.stateOf(service);
-                    return [service, rows.map(row => toReportedRow(row, overMs, cells))];
+                    return [service, toReportedRows(rows, overMs, cells)];
                 }),
             ),
         );
@@ -145,29 +156,24 @@
      */
     private sumRates(service: string, { cells }: ServiceState): WorkRate[] {
         const sums: WorkRate[] = [];
-        cells.forEach(cell => cell.sum = undefined);
+        cells.forEach(byWorkspace => byWorkspace.forEach(cell => cell.sum = undefined));
         const unknown: Pick<WorkRate, "slots" | "tokensPerMs">[] = [];
         for (const [name, reported] of this.reported) {
             const rates = reported.get(service);
             const demand = this.demanded.get(name)?.get(service);
             if (rates !== undefined) {
-                rates.forEach(row => addRow(row, row.cell, sums));
+                addRows(rates, sums);
             }
             else if (demand !== undefined) {
                 unknown.push(demand);
             }
         }
-        for (const [key, { sum }] of cells) {
-            if (sum === undefined) {
-                cells.delete(key);
-            }
-        }
+        deleteUnused(cells);
         // Ingresses that report only their demand obey no level. Their work counts as the least urgent, so that it does
         // not displace the urgent work of the others.
         const leastUrgent = sums.reduce((rank, sum) => Math.max(rank, sum.rank), 0);
         for (const { slots, tokensPerMs } of unknown) {
-            const cell = findCell(cells, leastUrgent, "");
-            addRow({ slots, tokensPerMs, servedSlots: 0, occupiedSlots: 0 }, cell, sums);
+            addRows({ cells: [findCell(cells, leastUrgent, "")], rates: [slots, tokensPerMs, 0, 0] }, sums);
         }
         return sums;
     }
@@ -212,41 +218,64 @@
     }
 }
 
-/** Adds a row to the sum of its cell; one that begins a sum is appended to `sums`. */
-function addRow(row: Omit<ReportedRow, "cell">, cell: WorkCell, sums: WorkRate[]): void {
-    const { slots, tokensPerMs, servedSlots, occupiedSlots } = row;
-    if (cell.sum === undefined) {
-        const { rank, workspace } = cell;
-        cell.sum = { rank, workspace, slots, tokensPerMs, servedSlots, occupiedSlots };
-        sums.push(cell.sum);
-        return;
+/** Adds rows to the sums of their cells; a row that begins a sum appends it to `sums`. */
+function addRows({ cells, rates }: ReportedRows, sums: WorkRate[]): void {
+    let i = 0;
+    for (const cell of cells) {
+        const slots = rates[i] ?? 0;
+        const tokensPerMs = rates[i + 1] ?? 0;
+        const servedSlots = rates[i + 2] ?? 0;
+        const occupiedSlots = rates[i + 3] ?? 0;
+        i += ratesPerRow;
+        const { sum } = cell;
+        if (sum === undefined) {
+            const { rank, workspace } = cell;
+            cell.sum = { rank, workspace, slots, tokensPerMs, servedSlots, occupiedSlots };
+            sums.push(cell.sum);
+        }
+        else {
+            sum.slots += slots;
+            sum.tokensPerMs += tokensPerMs;
+            sum.servedSlots += servedSlots;
+            sum.occupiedSlots += occupiedSlots;
+        }
     }
-    cell.sum.slots += slots;
-    cell.sum.tokensPerMs += tokensPerMs;
-    cell.sum.servedSlots += servedSlots;
-    cell.sum.occupiedSlots += occupiedSlots;
 }
 
-function toReportedRow(
-    [rank, workspace, slotMs, promptTokens, servedSlotMs, occupiedMs]: WorkRow,
-    overMs: number,
-    cells: Map<string, WorkCell>,
-): ReportedRow {
-    return {
-        cell: findCell(cells, rank, workspace),
-        slots: slotMs / overMs,
-        tokensPerMs: promptTokens / overMs,
-        servedSlots: servedSlotMs / overMs,
-        occupiedSlots: occupiedMs / overMs,
-    };
+function toReportedRows(rows: readonly WorkRow[], overMs: number, cells: WorkCells): ReportedRows {
+    const rowCells: WorkCell[] = [];
+    const rates: number[] = [];
+    for (const [rank, workspace, slotMs, promptTokens, servedSlotMs, occupiedMs] of rows) {
+        rowCells.push(findCell(cells, rank, workspace));
+        rates.push(slotMs / overMs, promptTokens / overMs, servedSlotMs / overMs, occupiedMs / overMs);
+    }
+    return { cells: rowCells, rates };
 }
 
-function findCell(cells: Map<string, WorkCell>, rank: number, workspace: string): WorkCell {
-    const key = `${rank} ${workspace}`;
-    let cell = cells.get(key);
+function findCell(cells: WorkCells, rank: number, workspace: string): WorkCell {
+    let byWorkspace = cells.get(rank);
+    if (byWorkspace === undefined) {
+        byWorkspace = new Map();
+        cells.set(rank, byWorkspace);
+    }
+    let cell = byWorkspace.get(workspace);
     if (cell === undefined) {
         cell = { rank, workspace, sum: undefined };
-        cells.set(key, cell);
+        byWorkspace.set(workspace, cell);
     }
     return cell;
 }
+
+/** Deletes the cells that no report refers to any more. */
+function deleteUnused(cells: WorkCells): void {
+    for (const [rank, byWorkspace] of cells) {
+        for (const [workspace, { sum }] of byWorkspace) {
+            if (sum === undefined) {
+                byWorkspace.delete(workspace);
+            }
+        }
+        if (byWorkspace.size === 0) {
+            cells.delete(rank);
+        }
+    }
+}
