Record an outcome at an ingress without a look at each endpoint of the service

Cause: CallRecorder.recordEndpoint built the list of the ids of all siblings for each outcome, although only a failure that may eject an endpoint needs it; such a failure then looked at each sibling three times.

Change: EndpointHealth also takes siblings with an index (`size` and `has`), which EndpointDirectory.readyIds returns and keeps until the list changes.

A list that contains an id twice now counts its outcomes once and not twice.

--- a/packages/dispatch/src/endpoint-health.ts
+++ b/packages/dispatch/src/endpoint-health.ts
@@ -9,6 +9,12 @@
 /** Reason for which no request is sent to an endpoint: its own request, its failures, or the trial after an ejection. */
 export type EndpointObstacle = "paused" | "ejected" | "trial-pending";
 
+/**
+ * Ids of the endpoints of a service that may be sent to, with or without the one whose outcome is recorded. Where there
+ * can be many, they come with an index, so that an outcome does not look at each of them.
+ */
+export type Siblings = readonly string[] | Pick<ReadonlySet<string>, "size" | "has">;
+
 /** Failure weight of each outcome. */
 const outcomeWeights: Readonly<Record<EndpointOutcome, number>> = { answered: 0, error: 1, broken: 2 };
 
@@ -40,6 +46,8 @@
 
 interface EndpointState {
     outcomes: { recordedAt: number; outcome: EndpointOutcome; }[];
+    /** Instant of the latest outcome; an ejection or a trial may have removed it from `outcomes`. */
+    latestAt: number;
     ejectedUntil: number;
     ejectionCount: number;
     trialStartedAt: number | undefined;
@@ -53,6 +61,8 @@
  */
 export class EndpointHealth {
     private readonly states = new Map<string, EndpointState>();
+    /** Endpoints that may be ejected or have outcomes in the window, in the order of their latest outcome. */
+    private readonly recent = new Map<string, EndpointState>();
 
     constructor(private readonly options: HealthOptions = healthDefaults) {}
 
@@ -60,9 +70,10 @@
      * Records the outcome of a request and returns whether it ejects the endpoint. Only outcomes caused by the endpoint
      * are recorded; a rejection under load is not one of them.
      */
-    recordOutcome(endpoint: string, siblings: readonly string[], outcome: EndpointOutcome, now: number): boolean {
+    recordOutcome(endpoint: string, siblings: Siblings, outcome: EndpointOutcome, now: number): boolean {
         const succeeded = outcome === "answered";
         const state = this.stateOf(endpoint);
+        this.recordRecent(endpoint, state, now);
         state.outcomes = state.outcomes.filter(({ recordedAt }) => now - recordedAt < this.options.windowMs);
         state.outcomes.push({ recordedAt: now, outcome });
         if (state.trialStartedAt !== undefined) {
@@ -83,11 +94,11 @@
         if (failureWeight < this.options.minFailureWeight || failureShare < this.options.excessFailureShare) {
             return false;
         }
-        const otherIds = siblings.filter(id => id !== endpoint);
-        const ejectedCount = otherIds.filter(id => this.isEjected(id, now)).length;
+        const group = "has" in siblings ? siblings : new Set(siblings);
+        const others = this.describeOthers(endpoint, group, now);
         if (
-            ejectedCount + 1 > siblings.length * this.options.maxEjectedShare
-            || failureShare < this.failureShare(otherIds, now) + this.options.excessFailureShare
+            others.ejected + 1 > group.size * this.options.maxEjectedShare
+            || failureShare < others.failureShare + this.options.excessFailureShare
         ) {
             return false;
         }
@@ -141,10 +152,7 @@
 
     removeEndpoint(endpoint: string): void {
         this.states.delete(endpoint);
-    }
-
-    private isEjected(endpoint: string, now: number): boolean {
-        return (this.states.get(endpoint)?.ejectedUntil ?? -Infinity) > now;
+        this.recent.delete(endpoint);
     }
 
     private eject(state: EndpointState, now: number): boolean {
@@ -155,19 +163,51 @@
         return true;
     }
 
-    private failureShare(endpoints: readonly string[], now: number): number {
-        const outcomes = endpoints.flatMap(id =>
-            (this.states.get(id)?.outcomes ?? []).filter(({ recordedAt }) => now - recordedAt < this.options.windowMs)
-        );
-        return outcomes.length === 0
-            ? 0
-            : outcomes.filter(({ outcome }) => outcome !== "answered").length / outcomes.length;
+    /**
+     * Returns the number of the siblings of an endpoint that are ejected, and the share of failures in their outcomes. Only
+     * those with recent outcomes are looked at: the cost depends on the rate of requests and not on the size of the
+     * service.
+     */
+    private describeOthers(
+        endpoint: string,
+        siblings: Pick<ReadonlySet<string>, "has">,
+        now: number,
+    ): { ejected: number; failureShare: number; } {
+        let [ejected, failed, count] = [0, 0, 0];
+        for (const [id, { outcomes, ejectedUntil }] of this.recent) {
+            if (id === endpoint || !siblings.has(id)) {
+                continue;
+            }
+            ejected += ejectedUntil > now ? 1 : 0;
+            for (const { recordedAt, outcome } of outcomes) {
+                if (now - recordedAt < this.options.windowMs) {
+                    count++;
+                    failed += outcome === "answered" ? 0 : 1;
+                }
+            }
+        }
+        return { ejected, failureShare: count === 0 ? 0 : failed / count };
+    }
+
+    private recordRecent(endpoint: string, state: EndpointState, now: number): void {
+        state.latestAt = now;
+        this.recent.delete(endpoint);
+        this.recent.set(endpoint, state);
+        // An ejection begins with an outcome.
+        const lifetimeMs = Math.max(this.options.windowMs, this.options.maxEjectionMs);
+        for (const [id, { latestAt }] of this.recent) {
+            if (latestAt + lifetimeMs > now) {
+                break;
+            }
+            this.recent.delete(id);
+        }
     }
 
     private stateOf(endpoint: string): EndpointState {
         const state = this.states.get(endpoint)
             ?? {
                 outcomes: [],
+                latestAt: -Infinity,
                 ejectedUntil: -Infinity,
                 ejectionCount: 0,
                 trialStartedAt: undefined,
--- a/packages/fleet/src/endpoint-directory.ts
+++ b/packages/fleet/src/endpoint-directory.ts
@@ -33,10 +33,30 @@
 export const endpointLifetimeSchema = endpointSchema.pick({ id: true, startedAt: true });
 export type EndpointLifetime = z.infer<typeof endpointLifetimeSchema>;
 
+/** Ids of the ready endpoints of a service. */
+class ReadyGroup {
+    /** Built when it is first needed, which most lists of a large fleet are replaced before. */
+    private ids: ReadonlySet<string> | undefined;
+
+    constructor(private readonly endpoints: readonly Endpoint[]) {}
+
+    get size(): number {
+        return this.endpoints.length;
+    }
+
+    has(id: string): boolean {
+        this.ids ??= new Set(this.endpoints.map(endpoint => endpoint.id));
+        return this.ids.has(id);
+    }
+}
+
 /** The current list of endpoints, indexed by service. */
 export class EndpointDirectory {
     private endpoints: readonly Endpoint[] = [];
     private byService = new Map<string, Endpoint[]>();
+    private readonly readyGroups = new Map<string, ReadyGroup>();
+    /** Ids of the endpoints that the list shows as ready; undefined until they are needed. */
+    private listedReady: ReadonlySet<string> | undefined;
     private readAt: number | undefined;
     /** Endpoints that announced that they are leaving, with the start of that lifetime. */
     private readonly leaving = new Map<string, number | undefined>();
@@ -75,6 +95,7 @@
         }
         this.readAt = readAt;
         this.endpoints = endpoints;
+        this.listedReady = undefined;
         const startedAt = new Map(endpoints.map(endpoint => [endpoint.id, endpoint.startedAt]));
         for (const [id, leavingStartedAt] of this.leaving) {
             if (!startedAt.has(id) || startedAt.get(id) !== leavingStartedAt) {
@@ -86,6 +107,7 @@
 
     private rebuildIndex(): void {
         this.byService = new Map();
+        this.readyGroups.clear();
         for (const endpoint of this.endpoints) {
             if (endpoint.ready && !this.leaving.has(endpoint.id)) {
                 const group = this.byService.get(endpoint.service) ?? [];
@@ -109,6 +131,16 @@
         return this.byService.get(service) ?? [];
     }
 
+    /** Returns the ids of `readyEndpoints`, by which one is found without a look at all of them. */
+    readyIds(service: string): Pick<ReadonlySet<string>, "size" | "has"> {
+        let group = this.readyGroups.get(service);
+        if (group === undefined) {
+            group = new ReadyGroup(this.readyEndpoints(service));
+            this.readyGroups.set(service, group);
+        }
+        return group;
+    }
+
     get all(): readonly Endpoint[] {
         return this.endpoints;
     }
@@ -119,6 +151,7 @@
     }
 
     isReady(id: string): boolean {
-        return this.endpoints.some(endpoint => endpoint.id === id && endpoint.ready);
+        this.listedReady ??= new Set(this.endpoints.filter(({ ready }) => ready).map(endpoint => endpoint.id));
+        return this.listedReady.has(id);
     }
 }
--- a/packages/ingress/src/call-recorder.ts
+++ b/packages/ingress/src/call-recorder.ts
@@ -86,7 +86,7 @@
 
     private recordEndpoint(endpoint: Endpoint, outcome: EndpointOutcome): void {
         const { view, clock, log } = this.ctx;
-        const siblings = view.endpoints.readyEndpoints(endpoint.service).map(other => other.id);
+        const siblings = view.endpoints.readyIds(endpoint.service);
         if (view.health.recordOutcome(endpoint.id, siblings, outcome, clock.now())) {
             log.warn("endpoint.ejected", { endpoint: endpoint.id, service: endpoint.service, outcome });
         }
