Sort the ingresses of a roster when one comes or goes, not for each list of those in contact

Change: the roster keeps its entries sorted until an ingress comes or is forgotten. A changed description replaces that of the entry.

--- a/packages/fleet/src/roster.ts
+++ b/packages/fleet/src/roster.ts
@@ -37,6 +37,11 @@
 /** The known ingresses with the time of their last contact. */
 export class Roster {
     private readonly entries = new Map<string, RosterEntry>();
+    /**
+     * Entries in the order of their names; undefined once an ingress has come or gone. The leader lists the ingresses in
+     * contact ten times a second, and sorting 1,600 of them each time would be a twelfth of the cost of its syncs.
+     */
+    private sorted: readonly RosterEntry[] | undefined;
     private latestContactAt = -Infinity;
 
     constructor(
@@ -50,8 +55,14 @@
 
     recordContact(description: IngressDescription, now: number): void {
         const known = this.entries.get(description.name);
-        if (known === undefined || !isDeepStrictEqual(known.description, description)) {
+        if (known === undefined) {
             this.entries.set(description.name, { description, lastContactAt: now, suspectedAt: -Infinity });
+            this.sorted = undefined;
+        }
+        else if (!isDeepStrictEqual(known.description, description)) {
+            known.description = description;
+            known.lastContactAt = now;
+            known.suspectedAt = -Infinity;
         }
         else {
             // The object is kept, so that an unchanged roster is detected by comparing references.
@@ -101,6 +112,7 @@
         for (const [name, entry] of this.entries) {
             if (now - entry.lastContactAt > this.forgetMs) {
                 this.entries.delete(name);
+                this.sorted = undefined;
             }
         }
         return this.entries.size;
@@ -114,11 +126,12 @@
     private selectInContact(now: number): IngressDescription[] {
         const contactAfter = now - this.timeoutMs(this.entries.size);
         const suspectContactAfter = now - this.suspectedTimeoutMs(this.entries.size);
-        return [...this.entries.values()]
+        this.sorted ??= [...this.entries.values()]
+            .sort((a, b) => a.description.name < b.description.name ? -1 : 1);
+        return this.sorted
             .filter(({ lastContactAt, suspectedAt }) =>
                 lastContactAt > (suspectedAt > lastContactAt ? suspectContactAfter : contactAfter)
             )
-            .map(entry => entry.description)
-            .sort((a, b) => a.name < b.name ? -1 : 1);
+            .map(entry => entry.description);
     }
 }
