--- a/packages/fleet/src/endpoint-directory.ts
+++ b/packages/fleet/src/endpoint-directory.ts
@@ -35,7 +35,7 @@
 
 /** Ids of the ready endpoints of a service. */
 class ReadyGroup {
-    /** Built when it is first needed, which most lists of a large fleet are replaced before. */
+    /** Built when it is first needed: only a failure of an endpoint needs it. */
     private ids: ReadonlySet<string> | undefined;
 
     constructor(private readonly endpoints: readonly Endpoint[]) {}
