End a body at once whose connection broke before it is read

Cause: an answer that arrives while its attempt is parked is read only when the attempt is taken back. If its connection has been reset by then, "close" and "error" have been emitted before BodyReader listens, so that the reading never ends and the caller waits until its deadline.

Change: a body that has been closed counts as cut. What had arrived of it is dropped; nothing of it was sent to the caller.

The new test of BodyReader fails without the change by its timeout.

--- a/packages/ingress/src/body-reader.ts
+++ b/packages/ingress/src/body-reader.ts
@@ -72,6 +72,11 @@
 
     private listen(): void {
         const { res } = this;
+        if (res.closed) {
+            // The connection broke while nobody read the body, and its events have been emitted.
+            this.stop("cut");
+            return;
+        }
         res.on("data", (chunk: Buffer) => this.onChunk(chunk));
         res.on("end", () => {
             this.flush();
--- a/packages/ingress/tests/body-reader.test.ts
+++ b/packages/ingress/tests/body-reader.test.ts
@@ -1,11 +1,15 @@
 import { ReadScheduler } from "@lentilramp/protocol";
 import { expect } from "chai";
+import { once } from "node:events";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { PassThrough } from "node:stream";
 import { type BodyBatch, BodyReader } from "../src/body-reader.ts";
 
-function start(): { res: PassThrough & { complete: boolean; }; batches: BodyBatch[]; end: Promise<string>; } {
-    const res = Object.assign(new PassThrough(), { complete: false });
+type Body = PassThrough & { complete: boolean; };
+
+function start(
+    res: Body = Object.assign(new PassThrough(), { complete: false }),
+): { res: Body; batches: BodyBatch[]; end: Promise<string>; } {
     const batches: BodyBatch[] = [];
     const reader = new BodyReader(
         res as unknown as IncomingMessage,
@@ -41,4 +45,15 @@
         expect(await end).to.equal("cut");
         expect(batches.map(({ data }) => data.toString())).to.deep.equal(["event"]);
     });
+
+    // Guards against a caller that waits until its deadline for a body whose connection broke before anybody read it.
+    it("ends at once when the connection broke before the reading", async () => {
+        const res = Object.assign(new PassThrough(), { complete: false });
+        res.write("event");
+        res.destroy();
+        await once(res, "close");
+        const { batches, end } = start(res);
+        expect(await end).to.equal("cut");
+        expect(batches).to.deep.equal([]);
+    });
 });
--- a/packages/ingress/tests/third-attempts.test.ts
+++ b/packages/ingress/tests/third-attempts.test.ts
@@ -74,6 +74,26 @@
         expect(endpoints[1]?.requests.length).to.equal(1);
     });
 
+    // Guards against a caller that waits until its deadline for a stream that broke while another engine was asked.
+    it("answers before the deadline when the first engine resets its stream while the second one is asked", async () => {
+        let onSecond = (): void => undefined;
+        const secondAsked = new Promise<void>(resolve => onSecond = resolve);
+        const breaks: Answer = async (...args) => {
+            await secondAsked;
+            await begin(async (...[, res]) => {
+                res.write("id: 1\n");
+                await sleep(50);
+                res.socket?.resetAndDestroy();
+            })(...args);
+        };
+        const rejects: Answer = async (...args) => {
+            onSecond();
+            await rejectsAfter(200)(...args);
+        };
+        // The second engine has not run the request, and no other one is left. At the deadline, the status is 504.
+        expect(await play([breaks, rejects])).to.include({ status: 502, complete: true });
+    });
+
     // Guards against a stream that is lost by a closing time left over from an attempt that has ended.
     it("keeps the first engine when the second one breaks off its first event", async () => {
         const pausing = begin(async (...[, res]) => {
