review: judge only incomplete successes in case 6

Cause: the check counted bytes after an answer too, which the rule may excuse where a replica broke off.

--- a/review/6/case.mjs
+++ b/review/6/case.mjs
@@ -250,7 +250,8 @@
     await Promise.all(pending);
     state.ended = true;
     record.add("summary", counts);
-    const broken = counts.incompleteSuccesses + counts.bytesWithoutRequest + counts.notAnAnswer;
+    // Bytes that are no answer are excused where a replica broke off; a success that lacks a part of its body is not.
+    const broken = counts.incompleteSuccesses;
     if (broken === 0 && counts.whole === 0) {
         return exitCodes.notRun;
     }
