--- a/packages/ingress/src/answer-end.ts
+++ b/packages/ingress/src/answer-end.ts
@@ -1,4 +1,3 @@
-import type { AdmittedRequest } from "./admission.ts";
 import type { AnswerWriter } from "./answer-writer.ts";
 import type { AttemptFailures } from "./attempt-failures.ts";
 import type { BodyEnd } from "./body-reader.ts";
@@ -13,7 +12,6 @@
 /** Decides what the end of an answer's body shows of its endpoint, and whether the request is finished with it. */
 export class AnswerEnd {
     constructor(
-        private readonly admitted: AdmittedRequest,
         private readonly ctx: RelayContext,
         private readonly parts: {
             readonly recorder: CallRecorder;
@@ -29,7 +27,6 @@
     /** Handles the end of an answer's body; returns whether the request is finished. */
     handle(inFlight: InFlightAttempt, end: BodyEnd, status: number): boolean {
         const { recorder, prompt, retries, failures, deadline, writer } = this.parts;
-        const { route } = this.admitted;
         const serverError = status >= 500;
         prompt.onAnswerEnd(inFlight.endpoint, end, status);
         const isTimeUp = end === "cut" && deadline.hasMoreTimeThan(inFlight.stopsAt);
@@ -50,9 +47,7 @@
             return true;
         }
         failures.recordBrokenBody(inFlight, end, isTimeUp);
-        // An answer that has been partly sent can be continued only after a complete event.
-        const continuable = !writer.started || route.execution === "stream" && route.resumable;
-        if (continuable && retries.isRetryable) {
+        if (writer.isContinuable && retries.isRetryable) {
             return false;
         }
         this.parts.end.giveUp(failures.lastReason, undefined);
--- a/packages/ingress/src/answer-writer.ts
+++ b/packages/ingress/src/answer-writer.ts
@@ -1,4 +1,4 @@
-import { stripHopByHopHeaders } from "@lentilramp/exchange";
+import { bodyFields, type BodyFormat, bodyFormat, lengthFields, stripHopByHopHeaders } from "@lentilramp/exchange";
 import { ByteAccumulator, type ReadScheduler } from "@lentilramp/protocol";
 import type { Clock } from "@lentilramp/runtime";
 import type { IncomingMessage, ServerResponse } from "node:http";
@@ -16,6 +16,9 @@
  */
 const eventLimitCost = 262_144;
 
+/** Status of an answer that has no body, and whose head may not state a length. */
+const noContentStatus = 204;
+
 /** Characters that the parser of Node.js accepts in a reason phrase, and that its writer refuses. */
 const unsendableReason = /[^\t\x20-\x7e\x80-\xff]/g;
 
@@ -29,6 +32,8 @@
 export class AnswerWriter {
     private lastRelayedEventId: string | undefined;
     private reader: BodyReader | undefined;
+    /** Format of the events that have been sent; undefined unless other endpoints' events may follow them. */
+    private eventFormat: BodyFormat | undefined;
 
     constructor(
         private readonly callerRes: ServerResponse,
@@ -43,6 +48,11 @@
         return this.callerRes.headersSent;
     }
 
+    /** Whether another answer may follow what the caller has got: nothing, or complete events. */
+    get isContinuable(): boolean {
+        return !this.started || this.eventFormat?.isEncoded === false;
+    }
+
     /** Id of the last event that was sent to the caller. */
     get lastEventId(): string | undefined {
         return this.lastRelayedEventId;
@@ -93,7 +103,7 @@
                 if (first) {
                     first = false;
                     onFirstChunk();
-                    this.writeHead(res);
+                    this.writeHead(res, lengthFields);
                 }
                 costWithoutEvent = scanner.scan(data) ? 0 : costWithoutEvent + cost;
                 if (costWithoutEvent > eventLimitCost) {
@@ -105,7 +115,7 @@
         const end = received === "complete" && scanner.insideEvent ? "cut" : received;
         if (end === "complete") {
             if (first) {
-                this.writeHead(res);
+                this.writeHead(res, lengthFields);
             }
             this.callerRes.end();
         }
@@ -153,10 +163,12 @@
         let costWithoutEvent = 0;
         let expectedBy = firstEventExpectedBy;
         let held: HeldEvents | undefined;
+        const format = bodyFormat(res.headers);
         const begin = (): void => {
             if (!this.started) {
                 onBegin();
-                this.writeHead(res);
+                this.eventFormat = format;
+                this.writeHead(res, bodyFields);
             }
         };
         const relayBatch: BodySink["relay"] = ({ data, cost }) => {
@@ -189,6 +201,9 @@
         const onPause = (isPaused: boolean): void =>
             isPaused ? silence.cancel() : silence.expectBy(clock.now() + maxGapMs);
         const relay = async (): Promise<BodyEnd> => {
+            if (this.started && !this.canFollow(format)) {
+                return "cut";
+            }
             silence.expectBy(expectedBy);
             const sink = { relay: relayBatch, onPause };
             const end = held?.release(sink) ?? await this.consume(res, wasCut, sink);
@@ -229,11 +244,23 @@
         return this.callerRes.write(chunk);
     }
 
-    private writeHead(res: IncomingMessage): void {
+    /** Whether events of a format may follow those that have been sent. */
+    private canFollow({ mediaType, isEncoded }: BodyFormat): boolean {
+        const begun = this.eventFormat;
+        // An endpoint that names no media type leaves it to the first one.
+        return begun !== undefined && !isEncoded && !begun.isEncoded
+            && (mediaType === undefined || begun.mediaType === undefined || mediaType === begun.mediaType);
+    }
+
+    /** Writes the head of an answer, unless one has been written. `excluded` are fields that may not be true of its body. */
+    private writeHead(res: IncomingMessage, excluded?: ReadonlySet<string>): void {
         if (this.callerRes.headersSent) {
             return;
         }
-        const headers = stripHopByHopHeaders(res.rawHeaders);
+        const headers = stripHopByHopHeaders(
+            res.rawHeaders,
+            res.statusCode === noContentStatus ? lengthFields : excluded,
+        );
         if (this.closesConnection()) {
             headers.push("Connection", "close");
         }
--- a/packages/ingress/src/peer-call.ts
+++ b/packages/ingress/src/peer-call.ts
@@ -1,9 +1,10 @@
-import { stripHopByHopHeaders } from "@lentilramp/exchange";
+import { bodyFields, lengthFields, stripHopByHopHeaders } from "@lentilramp/exchange";
 import { discardResponse, isFinalStatus, probeForReset } from "@lentilramp/protocol";
 import type { Timer } from "@lentilramp/runtime";
 import { type ClientRequest, type IncomingMessage, request } from "node:http";
 import type { AdmittedRequest } from "./admission.ts";
 import { describeError } from "./call-recorder.ts";
+import { EventScanner } from "./event-splitter.ts";
 import type { Peer } from "./peer-selection.ts";
 import { answerClosedCaller, breakOffAnswer, internalErrorReason, sendRefusal } from "./refusal.ts";
 import type { RelayContext } from "./relay-context.ts";
@@ -162,9 +163,12 @@
 
     /** Passes an answer on as it comes; resolves when it has ended. */
     private async relay(peerRes: IncomingMessage): Promise<void> {
-        const { res, caller } = this.admitted;
+        const { res, caller, route } = this.admitted;
         const wasCut = probeForReset(peerRes);
-        const headers = stripHopByHopHeaders(peerRes.rawHeaders);
+        // A peer of an earlier version may state a length that is not that of the stream.
+        const events = route.execution === "stream" && peerRes.statusCode === 200 ? new EventScanner() : undefined;
+        const excluded = events && (route.resumable ? bodyFields : lengthFields);
+        const headers = stripHopByHopHeaders(peerRes.rawHeaders, excluded);
         if (this.ctx.connections.closesAfter(res)) {
             headers.push("Connection", "close");
         }
@@ -172,6 +176,7 @@
         await new Promise<void>(resolve => {
             peerRes.on("data", (data: Buffer) => {
                 caller.recordWrite();
+                events?.scan(data);
                 if (!res.write(data)) {
                     peerRes.pause();
                     res.once("drain", () => peerRes.resume());
@@ -182,7 +187,7 @@
                 void wasCut().then(cut => {
                     if (!this.finished) {
                         this.finished = true;
-                        if (peerRes.complete && !cut) {
+                        if (peerRes.complete && !cut && events?.insideEvent !== true) {
                             res.end();
                         }
                         else {
--- a/packages/ingress/src/relayed-call.ts
+++ b/packages/ingress/src/relayed-call.ts
@@ -90,7 +90,7 @@
             reach: ctx.reach,
         });
         this.failures = failures;
-        this.answerEnd = new AnswerEnd(admitted, ctx, { recorder, prompt, retries, failures, deadline, writer, end });
+        this.answerEnd = new AnswerEnd(ctx, { recorder, prompt, retries, failures, deadline, writer, end });
         this.path = new CallPath(admitted, ctx, { selection, failures, bodies, writer });
     }
 
