--- a/packages/cli/src/wire-ingress.ts
+++ b/packages/cli/src/wire-ingress.ts
@@ -77,6 +77,10 @@
     );
     const load = new EventLoopLoad(clock, log);
     const accepting = (): boolean => view.ready && lifecycle.state === "ready" && !relay.isDraining();
+    const describeOrigins = (): Pick<SyncRequest, "origins" | "originLives"> => {
+        const { reports, lives } = view.origins.report(clock.now());
+        return { origins: reports, originLives: lives };
+    };
     const describe = (elapsedMs: number): Omit<SyncRequest, "waitMs"> => ({
         ingress: describeIngress(options, accepting(), !relay.reach.isCutOff, load.isBusyNow()),
         lifetime: runName,
@@ -96,7 +100,7 @@
         begunParts: view.crashes?.begunReports(clock.now()) ?? {},
         refusedParts: view.crashes?.takeRefused() ?? [],
         blockedTag: view.blockedTag,
-        origins: view.origins.reports(clock.now()),
+        ...describeOrigins(),
         singleVersionTag: view.singleVersionTag,
         demand: relay.takeDemand(),
         paces: relay.paces.takeReports(),
--- a/packages/cli/tests/stream-versions.test.ts
+++ b/packages/cli/tests/stream-versions.test.ts
@@ -1,62 +1,17 @@
 import { expect } from "chai";
-import { createServer, type IncomingMessage, request, type Server, type ServerResponse } from "node:http";
-import type { AddressInfo } from "node:net";
+import { request } from "node:http";
 import { setTimeout as sleep } from "node:timers/promises";
 import { exchange, type FleetProcesses, PlatformStandIn, ports, startConfiguredFleet, until } from "./fleet-harness.ts";
+import { VersionedEndpoint, versionedEvent } from "./versioned-endpoint.ts";
 
 /** Pause after the first event of a new stream, in milliseconds; all ingresses are killed in it. */
 const pauseMs = 3_000;
-const events = ["id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n"];
-
-/** An endpoint of one software version, which writes its version into its events. */
-class VersionedEndpoint {
-    /** Ids of the requests that were resumed here. */
-    readonly resumed: string[] = [];
-    private readonly server: Server = createServer((req, res) => void this.answer(req, res));
-
-    constructor(readonly id: string, readonly version: string) {}
-
-    async start(): Promise<void> {
-        await new Promise<void>(resolve => this.server.listen(0, "127.0.0.1", resolve));
-    }
-
-    close(): void {
-        this.server.close();
-        this.server.closeAllConnections();
-    }
-
-    get entry(): unknown {
-        const { port } = this.server.address() as AddressInfo;
-        return {
-            id: this.id,
-            service: "app",
-            address: `127.0.0.1:${port}`,
-            zone: "a",
-            slots: 32,
-            state: "ready",
-            version: this.version,
-        };
-    }
-
-    private async answer(req: IncomingMessage, res: ServerResponse): Promise<void> {
-        req.resume();
-        const id = String(req.headers["x-attempt-id"]);
-        const from = Number(req.headers["last-event-id"] ?? 0);
-        res.writeHead(200, { "x-attempt-id": id, "x-response-seal": this.version });
-        if (from > 0) {
-            this.resumed.push(id);
-        }
-        else {
-            res.write(events[0]);
-            await sleep(pauseMs);
-        }
-        res.end(events[1]);
-    }
-}
 
 describe("streams of a fleet whose endpoints have two software versions", function() {
     this.timeout(60_000);
-    const endpoints = ["v1", "v1", "v2", "v2"].map((version, i) => new VersionedEndpoint(`i-${i}`, version));
+    const endpoints = ["v1", "v1", "v2", "v2"].map((version, i) =>
+        new VersionedEndpoint(`i-${i}`, { service: "app", version, events: 2, gapMs: pauseMs })
+    );
     const platform = new PlatformStandIn(() => endpoints.map(({ entry }) => entry));
     let fleet: FleetProcesses;
 
@@ -146,7 +101,9 @@
                 })
             ),
         );
-        expect(answers.map(({ status, body }) => [status, body])).to.deep.equal(attempts.map(() => [200, events[1]]));
+        expect(answers.map(({ status, body }) => [status, body])).to.deep.equal(
+            versions.map(version => [200, versionedEvent(version, 2)]),
+        );
         expect(answers.map(({ headers }) => headers["x-response-seal"])).to.deep.equal(versions);
     });
 
--- a/packages/exchange/src/fleet-messages.ts
+++ b/packages/exchange/src/fleet-messages.ts
@@ -5,6 +5,7 @@
     endpointListSchema,
     ingressDescriptionSchema,
     limitReportSchema,
+    originLivesSchema,
     originReportsSchema,
     permitDemandSchema,
     streamOriginSchema,
@@ -67,6 +68,8 @@
     blockedTag: z.number().default(0),
     /** Origins of the sender's streams of which the leader may not have heard. */
     origins: originReportsSchema.default({}),
+    /** Lives of these origins; absent from senders of earlier versions. */
+    originLives: originLivesSchema.optional().catch(undefined),
     /** Tag of the services with a single version that the sender knows; 0 when it knows none. */
     singleVersionTag: z.number().default(0),
     /** Evidence since the last sync on endpoints whose pace differs from the usual; absent if there is none. */
@@ -147,10 +150,14 @@
     roster: rosterSchema.optional(),
     /** Tag of the services with a single version; absent if the steward does not collect the origins of streams. */
     singleVersionTag: z.number().optional(),
+    /** Whether the steward keeps origins for the lives that it is told; absent from earlier versions. */
+    keepsOriginLives: z.boolean().optional().catch(undefined),
     /** Roll-outs as the steward knows them; absent if it knows none, or none runs and the sender knows its state. */
     rollouts: rolloutNoticesSchema.optional().catch(undefined),
     /** Services that have had one software version for long; sent when they differ from the sender's. */
     singleVersion: z.array(z.string()).optional(),
+    /** The version of each of these services; absent from stewards of earlier versions. */
+    singleVersions: z.record(z.string(), z.string()).optional().catch(undefined),
     /** Admission levels in force, by service; services that are not named have none. */
     room: admissionLevelsSchema.optional().catch(undefined),
 });
--- a/packages/ingress/src/fleet-view.ts
+++ b/packages/ingress/src/fleet-view.ts
@@ -16,6 +16,7 @@
     type RequestSuspects,
     type StreamOrigin,
     suspectKeys,
+    takeUpGraceMs,
     UsageLedger,
 } from "@lentilramp/fleet";
 import type { Clock, EventLog } from "@lentilramp/runtime";
@@ -135,9 +136,13 @@
         return this.judgesRequests ? suspectKeys(suspects) : [...suspects.parts];
     }
 
-    /** Records where a stream has begun; the leader hears of it with an early sync if it has to. */
-    recordOrigin(key: string, origin: StreamOrigin): void {
-        if (this.origins.record(key, origin, this.clock.now()) && this.leaderCollectsOrigins) {
+    /**
+     * Records where a stream has begun of which an attempt may go on until `deadline`; the leader hears of it with an early
+     * sync if it has to.
+     */
+    recordOrigin(key: string, origin: StreamOrigin, deadline: number): void {
+        const isNews = this.origins.record(key, origin, deadline + takeUpGraceMs, this.clock.now());
+        if (isNews && this.leaderCollectsOrigins) {
             this.hooks.requestSync(originSyncIntervalMs(this.memberCount));
         }
     }
@@ -298,16 +303,17 @@
     }
 
     private applyVersions(
-        { evidence, singleVersionTag, singleVersion }: SyncAnswer,
+        { evidence, singleVersionTag, singleVersion, singleVersions, keepsOriginLives }: SyncAnswer,
         reported: SyncRequest["origins"],
     ): void {
         this.leaderCollectsOrigins = singleVersionTag !== undefined;
         if (singleVersion !== undefined) {
             this.singleVersionTag = singleVersionTag ?? 0;
-            this.origins.setSingleVersion(new Set(singleVersion));
+            const versions = ownRecord(singleVersions ?? {});
+            this.origins.setSingleVersions(new Map(singleVersion.map(service => [service, versions[service]])));
         }
         if (this.leaderCollectsOrigins) {
-            this.origins.acknowledge(evidence, reported, this.clock.now());
+            this.origins.acknowledge(evidence, reported, keepsOriginLives ?? false, this.clock.now());
         }
     }
 
--- a/packages/ingress/src/relayed-call.ts
+++ b/packages/ingress/src/relayed-call.ts
@@ -27,6 +27,8 @@
 export class RelayedCall {
     private currentAttempt: InFlightAttempt | undefined;
     private readonly deadline: DeadlineWatch;
+    /** Endpoint of the first event of a stream that may be taken up, as it was then. */
+    private beginner: Endpoint | undefined;
     /** Whether nothing more is to be done for the caller. */
     private stopped = false;
     private readonly selection: EndpointSelection;
@@ -60,6 +62,7 @@
         this.bodies = new BodyRelay(admitted, ctx, this.writer, {
             onFirstChunk: () => this.onFirstChunk(),
             onBegin: ({ endpoint }) => {
+                this.beginner = endpoint;
                 this.selection.requireVersion(versionOf(endpoint));
                 recordOrigin(admitted, endpoint, ctx.view);
             },
@@ -79,7 +82,11 @@
             onChoice: choice => this.prepareAttempt(choice),
         }, () => this.bodies.parked.endpoints);
         const onDeadline = (): void => this.guard(() => this.onDeadline(), undefined);
-        this.deadline = new DeadlineWatch(admitted, ctx, () => this.writer.started, onDeadline);
+        this.deadline = new DeadlineWatch(admitted, ctx, () => this.writer.started, onDeadline, () => {
+            if (this.beginner !== undefined) {
+                recordOrigin(admitted, this.beginner, ctx.view);
+            }
+        });
         const { recorder, selection, prompt, retries, deadline, writer, bodies, end } = this;
         const failures = new AttemptFailures({
             recorder,
--- a/packages/ingress/src/request-deadline.ts
+++ b/packages/ingress/src/request-deadline.ts
@@ -32,6 +32,8 @@
         /** Whether a stream has begun. */
         private readonly hasBegun: () => boolean,
         private readonly onDeadline: () => void,
+        /** Called when the deadline has moved. */
+        private readonly onExtension: () => void,
     ) {}
 
     start(): void {
@@ -62,6 +64,7 @@
         dispatch.deadline = deadline;
         this.cancel();
         this.start();
+        this.onExtension();
         return true;
     }
 }
--- a/packages/ingress/src/stream-take-up.ts
+++ b/packages/ingress/src/stream-take-up.ts
@@ -10,11 +10,15 @@
         && head.lastEventId !== "";
 }
 
-/** Records that an endpoint begins the stream of a request, for callers that take it up. */
-export function recordOrigin({ dispatch, route }: AdmittedRequest, endpoint: Endpoint, view: FleetView): void {
-    const { id, service, workspace } = dispatch;
-    if (id !== "" && route.resumable) {
-        view.recordOrigin(originKey(workspace, id), { service, version: versionOf(endpoint) });
+/**
+ * Records that an endpoint begins or goes on with the stream of a request, for callers that take it up. They name the
+ * attempt that brought the first event, whose origin each later attempt prolongs.
+ */
+export function recordOrigin({ dispatch, head, route }: AdmittedRequest, endpoint: Endpoint, view: FleetView): void {
+    const { id, service, workspace, deadline } = dispatch;
+    const ids = takesStreamUp(head, route) ? [id, head.resumedAttemptId ?? ""] : [id];
+    for (const attemptId of route.resumable ? ids.filter(attemptId => attemptId !== "") : []) {
+        view.recordOrigin(originKey(workspace, attemptId), { service, version: versionOf(endpoint) }, deadline);
     }
 }
 
--- a/packages/ingress/tests/stream-versions.test.ts
+++ b/packages/ingress/tests/stream-versions.test.ts
@@ -1,3 +1,4 @@
+import { RouteTable } from "@lentilramp/catalog";
 import type { OriginAnswer } from "@lentilramp/exchange";
 import { originKey } from "@lentilramp/fleet";
 import { expect } from "chai";
@@ -170,6 +171,40 @@
         expect(requestsAt()).to.deep.equal([0, 2]);
     });
 
+    /** Returns the time for which the origin of an attempt has to be kept, in seconds, by what the leader is told. */
+    function lifeOf(attempt: string): number | undefined {
+        const { reports, lives } = ingress.view.origins.report(ingress.clock.now());
+        const [version] = Object.keys(reports.app ?? {});
+        const index = reports.app?.[version ?? ""]?.indexOf(originKey("w", attempt)) ?? -1;
+        return lives.app?.[version ?? ""]?.[index];
+    }
+
+    // Guards against streams that outlive a fixed time: 0 of 16 could be taken up that had run for 35 s.
+    it("keeps the origin of a stream until its last attempt may have ended, and for a grace time", async () => {
+        await start(["e1", breaking, "v1"], ["e2", whole, "v1"]);
+        expect((await ingress.call({ method: "POST", body: "x" })).complete).to.equal(false);
+        expect(lifeOf("attempt-1")).to.be.within(31, 32);
+        list(endpoints.slice(1));
+        const headers = { "x-attempt-id": "a2", "x-deadline-ms": "4000", "last-event-id": "1", resumes: "attempt-1" };
+        expect((await ingress.call({ method: "POST", body: "x", headers })).complete).to.equal(true);
+        expect(lifeOf("attempt-1")).to.be.within(33, 34);
+    });
+
+    it("keeps the origin of a stream for longer when its route gets a longer timeout", async () => {
+        await start(["e1", pausing, "v1"]);
+        const { catalog } = ingress.view;
+        const route = { ...catalog!.routes[0]!, timeoutMs: 1_000 };
+        const setTimeout = (timeoutMs: number): void => {
+            ingress.view.catalog = { ...catalog!, routes: [{ ...route, timeoutMs }] };
+            ingress.view.routes = new RouteTable(ingress.view.catalog);
+        };
+        setTimeout(1_000);
+        const headers = { "x-deadline-ms": "60000" };
+        const answer = ingress.call({ method: "POST", body: "x", headers, onData: () => setTimeout(50_000) });
+        expect((await answer).complete).to.equal(true);
+        expect(lifeOf("attempt-1")).to.be.within(78, 80);
+    });
+
     // Guards against taking "unknown" for "any", as after a loss of power of all ingresses.
     it("refuses to take a stream up whose version nobody knows", async () => {
         await start(["e1", whole, "v1"], ["e2", whole, "v2"]);
@@ -189,7 +224,7 @@
         ingress.askForOrigin = async () => answerOf({ single: { app: "v1" } });
         expect((await takeUp(1, "attempt-1")).body).to.equal(events.slice(1).join(""));
         ingress.askForOrigin = async () => answerOf({ single: { app: "v0" } });
-        expect((await takeUp(1, "attempt-1")).status).to.equal(503);
+        expect((await takeUp(1, "other-stream")).status).to.equal(503);
         expect(requestsAt()).to.deep.equal([1]);
     });
 
@@ -200,10 +235,10 @@
         ingress.view.applySyncAnswer(syncAnswer, ingress.clock.now());
         expect((await takeUp(1, "attempt-1")).status).to.equal(200);
         list(endpoints);
-        expect((await takeUp(1, "attempt-1")).status).to.equal(503);
+        expect((await takeUp(1, "other-stream")).status).to.equal(503);
         list(endpoints.slice(0, 1));
         ingress.view.applySyncAnswer({ ...syncAnswer, singleVersionTag: 1 }, ingress.clock.now());
-        expect((await takeUp(1, "attempt-1")).status).to.equal(503);
+        expect((await takeUp(1, "other-stream")).status).to.equal(503);
     });
 
     it("lets a request without events begin anew at any version", async () => {
--- a/packages/steward/src/fleet-coordinator.ts
+++ b/packages/steward/src/fleet-coordinator.ts
@@ -11,6 +11,9 @@
     LimitAllocator,
     MedianClock,
     noDemand,
+    type OriginLives,
+    type OriginReports,
+    ownRecord,
     Roster,
     type ServiceDemand,
     singleVersions,
@@ -18,9 +21,11 @@
     suspectedSyncTimeoutMs,
     syncIntervalMs,
     syncTimeoutMs,
+    takeUpGraceMs,
     type UsageCounts,
     UsageWindows,
     type VersionHistory,
+    versionsKnownMs,
 } from "@lentilramp/fleet";
 import { FleetRolloutReports } from "@lentilramp/rollouts";
 import type { ServiceCapacity } from "@lentilramp/room";
@@ -38,9 +43,6 @@
  */
 const forgetMs = 30_000;
 
-/** Age of the list from which it no longer says which versions serve, in milliseconds. */
-const versionsKnownMs = 2_000;
-
 /** Data that is the same in all answers; computed once for many syncs. */
 interface Overview {
     computedAt: number;
@@ -165,7 +167,7 @@
         req.refusedParts.forEach(part => this.refusedPartAt.set(part, now));
         const overview = this.currentOverview(now);
         this.mergeLeaving(req.leaving);
-        this.origins.merge(req.origins, now);
+        this.mergeOrigins(req.origins, req.originLives);
         this.rolloutReports.record(name, req.lifetime, req.rolloutResults ?? {}, req.load, now);
         this.limits.statements.mergeReports(this.currentLifetimes(req.limits), now);
         const sendList = this.list !== undefined && req.listNumber !== this.list.readNumber;
@@ -235,11 +237,27 @@
             : singleVersions(this.versions, this.medianClock.timeOfDayMs(this.clock.now()) ?? Date.now());
     }
 
+    /** Records origins of streams. One without a life lives as long as any stream of its service. */
+    mergeOrigins(reports: OriginReports, lives: OriginLives = {}): void {
+        const services = ownRecord(this.versions?.services ?? {});
+        const defaultLifeMs = (service: string): number => (services[service]?.lifeMs ?? 0) + takeUpGraceMs;
+        this.origins.merge(reports, lives, defaultLifeMs, this.clock.now());
+    }
+
     /** Returns the services with a single version if the tag of the sender is of other ones. */
-    private describeSingleVersions(tag: number): Pick<SyncAnswer, "singleVersionTag" | "singleVersion"> {
-        const services = Object.keys(this.singleVersions()).sort();
-        const singleVersionTag = murmurhash.v3(services.join()) || 1;
-        return { singleVersionTag, singleVersion: singleVersionTag === tag ? undefined : services };
+    private describeSingleVersions(
+        tag: number,
+    ): Pick<SyncAnswer, "singleVersionTag" | "singleVersion" | "singleVersions" | "keepsOriginLives"> {
+        const versions = Object.entries(this.singleVersions()).sort(([one], [other]) => one < other ? -1 : 1);
+        const singleVersionTag = murmurhash.v3(JSON.stringify(versions)) || 1;
+        return {
+            singleVersionTag,
+            keepsOriginLives: true,
+            ...(singleVersionTag === tag ? {} : {
+                singleVersion: versions.map(([service]) => service),
+                singleVersions: Object.fromEntries(versions),
+            }),
+        };
     }
 
     /** Returns the ingresses in contact for another steward; undefined if its roster with the given tag is current. */
--- a/packages/steward/src/platform-duties.ts
+++ b/packages/steward/src/platform-duties.ts
@@ -3,6 +3,7 @@
 import type { EndpointSource } from "@lentilramp/exchange";
 import { type Endpoint, noDemand, ReplicaPlanner, updateVersionHistory, type VersionHistory } from "@lentilramp/fleet";
 import { type Clock, type EventLog, PeriodicComponent } from "@lentilramp/runtime";
+import { attemptLives } from "./attempt-lives.ts";
 import type { DutyCalls, DutyHolder } from "./duty-calls.ts";
 import { DutyLease } from "./duty-lease.ts";
 import type { FleetCoordinator } from "./fleet-coordinator.ts";
@@ -203,10 +204,12 @@
         const { core, coordinator, clock } = this;
         const now = coordinator.medianClock.timeOfDayMs(clock.now()) ?? Date.now();
         // Without a catalog, no stream has begun before.
-        const first = { since: core.state.catalog === undefined ? 0 : now, services: {} };
+        const first = { since: core.state.catalog === undefined ? 0 : now, isComplete: true, services: {} };
         const known = this.versionsTerm === core.state.currentTerm ? coordinator.versions : undefined;
         const before = known ?? core.state.versions ?? first;
-        coordinator.versions = updateVersionHistory(before, endpoints, now) ?? before;
+        const lives = attemptLives(this.catalog());
+        const lifeMs = (service: string): number => lives.get(service) ?? 0;
+        coordinator.versions = updateVersionHistory(before, endpoints, lifeMs, now) ?? before;
         this.versionsTerm = core.state.currentTerm;
     }
 
--- a/packages/steward/src/roster-follower.ts
+++ b/packages/steward/src/roster-follower.ts
@@ -46,9 +46,9 @@
         this.leaderRoster = answer.roster ?? this.leaderRoster;
         this.coordinator.mergeLeaderRoster(this.leaderRoster.ingresses);
         if (answer.origins !== undefined) {
-            const { collection, next, reports } = answer.origins;
+            const { collection, next, reports, lives } = answer.origins;
             this.copiedOrigins = { collection, next };
-            this.coordinator.origins.merge(reports, now);
+            this.coordinator.mergeOrigins(reports, lives);
         }
         if (wantsUsage) {
             this.usageReadAt = now;
--- a/packages/steward/src/steward-methods.ts
+++ b/packages/steward/src/steward-methods.ts
@@ -13,7 +13,7 @@
     type SyncRequest,
     syncRequestSchema,
 } from "@lentilramp/exchange";
-import { blockedPartSchema, originReportsSchema, ownRecord } from "@lentilramp/fleet";
+import { blockedPartSchema, originLivesSchema, originReportsSchema, ownRecord } from "@lentilramp/fleet";
 import type { RpcServer } from "@lentilramp/protocol";
 import { z } from "zod";
 import type { FleetCoordinator } from "./fleet-coordinator.ts";
@@ -55,7 +55,13 @@
     /** Usage counts by ingress lifetime, window and workspace; empty unless the request asks for them. */
     usage: z.record(z.string(), z.record(z.string(), z.record(z.string(), z.number()))),
     /** Origins of streams from the number of the request on; absent from stewards that do not collect them. */
-    origins: z.object({ collection: z.string(), next: z.number(), reports: originReportsSchema }).optional(),
+    origins: z.object({
+        collection: z.string(),
+        next: z.number(),
+        reports: originReportsSchema,
+        /** Lives of these origins; absent from stewards of earlier versions. */
+        lives: originLivesSchema.optional().catch(undefined),
+    }).optional(),
 });
 
 /** Components that the methods of a steward use. */
@@ -118,8 +124,8 @@
     return {
         leading,
         origins: Object.fromEntries(keys.flatMap(key => {
-            const origin = coordinator.origins.find(key, now);
-            return origin === undefined ? [] : [[key, origin]];
+            const entry = coordinator.origins.find(key, now);
+            return entry === undefined ? [] : [[key, entry.origin]];
         })),
         single: Object.fromEntries(services.flatMap(service => {
             const version = single[service];
--- a/packages/steward/tests/fleet-coordinator.test.ts
+++ b/packages/steward/tests/fleet-coordinator.test.ts
@@ -1,4 +1,5 @@
 import { syncRequest } from "@lentilramp/bench";
+import { takeUpGraceMs } from "@lentilramp/fleet";
 import type { WorkRow } from "@lentilramp/room";
 import { ManualClock } from "@lentilramp/runtime";
 import { FleetCoordinator } from "@lentilramp/steward";
@@ -116,24 +117,42 @@
     it("knows the origins that ingresses have reported, and those that it has copied from another leader", () => {
         const { clock, coordinator } = start();
         coordinator.sync(syncRequest("a", { origins }));
-        const { reports } = coordinator.origins.reportsFrom(0, 10, clock.now());
+        const { reports, lives } = coordinator.origins.reportsFrom(0, 10, clock.now());
         const next = start().coordinator;
-        next.origins.merge(reports, clock.now());
+        next.mergeOrigins(reports, lives);
         for (const known of [coordinator, next]) {
-            expect(known.origins.find("a1", clock.now())).to.deep.equal({ service: "app", version: "v1" });
+            expect(known.origins.find("a1", clock.now())?.origin).to.deep.equal({ service: "app", version: "v1" });
         }
         expect(next.collection).to.not.equal(coordinator.collection);
     });
 
+    // Guards against the streams of ingresses of an earlier version, which report no lives.
+    it("keeps an origin without a life for as long as the routes of its service allow, and a grace time", () => {
+        const { clock, coordinator } = start();
+        coordinator.versions = { since: 0, services: { app: { listed: ["v1"], left: {}, lifeMs: 60_000 } } };
+        coordinator.sync(
+            syncRequest("a", { origins: { app: { v1: ["a1", "a2"] } }, originLives: { app: { v1: [300] } } }),
+        );
+        const reportedAt = clock.now();
+        expect(coordinator.origins.find("a1", reportedAt + 299_999)).to.not.equal(undefined);
+        expect(coordinator.origins.find("a2", reportedAt + 60_000 + takeUpGraceMs - 1)).to.not.equal(undefined);
+        expect(coordinator.origins.find("a2", reportedAt + 60_000 + takeUpGraceMs)).to.equal(undefined);
+    });
+
     it("tells which services have a single version while its list is new, and only when they change", () => {
         const { clock, coordinator } = start();
         const wallMs = 1_733_375_000_000;
         expect(coordinator.sync(syncRequest("a", { wallMs })).singleVersion).to.deep.equal([]);
         coordinator.versions = { since: 0, services: { app: { listed: ["v1"], left: {} } } };
         coordinator.updateEndpointList([endpoint], clock.now(), 2);
-        const { singleVersion, singleVersionTag } = coordinator.sync(syncRequest("a", { wallMs }));
+        const { singleVersion, singleVersions, singleVersionTag } = coordinator.sync(syncRequest("a", { wallMs }));
         expect(singleVersion).to.deep.equal(["app"]);
+        expect(singleVersions).to.deep.equal({ app: "v1" });
         expect(coordinator.sync(syncRequest("a", { wallMs, singleVersionTag })).singleVersion).to.equal(undefined);
+        coordinator.versions = { since: 0, services: { app: { listed: ["v2"], left: {} } } };
+        expect(coordinator.sync(syncRequest("a", { wallMs, singleVersionTag })).singleVersions).to.deep.equal({
+            app: "v2",
+        });
         clock.advanceTo(clock.now() + 2_001);
         expect(coordinator.singleVersions()).to.deep.equal({});
     });
