Begin streams only at versions that every leader has to know

Cause: a process took its own list for what others use.

Change: an ingress withholds a version that it has read itself until every list by which a leader may answer shows it (max_lag_ms + 2 s); a leader records a version before it gives it out, and is confirmed by a majority before it names the only version; an ingress that has heard no leader does not go by its list. A take-up comes after its stream has begun, and whoever answers it knows each version that anybody may have used by then.

The stand-in view of first-list.test.ts has the new method.

--- a/packages/cli/src/wire-ingress.ts
+++ b/packages/cli/src/wire-ingress.ts
@@ -52,6 +52,7 @@
         options.usageWindowMs,
         options.capTolerance,
         options.catalogBoundMs,
+        options.maxListLagMs,
         parts,
         options.name,
         {
--- a/packages/cli/tests/fleet-harness.ts
+++ b/packages/cli/tests/fleet-harness.ts
@@ -73,7 +73,8 @@
             }
             res.setHeader("content-type", "application/json");
             if (req.method === "GET") {
-                res.end(JSON.stringify({ instances: [...this.entries, { id: 7, state: "later" }] }));
+                const entries = this.entriesFor(req.socket.remoteAddress ?? "");
+                res.end(JSON.stringify({ instances: [...entries, { id: 7, state: "later" }] }));
                 return;
             }
             this.orders.push({
@@ -87,14 +88,17 @@
     });
     private readonly endpoints: { service: string; server: Server; }[];
 
-    /** `listed` gives the entries of the list; without it the stand-in has two endpoints of its own. */
-    constructor(private readonly listed?: () => unknown[]) {
+    /**
+     * `listed` gives the entries of the list for the address of a reader; without it the stand-in has two endpoints of its
+     * own.
+     */
+    constructor(private readonly listed?: (reader: string) => unknown[]) {
         const own = listed === undefined ? ["app", "model"] : [];
         this.endpoints = own.map(service => ({ service, server: this.endpoint(service) }));
     }
 
-    private get entries(): unknown[] {
-        return this.listed !== undefined ? this.listed() : this.endpoints.map(({ service, server }) => ({
+    private entriesFor(reader: string): unknown[] {
+        return this.listed !== undefined ? this.listed(reader) : this.endpoints.map(({ service, server }) => ({
             id: `i-${service}`,
             service,
             address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
@@ -311,16 +315,19 @@
  */
 export async function startConfiguredFleet(
     cloudAddress: string,
-    { stewards, ingresses, configuration, limits }: {
+    { stewards, ingresses, configuration, limits, beforeConfiguration = async () => undefined }: {
         stewards: number;
         ingresses: number;
         configuration: string;
         limits?: ProcessLimits;
+        /** Awaited before the configuration is sent. */
+        beforeConfiguration?: () => Promise<void>;
     },
 ): Promise<FleetProcesses> {
     const fleet = new FleetProcesses(cloudAddress, stewards, ingresses, limits);
     try {
         await fleet.start();
+        await beforeConfiguration();
         await until("the configuration was taken", async () => {
             const path = "/lentilramp/configuration";
             const options = { method: "PUT", body: configuration };
--- a/packages/cli/tests/versioned-endpoint.ts
+++ b/packages/cli/tests/versioned-endpoint.ts
@@ -20,6 +20,7 @@
 export class VersionedEndpoint {
     /** Ids of the requests that were resumed here. */
     readonly resumed: string[] = [];
+    private port = 0;
     private readonly server: Server = createServer((req, res) => void this.answer(req, res));
 
     constructor(readonly id: string, private readonly options: VersionedEndpointOptions) {}
@@ -30,6 +31,7 @@
 
     async start(): Promise<void> {
         await new Promise<void>(resolve => this.server.listen(0, "127.0.0.1", resolve));
+        this.port = (this.server.address() as AddressInfo).port;
     }
 
     /** Ends the endpoint and its connections, as a crash does. */
@@ -38,11 +40,18 @@
         this.server.closeAllConnections();
     }
 
-    /** Entry of the platform's list. */
+    /** Entry of the platform's list, which shows an endpoint that has ended for a while. */
     get entry(): unknown {
-        const { port } = this.server.address() as AddressInfo;
         const { service, version } = this.options;
-        return { id: this.id, service, address: `127.0.0.1:${port}`, zone: "a", slots: 32, state: "ready", version };
+        return {
+            id: this.id,
+            service,
+            address: `127.0.0.1:${this.port}`,
+            zone: "a",
+            slots: 32,
+            state: "ready",
+            version,
+        };
     }
 
     private async answer(req: IncomingMessage, res: ServerResponse): Promise<void> {
--- a/packages/fleet/src/endpoint-directory.ts
+++ b/packages/fleet/src/endpoint-directory.ts
@@ -90,7 +90,7 @@
 
     /** Replaces the list with one read at the instant `readAt`; a list older than the current one is ignored. */
     update(endpoints: readonly Endpoint[], readAt: number): void {
-        if (this.readAt !== undefined && readAt <= this.readAt) {
+        if (this.readAt !== undefined && readAt < this.readAt) {
             return;
         }
         this.readAt = readAt;
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -33,5 +33,6 @@
 export * from "./sync-timing.ts";
 export * from "./usage-ledger.ts";
 export * from "./usage-windows.ts";
+export * from "./version-announcements.ts";
 export * from "./version-history.ts";
 export * from "./weighted-lookup.ts";
--- a/packages/fleet/src/version-history.ts
+++ b/packages/fleet/src/version-history.ts
@@ -1,5 +1,6 @@
 import { z } from "zod";
 import type { Endpoint } from "./endpoint-directory.ts";
+import { ownRecord } from "./own-record.ts";
 import { takeUpGraceMs, versionOf } from "./stream-origins.ts";
 
 /** Time for which software versions before the one that records `isComplete` kept a version that had left, in ms. */
@@ -57,6 +58,13 @@
     return JSON.stringify(next) === JSON.stringify(history) ? undefined : next;
 }
 
+/** Whether a history contains the version of an endpoint. */
+export function knowsVersion(history: VersionHistory | undefined, endpoint: Endpoint): boolean {
+    const { listed = [], left = {} } = ownRecord(history?.services ?? {})[endpoint.service] ?? {};
+    const version = versionOf(endpoint);
+    return listed.includes(version) || Object.hasOwn(left, version);
+}
+
 function updateService(
     before: ServiceVersions | undefined,
     listed: string[],
--- a/packages/ingress/src/endpoint-list-fallback.ts
+++ b/packages/ingress/src/endpoint-list-fallback.ts
@@ -48,6 +48,7 @@
 
     protected override async runOnce(): Promise<void> {
         const now = this.clock.now();
+        this.view.releaseVersions();
         // The pause grows with the fleet so that all ingresses together stay below the rate limit of the list.
         const pauseMs = Math.max(this.maxAgeMs, this.view.memberCount * pausePerIngressMs);
         if (this.view.endpoints.ageMs(now) < this.maxAgeMs || now - this.lastReadAt < pauseMs) {
--- a/packages/ingress/src/fleet-view.ts
+++ b/packages/ingress/src/fleet-view.ts
@@ -5,6 +5,7 @@
     CapMeter,
     type CapTolerance,
     CatalogFreshness,
+    type Endpoint,
     EndpointDirectory,
     type IngressDescription,
     isRequestKey,
@@ -18,6 +19,8 @@
     suspectKeys,
     takeUpGraceMs,
     UsageLedger,
+    VersionAnnouncements,
+    versionOf,
 } from "@lentilramp/fleet";
 import type { Clock, EventLog } from "@lentilramp/runtime";
 import type { IngressComponentFactory } from "./ingress-policy.ts";
@@ -70,8 +73,11 @@
     readonly origins = new OriginReporter();
     /** Tag of the services with a single version; 0 before the first ones. */
     singleVersionTag = 0;
-    /** Whether the last leader collects the origins of streams; one of an earlier software version does not. */
-    leaderCollectsOrigins = false;
+    /**
+     * Whether the last leader collects the origins of streams; one of an earlier software version does not. Undefined
+     * before the first answer of a leader.
+     */
+    leaderCollectsOrigins: boolean | undefined;
     /** Called after an answer to a sync and an endpoint list have been applied. */
     onUpdate: () => void = () => undefined;
     private readonly judgesRequests: boolean;
@@ -81,6 +87,9 @@
     private fleetTimeOffsetMs: number | undefined;
     private silentMemberCount = 0;
     private leaderAnsweredAt = -Infinity;
+    private readonly announcements: VersionAnnouncements;
+    /** The list in use if this process has read it itself, and the instant at which more of it may be used. */
+    private ownList: { endpoints: readonly Endpoint[]; readAt: number; moreUsableAt: number; } | undefined;
     /** Newest version of a catalog that this process cannot decode; no version is lower than 0. */
     private unreadableVersion = -1;
 
@@ -92,6 +101,8 @@
         tolerance: CapTolerance,
         /** Time within which a confirmed catalog must be in force, in milliseconds. */
         catalogBoundMs: number,
+        /** Longest time by which a list of the platform is behind, in milliseconds. */
+        maxListLagMs: number,
         components: IngressComponentFactory,
         private readonly ownName: string,
         private readonly hooks: FleetViewHooks,
@@ -102,6 +113,7 @@
         this.health = components.createEndpointHealth();
         this.prefixMemory = components.createPrefixMemory();
         this.usage = new UsageLedger(usageWindowMs);
+        this.announcements = new VersionAnnouncements(maxListLagMs);
         this.freshness = new CatalogFreshness(catalogBoundMs * usedBoundPart, () => this.hooks.nextSyncAt());
         this.caps = new CapMeter(
             tolerance,
@@ -252,9 +264,13 @@
     }
 
     /** Applies an endpoint list that was read at `readAt`; `number` is 0 for a list that this process read itself. */
-    applyEndpointList(endpoints: Parameters<EndpointDirectory["update"]>[0], readAt: number, number: number): void {
+    applyEndpointList(endpoints: readonly Endpoint[], readAt: number, number: number): void {
         const previous = this.endpoints.all;
-        this.endpoints.update(endpoints, readAt);
+        this.endpoints.update(number === 0 ? this.usableOf(endpoints, readAt) : endpoints, readAt);
+        if (number !== 0) {
+            this.ownList = undefined;
+            this.announcements.applyLeaderList(endpoints, this.clock.now());
+        }
         this.listNumber = number;
         this.limits.retain(this.endpoints.all);
         const startTimes = new Map(this.endpoints.all.map(endpoint => [endpoint.id, endpoint.startedAt]));
@@ -269,6 +285,38 @@
         this.onUpdate();
     }
 
+    /** Uses the versions in the list that this process has read itself which have been withheld for long enough. */
+    releaseVersions(): void {
+        const { ownList } = this;
+        if (ownList !== undefined && this.clock.now() >= ownList.moreUsableAt) {
+            this.applyEndpointList(ownList.endpoints, ownList.readAt, 0);
+        }
+    }
+
+    /** Returns the endpoints of a list that this process has read itself which may be used by now. */
+    private usableOf(endpoints: readonly Endpoint[], readAt: number): readonly Endpoint[] {
+        const withheld = this.announcements.applyOwnList(endpoints, this.clock.now())
+            .filter(({ service }) => this.hasResumableRoute(service));
+        const moreUsableAt = Math.min(Infinity, ...withheld.map(({ usableFrom }) => usableFrom));
+        if (moreUsableAt !== (this.ownList?.moreUsableAt ?? Infinity)) {
+            withheld.forEach(({ service, version }) =>
+                this.log.info("endpoints.version-withheld", { service, version })
+            );
+        }
+        this.ownList = { endpoints, readAt, moreUsableAt };
+        const isWithheld = (endpoint: Endpoint): boolean =>
+            withheld.some(({ service, version }) => service === endpoint.service && version === versionOf(endpoint));
+        return withheld.length === 0 ? endpoints : endpoints.filter(endpoint => !isWithheld(endpoint));
+    }
+
+    /** Whether callers may take up streams of a service; before the first catalog, they may. */
+    private hasResumableRoute(service: string): boolean {
+        return this.catalog === undefined
+            || this.catalog.routes.some(({ execution, resumable, targets }) =>
+                execution === "stream" && resumable && targets.some(target => target.service === service)
+            );
+    }
+
     private applyVerdicts({ blockedParts, blockedTag }: SyncAnswer): void {
         if (blockedParts === undefined) {
             return;
--- a/packages/ingress/src/ingress-options.ts
+++ b/packages/ingress/src/ingress-options.ts
@@ -23,6 +23,8 @@
     usageWindowMs: number;
     /** Time within which a confirmed catalog must be in force. */
     catalogBoundMs: number;
+    /** Longest time by which the platform's list of endpoints is behind. */
+    maxListLagMs: number;
     /** Time after the start of an endpoint's drain from which it must receive no new request. */
     drainBoundMs: number;
     /** Bounds of roll-outs; undefined if the deployment does not roll versions out. */
--- a/packages/ingress/src/stream-take-up.ts
+++ b/packages/ingress/src/stream-take-up.ts
@@ -51,7 +51,8 @@
     if (known !== undefined || service === undefined || services.length > 1) {
         return known;
     }
-    const version = answer === undefined && !view.leaderCollectsOrigins
+    // The own list may be older than those of others, and says nothing of versions that have left.
+    const version = answer === undefined && view.leaderCollectsOrigins === false
         ? onlyListedVersion(service, view)
         : ownRecord(answer?.single ?? {})[service];
     return version === undefined ? undefined : { service, version };
--- a/packages/ingress/tests/first-list.test.ts
+++ b/packages/ingress/tests/first-list.test.ts
@@ -19,6 +19,7 @@
         lacksLeader = false;
         fails = false;
         const view = {
+            releaseVersions: () => undefined,
             memberCount: 1,
             endpoints: { ageMs: (now: number) => now - listReadAt },
             applyEndpointList: (...[, readAt]: [unknown, number, number]) => listReadAt = readAt,
--- a/packages/ingress/tests/ingress-harness.ts
+++ b/packages/ingress/tests/ingress-harness.ts
@@ -311,6 +311,7 @@
             usageWindowMs: 5_000,
             drainBoundMs: 3_000,
             catalogBoundMs: 2_000,
+            maxListLagMs: 800,
             ...overrides,
         };
         this.options = options;
@@ -323,6 +324,7 @@
             options.usageWindowMs,
             options.capTolerance,
             options.catalogBoundMs,
+            options.maxListLagMs,
             components,
             options.name,
             {
--- a/packages/ingress/tests/stream-versions.test.ts
+++ b/packages/ingress/tests/stream-versions.test.ts
@@ -241,6 +241,30 @@
         expect((await takeUp(1, "other-stream")).status).to.equal(503);
     });
 
+    // Guards against a list that is older than those of others, at an ingress that has just started.
+    it("does not go by the list before it has heard of a leader", async () => {
+        await start(["e1", whole, "v1"]);
+        expect((await takeUp(1, "attempt-1")).status).to.equal(503);
+        expect(requestsAt()).to.deep.equal([0]);
+    });
+
+    // Guards against streams of a version that no leader knows, at an ingress that reads the list itself.
+    it("uses a version that it has read itself when every leader has to know it, and a plain service at once", async () => {
+        await start(["e1", whole, "v1"], ["e2", whole, "v2"]);
+        const own = endpoints.map(({ endpoint }) => endpoint);
+        const plain = { ...own[1]!, id: "plain", service: "plain" };
+        const readAt = ingress.clock.now() + 1;
+        ingress.view.applyEndpointList([...own, plain], readAt, 0);
+        expect(ingress.view.endpoints.all.map(({ id }) => id)).to.deep.equal(["e1", "plain"]);
+        ingress.view.releaseVersions();
+        expect(ingress.view.endpoints.all.map(({ id }) => id)).to.deep.equal(["e1", "plain"]);
+        const now = ingress.clock.now();
+        ingress.clock.now = () => now + 2_900;
+        ingress.view.releaseVersions();
+        expect(ingress.view.endpoints.all.map(({ id }) => id)).to.deep.equal(["e1", "e2", "plain"]);
+        expect(ingress.log.events.filter(({ name }) => name === "endpoints.version-withheld")).to.have.length(1);
+    });
+
     it("lets a request without events begin anew at any version", async () => {
         await start(["e1", whole, "v1"]);
         const headers = { resumes: "attempt-1" };
--- a/packages/ingress/tests/unconnected-ingress.ts
+++ b/packages/ingress/tests/unconnected-ingress.ts
@@ -29,6 +29,7 @@
     usageWindowMs: 5_000,
     drainBoundMs: 3_000,
     catalogBoundMs: 2_000,
+    maxListLagMs: 800,
 };
 
 class FixedCatalog extends CatalogCodec {
@@ -76,7 +77,7 @@
 
 /** Returns the parts of an ingress without a network that has not synced yet; `random` is what it draws from. */
 export function unconnectedIngress(catalog: Catalog, random: RandomSource, hooks: Partial<FleetViewHooks> = {}) {
-    const { name, usageWindowMs, capTolerance, catalogBoundMs } = options;
+    const { name, usageWindowMs, capTolerance, catalogBoundMs, maxListLagMs } = options;
     const clock = new ManualClock(startedAt);
     const base = { clock, random, log: new MemoryEventLog(), metrics: new MemoryMetrics() };
     const components = new IngressComponentFactory(ingressPolicyDefaults);
@@ -87,6 +88,7 @@
         usageWindowMs,
         capTolerance,
         catalogBoundMs,
+        maxListLagMs,
         components,
         name,
         {
--- a/packages/steward/src/platform-duties.ts
+++ b/packages/steward/src/platform-duties.ts
@@ -1,7 +1,14 @@
 import type { Catalog } from "@lentilramp/catalog";
 import { engineSpeedDefaults } from "@lentilramp/dispatch";
 import type { EndpointSource } from "@lentilramp/exchange";
-import { type Endpoint, noDemand, ReplicaPlanner, updateVersionHistory, type VersionHistory } from "@lentilramp/fleet";
+import {
+    type Endpoint,
+    knowsVersion,
+    noDemand,
+    ReplicaPlanner,
+    updateVersionHistory,
+    type VersionHistory,
+} from "@lentilramp/fleet";
 import { type Clock, type EventLog, PeriodicComponent } from "@lentilramp/runtime";
 import { attemptLives } from "./attempt-lives.ts";
 import type { DutyCalls, DutyHolder } from "./duty-calls.ts";
@@ -19,6 +26,8 @@
  */
 const listReadIntervalMs = 450;
 const listReadTimeoutMs = 1_000;
+/** Time for which a list waits until its new versions are recorded, in milliseconds; it goes out without them then. */
+const recordWaitMs = 300;
 /** Time after the end of a usage window until the counts of the ingresses are complete, in milliseconds. */
 const usageSettleMs = 3_000;
 /** Time after assuming the duties until a decrease in the number of ingresses is recorded, in milliseconds. */
@@ -178,9 +187,14 @@
         }
         this.listReadAt = now;
         try {
-            const endpoints = await this.source.read(now + listReadTimeoutMs);
-            const number = this.core.state.currentTerm * listNumbersPerTerm + ++this.listNumber;
-            this.updateVersions(endpoints);
+            const read = await this.source.read(now + listReadTimeoutMs);
+            const term = this.core.state.currentTerm;
+            this.updateVersions(read);
+            const endpoints = await this.recordedEndpoints(read);
+            if (!this.holdsDuties || this.core.state.currentTerm !== term) {
+                return;
+            }
+            const number = term * listNumbersPerTerm + ++this.listNumber;
             const changed = this.coordinator.updateEndpointList(endpoints, now, number);
             if (changed || this.listReadFailed) {
                 this.log.info("endpoints.list", {
@@ -199,7 +213,23 @@
         }
     }
 
-    /** Takes note of the versions before ingresses get the list, so that they know of a new one before it serves. */
+    /**
+     * Returns the endpoints whose versions are recorded in the replicated state, after an attempt to record new ones. The
+     * list of the next leader may be older than this one, so that it has to know of each version that ingresses may use.
+     */
+    private async recordedEndpoints(endpoints: readonly Endpoint[]): Promise<readonly Endpoint[]> {
+        const { core, clock } = this;
+        const isRecorded = (endpoint: Endpoint): boolean => knowsVersion(core.state.versions, endpoint);
+        if (!endpoints.every(isRecorded)) {
+            await Promise.race([
+                this.recordVersions().catch((err: unknown) => this.onFailure(err)),
+                clock.sleepUntil(clock.now() + recordWaitMs),
+            ]);
+        }
+        return endpoints.filter(isRecorded);
+    }
+
+    /** Takes note of the versions in a list before ingresses get it. */
     private updateVersions(endpoints: readonly Endpoint[]): void {
         const { core, coordinator, clock } = this;
         const now = coordinator.medianClock.timeOfDayMs(clock.now()) ?? Date.now();
--- a/packages/steward/src/steward-core.ts
+++ b/packages/steward/src/steward-core.ts
@@ -58,6 +58,14 @@
         }
     }
 
+    /**
+     * Resolves once a majority has confirmed that this steward leads and has applied all that was committed before the
+     * call. Rejects with a ControlError.
+     */
+    async confirmLeadership(): Promise<void> {
+        await this.driver.confirmRead();
+    }
+
     /** Returns the newest catalog, confirmed by a majority; undefined before the first. Rejects with a ControlError. */
     async readCatalog(): Promise<{ version: number; text: string; } | undefined> {
         await this.driver.confirmRead();
--- a/packages/steward/src/steward-methods.ts
+++ b/packages/steward/src/steward-methods.ts
@@ -27,6 +27,8 @@
 import { SyncServer } from "./sync-server.ts";
 import type { releaseAnswerSchema } from "./vote-release.ts";
 
+/** Time within which a majority has to confirm a leader for an answer about versions, in milliseconds. */
+const confirmTimeoutMs = 200;
 /** Largest number of origins in one answer to another steward. */
 const maxCopiedOrigins = 50_000;
 
@@ -114,24 +116,46 @@
 }
 
 /** Returns what this steward knows of the origins of streams. */
-function answerOrigins(
+async function answerOrigins(
     { keys, services }: z.infer<typeof originRequestSchema>,
-    { core, coordinator, holdsDuties }: StewardParts,
-): OriginAnswer {
-    const now = core.clock.now();
-    const leading = holdsDuties();
-    const single = leading ? ownRecord(coordinator.singleVersions()) : {};
+    parts: StewardParts,
+): Promise<OriginAnswer> {
+    const { core, coordinator, holdsDuties } = parts;
+    const isUnknown = (key: string): boolean => coordinator.origins.find(key, core.clock.now()) === undefined;
+    const single = keys.some(isUnknown) ? await confirmedSingleVersions(services, parts) : {};
     return {
-        leading,
+        leading: holdsDuties(),
         origins: Object.fromEntries(keys.flatMap(key => {
-            const entry = coordinator.origins.find(key, now);
+            const entry = coordinator.origins.find(key, core.clock.now());
             return entry === undefined ? [] : [[key, entry.origin]];
         })),
-        single: Object.fromEntries(services.flatMap(service => {
-            const version = single[service];
+        single,
+    };
+}
+
+/**
+ * Returns the only version that can have begun a stream so far of each service that has one. A leader that was held may
+ * have a successor, whose list shows more; a majority knows of that one.
+ */
+async function confirmedSingleVersions(
+    services: readonly string[],
+    { core, coordinator, holdsDuties }: StewardParts,
+): Promise<Record<string, string>> {
+    const singleVersions = (): [string, string][] => {
+        const versions = holdsDuties() ? ownRecord(coordinator.singleVersions()) : {};
+        return services.flatMap(service => {
+            const version = versions[service];
             return version === undefined ? [] : [[service, version]];
-        })),
+        });
     };
+    if (singleVersions().length === 0) {
+        return {};
+    }
+    const isConfirmed = await Promise.race([
+        core.confirmLeadership().then(() => true, () => false),
+        core.clock.sleepUntil(core.clock.now() + confirmTimeoutMs).then(() => false),
+    ]);
+    return isConfirmed ? Object.fromEntries(singleVersions()) : {};
 }
 
 function copyOrigins(
@@ -173,7 +197,7 @@
     server.method(
         "fleet.origins",
         originRequestSchema,
-        async (req): Promise<OriginAnswer> => answerOrigins(req, parts),
+        (req): Promise<OriginAnswer> => answerOrigins(req, parts),
     );
     const rosterRequest = z.object({
         tag: z.number(),
