Play a joining version and an ingress out of step in the soak

Change: beside the faults, streams of 7 s are taken up at other ingresses while a second version of their service joins and the one before leaves. One ingress is cut off from all other processes or held around the join, and the lists of some readers are up to 800 ms behind. No stream may hold two versions, lack an event, or look complete without being whole. The sending of a request has a file of its own.

--- a/packages/cli/tests/joining-version.test.ts
+++ b/packages/cli/tests/joining-version.test.ts
@@ -82,7 +82,10 @@
 
     /** Begins streams at some ingresses; each is taken up at others if it breaks off, four times at most. */
     function begin(count: number, first: readonly string[], next: readonly string[]) {
-        const callers = Array.from({ length: count }, (...[, i]) => new StreamCaller(`s-${i}`, "/x", timeoutMs));
+        const callers = Array.from(
+            { length: count },
+            (...[, i]) => new StreamCaller(`s-${i}`, { host: "desk.example", path: "/x", timeoutMs }),
+        );
         const ended = Promise.all(callers.map(async (caller, i) => {
             await caller.attempt(first[i % first.length] ?? "");
             return caller.complete || await caller.takeUp(next, 4);
--- a/packages/cli/tests/long-streams.test.ts
+++ b/packages/cli/tests/long-streams.test.ts
@@ -77,7 +77,8 @@
         const callers = ["kept", "replaced"].map(service =>
             Array.from(
                 { length: streamsOfService },
-                (...[, i]) => new StreamCaller(`${service}-${i}`, `/${service}/x`, timeoutMs),
+                (...[, i]) =>
+                    new StreamCaller(`${service}-${i}`, { host: "desk.example", path: `/${service}/x`, timeoutMs }),
             )
         );
         const begun = callers.flat().map(caller => caller.attempt(first));
--- a/packages/cli/tests/soak/soak-catalog.ts
+++ b/packages/cli/tests/soak/soak-catalog.ts
@@ -10,6 +10,10 @@
 /** Time limit of the route of long streams, in milliseconds. */
 const longPatienceMs = 6_000;
 
+/** Service of which a second software version joins, and the time limit of its streams in milliseconds. */
+export const versionedService = "versions";
+export const versionedTimeoutMs = 15_000;
+
 /** Time limit of a kind of request, in milliseconds. */
 export function patienceOf(kind: CallKind): number {
     return kind === "long" ? longPatienceMs : patienceMs;
@@ -42,12 +46,20 @@
                 timeout_ms: longPatienceMs,
                 target_latency_ms: longPatienceMs,
             }),
+            route(versionedService, "streaming", versionedService, {
+                resumable: true,
+                public: true,
+                gap_target_ms: 1_000,
+                timeout_ms: versionedTimeoutMs,
+                target_latency_ms: versionedTimeoutMs,
+            }),
             route("once", "streaming", "model", { resumable: false, max_attempts: 1, gap_target_ms: 300 }),
         ],
         services: [
             { name: "app", health_check_path: "/h", connection_limit: 200 },
             { name: "model", health_check_path: "/h", connection_limit: 200 },
             { name: "talk", health_check_path: "/h", connection_limit: 200 },
+            { name: versionedService, health_check_path: "/h", connection_limit: 200 },
         ],
         limits: {
             max_header_bytes: 16_384,
--- a/packages/cli/tests/soak/soak-run.ts
+++ b/packages/cli/tests/soak/soak-run.ts
@@ -1,6 +1,7 @@
-import { Agent, request } from "node:http";
+import { Agent } from "node:http";
 import { setTimeout as sleep } from "node:timers/promises";
 import { exchange, FleetProcesses, PlatformStandIn, ports, until } from "../fleet-harness.ts";
+import { InnerNetwork } from "../inner-network.ts";
 import { ChaosProxy } from "./chaos-proxy.ts";
 import { type Arrival, brokenLimits, type LimitNamed } from "./limits.ts";
 import { BuildUpgrade, mixedLimits, statedPace } from "./mixed-builds.ts";
@@ -12,7 +13,6 @@
     type CallKind,
     type CallSeen,
     type DutySeen,
-    hasBody,
 } from "./promises.ts";
 import {
     describeEndless,
@@ -26,9 +26,11 @@
     schedule,
 } from "./schedule.ts";
 import { replaceStewardAndLoseDisk, stopIngresses, untilAllReady } from "./series.ts";
+import { sendCall } from "./soak-caller.ts";
 import { catalog, kinds, patienceOf, services, shortKinds } from "./soak-catalog.ts";
 import { type Run, slots, SoakEndpoint } from "./soak-endpoint.ts";
 import { soakLimits, UntrustedLoad } from "./untrusted-load.ts";
+import { VersionLoad } from "./version-load.ts";
 
 export interface SoakOptions {
     seed: number;
@@ -59,8 +61,6 @@
 const pauseMs = 25;
 /** Time from the end of the last fault in which everything must be served again, in milliseconds. */
 const recoveryMs = 12_000;
-/** Pause of a slow caller within an answer, in milliseconds. */
-const readPauseMs = 120;
 
 /** One run of real processes under the faults of a seed, and what was seen of it. */
 class SoakRun {
@@ -73,12 +73,15 @@
     private readonly limitPhases: LimitPhase[];
     private readonly endlessPhases: EndlessPhase[];
     private readonly untrusted: UntrustedLoad;
+    /** Undefined beside another build, which may take a list for what others use. */
+    private readonly versions: VersionLoad | undefined;
+    private readonly network = new InnerNetwork();
     private readonly series: string[] = [];
     /** When ingresses were stopped while nothing else was wrong, in milliseconds since the epoch. */
     private calmStops: { from: number; until: number; } | undefined;
     private readonly endpoints: SoakEndpoint[] = [];
     private readonly proxies: ChaosProxy[] = [];
-    private readonly platform = new PlatformStandIn(() => this.listed());
+    private readonly platform = new PlatformStandIn(reader => this.listed(reader));
     private readonly dutyTimes: number[] = [];
     private fleet: FleetProcesses | undefined;
     private startedAt = 0;
@@ -109,6 +112,9 @@
         // A build that does not bound clients would end.
         const untrustedSeconds = options.otherProgram === undefined ? options.seconds : 0;
         this.untrusted = new UntrustedLoad(options.seed, untrustedSeconds, options.ingresses);
+        this.versions = options.otherProgram === undefined
+            ? new VersionLoad(options.seed, options.seconds, options.ingresses)
+            : undefined;
     }
 
     async run(): Promise<SoakResult> {
@@ -116,7 +122,10 @@
         for (const part of [...this.endpoints, ...this.proxies]) {
             await part.start();
         }
-        const limits = otherProgram === undefined ? soakLimits : mixedLimits;
+        await this.versions?.start();
+        await this.network.start();
+        const { settings, nodeOptions } = otherProgram === undefined ? soakLimits : mixedLimits;
+        const limits = { settings, nodeOptions: [...nodeOptions, ...this.network.nodeOptions] };
         const fleet = new FleetProcesses(await this.platform.start(), stewards, ingresses, limits);
         this.fleet = fleet;
         const upgrade = otherProgram === undefined ? undefined : new BuildUpgrade(fleet, otherProgram, seed);
@@ -124,6 +133,9 @@
         const dutyWatch = setInterval(() => this.noteDuties(), 5);
         try {
             await fleet.start();
+            if (this.versions !== undefined) {
+                await until("a leader has read the list", async () => this.versions?.isKnownToLeader ?? false);
+            }
             await until("a configuration was taken", () => this.configure());
             await untilAllReady(fleet);
             this.startedAt = Date.now();
@@ -134,6 +146,7 @@
                 ...this.endlessPhases.map(phase => this.sendEndlessly(phase)),
                 upgrade?.run(this.startedAt, seconds * 1_000, this.faults).catch(note),
                 this.untrusted.run(this.startedAt, fleet),
+                this.versions?.run(this.startedAt, fleet, this.network),
             ]);
             await this.recover(fleet);
             await upgrade?.orderRollout().catch(note);
@@ -152,6 +165,8 @@
             this.ended = true;
             await fleet.close();
             [...this.proxies, ...this.endpoints].forEach(part => part.close());
+            this.versions?.close();
+            this.network.close();
             this.platform.close();
         }
         this.noteDuties();
@@ -163,6 +178,7 @@
             ...brokenTimeLimits(this.calls.filter(call => this.isUndisturbed(call)), patienceOf),
             ...this.lostInCalmStops(),
             ...this.untrusted.brokenMemoryBounds,
+            ...this.versions?.broken ?? [],
             ...fleet.unexpectedExits.filter(({ signal }) => signal !== "SIGHUP")
                 .map(({ host, code, signal }) => `ended by itself: ${host} code=${code} signal=${signal}`),
             // At the bound of connections an idle one may be closed while its caller sends.
@@ -178,6 +194,7 @@
                 ...this.limitPhases.map(describeLimit),
                 ...this.endlessPhases.map(describeEndless),
                 ...this.untrusted.description,
+                ...this.versions === undefined ? [] : [this.versions.description],
                 ...this.series,
             ],
             broken: this.broken,
@@ -187,8 +204,8 @@
         };
     }
 
-    private listed(): unknown[] {
-        return this.endpoints.map(({ id, service }, i) => ({
+    private listed(reader: string): unknown[] {
+        const endpoints = this.endpoints.map(({ id, service }, i) => ({
             id,
             service,
             address: `127.0.0.1:${this.proxies[i]?.port}`,
@@ -196,6 +213,7 @@
             slots,
             state: "ready",
         }));
+        return [...endpoints, ...this.versions?.entriesFor(reader) ?? []];
     }
 
     private noteDuties(): void {
@@ -291,57 +309,7 @@
 
     private async send(kind: CallKind, ingress: number, agent: Agent, readsSlowly = false): Promise<CallSeen> {
         const id = `s${this.options.seed}-${this.nextId++}`;
-        const seen: CallSeen = {
-            id,
-            kind,
-            sentAt: Date.now(),
-            endedAt: 0,
-            ingress,
-            status: undefined,
-            seal: undefined,
-            body: "",
-            complete: false,
-        };
-        await new Promise<void>(resolve => {
-            const req = request({
-                host: this.fleet?.ingresses[ingress],
-                port: ports.front,
-                path: `/${kind}/${id}`,
-                method: hasBody(kind) ? "POST" : "GET",
-                agent,
-                headers: {
-                    host: "soak.example",
-                    "x-attempt-id": id,
-                    "api-key": "soak-key",
-                    "x-deadline-ms": String(patienceOf(kind)),
-                    ...kind === "long" ? { "transfer-encoding": "chunked" } : {},
-                },
-            }, res => {
-                seen.status = res.statusCode;
-                seen.seal = res.headers["x-response-seal"]?.toString();
-                res.setEncoding("utf8").on("data", (part: string) => {
-                    seen.body += part;
-                    if (readsSlowly && kind === "long") {
-                        res.pause();
-                        setTimeout(() => res.resume(), readPauseMs);
-                    }
-                });
-                res.on("error", () => undefined);
-                const finish = (): void => {
-                    seen.complete = res.complete;
-                    resolve();
-                };
-                // A slow caller still has parts of a whole answer to read when its connection closes.
-                res.on("end", finish);
-                res.on("close", () => res.complete || finish());
-            });
-            const timer = setTimeout(() => req.destroy(new Error("the caller left")), patienceOf(kind) * 2);
-            req.on("error", () => resolve());
-            req.on("close", () => clearTimeout(timer));
-            req.end(hasBody(kind) ? id : undefined);
-        });
-        seen.endedAt = Date.now();
-        return seen;
+        return await sendCall({ id, kind, ingress }, this.fleet?.ingresses[ingress] ?? "", agent, readsSlowly);
     }
 
     private async configure(): Promise<boolean> {
--- a/packages/cli/tests/soak/soak.test.ts
+++ b/packages/cli/tests/soak/soak.test.ts
@@ -6,6 +6,7 @@
 import { type Run, SoakEndpoint, wholeBody } from "./soak-endpoint.ts";
 import { soak } from "./soak-run.ts";
 import { untrustedSchedule } from "./untrusted-load.ts";
+import { versionSchedule } from "./version-load.ts";
 
 /** Seeds that once failed, with a line on the cause each. */
 const failedSeeds: readonly number[] = [
@@ -36,6 +37,8 @@
         expect(schedule(4, 20, sizes)).to.not.deep.equal(schedule(5, 20, sizes));
         expect(untrustedSchedule(4, 20, 5)).to.deep.equal(untrustedSchedule(4, 20, 5));
         expect(untrustedSchedule(4, 20, 5)).to.not.deep.equal(untrustedSchedule(5, 20, 5));
+        expect(versionSchedule(4, 20, 5)).to.deep.equal(versionSchedule(4, 20, 5));
+        expect(versionSchedule(4, 20, 5)).to.not.deep.equal(versionSchedule(5, 20, 5));
     });
 
     it("finds each broken promise in what callers and endpoints saw", () => {
--- a/packages/cli/tests/stream-caller.ts
+++ b/packages/cli/tests/stream-caller.ts
@@ -12,13 +12,23 @@
     /** Statuses of the attempts to take the stream up. */
     readonly statuses: number[] = [];
     lastEvent = 0;
+    /** Whether an event came before the one in front of it. */
+    hasGap = false;
     complete = false;
     private attempts = 0;
     private firstAttempt: string | undefined;
     private readonly deadline: number;
 
-    constructor(private readonly name: string, private readonly path: string, timeoutMs: number) {
-        this.deadline = Date.now() + timeoutMs;
+    constructor(
+        readonly name: string,
+        private readonly target: {
+            host: string;
+            path: string;
+            /** Time for all attempts together, in milliseconds. */
+            timeoutMs: number;
+        },
+    ) {
+        this.deadline = Date.now() + target.timeoutMs;
     }
 
     /** Sends one attempt; resolves when its answer has ended, with whether it brought an event. */
@@ -26,7 +36,7 @@
         const id = `${this.name}-${++this.attempts}`;
         const before = this.lastEvent;
         const headers = {
-            host: "desk.example",
+            host: this.target.host,
             "x-attempt-id": id,
             "x-deadline-ms": String(Math.max(1, this.deadline - Date.now())),
             ...before === 0 ? {} : { "last-event-id": String(before), resumes: this.firstAttempt },
@@ -35,7 +45,7 @@
             const options = {
                 host: ingress,
                 port: ports.front,
-                path: this.path,
+                path: this.target.path,
                 method: "POST",
                 agent: false,
                 headers,
@@ -75,6 +85,7 @@
         for (const [, event, version = ""] of text.matchAll(/id: (\d+)\ndata: (\S+)\n\n/g)) {
             if (Number(event) > this.lastEvent) {
                 this.firstAttempt ??= id;
+                this.hasGap ||= Number(event) > this.lastEvent + 1;
                 this.lastEvent = Number(event);
                 this.versions.add(version);
             }
