Use a version that an older list of the leader announces

Cause: an ingress that reads the list before its first sync withholds one of two versions. The leader's list, read earlier, was dropped as the older one, but its number was taken for the one in use, so that the leader never sent it again and the version stayed withheld.

Change: an older list of the leader announces versions of the own list, and its number is not taken; a late own list changes nothing.

Test: stream-versions.test.ts, "uses a version that the leader announces in a list older than the own one"; it fails without the change.

--- a/packages/fleet/src/endpoint-directory.ts
+++ b/packages/fleet/src/endpoint-directory.ts
@@ -88,9 +88,14 @@
             .map(({ id, startedAt }) => ({ id, startedAt }));
     }
 
+    /** Whether the current list was read later than at the instant `readAt`. */
+    isNewerThan(readAt: number): boolean {
+        return this.readAt !== undefined && readAt < this.readAt;
+    }
+
     /** Replaces the list with one read at the instant `readAt`; a list older than the current one is ignored. */
     update(endpoints: readonly Endpoint[], readAt: number): void {
-        if (this.readAt !== undefined && readAt < this.readAt) {
+        if (this.isNewerThan(readAt)) {
             return;
         }
         this.readAt = readAt;
--- a/packages/ingress/src/fleet-view.ts
+++ b/packages/ingress/src/fleet-view.ts
@@ -265,11 +265,19 @@
 
     /** Applies an endpoint list that was read at `readAt`; `number` is 0 for a list that this process read itself. */
     applyEndpointList(endpoints: readonly Endpoint[], readAt: number, number: number): void {
+        if (number !== 0) {
+            this.announcements.applyLeaderList(endpoints, this.clock.now());
+        }
+        if (this.endpoints.isNewerThan(readAt)) {
+            if (number !== 0) {
+                this.reapplyOwnList();
+            }
+            return;
+        }
         const previous = this.endpoints.all;
         this.endpoints.update(number === 0 ? this.usableOf(endpoints, readAt) : endpoints, readAt);
         if (number !== 0) {
             this.ownList = undefined;
-            this.announcements.applyLeaderList(endpoints, this.clock.now());
         }
         this.listNumber = number;
         this.limits.retain(this.endpoints.all);
@@ -287,9 +295,15 @@
 
     /** Uses the versions in the list that this process has read itself which have been withheld for long enough. */
     releaseVersions(): void {
-        const { ownList } = this;
-        if (ownList !== undefined && this.clock.now() >= ownList.moreUsableAt) {
-            this.applyEndpointList(ownList.endpoints, ownList.readAt, 0);
+        if (this.clock.now() >= (this.ownList?.moreUsableAt ?? Infinity)) {
+            this.reapplyOwnList();
+        }
+    }
+
+    /** Applies the list that this process has read itself again, of which more may be usable by now. */
+    private reapplyOwnList(): void {
+        if (this.ownList !== undefined) {
+            this.applyEndpointList(this.ownList.endpoints, this.ownList.readAt, 0);
         }
     }
 
--- a/packages/ingress/tests/stream-versions.test.ts
+++ b/packages/ingress/tests/stream-versions.test.ts
@@ -265,6 +265,23 @@
         expect(ingress.log.events.filter(({ name }) => name === "endpoints.version-withheld")).to.have.length(1);
     });
 
+    // Guards against versions that stay withheld after the leader has announced them in a list that is older than the own
+    // one: an ingress refused the take-ups of one of two versions from its start on.
+    it("uses a version that the leader announces in a list older than the own one", async () => {
+        await start(["e1", whole, "v1"], ["e2", whole, "v2"]);
+        const own = endpoints.map(({ endpoint }) => endpoint);
+        const readAt = ingress.clock.now() + 1_000;
+        ingress.view.applyEndpointList(own, readAt, 0);
+        expect(ingress.view.endpoints.all.map(({ id }) => id)).to.deep.equal(["e1"]);
+        ingress.view.applyEndpointList(own, readAt - 10, 7);
+        expect(ingress.view.endpoints.all.map(({ id }) => id)).to.deep.equal(["e1", "e2"]);
+        expect(ingress.view.listNumber, "the leader has to send a newer one").to.equal(0);
+        ingress.view.applyEndpointList(own.slice(0, 1), readAt + 10, 8);
+        ingress.view.applyEndpointList(own, readAt, 0);
+        expect(ingress.view.endpoints.all.map(({ id }) => id), "an own list that came late").to.deep.equal(["e1"]);
+        expect(ingress.view.listNumber).to.equal(8);
+    });
+
     it("lets a request without events begin anew at any version", async () => {
         await start(["e1", whole, "v1"]);
         const headers = { resumes: "attempt-1" };
