--- a/packages/steward/src/platform-duties.ts
+++ b/packages/steward/src/platform-duties.ts
@@ -3,7 +3,7 @@
 import type { EndpointSource } from "@lentilramp/exchange";
 import {
     type Endpoint,
-    knowsVersion,
+    endpointsOfKnownVersions,
     noDemand,
     ReplicaPlanner,
     updateVersionHistory,
@@ -219,14 +219,14 @@
      */
     private async recordedEndpoints(endpoints: readonly Endpoint[]): Promise<readonly Endpoint[]> {
         const { core, clock } = this;
-        const isRecorded = (endpoint: Endpoint): boolean => knowsVersion(core.state.versions, endpoint);
-        if (!endpoints.every(isRecorded)) {
+        const recorded = (): readonly Endpoint[] => endpointsOfKnownVersions(core.state.versions, endpoints);
+        if (recorded().length < endpoints.length) {
             await Promise.race([
                 this.recordVersions().catch((err: unknown) => this.onFailure(err)),
                 clock.sleepUntil(clock.now() + recordWaitMs),
             ]);
         }
-        return endpoints.filter(isRecorded);
+        return recorded();
     }
 
     /** Takes note of the versions in a list before ingresses get it. */
