--- a/packages/ingress/src/fleet-view.ts
+++ b/packages/ingress/src/fleet-view.ts
@@ -24,6 +24,7 @@
 } from "@lentilramp/fleet";
 import type { Clock, EventLog } from "@lentilramp/runtime";
 import type { IngressComponentFactory } from "./ingress-policy.ts";
+import { hasResumableRoute } from "./resumable-routes.ts";
 
 /** Time by which the knowledge of a steward that does not lead may be older, in milliseconds: an election timeout. */
 const followerLagMs = 900;
@@ -310,7 +311,7 @@
     /** Returns the endpoints of a list that this process has read itself which may be used by now. */
     private usableOf(endpoints: readonly Endpoint[], readAt: number): readonly Endpoint[] {
         const withheld = this.announcements.applyOwnList(endpoints, this.clock.now())
-            .filter(({ service }) => this.hasResumableRoute(service));
+            .filter(({ service }) => hasResumableRoute(service, this.catalog));
         const moreUsableAt = Math.min(Infinity, ...withheld.map(({ usableFrom }) => usableFrom));
         if (moreUsableAt !== (this.ownList?.moreUsableAt ?? Infinity)) {
             withheld.forEach(({ service, version }) =>
@@ -323,14 +324,6 @@
         return withheld.length === 0 ? endpoints : endpoints.filter(endpoint => !isWithheld(endpoint));
     }
 
-    /** Whether callers may take up streams of a service; before the first catalog, they may. */
-    private hasResumableRoute(service: string): boolean {
-        return this.catalog === undefined
-            || this.catalog.routes.some(({ execution, resumable, targets }) =>
-                execution === "stream" && resumable && targets.some(target => target.service === service)
-            );
-    }
-
     private applyVerdicts({ blockedParts, blockedTag }: SyncAnswer): void {
         if (blockedParts === undefined) {
             return;
